--- /dev/null
+++ b/crates/mangotrestle-core/src/resources.rs
@@ -0,0 +1,111 @@
+//! What a worker holds and what a task needs, in whole units so that sums are exact.
+
+use std::ops::{Add, AddAssign, Sub, SubAssign};
+
+use serde::{Deserialize, Serialize};
+
+/// An amount of each resource of a worker.
+///
+/// The same type serves for capacity, free capacity and need.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, PartialEq, Serialize, Deserialize)]
+pub struct Resources {
+    /// Processor time, in thousandths of a core.
+    pub cpu_millicores: u64,
+    /// Memory, in mebibytes.
+    pub memory_mib: u64,
+    /// Whole accelerators.
+    pub accelerators: u32,
+    /// Task slots of the worker.
+    pub slots: u32,
+}
+
+impl Resources {
+    /// Nothing of any resource.
+    pub const ZERO: Self = Self {
+        cpu_millicores: 0,
+        memory_mib: 0,
+        accelerators: 0,
+        slots: 0,
+    };
+
+    /// Whether this need fits into the given free amount, in every resource.
+    #[must_use]
+    pub fn fits_in(&self, free: &Self) -> bool {
+        self.cpu_millicores <= free.cpu_millicores
+            && self.memory_mib <= free.memory_mib
+            && self.accelerators <= free.accelerators
+            && self.slots <= free.slots
+    }
+
+    /// The difference in each resource, or `None` if any would be negative.
+    #[must_use]
+    pub fn checked_sub(&self, other: &Self) -> Option<Self> {
+        Some(Self {
+            cpu_millicores: self.cpu_millicores.checked_sub(other.cpu_millicores)?,
+            memory_mib: self.memory_mib.checked_sub(other.memory_mib)?,
+            accelerators: self.accelerators.checked_sub(other.accelerators)?,
+            slots: self.slots.checked_sub(other.slots)?,
+        })
+    }
+
+    /// The greater amount of each resource.
+    #[must_use]
+    pub fn max(&self, other: &Self) -> Self {
+        Self {
+            cpu_millicores: self.cpu_millicores.max(other.cpu_millicores),
+            memory_mib: self.memory_mib.max(other.memory_mib),
+            accelerators: self.accelerators.max(other.accelerators),
+            slots: self.slots.max(other.slots),
+        }
+    }
+
+    /// Each amount multiplied by a count.
+    #[must_use]
+    pub fn times(&self, count: u32) -> Self {
+        Self {
+            cpu_millicores: self.cpu_millicores * u64::from(count),
+            memory_mib: self.memory_mib * u64::from(count),
+            accelerators: self.accelerators * count,
+            slots: self.slots * count,
+        }
+    }
+}
+
+impl Add for Resources {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        Self {
+            cpu_millicores: self.cpu_millicores + other.cpu_millicores,
+            memory_mib: self.memory_mib + other.memory_mib,
+            accelerators: self.accelerators + other.accelerators,
+            slots: self.slots + other.slots,
+        }
+    }
+}
+
+impl AddAssign for Resources {
+    fn add_assign(&mut self, other: Self) {
+        *self = *self + other;
+    }
+}
+
+impl Sub for Resources {
+    type Output = Self;
+
+    /// Subtracts each amount, down to zero at the least.
+    fn sub(self, other: Self) -> Self {
+        Self {
+            cpu_millicores: self.cpu_millicores.saturating_sub(other.cpu_millicores),
+            memory_mib: self.memory_mib.saturating_sub(other.memory_mib),
+            accelerators: self.accelerators.saturating_sub(other.accelerators),
+            slots: self.slots.saturating_sub(other.slots),
+        }
+    }
+}
+
+impl SubAssign for Resources {
+    fn sub_assign(&mut self, other: Self) {
+        *self = *self - other;
+    }
+}
--- /dev/null
+++ b/crates/xtask/src/main.rs
@@ -0,0 +1,107 @@
+//! Tasks of developers that the build itself does not need.
+//!
+//! `cargo run -p xtask -- generate` writes the Rust code of `proto/` into the packages that use
+//! it; with `--check` it only says whether the committed code is up to date.
+
+use std::fs;
+use std::path;
+use std::process;
+
+use argh::FromArgs;
+
+/// Developers' tasks.
+#[derive(FromArgs)]
+struct Arguments {
+    #[argh(subcommand)]
+    task: Task,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Task {
+    Generate(Generate),
+}
+
+/// Writes the code generated from proto/.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "generate")]
+struct Generate {
+    /// only compare with the committed code; exits with 1 if it differs
+    #[argh(switch)]
+    check: bool,
+}
+
+/// A schema and the package that holds its generated code.
+struct Schema {
+    file: &'static str,
+    package: &'static str,
+    generated: &'static str,
+}
+
+const SCHEMAS: [Schema; 2] = [
+    Schema {
+        file: "worker.proto",
+        package: "mangotrestle-worker",
+        generated: "mangotrestle.worker.v1.rs",
+    },
+    Schema {
+        file: "operator.proto",
+        package: "mangotrestle-operator",
+        generated: "mangotrestle.operator.v1.rs",
+    },
+];
+
+type AnyError = Box<dyn std::error::Error>;
+
+fn main() -> process::ExitCode {
+    let arguments: Arguments = argh::from_env();
+    let Task::Generate(generate) = arguments.task;
+    match run(generate.check) {
+        Ok(true) => process::ExitCode::SUCCESS,
+        Ok(false) => process::ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("xtask: {error}");
+            process::ExitCode::FAILURE
+        }
+    }
+}
+
+/// Generates every schema; returns whether the committed code is up to date.
+fn run(check: bool) -> Result<bool, AnyError> {
+    let root = path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    let scratch = root.join("target/xtask");
+    fs::create_dir_all(&scratch)?;
+    let mut current = true;
+    for schema in &SCHEMAS {
+        let text = generate(&root, &scratch, schema)?;
+        let committed = root
+            .join("crates")
+            .join(schema.package)
+            .join("src/generated.rs");
+        if fs::read_to_string(&committed).ok().as_deref() == Some(text.as_str()) {
+            continue;
+        }
+        if check {
+            eprintln!("{} is not what {} gives", committed.display(), schema.file);
+            current = false;
+        } else {
+            fs::write(&committed, &text)?;
+            println!("wrote {}", committed.display());
+        }
+    }
+    Ok(current)
+}
+
+/// The generated code of one schema.
+fn generate(root: &path::Path, scratch: &path::Path, schema: &Schema) -> Result<String, AnyError> {
+    let descriptors = protox::compile([schema.file], [root.join("proto")])?;
+    tonic_prost_build::configure()
+        .out_dir(scratch)
+        .compile_fds(descriptors)?;
+    let code = fs::read_to_string(scratch.join(schema.generated))?;
+    let header = format!(
+        "// Generated from proto/{} by xtask; do not edit.\n\n",
+        schema.file
+    );
+    Ok(header + &code)
+}
