--- /dev/null
+++ b/crates/mangotrestle-core/src/configuration/mod.rs
@@ -0,0 +1,1 @@
+//! Versioned configuration documents: their content, validation and differences.
--- a/crates/mangotrestle-core/src/lib.rs
+++ b/crates/mangotrestle-core/src/lib.rs
@@ -6,10 +6,16 @@
 //! runtime; other programs can embed any single module.
 
 pub mod collections;
+pub mod configuration;
 pub mod id;
 pub mod job;
+pub mod journal;
 pub mod lease;
+pub mod membership;
+pub mod pool;
 pub mod resources;
 pub mod result_code;
+pub mod routing;
+pub mod scheduler;
 pub mod task;
 pub mod time;
--- /dev/null
+++ b/crates/mangotrestle-core/src/membership/mod.rs
@@ -0,0 +1,1 @@
+//! Which entry hosts are alive, as a hint about who should try to act.
--- /dev/null
+++ b/crates/mangotrestle-core/src/routing/mod.rs
@@ -0,0 +1,1 @@
+//! Choice of targets for callers' requests, limits and retries.
--- /dev/null
+++ b/crates/mangotrestle-core/src/scheduler/mod.rs
@@ -0,0 +1,1 @@
+//! Which task runs on which worker of a pool, and when.
--- /dev/null
+++ b/crates/mangotrestle-dev/src/demo.rs
@@ -0,0 +1,1 @@
+//! Demonstration of the whole path in one process.
--- a/crates/mangotrestle-dev/src/lib.rs
+++ b/crates/mangotrestle-dev/src/lib.rs
@@ -1,1 +1,7 @@
-//! Placeholder.
+//! Stand-ins, demonstration and measurements for developers; never shipped.
+
+pub mod demo;
+pub mod measure;
+pub mod profile;
+pub mod stand_in;
+pub mod up;
--- /dev/null
+++ b/crates/mangotrestle-dev/src/measure/mod.rs
@@ -0,0 +1,7 @@
+//! Experiments, each of which gives figures beside their targets and a naive version's figures.
+
+pub mod control;
+pub mod place;
+pub mod recover;
+pub mod report;
+pub mod route;
--- /dev/null
+++ b/crates/mangotrestle-dev/src/measure/place.rs
@@ -0,0 +1,1 @@
+//! Placement: cost of a decision, waiting time and packing.
--- /dev/null
+++ b/crates/mangotrestle-dev/src/measure/recover.rs
@@ -0,0 +1,1 @@
+//! Recovery: take-over of pools, store outages, configuration.
--- /dev/null
+++ b/crates/mangotrestle-dev/src/measure/route.rs
@@ -0,0 +1,1 @@
+//! Requests: goodput, latency, retries and outcomes.
--- /dev/null
+++ b/crates/mangotrestle-dev/src/profile.rs
@@ -0,0 +1,1 @@
+//! The users' deployments: availability zones, workers, racks, latencies and slots.
--- /dev/null
+++ b/crates/mangotrestle-dev/src/stand_in/host_list.rs
@@ -0,0 +1,1 @@
+//! Stand-in for the platform's host list.
--- /dev/null
+++ b/crates/mangotrestle-dev/src/stand_in/mod.rs
@@ -0,0 +1,6 @@
+//! Small stand-ins for the outside systems, each able to misbehave on command.
+
+pub mod host_list;
+pub mod object_store;
+pub mod table;
+pub mod worker;
--- /dev/null
+++ b/crates/mangotrestle-dev/src/up.rs
@@ -0,0 +1,1 @@
+//! Keeps the demonstration's cell running until interrupted.
