--- a/crates/mangotrestle-core/src/journal/mod.rs
+++ b/crates/mangotrestle-core/src/journal/mod.rs
@@ -1,1 +1,36 @@
 //! Records of what happened in a pool, and the state that they fold into.
+//!
+//! The leader of a pool appends [`Record`]s to the pool's journal. Whoever leads the pool next
+//! folds them into a [`PoolState`]. Folding is idempotent and does not depend on the order of the
+//! records, so a record that was written twice, or a batch that overtook another, changes nothing:
+//! every fact moves only upwards along an order of its own (attempt, then phase; revision).
+//!
+//! # Examples
+//!
+//! ```
+//! use mangotrestle_core::{id, journal, task, time};
+//!
+//! let job: id::JobId = "certificates".parse()?;
+//! let run = task::RunId { task: task::TaskId { job: job.clone(), index: 0 }, attempt: 1 };
+//! let mut state = journal::PoolState::default();
+//! state.apply(&journal::Record::RunEnded {
+//!     run: run.clone(),
+//!     outcome: task::RunOutcome::Succeeded,
+//!     wall_ms: time::WallTimeMs(2),
+//! });
+//! // The record of the start arrives late and changes nothing.
+//! state.apply(&journal::Record::RunStarted {
+//!     run,
+//!     worker: "w-1".parse()?,
+//!     wall_ms: time::WallTimeMs(1),
+//! });
+//! let task = state.job(&job).and_then(|job| job.task(0)).unwrap();
+//! assert_eq!(task.phase, journal::Phase::Ended(task::RunOutcome::Succeeded));
+//! # Ok::<(), id::InvalidId>(())
+//! ```
+
+mod record;
+mod state;
+
+pub use record::{Record, Resolution};
+pub use state::{JobState, Parked, Phase, PoolState, TaskState};
--- /dev/null
+++ b/crates/mangotrestle-core/src/journal/state.rs
@@ -0,0 +1,381 @@
+//! The fold of a pool's records.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use super::{Record, Resolution};
+use crate::id;
+use crate::job;
+use crate::result_code;
+use crate::task;
+use crate::time;
+
+/// Everything that is known about a pool's jobs, as far as it must last.
+///
+/// Where a run goes on *now* is not decided here: what the workers report is the truth about that.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+pub struct PoolState {
+    jobs: BTreeMap<id::JobId, JobState>,
+    #[serde(default)]
+    drains: BTreeMap<id::WorkerId, Drain>,
+}
+
+/// What is known about one job.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+pub struct JobState {
+    /// The accepted specification; unset while only records about its runs have been seen.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub spec: Option<job::JobSpec>,
+    /// When it was accepted.
+    #[serde(default)]
+    pub accepted_wall_ms: time::WallTimeMs,
+    /// Greatest revision seen.
+    #[serde(default)]
+    pub revision: u64,
+    /// When it was cancelled, if it was.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cancelled_wall_ms: Option<time::WallTimeMs>,
+    /// Latest word on whether the job is parked.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    parking: Option<Parking>,
+    /// Tasks that have had a run, by index.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    tasks: BTreeMap<u32, TaskState>,
+}
+
+/// Why and since when a job is parked.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Parked {
+    /// Why.
+    pub code: result_code::ResultCode,
+    /// Since when.
+    pub since_wall_ms: time::WallTimeMs,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+struct Parking {
+    revision: u64,
+    parked: Option<Parked>,
+}
+
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+struct Drain {
+    revision: u64,
+    draining: bool,
+}
+
+/// The latest run of a task.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct TaskState {
+    /// Number of the run, from one.
+    pub attempt: u32,
+    /// Worker of the run, if its start has been seen.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub worker: Option<id::WorkerId>,
+    /// How far the run is.
+    pub phase: Phase,
+    /// When the run reached this phase.
+    pub wall_ms: time::WallTimeMs,
+}
+
+/// How far a run is; later phases replace earlier ones.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Phase {
+    /// A start was recorded.
+    Started,
+    /// The end is unknown and the task must not be run again without an operator's word.
+    Unknown,
+    /// The run ended.
+    Ended(task::RunOutcome),
+    /// An operator decided about a run whose end was unknown.
+    Resolved(Resolution),
+}
+
+impl Phase {
+    /// Position in the order in which phases replace each other within one attempt.
+    const fn rank(self) -> u8 {
+        match self {
+            Self::Started => 0,
+            Self::Ended(task::RunOutcome::Lost) => 1,
+            Self::Unknown => 2,
+            Self::Ended(task::RunOutcome::NotRun) => 3,
+            Self::Ended(task::RunOutcome::Stopped) => 4,
+            Self::Ended(task::RunOutcome::Failed) => 5,
+            Self::Ended(task::RunOutcome::Succeeded) => 6,
+            Self::Resolved(Resolution::RunAgain) => 7,
+            Self::Resolved(Resolution::Failed) => 8,
+            Self::Resolved(Resolution::Succeeded) => 9,
+        }
+    }
+}
+
+impl TaskState {
+    /// Takes over what another view of the same task knows beyond this one.
+    fn merge(&mut self, other: &Self) {
+        if other.attempt < self.attempt {
+            return;
+        }
+        if other.attempt > self.attempt {
+            self.clone_from(other);
+            return;
+        }
+        if self.worker.is_none() {
+            self.worker.clone_from(&other.worker);
+        }
+        match other.phase.rank().cmp(&self.phase.rank()) {
+            std::cmp::Ordering::Greater => {
+                self.phase = other.phase;
+                self.wall_ms = other.wall_ms;
+            }
+            std::cmp::Ordering::Equal => self.wall_ms = self.wall_ms.min(other.wall_ms),
+            std::cmp::Ordering::Less => {}
+        }
+    }
+
+    /// Whether the task is done for good, as far as this run decides.
+    #[must_use]
+    pub const fn is_final(&self) -> bool {
+        matches!(
+            self.phase,
+            Phase::Ended(task::RunOutcome::Succeeded)
+                | Phase::Resolved(Resolution::Failed | Resolution::Succeeded)
+        )
+    }
+}
+
+impl JobState {
+    /// The latest run of a task, if it had any.
+    #[must_use]
+    pub fn task(&self, index: u32) -> Option<&TaskState> {
+        self.tasks.get(&index)
+    }
+
+    /// Tasks that have had a run, by index.
+    pub fn tasks(&self) -> impl Iterator<Item = (u32, &TaskState)> {
+        self.tasks.iter().map(|(&index, task)| (index, task))
+    }
+
+    /// Why the job is parked, if it is.
+    #[must_use]
+    pub fn parked(&self) -> Option<Parked> {
+        self.parking.and_then(|parking| parking.parked)
+    }
+
+    /// Whether nothing of the job goes on and nothing will be started: it was cancelled and no run
+    /// is open, or every task is done.
+    #[must_use]
+    pub fn is_finished(&self) -> bool {
+        let Some(spec) = &self.spec else {
+            return false;
+        };
+        let open = self
+            .tasks
+            .values()
+            .any(|task| matches!(task.phase, Phase::Started | Phase::Unknown));
+        if self.cancelled_wall_ms.is_some() {
+            return !open;
+        }
+        let done = self.tasks.values().filter(|task| task.is_final()).count();
+        spec.kind != job::JobKind::Service && done >= spec.tasks as usize
+    }
+
+    /// When the last thing happened to the job.
+    #[must_use]
+    pub fn last_wall_ms(&self) -> time::WallTimeMs {
+        let tasks = self.tasks.values().map(|task| task.wall_ms).max();
+        tasks
+            .into_iter()
+            .chain(self.cancelled_wall_ms)
+            .fold(self.accepted_wall_ms, std::cmp::Ord::max)
+    }
+
+    fn raise_revision(&mut self, revision: u64) {
+        self.revision = self.revision.max(revision);
+    }
+
+    fn set_parking(&mut self, parking: Parking) {
+        self.raise_revision(parking.revision);
+        if self
+            .parking
+            .is_none_or(|known| parking.revision > known.revision)
+        {
+            self.parking = Some(parking);
+        }
+    }
+
+    fn merge_task(&mut self, index: u32, state: TaskState) {
+        match self.tasks.get_mut(&index) {
+            Some(known) => known.merge(&state),
+            None => {
+                self.tasks.insert(index, state);
+            }
+        }
+    }
+}
+
+impl PoolState {
+    /// Folds in one record.
+    pub fn apply(&mut self, record: &Record) {
+        match record {
+            Record::JobAccepted { spec, wall_ms } => self.accept(spec, *wall_ms),
+            Record::JobCancelled {
+                job,
+                revision,
+                wall_ms,
+            } => self.cancel(job, *revision, *wall_ms),
+            Record::JobParked {
+                job,
+                revision,
+                code,
+                wall_ms,
+            } => self.park(job, *revision, *code, *wall_ms),
+            Record::JobReleased { job, revision } => self.release(job, *revision),
+            Record::RunStarted {
+                run,
+                worker,
+                wall_ms,
+            } => self.run(run, Some(worker), Phase::Started, *wall_ms),
+            Record::RunEnded {
+                run,
+                outcome,
+                wall_ms,
+            } => self.run(run, None, Phase::Ended(*outcome), *wall_ms),
+            Record::RunUnknown { run, wall_ms } => {
+                self.run(run, None, Phase::Unknown, *wall_ms);
+            }
+            Record::UnknownResolved {
+                run,
+                resolution,
+                wall_ms,
+            } => self.run(run, None, Phase::Resolved(*resolution), *wall_ms),
+            Record::WorkerDraining {
+                worker,
+                revision,
+                draining,
+            } => self.drain(worker, *revision, *draining),
+        }
+    }
+
+    /// Folds in several records.
+    pub fn apply_all<'a>(&mut self, records: impl IntoIterator<Item = &'a Record>) {
+        for record in records {
+            self.apply(record);
+        }
+    }
+
+    /// A job, if anything is known about it.
+    #[must_use]
+    pub fn job(&self, job: &id::JobId) -> Option<&JobState> {
+        self.jobs.get(job)
+    }
+
+    /// All jobs, by name.
+    pub fn jobs(&self) -> impl Iterator<Item = (&id::JobId, &JobState)> {
+        self.jobs.iter()
+    }
+
+    /// Number of jobs.
+    #[must_use]
+    pub fn job_count(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// Workers that an operator marked as draining.
+    pub fn draining_workers(&self) -> impl Iterator<Item = &id::WorkerId> {
+        let draining = self.drains.iter().filter(|(_, drain)| drain.draining);
+        draining.map(|(worker, _)| worker)
+    }
+
+    /// Revision of a worker's drain mark; 0 if it never had one.
+    #[must_use]
+    pub fn drain_revision(&self, worker: &id::WorkerId) -> u64 {
+        self.drains.get(worker).map_or(0, |drain| drain.revision)
+    }
+
+    /// Forgets jobs that finished before a time, at most `limit` of them, and returns their names.
+    pub fn forget_finished(&mut self, before: time::WallTimeMs, limit: usize) -> Vec<id::JobId> {
+        let old = |state: &JobState| state.is_finished() && state.last_wall_ms() < before;
+        let finished: Vec<_> = self
+            .jobs
+            .iter()
+            .filter(|(_, state)| old(state))
+            .map(|(job, _)| job.clone())
+            .take(limit)
+            .collect();
+        for job in &finished {
+            self.jobs.remove(job);
+        }
+        finished
+    }
+
+    fn job_mut(&mut self, job: &id::JobId) -> &mut JobState {
+        if !self.jobs.contains_key(job) {
+            self.jobs.insert(job.clone(), JobState::default());
+        }
+        self.jobs.get_mut(job).expect("inserted above")
+    }
+
+    fn accept(&mut self, spec: &job::JobSpec, wall_ms: time::WallTimeMs) {
+        let job = self.job_mut(&spec.id);
+        job.raise_revision(1);
+        if job.spec.is_none() {
+            job.spec = Some(spec.clone());
+            job.accepted_wall_ms = wall_ms;
+        }
+    }
+
+    fn cancel(&mut self, job: &id::JobId, revision: u64, wall_ms: time::WallTimeMs) {
+        let job = self.job_mut(job);
+        job.raise_revision(revision);
+        let known = job.cancelled_wall_ms.unwrap_or(wall_ms);
+        job.cancelled_wall_ms = Some(known.min(wall_ms));
+    }
+
+    fn park(
+        &mut self,
+        job: &id::JobId,
+        revision: u64,
+        code: result_code::ResultCode,
+        since_wall_ms: time::WallTimeMs,
+    ) {
+        let parked = Some(Parked {
+            code,
+            since_wall_ms,
+        });
+        self.job_mut(job).set_parking(Parking { revision, parked });
+    }
+
+    fn release(&mut self, job: &id::JobId, revision: u64) {
+        let parking = Parking {
+            revision,
+            parked: None,
+        };
+        self.job_mut(job).set_parking(parking);
+    }
+
+    fn run(
+        &mut self,
+        run: &task::RunId,
+        worker: Option<&id::WorkerId>,
+        phase: Phase,
+        wall_ms: time::WallTimeMs,
+    ) {
+        let state = TaskState {
+            attempt: run.attempt,
+            worker: worker.cloned(),
+            phase,
+            wall_ms,
+        };
+        self.job_mut(&run.task.job)
+            .merge_task(run.task.index, state);
+    }
+
+    fn drain(&mut self, worker: &id::WorkerId, revision: u64, draining: bool) {
+        let known = self.drains.entry(worker.clone()).or_default();
+        if revision > known.revision {
+            *known = Drain { revision, draining };
+        }
+    }
+}
--- /dev/null
+++ b/crates/mangotrestle-core/src/membership/rendezvous.rs
@@ -0,0 +1,62 @@
+//! Rendezvous hashing: every host computes the same ranking of hosts for a key.
+//!
+//! A host's score for a key depends on nothing but the two, so when a host joins or leaves, only
+//! the keys that it wins or had won move: one in `n` of them.
+//!
+//! # Complexity
+//!
+//! One hash for each pair of key and host. For a few dozen hosts and a few hundred pools that is
+//! microseconds; larger sets would want a hash ring.
+
+use std::cmp::Reverse;
+
+use crate::id;
+
+/// Hosts for a key, best first, at most `limit` of them.
+#[must_use]
+pub fn ranked<'a>(
+    key: &str,
+    hosts: impl IntoIterator<Item = &'a id::EntryHostId>,
+    limit: usize,
+) -> Vec<&'a id::EntryHostId> {
+    let mut scored: Vec<_> = hosts
+        .into_iter()
+        .map(|host| (Reverse(score(key, host)), host))
+        .collect();
+    scored.sort_unstable();
+    scored.truncate(limit);
+    scored.into_iter().map(|(_, host)| host).collect()
+}
+
+/// The best host for a key.
+#[must_use]
+pub fn owner<'a>(
+    key: &str,
+    hosts: impl IntoIterator<Item = &'a id::EntryHostId>,
+) -> Option<&'a id::EntryHostId> {
+    hosts
+        .into_iter()
+        .max_by_key(|host| (score(key, host), Reverse(*host)))
+}
+
+/// Score of a host for a key: FNV-1a over both with a final mix, stable across versions and
+/// machines since all entry hosts must compute the same.
+fn score(key: &str, host: &id::EntryHostId) -> u64 {
+    let separator = std::iter::once(0xff);
+    let bytes = key.bytes().chain(separator).chain(host.as_str().bytes());
+    mix(bytes.fold(FNV_OFFSET, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME)
+    }))
+}
+
+const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
+
+/// Spreads the entropy of the last bytes over all bits.
+const fn mix(mut hash: u64) -> u64 {
+    hash ^= hash >> 33;
+    hash = hash.wrapping_mul(0xff51_afd7_ed55_8ccd);
+    hash ^= hash >> 33;
+    hash = hash.wrapping_mul(0xc4ce_b9fe_1a85_ec53);
+    hash ^ (hash >> 33)
+}
--- /dev/null
+++ b/crates/mangotrestle-platform/src/circuit.rs
@@ -0,0 +1,120 @@
+//! A circuit breaker that probes.
+//!
+//! While a service is down, every request to it would wait for its whole deadline. After a few
+//! failures in a row the circuit opens: requests are refused at once, and one request at a time is
+//! let through as a probe, at growing and jittered distances.
+
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::backoff;
+
+/// Failures in a row that open the circuit.
+const OPENING_FAILURES: u32 = 3;
+/// Least distance between probes.
+const FIRST_PROBE: Duration = Duration::from_millis(250);
+/// Greatest distance between probes.
+const SLOWEST_PROBE: Duration = Duration::from_secs(5);
+
+/// What the circuit says about a request that is to be sent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Permit {
+    /// Send it.
+    Send,
+    /// Do not send; the next probe is due after this time.
+    Refuse {
+        /// Time until the next probe.
+        retry_after: Duration,
+    },
+}
+
+/// Health of one service as seen by this process.
+#[derive(Debug)]
+pub struct Circuit {
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    failures: u32,
+    backoff: backoff::Backoff,
+    next_probe: Instant,
+    open_since: Option<Instant>,
+}
+
+impl Default for Circuit {
+    fn default() -> Self {
+        let state = State {
+            failures: 0,
+            backoff: backoff::Backoff::new(FIRST_PROBE, SLOWEST_PROBE),
+            next_probe: Instant::now(),
+            open_since: None,
+        };
+        Self {
+            state: Mutex::new(state),
+        }
+    }
+}
+
+impl Circuit {
+    /// Asks whether a request may be sent now. A granted request must be reported by
+    /// [`succeeded`](Self::succeeded) or [`failed`](Self::failed).
+    pub fn permit(&self) -> Permit {
+        let mut state = self.lock();
+        if state.open_since.is_none() {
+            return Permit::Send;
+        }
+        let now = Instant::now();
+        if now < state.next_probe {
+            return Permit::Refuse {
+                retry_after: state.next_probe - now,
+            };
+        }
+        let delay = state.backoff.next_delay();
+        state.next_probe = now + delay;
+        Permit::Send
+    }
+
+    /// Reports an answer; closes the circuit.
+    pub fn succeeded(&self) {
+        let mut state = self.lock();
+        state.failures = 0;
+        state.open_since = None;
+        state.backoff.reset();
+    }
+
+    /// Reports that no answer came.
+    pub fn failed(&self) {
+        let mut state = self.lock();
+        state.failures = state.failures.saturating_add(1);
+        if state.failures < OPENING_FAILURES || state.open_since.is_some() {
+            return;
+        }
+        let now = Instant::now();
+        state.open_since = Some(now);
+        let delay = state.backoff.next_delay();
+        state.next_probe = now + delay;
+    }
+
+    /// Since when the circuit is open, for `status`.
+    #[must_use]
+    pub fn open_since(&self) -> Option<Instant> {
+        self.lock().open_since
+    }
+
+    /// Time until the next probe; zero while the circuit is closed.
+    #[must_use]
+    pub fn retry_after(&self) -> Duration {
+        let state = self.lock();
+        if state.open_since.is_none() {
+            return Duration::ZERO;
+        }
+        state.next_probe.saturating_duration_since(Instant::now())
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
