Add platform clients, pool store, group commit and their stand-ins

Table, object store and host list are reached over HTTP through a Transport, so that the same clients run under virtual time against a service in the same process. A transaction records itself in a row of its own; a lost answer is settled by that row and never guessed.

--- a/crates/mangotrestle-core/src/journal/state.rs
+++ b/crates/mangotrestle-core/src/journal/state.rs
@@ -296,7 +296,9 @@
 
     /// Forgets jobs that finished before a time, at most `limit` of them, and returns their names.
     pub fn forget_finished(&mut self, before: time::WallTimeMs, limit: usize) -> Vec<id::JobId> {
-        let old = |state: &JobState| state.is_finished() && state.last_wall_ms() < before;
+        // A job without specification was forgotten before and is named by a late record only.
+        let done = |state: &JobState| state.spec.is_none() || state.is_finished();
+        let old = |state: &JobState| done(state) && state.last_wall_ms() < before;
         let finished: Vec<_> = self
             .jobs
             .iter()
@@ -304,10 +306,15 @@
             .map(|(job, _)| job.clone())
             .take(limit)
             .collect();
-        for job in &finished {
+        self.forget(&finished);
+        finished
+    }
+
+    /// Forgets jobs.
+    pub fn forget(&mut self, jobs: &[id::JobId]) {
+        for job in jobs {
             self.jobs.remove(job);
         }
-        finished
     }
 
     fn job_mut(&mut self, job: &id::JobId) -> &mut JobState {
--- a/crates/mangotrestle-dev/src/stand_in/mod.rs
+++ b/crates/mangotrestle-dev/src/stand_in/mod.rs
@@ -2,5 +2,6 @@
 
 pub mod host_list;
 pub mod object_store;
+pub mod service;
 pub mod table;
 pub mod worker;
--- a/crates/mangotrestle-dev/src/stand_in/table.rs
+++ b/crates/mangotrestle-dev/src/stand_in/table.rs
@@ -1,1 +1,156 @@
-//! Stand-in for the platform's table service.
+//! Stand-in for the platform's table service: rows in memory, serializable transactions.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use bytes::Bytes;
+use mangotrestle_platform::table::{self, wire};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use super::service::{self, Served};
+
+/// The rows.
+#[derive(Debug, Default)]
+pub struct Table {
+    state: Mutex<Rows>,
+}
+
+#[derive(Debug, Default)]
+struct Rows {
+    last_version: u64,
+    by_key: BTreeMap<String, table::Row>,
+    transactions: u64,
+}
+
+/// A table that can be reached and made to misbehave.
+pub type TableStandIn = Served<Table>;
+
+/// A new empty table.
+#[must_use]
+pub fn new() -> TableStandIn {
+    Served::new(Arc::new(Table::default()))
+}
+
+impl Table {
+    /// Number of rows.
+    #[must_use]
+    pub fn row_count(&self) -> usize {
+        self.lock().by_key.len()
+    }
+
+    /// Transactions that took effect.
+    #[must_use]
+    pub fn transactions(&self) -> u64 {
+        self.lock().transactions
+    }
+
+    /// A row, as a client would read it.
+    #[must_use]
+    pub fn row(&self, key: &str) -> Option<table::Row> {
+        self.lock().by_key.get(key).cloned()
+    }
+
+    /// Keys with a common prefix.
+    #[must_use]
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        let state = self.lock();
+        let keys = state.by_key.keys().filter(|key| key.starts_with(prefix));
+        keys.cloned().collect()
+    }
+
+    /// Executes a transaction.
+    pub fn transact(&self, transaction: &table::Transaction) -> wire::TransactAnswer {
+        let mut state = self.lock();
+        let failed: Vec<String> = transaction
+            .conditions
+            .iter()
+            .filter(|condition| !state.holds(condition))
+            .map(|condition| condition.key.clone())
+            .collect();
+        if !failed.is_empty() {
+            let current = failed.iter().filter_map(|key| state.by_key.get(key));
+            let current = current.cloned().collect();
+            return wire::TransactAnswer::Conflict { failed, current };
+        }
+        let version = state.commit(transaction);
+        wire::TransactAnswer::Committed { version }
+    }
+
+    fn get(&self, request: &wire::GetRequest) -> wire::GetAnswer {
+        wire::GetAnswer {
+            row: self.row(&request.key),
+        }
+    }
+
+    fn scan(&self, request: &wire::ScanRequest) -> wire::ScanAnswer {
+        let state = self.lock();
+        let start = request.after.as_ref().unwrap_or(&request.prefix).clone();
+        let mut rows = state
+            .by_key
+            .range(start..)
+            .map(|(_, row)| row)
+            .filter(|row| request.after.as_ref() != Some(&row.key))
+            .take_while(|row| row.key.starts_with(&request.prefix));
+        let limit = request.limit.min(wire::MAX_SCAN_ROWS) as usize;
+        let page: Vec<_> = rows.by_ref().take(limit).cloned().collect();
+        wire::ScanAnswer {
+            rows: page,
+            more: rows.next().is_some(),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Rows> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Rows {
+    fn holds(&self, condition: &table::Condition) -> bool {
+        let version = self.by_key.get(&condition.key).map(|row| row.version);
+        version == condition.version
+    }
+
+    fn commit(&mut self, transaction: &table::Transaction) -> table::Version {
+        self.last_version += 1;
+        self.transactions += 1;
+        let version = table::Version(self.last_version);
+        for key in &transaction.deletes {
+            self.by_key.remove(key);
+        }
+        for put in &transaction.puts {
+            let row = table::Row {
+                key: put.key.clone(),
+                version,
+                value: put.value.clone(),
+            };
+            self.by_key.insert(put.key.clone(), row);
+        }
+        version
+    }
+}
+
+impl service::Service for Table {
+    fn handle(&self, request: &http::Request<Bytes>) -> http::Response<Bytes> {
+        let body = request.body();
+        match request.uri().path() {
+            wire::TRANSACT_PATH => reply(body, |transaction| self.transact(&transaction)),
+            wire::GET_PATH => reply(body, |get| self.get(&get)),
+            wire::SCAN_PATH => reply(body, |scan| self.scan(&scan)),
+            _ => service::status(http::StatusCode::NOT_FOUND),
+        }
+    }
+}
+
+fn reply<Q: DeserializeOwned, A: Serialize>(
+    body: &Bytes,
+    act: impl FnOnce(Q) -> A,
+) -> http::Response<Bytes> {
+    let Ok(request) = serde_json::from_slice(body) else {
+        return service::status(http::StatusCode::BAD_REQUEST);
+    };
+    match serde_json::to_vec(&act(request)) {
+        Ok(answer) => service::answer(answer),
+        Err(_) => service::status(http::StatusCode::INTERNAL_SERVER_ERROR),
+    }
+}
--- a/crates/mangotrestle-platform/src/lib.rs
+++ b/crates/mangotrestle-platform/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`group_commit`] turns many small writes into few transactions within a write budget;
 //! - [`schema`] names every row and its type;
 //! - [`pool_store`] loads and writes the journal and the snapshot of a pool;
+//! - [`sweep`] deletes what need not be kept any longer;
 //! - [`command_log`], [`configuration_store`] and [`started`] hold commands, configuration versions
 //!   and started records of requests that are not idempotent.
 
@@ -24,5 +25,7 @@
 pub mod pool_store;
 pub mod schema;
 pub mod started;
+pub mod sweep;
 pub mod table;
+pub mod transaction_sink;
 pub mod transport;
--- /dev/null
+++ b/crates/mangotrestle-platform/src/pool_store/journal_sink.rs
@@ -0,0 +1,169 @@
+//! Appends to a pool's journal.
+
+use mangotrestle_core::id;
+use mangotrestle_core::journal;
+
+use super::{AppendError, Folded, Tail};
+use crate::budget;
+use crate::group_commit::{Sink, Written};
+use crate::schema;
+use crate::table;
+use crate::transport::BoxFuture;
+
+/// What is appended together: records, and rows that belong to them, such as a command's answer.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct JournalItem {
+    /// What happened.
+    pub records: Vec<journal::Record>,
+    /// Rows to write in the same transaction, without conditions of their own.
+    pub rows: Vec<table::Put>,
+}
+
+impl From<journal::Record> for JournalItem {
+    fn from(record: journal::Record) -> Self {
+        Self {
+            records: vec![record],
+            rows: Vec::new(),
+        }
+    }
+}
+
+/// Writes batches of a pool's journal. It keeps its items through outages, and refuses all once
+/// another entry host writes the journal.
+pub struct JournalSink {
+    table: table::TableClient,
+    pool: id::PoolId,
+    writer: schema::Writer,
+    folded: Folded,
+    /// A batch whose outcome is not known; it is sent again as it is.
+    unsettled: Option<table::Transaction>,
+    deposed: bool,
+}
+
+impl JournalSink {
+    pub(super) const fn new(
+        table: table::TableClient,
+        pool: id::PoolId,
+        writer: schema::Writer,
+        folded: Folded,
+    ) -> Self {
+        Self {
+            table,
+            pool,
+            writer,
+            folded,
+            unsettled: None,
+            deposed: false,
+        }
+    }
+
+    async fn append_batch(
+        &mut self,
+        batch: Vec<JournalItem>,
+        priority: budget::Priority,
+    ) -> Written<Self> {
+        if self.deposed {
+            return refuse(&batch, &AppendError::Deposed);
+        }
+        let append = match self.unsettled.take() {
+            Some(append) => append,
+            None => self.encode(&batch),
+        };
+        match self.table.transact_with(&append, priority).await {
+            Ok(committed) => self.fold(&batch, &append, committed),
+            Err(table::TableError::Conflict { .. }) => {
+                self.deposed = true;
+                refuse(&batch, &AppendError::Deposed)
+            }
+            Err(table::TableError::Unavailable { .. }) => Written::Later(batch),
+            Err(table::TableError::Unsettled(_)) => {
+                self.unsettled = Some(append);
+                Written::Later(batch)
+            }
+            Err(error) => refuse(&batch, &AppendError::Table(error)),
+        }
+    }
+
+    fn encode(&self, batch: &[JournalItem]) -> table::Transaction {
+        let records: Vec<_> = batch
+            .iter()
+            .flat_map(|item| &item.records)
+            .cloned()
+            .collect();
+        let rows: Vec<_> = batch.iter().flat_map(|item| &item.rows).cloned().collect();
+        append(
+            &self.pool,
+            &self.writer,
+            self.folded.tail(),
+            &records,
+            &rows,
+        )
+    }
+
+    fn fold(
+        &self,
+        batch: &[JournalItem],
+        append: &table::Transaction,
+        committed: table::Committed,
+    ) -> Written<Self> {
+        let mut folded = self.folded.lock();
+        folded.tail = next(folded.tail, committed);
+        folded.bytes_since_snapshot += append.puts.iter().map(|put| put.value.len()).sum::<usize>();
+        for item in batch {
+            folded.state.apply_all(&item.records);
+        }
+        let sequence = folded.tail.sequence;
+        Written::Done(batch.iter().map(|_| Ok(sequence)).collect())
+    }
+}
+
+impl Sink for JournalSink {
+    type Item = JournalItem;
+    /// Number of the batch that holds the item.
+    type Receipt = u64;
+    type Error = AppendError;
+
+    fn write(
+        &mut self,
+        batch: Vec<JournalItem>,
+        priority: budget::Priority,
+    ) -> BoxFuture<'_, Written<Self>> {
+        Box::pin(self.append_batch(batch, priority))
+    }
+}
+
+fn refuse(batch: &[JournalItem], error: &AppendError) -> Written<JournalSink> {
+    Written::Done(batch.iter().map(|_| Err(error.clone())).collect())
+}
+
+/// The transaction that appends a batch after a tail.
+pub(super) fn append(
+    pool: &id::PoolId,
+    writer: &schema::Writer,
+    tail: Tail,
+    records: &[journal::Record],
+    rows: &[table::Put],
+) -> table::Transaction {
+    let row = schema::JournalRow {
+        writer: writer.clone(),
+        records: records.to_vec(),
+    };
+    let key = schema::journal_key(pool, tail.sequence + 1);
+    let mut transaction = table::Transaction::new().absent(key.clone());
+    transaction = match tail.version {
+        Some(version) => transaction.at_version(schema::journal_key(pool, tail.sequence), version),
+        // The first batch of all: a late one must not pass when the rows were folded and deleted.
+        None => transaction.absent(schema::snapshot_key(pool)),
+    };
+    transaction = transaction.put_json(key, &row);
+    transaction.puts.extend_from_slice(rows);
+    transaction
+}
+
+/// The tail after a batch was appended.
+pub(super) const fn next(tail: Tail, committed: table::Committed) -> Tail {
+    Tail {
+        sequence: tail.sequence + 1,
+        version: Some(committed.version),
+    }
+}
--- /dev/null
+++ b/crates/mangotrestle-platform/src/started.rs
@@ -0,0 +1,192 @@
+//! Started records: a request that is not idempotent runs at most once.
+//!
+//! Before such a request is sent to a target, a record of its key is written on the condition that
+//! there is none. Whoever finds a record knows that the request may have run: with its answer, if
+//! the answer was recorded, and as "unknown" otherwise. Without a record it surely did not run.
+//!
+//! Records are kept for [`LIFETIME`]; a key that is used again later counts as a new request, and
+//! callers are told so.
+
+use std::time::Duration;
+
+use displaydoc::Display;
+use mangotrestle_core::id;
+use mangotrestle_core::time;
+
+use crate::budget;
+use crate::group_commit::{CommitError, GroupCommit};
+use crate::schema;
+use crate::table;
+use crate::transaction_sink::TransactionSink;
+
+/// Time for which a key is remembered.
+pub const LIFETIME: Duration = Duration::from_hours(24);
+/// Greatest length of a caller's key, in bytes.
+pub const MAX_KEY_BYTES: usize = 128;
+/// Greatest body of an answer that is recorded, in bytes; a longer one is answered "unknown" to
+/// whoever asks again.
+pub const MAX_ANSWER_BYTES: usize = 256 * 1024;
+
+/// What is known about a request's key.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Begun {
+    /// Nobody started it before: send it, then call [`StartedRecords::finish`].
+    First(Started),
+    /// It was answered before; here is the answer.
+    Earlier(schema::StartedAnswer),
+    /// It was started before, and its end is not known.
+    Unknown,
+}
+
+/// A request whose record this entry host wrote.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Started {
+    key: String,
+    row: schema::StartedRow,
+    version: table::Version,
+}
+
+/// Why a request was not started.
+#[derive(Clone, Debug, Display, Eq, PartialEq)]
+pub enum StartedError {
+    /// the key has {length_bytes} bytes, 1 to 128 are allowed
+    KeyLength {
+        /// Length of the refused key, in bytes.
+        length_bytes: usize,
+    },
+    /// not run: the record could not be written, retry after {retry_after_ms} ms
+    NotRun {
+        /// When to try again.
+        retry_after_ms: u64,
+    },
+    /// not run: {0}
+    Table(table::TableError),
+}
+
+impl std::error::Error for StartedError {}
+
+/// Retry advice while the buffer of writes is full.
+const RETRY_WHEN_FULL_MS: u64 = 1_000;
+
+/// Started records in the table.
+#[derive(Clone)]
+pub struct StartedRecords {
+    commit: GroupCommit<TransactionSink>,
+}
+
+impl StartedRecords {
+    /// Records written by the given group commit.
+    #[must_use]
+    pub const fn new(commit: GroupCommit<TransactionSink>) -> Self {
+        Self { commit }
+    }
+
+    /// Asks whether a request may be sent. Only after [`Begun::First`] may it be.
+    ///
+    /// # Errors
+    ///
+    /// [`StartedError`] means that the request was not run by this call.
+    pub async fn begin(
+        &self,
+        team: &id::TeamId,
+        key: &str,
+        wall_ms: time::WallTimeMs,
+    ) -> Result<Begun, StartedError> {
+        if key.is_empty() || key.len() > MAX_KEY_BYTES {
+            return Err(StartedError::KeyLength {
+                length_bytes: key.len(),
+            });
+        }
+        let key = schema::started_key(team, key);
+        let row = schema::StartedRow {
+            start: format!("{:032x}", rand::random::<u128>()),
+            wall_ms,
+            answer: None,
+        };
+        let transaction = table::Transaction::new()
+            .absent(key.clone())
+            .put_json(key.clone(), &row);
+        let committed = self
+            .commit
+            .commit(transaction, budget::Priority::Urgent)
+            .await;
+        match committed {
+            Ok(committed) => Ok(Begun::First(Started {
+                key,
+                row,
+                version: committed.version,
+            })),
+            Err(CommitError::Failed(error)) => not_begun(&key, error),
+            Err(CommitError::Full | CommitError::Stopped) => Err(StartedError::NotRun {
+                retry_after_ms: RETRY_WHEN_FULL_MS,
+            }),
+        }
+    }
+
+    /// Records the whole answer, so that whoever asks again gets it. Not to be called with an
+    /// answer that was cut off.
+    ///
+    /// # Errors
+    ///
+    /// If the answer could not be recorded; the caller has its answer all the same, and whoever
+    /// asks again is told "unknown".
+    pub async fn finish(
+        &self,
+        started: Started,
+        answer: schema::StartedAnswer,
+    ) -> Result<(), CommitError<table::TableError>> {
+        if answer.body.len() > MAX_ANSWER_BYTES {
+            return Ok(());
+        }
+        let row = schema::StartedRow {
+            answer: Some(answer),
+            ..started.row
+        };
+        let transaction = table::Transaction::new()
+            .at_version(started.key.clone(), started.version)
+            .put_json(started.key, &row);
+        self.commit
+            .commit(transaction, budget::Priority::Normal)
+            .await
+            .map(drop)
+    }
+
+    /// Takes back the record of a request that provably did not run, so that its key may be used
+    /// again.
+    ///
+    /// # Errors
+    ///
+    /// If the record could not be taken back; the key then stays "unknown" until it expires.
+    pub async fn withdraw(&self, started: Started) -> Result<(), CommitError<table::TableError>> {
+        let transaction = table::Transaction::new()
+            .at_version(started.key.clone(), started.version)
+            .delete(started.key);
+        self.commit
+            .commit(transaction, budget::Priority::Normal)
+            .await
+            .map(drop)
+    }
+}
+
+fn not_begun(key: &str, error: table::TableError) -> Result<Begun, StartedError> {
+    match error {
+        table::TableError::Conflict { current, .. } => {
+            let found = current.iter().find(|found| found.key == key);
+            found.map_or(Ok(Begun::Unknown), earlier)
+        }
+        table::TableError::Unavailable { retry_after_ms } => {
+            Err(StartedError::NotRun { retry_after_ms })
+        }
+        // The request was not sent. If the write took effect all the same, its key stays
+        // "unknown", which is the safe side.
+        table::TableError::Unsettled(_) => Err(StartedError::NotRun {
+            retry_after_ms: RETRY_WHEN_FULL_MS,
+        }),
+        other => Err(StartedError::Table(other)),
+    }
+}
+
+fn earlier(row: &table::Row) -> Result<Begun, StartedError> {
+    let row: schema::StartedRow = row.decode().map_err(StartedError::Table)?;
+    Ok(row.answer.map_or(Begun::Unknown, Begun::Earlier))
+}
--- a/crates/mangotrestle-platform/src/table/client.rs
+++ b/crates/mangotrestle-platform/src/table/client.rs
@@ -150,7 +150,12 @@
         let mut backoff = retry_backoff();
         loop {
             match self.try_transact(&body, priority, deadline).await {
-                Ok(answer) => return interpret(transaction, answer),
+                Ok(answer) => match interpret(transaction, answer) {
+                    Err(conflict @ TableError::Conflict { .. }) if may_have_acted => {
+                        return self.finalize(transaction, conflict).await;
+                    }
+                    result => return result,
+                },
                 Err(TryError::Final(error)) if !may_have_acted => return Err(error),
                 Err(TryError::Final(_) | TryError::MayHaveActed) => may_have_acted = true,
                 Err(TryError::NoEffect) => {}
@@ -166,6 +171,19 @@
         }
     }
 
+    /// A try was refused, but an earlier one may still be on its way: rules that out before the
+    /// refusal is reported.
+    async fn finalize(
+        &self,
+        transaction: &Transaction,
+        conflict: TableError,
+    ) -> Result<Committed, TableError> {
+        match self.settle(&transaction.write_id).await? {
+            Settled::Committed(committed) => Ok(committed),
+            Settled::Abandoned => Err(conflict),
+        }
+    }
+
     /// Finds out how a transaction with a lost answer ended, and makes it final: if it has not
     /// taken effect by now, it never will.
     ///
--- a/crates/mangotrestle-platform/src/table/mod.rs
+++ b/crates/mangotrestle-platform/src/table/mod.rs
@@ -215,10 +215,10 @@
 /// Why a request to the table did not succeed.
 #[derive(Clone, Debug, Display, Eq, PartialEq)]
 pub enum TableError {
-    /// {failed} of the transaction's conditions do not hold
+    /// conditions on {failed:?} do not hold
     Conflict {
-        /// Number of conditions that do not hold.
-        failed: usize,
+        /// Keys of the conditions that do not hold.
+        failed: Vec<String>,
         /// The rows that the failed conditions name, as far as they exist.
         current: Vec<Row>,
     },
--- a/crates/mangotrestle-platform/src/table/wire.rs
+++ b/crates/mangotrestle-platform/src/table/wire.rs
@@ -26,8 +26,8 @@
     },
     /// Refused, nothing was written.
     Conflict {
-        /// Number of conditions that do not hold.
-        failed: usize,
+        /// Keys of the conditions that do not hold.
+        failed: Vec<String>,
         /// Current rows of the failed conditions, as far as they exist.
         current: Vec<Row>,
     },
