Add the peer protocol between entry hosts

JSON-RPC over HTTP with bounded messages, defaults for all fields that may be added later, and a protocol version in the heartbeat. Peers carry hints and copies only, so every call may be lost, repeated or reordered.

--- /dev/null
+++ b/crates/mangotrestle-peer/src/client.rs
@@ -0,0 +1,150 @@
+//! Calls a peer.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use displaydoc::Display;
+use jsonrpsee::core::ClientError;
+use jsonrpsee::http_client::{HttpClient, HttpClientBuilder};
+use mangotrestle_core::result_code;
+
+use crate::message;
+use crate::server::PeerRpcClient;
+
+/// Time to wait for an answer beyond what the request itself allows.
+const DEFAULT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest time for which a peer is asked to hold an answer back.
+const LONGEST_WAIT: Duration = Duration::from_secs(30);
+
+/// Why a call gave no result.
+#[derive(Clone, Debug, Display, Eq, PartialEq)]
+pub enum PeerError {
+    /// the peer did not answer: {0}
+    NoAnswer(String),
+    /// the peer refused the call: {0}
+    Refused(result_code::ResultCode),
+    /// the peer does not understand the call: {0}
+    NotUnderstood(String),
+}
+
+impl std::error::Error for PeerError {}
+
+/// Client of one peer; connections are kept alive and shared by clones.
+#[derive(Clone, Debug)]
+pub struct PeerClient {
+    calls: HttpClient,
+    /// For calls that the peer may hold back; their timeout is longer.
+    long_calls: HttpClient,
+}
+
+impl PeerClient {
+    /// A client of the peer at this address, with a timeout of 2 s.
+    ///
+    /// # Errors
+    ///
+    /// [`PeerError::NoAnswer`] if the client cannot be set up.
+    pub fn new(address: SocketAddr) -> Result<Self, PeerError> {
+        Self::with_timeout(address, DEFAULT_TIMEOUT)
+    }
+
+    /// A client with another timeout.
+    ///
+    /// # Errors
+    ///
+    /// [`PeerError::NoAnswer`] if the client cannot be set up.
+    pub fn with_timeout(address: SocketAddr, timeout: Duration) -> Result<Self, PeerError> {
+        Ok(Self {
+            calls: build(address, timeout)?,
+            long_calls: build(address, timeout + LONGEST_WAIT)?,
+        })
+    }
+
+    /// Sends a heartbeat; the answer is the peer's.
+    ///
+    /// # Errors
+    ///
+    /// [`PeerError`]; silence is what the failure detector is for.
+    pub async fn heartbeat(
+        &self,
+        heartbeat: message::Heartbeat,
+    ) -> Result<message::Heartbeat, PeerError> {
+        self.calls.heartbeat(heartbeat).await.map_err(classify)
+    }
+
+    /// Fetches the configuration that the peer has in force.
+    ///
+    /// # Errors
+    ///
+    /// [`PeerError`].
+    pub async fn config(
+        &self,
+        request: message::ConfigRequest,
+    ) -> Result<message::ConfigAnswer, PeerError> {
+        self.calls.config(request).await.map_err(classify)
+    }
+
+    /// Fetches the targets of a pool from its leader.
+    ///
+    /// # Errors
+    ///
+    /// [`PeerError::Refused`] with [`NotLeader`](result_code::ResultCode::NotLeader) if the peer
+    /// does not lead the pool.
+    pub async fn routes(
+        &self,
+        mut request: message::RoutesRequest,
+    ) -> Result<message::RoutesAnswer, PeerError> {
+        let longest_ms = u64::try_from(LONGEST_WAIT.as_millis()).unwrap_or(u64::MAX);
+        request.wait_ms.0 = request.wait_ms.0.min(longest_ms);
+        self.long_calls.routes(request).await.map_err(classify)
+    }
+
+    /// Forwards a command to a pool's leader.
+    ///
+    /// # Errors
+    ///
+    /// After [`PeerError::NoAnswer`] the command may have been executed; send it again with its
+    /// identifier.
+    pub async fn forward(
+        &self,
+        request: message::ForwardRequest,
+    ) -> Result<message::ForwardAnswer, PeerError> {
+        self.calls.forward(request).await.map_err(classify)
+    }
+
+    /// Fetches changes of a pool's jobs from its leader.
+    ///
+    /// # Errors
+    ///
+    /// As for [`routes`](Self::routes).
+    pub async fn pool_summary(
+        &self,
+        request: message::SummaryRequest,
+    ) -> Result<message::PoolSummary, PeerError> {
+        self.calls.pool_summary(request).await.map_err(classify)
+    }
+}
+
+fn build(address: SocketAddr, timeout: Duration) -> Result<HttpClient, PeerError> {
+    HttpClientBuilder::default()
+        .max_request_size(message::MAX_REQUEST_BYTES)
+        .max_response_size(message::MAX_ANSWER_BYTES)
+        .request_timeout(timeout)
+        .build(format!("http://{address}"))
+        .map_err(classify)
+}
+
+fn classify(error: ClientError) -> PeerError {
+    match error {
+        ClientError::Call(object) => {
+            let number = u16::try_from(object.code()).ok();
+            number
+                .and_then(result_code::ResultCode::from_number)
+                .map_or_else(
+                    || PeerError::NotUnderstood(object.message().to_owned()),
+                    PeerError::Refused,
+                )
+        }
+        ClientError::ParseError(error) => PeerError::NotUnderstood(error.to_string()),
+        other => PeerError::NoAnswer(other.to_string()),
+    }
+}
--- /dev/null
+++ b/crates/mangotrestle-peer/src/message.rs
@@ -0,0 +1,334 @@
+//! What entry hosts say to each other.
+
+use mangotrestle_core::id;
+use mangotrestle_core::job;
+use mangotrestle_core::journal;
+use mangotrestle_core::result_code;
+use mangotrestle_core::time;
+use serde::{Deserialize, Serialize};
+
+/// Version of the protocol that this release speaks. A release understands every lower version.
+pub const PROTOCOL: u32 = 1;
+/// Greatest length of a message, in bytes.
+pub const MAX_REQUEST_BYTES: u32 = 256 * 1024;
+/// Greatest length of an answer, in bytes.
+pub const MAX_ANSWER_BYTES: u32 = 8 * 1024 * 1024;
+/// Most pools that a heartbeat names.
+pub const MAX_CLAIMS: usize = 64;
+
+/// Says that its sender is there. The answer is the receiver's own heartbeat.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// Highest version of the protocol that the sender understands.
+    #[serde(default)]
+    pub protocol: u32,
+    /// The sender.
+    pub host: id::EntryHostId,
+    /// One life of its process.
+    pub incarnation: id::Incarnation,
+    /// Its availability zone.
+    pub availability_zone: id::AvailabilityZoneId,
+    /// Highest configuration version that it has in force.
+    #[serde(default)]
+    pub config_version: u64,
+    /// Since when that version is in force at the sender.
+    #[serde(default)]
+    pub config_in_force_wall_ms: time::WallTimeMs,
+    /// The sender's wall clock, for people only.
+    #[serde(default)]
+    pub wall_ms: time::WallTimeMs,
+    /// Whether the sender shuts down and gives its pools away.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub leaving: bool,
+    /// Whether the sender cannot reach the table, for `status`.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub table_unreachable: bool,
+    /// Pools that the sender leads.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub leads: Vec<PoolClaim>,
+}
+
+/// Says that the sender leads a pool.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct PoolClaim {
+    /// The pool.
+    pub pool: id::PoolId,
+    /// Greatest epoch of the sender's worker leases; of two claims the higher one is the newer.
+    pub epoch: u64,
+    /// Version of the routes that the sender publishes for the pool.
+    #[serde(default)]
+    pub routes_version: u64,
+}
+
+/// Asks for the configuration.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct ConfigRequest {
+    /// Version that the asking host holds.
+    pub held: u64,
+}
+
+/// The configuration that a peer has in force.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct ConfigAnswer {
+    /// The version.
+    pub version: u64,
+    /// Changes after the held version, in order, as JSON merge patches; empty when the document
+    /// is sent instead, or when there is nothing newer.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub changes: Vec<serde_json::Value>,
+    /// The whole document, when the peer does not have all changes.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub document: Option<serde_json::Value>,
+}
+
+/// Asks a pool's leader for the targets of the pool.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct RoutesRequest {
+    /// The pool.
+    pub pool: id::PoolId,
+    /// The asking host, to which slot shares are granted.
+    pub host: id::EntryHostId,
+    /// One life of the asking host; shares of an earlier life are void.
+    pub incarnation: id::Incarnation,
+    /// Leader whose routes the asking host holds, with its incarnation.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub holds: Option<RoutesVersion>,
+    /// Requests in flight or waiting for each target, so that shares follow demand.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub demand: Vec<TargetDemand>,
+    /// Time for which the leader may hold the answer back until there is news.
+    #[serde(default)]
+    pub wait_ms: time::SpanMs,
+}
+
+/// A version of a pool's routes. Versions of different leaders cannot be compared.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct RoutesVersion {
+    /// The leader.
+    pub leader: id::EntryHostId,
+    /// One life of it.
+    pub incarnation: id::Incarnation,
+    /// Counts the changes.
+    pub version: u64,
+}
+
+/// How much an entry host has for a target.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct TargetDemand {
+    /// Worker of the target.
+    pub worker: id::WorkerId,
+    /// Requests in flight.
+    pub in_flight: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+}
+
+/// Targets of a pool, as a difference to what the asking host holds.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct RoutesAnswer {
+    /// Version after the difference is applied.
+    pub version: RoutesVersion,
+    /// Whether the asking host must first drop everything that it holds for the pool.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub full: bool,
+    /// Targets that are new or changed.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub changed: Vec<RouteTarget>,
+    /// Targets that are gone.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub removed: Vec<TargetKey>,
+    /// Slot shares of the asking host, all of them each time.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub shares: Vec<SlotShare>,
+    /// Time for which the shares hold, counted from when the request was *sent*.
+    #[serde(default)]
+    pub shares_valid_ms: time::SpanMs,
+}
+
+/// Names a replica of a service.
+#[derive(Clone, Debug, Eq, Hash, PartialEq, Serialize, Deserialize)]
+pub struct TargetKey {
+    /// The service.
+    pub job: id::JobId,
+    /// Index of the replica.
+    pub index: u32,
+}
+
+/// A replica of a service that takes requests.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct RouteTarget {
+    /// The replica.
+    pub key: TargetKey,
+    /// Number of the run.
+    pub attempt: u32,
+    /// Worker that it runs on.
+    pub worker: id::WorkerId,
+    /// Its availability zone.
+    pub availability_zone: id::AvailabilityZoneId,
+    /// Where it takes requests.
+    pub address: std::net::SocketAddr,
+    /// Whether it takes no new requests any more.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub leaving: bool,
+}
+
+/// Slots of a worker that an entry host may use.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct SlotShare {
+    /// The worker.
+    pub worker: id::WorkerId,
+    /// Requests that the entry host may have in flight there.
+    pub slots: u32,
+    /// Connections that it may hold there.
+    pub connections: u32,
+}
+
+/// An operator's command on its way to a pool's leader.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ForwardRequest {
+    /// The pool.
+    pub pool: id::PoolId,
+    /// Identifier of the command.
+    pub command: id::CommandId,
+    /// Who sent it.
+    pub operator: String,
+    /// Revision that it was based on; unset skips the check.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub based_on: Option<u64>,
+    /// What to do.
+    pub action: ForwardAction,
+}
+
+/// What a pool's leader is asked to do.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", tag = "kind")]
+pub enum ForwardAction {
+    /// A job was accepted in the table; take it up.
+    JobAccepted {
+        /// The job.
+        spec: Box<job::JobSpec>,
+        /// When it was accepted.
+        accepted_wall_ms: time::WallTimeMs,
+    },
+    /// Cancel a job.
+    Cancel {
+        /// The job.
+        job: id::JobId,
+    },
+    /// Try a parked job again.
+    Release {
+        /// The job.
+        job: id::JobId,
+    },
+    /// Decide about a task whose end is unknown.
+    Resolve {
+        /// The task's job.
+        job: id::JobId,
+        /// Index of the task.
+        index: u32,
+        /// The operator's word.
+        resolution: journal::Resolution,
+    },
+    /// Mark a worker as draining, or take the mark back.
+    Drain {
+        /// The worker.
+        worker: id::WorkerId,
+        /// Whether it takes no new work.
+        draining: bool,
+    },
+}
+
+/// A leader's answer to a forwarded command.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct ForwardAnswer {
+    /// Outcome.
+    pub code: result_code::ResultCode,
+    /// For the operator.
+    #[serde(default)]
+    pub message: String,
+    /// Revision of the changed thing after the command, or its present one after a conflict.
+    #[serde(default)]
+    pub revision: u64,
+    /// When to try again, for refusals that pass; 0 if trying again is of no use.
+    #[serde(default)]
+    pub retry_after_ms: u64,
+}
+
+/// Asks a pool's leader for what a successor needs when the store is down.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct SummaryRequest {
+    /// The pool.
+    pub pool: id::PoolId,
+    /// Leader whose summary the asking host holds, and how far.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub holds: Option<RoutesVersion>,
+}
+
+/// Changes of a pool's jobs since the version that the asking host holds.
+///
+/// Running tasks are left out: a successor learns them from the workers.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PoolSummary {
+    /// Version after the changes.
+    pub version: RoutesVersion,
+    /// Whether the asking host must first drop everything that it holds for the pool.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub full: bool,
+    /// Jobs that are new or changed.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub jobs: Vec<JobSummary>,
+    /// Jobs that are gone.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub removed: Vec<id::JobId>,
+    /// Whether more changes follow at once.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub more: bool,
+}
+
+/// A job as a successor needs it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct JobSummary {
+    /// The job.
+    pub spec: job::JobSpec,
+    /// Its revision.
+    pub revision: u64,
+    /// When it was accepted.
+    #[serde(default)]
+    pub accepted_wall_ms: time::WallTimeMs,
+    /// Whether it was cancelled.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub cancelled: bool,
+    /// Why it is parked, if it is.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub parked: Option<result_code::ResultCode>,
+    /// Tasks that are done for good.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub done: Vec<IndexRange>,
+}
+
+/// Tasks with neighbouring indices.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct IndexRange {
+    /// First index.
+    pub first: u32,
+    /// Last index.
+    pub last: u32,
+}
+
+impl IndexRange {
+    /// Ranges that hold exactly the given rising indices.
+    #[must_use]
+    pub fn collect(indices: impl IntoIterator<Item = u32>) -> Vec<Self> {
+        let mut ranges: Vec<Self> = Vec::new();
+        for index in indices {
+            match ranges.last_mut() {
+                Some(range) if range.last.checked_add(1) == Some(index) => range.last = index,
+                _ => ranges.push(Self {
+                    first: index,
+                    last: index,
+                }),
+            }
+        }
+        ranges
+    }
+}
--- /dev/null
+++ b/crates/mangotrestle-peer/src/server.rs
@@ -0,0 +1,147 @@
+//! Serves a backend to peers.
+
+use std::future::Future;
+use std::sync::Arc;
+
+use jsonrpsee::core::{RpcResult, async_trait};
+use jsonrpsee::proc_macros::rpc;
+use jsonrpsee::server::{BatchRequestConfig, Server, ServerConfig};
+use jsonrpsee::types::ErrorObjectOwned;
+use mangotrestle_core::result_code;
+
+use crate::message;
+
+/// Most connections that a server holds at once.
+const MAX_CONNECTIONS: u32 = 512;
+
+/// What a daemon does for its peers. Every call may be repeated.
+///
+/// An error's number travels to the peer.
+pub trait PeerBackend: Send + Sync + 'static {
+    /// Takes in a heartbeat and answers with the own one.
+    fn heartbeat(
+        &self,
+        heartbeat: message::Heartbeat,
+    ) -> impl Future<Output = Result<message::Heartbeat, result_code::ResultCode>> + Send;
+
+    /// Gives the configuration in force.
+    fn config(
+        &self,
+        request: message::ConfigRequest,
+    ) -> impl Future<Output = Result<message::ConfigAnswer, result_code::ResultCode>> + Send;
+
+    /// Gives the targets of a pool that this host leads.
+    fn routes(
+        &self,
+        request: message::RoutesRequest,
+    ) -> impl Future<Output = Result<message::RoutesAnswer, result_code::ResultCode>> + Send;
+
+    /// Executes a command on a pool that this host leads.
+    fn forward(
+        &self,
+        request: message::ForwardRequest,
+    ) -> impl Future<Output = Result<message::ForwardAnswer, result_code::ResultCode>> + Send;
+
+    /// Gives the jobs of a pool that this host leads.
+    fn pool_summary(
+        &self,
+        request: message::SummaryRequest,
+    ) -> impl Future<Output = Result<message::PoolSummary, result_code::ResultCode>> + Send;
+}
+
+#[rpc(server, client, namespace = "peer")]
+pub(crate) trait PeerRpc {
+    #[method(name = "heartbeat")]
+    async fn heartbeat(&self, message: message::Heartbeat) -> RpcResult<message::Heartbeat>;
+
+    #[method(name = "config")]
+    async fn config(&self, message: message::ConfigRequest) -> RpcResult<message::ConfigAnswer>;
+
+    #[method(name = "routes")]
+    async fn routes(&self, message: message::RoutesRequest) -> RpcResult<message::RoutesAnswer>;
+
+    #[method(name = "forward")]
+    async fn forward(&self, message: message::ForwardRequest) -> RpcResult<message::ForwardAnswer>;
+
+    #[method(name = "pool_summary")]
+    async fn pool_summary(
+        &self,
+        message: message::SummaryRequest,
+    ) -> RpcResult<message::PoolSummary>;
+}
+
+struct Adapter<B> {
+    backend: Arc<B>,
+}
+
+#[async_trait]
+impl<B: PeerBackend> PeerRpcServer for Adapter<B> {
+    async fn heartbeat(&self, message: message::Heartbeat) -> RpcResult<message::Heartbeat> {
+        if message.leads.len() > message::MAX_CLAIMS {
+            return Err(error(result_code::ResultCode::TooLarge));
+        }
+        self.backend.heartbeat(message).await.map_err(error)
+    }
+
+    async fn config(&self, message: message::ConfigRequest) -> RpcResult<message::ConfigAnswer> {
+        self.backend.config(message).await.map_err(error)
+    }
+
+    async fn routes(&self, message: message::RoutesRequest) -> RpcResult<message::RoutesAnswer> {
+        self.backend.routes(message).await.map_err(error)
+    }
+
+    async fn forward(&self, message: message::ForwardRequest) -> RpcResult<message::ForwardAnswer> {
+        self.backend.forward(message).await.map_err(error)
+    }
+
+    async fn pool_summary(
+        &self,
+        message: message::SummaryRequest,
+    ) -> RpcResult<message::PoolSummary> {
+        self.backend.pool_summary(message).await.map_err(error)
+    }
+}
+
+fn error(code: result_code::ResultCode) -> ErrorObjectOwned {
+    ErrorObjectOwned::owned(i32::from(code.number()), code.slug(), None::<()>)
+}
+
+/// Server of the peer protocol.
+#[derive(Clone, Copy, Debug)]
+pub struct PeerServer;
+
+impl PeerServer {
+    /// Serves a backend until the shutdown future ends, then finishes what is in flight.
+    ///
+    /// # Errors
+    ///
+    /// If the listener cannot be used.
+    pub async fn serve<B: PeerBackend>(
+        listener: std::net::TcpListener,
+        backend: Arc<B>,
+        shutdown: impl Future<Output = ()> + Send,
+    ) -> std::io::Result<()> {
+        listener.set_nonblocking(true)?;
+        let server = Server::builder()
+            .set_config(config())
+            .build_from_tcp(listener)?;
+        let handle = server.start(Adapter { backend }.into_rpc());
+        shutdown.await;
+        // It is no fault if the server has stopped already.
+        let _ = handle.stop();
+        handle.stopped().await;
+        Ok(())
+    }
+}
+
+fn config() -> ServerConfig {
+    ServerConfig::builder()
+        .http_only()
+        .max_connections(MAX_CONNECTIONS)
+        .max_request_body_size(message::MAX_REQUEST_BYTES)
+        .max_response_body_size(message::MAX_ANSWER_BYTES)
+        .set_batch_request_config(BatchRequestConfig::Disabled)
+        .set_tcp_no_delay(true)
+        .build()
+}
