--- a/crates/mangotrestle-caller/src/lib.rs
+++ b/crates/mangotrestle-caller/src/lib.rs
@@ -1,1 +1,13 @@
-//! Placeholder.
+//! The callers' HTTP front: takes requests, chooses a target, passes the answer back.
+//!
+//! Every request ends in one of three ways, and the caller is told which: answered whole by a
+//! target, *not run*, or *unknown*. [`front::Front`] is the server; it reads routes from a
+//! [`snapshot_cell::SnapshotCell`] that the control thread publishes to, and reports counts back
+//! over a bounded channel. Requests that must not run twice go through [`started`] records.
+
+pub mod front;
+pub mod refusal;
+pub mod request_head;
+pub mod snapshot_cell;
+pub mod started;
+pub mod traffic;
--- /dev/null
+++ b/crates/mangotrestle-caller/src/request_head.rs
@@ -0,0 +1,213 @@
+//! Reads what routing needs from a request's path and headers.
+//!
+//! | header | meaning |
+//! | --- | --- |
+//! | `x-request-id` | identifier that the answer carries; made here if missing |
+//! | `x-deadline-ms` | time left for the whole request, in milliseconds |
+//! | `idempotency-key` | key under which a request that must not run twice is recorded; the caller's `x-request-id` if missing |
+//! | `x-team` | team of the caller; the service's own team if missing |
+//! | `x-urgency` | `urgent`, `normal` or `background` |
+//! | `x-idempotent` | `true` or `false`; by default GET, HEAD, PUT, DELETE, OPTIONS and TRACE are |
+//!
+//! Anything malformed is refused with the name of the header at fault. Lengths are bounded before
+//! anything is copied.
+
+use std::sync::Arc;
+
+use displaydoc::Display;
+use http::{HeaderMap, HeaderName, Method};
+use mangotrestle_core::id;
+use mangotrestle_core::job;
+use mangotrestle_core::time;
+
+use crate::refusal;
+
+/// Greatest length of a request id or an idempotency key, in bytes.
+pub const MAX_TOKEN_BYTES: usize = 128;
+/// Start of every path.
+const PREFIX: &str = "/v1/services/";
+
+const X_DEADLINE_MS: HeaderName = HeaderName::from_static("x-deadline-ms");
+const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+const X_TEAM: HeaderName = HeaderName::from_static("x-team");
+const X_URGENCY: HeaderName = HeaderName::from_static("x-urgency");
+const X_IDEMPOTENT: HeaderName = HeaderName::from_static("x-idempotent");
+
+/// Why a request's path or headers cannot be used.
+#[derive(Clone, Debug, Display, Eq, PartialEq)]
+pub enum InvalidHead {
+    /// path: expected /v1/services/JOB/PATH
+    Path,
+    /// path: the job's name is invalid: {0}
+    Job(id::InvalidId),
+    /// {header}: the value is no visible ASCII text
+    NotText {
+        /// Name of the header.
+        header: HeaderName,
+    },
+    /// {header}: the value is empty or longer than 128 bytes
+    Length {
+        /// Name of the header.
+        header: HeaderName,
+    },
+    /// x-deadline-ms: expected a whole number of milliseconds above zero
+    Deadline,
+    /// x-team: {0}
+    Team(id::InvalidId),
+    /// x-urgency: expected urgent, normal or background
+    Urgency,
+    /// x-idempotent: expected true or false
+    Idempotent,
+}
+
+impl std::error::Error for InvalidHead {}
+
+/// What routing needs to know of a request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RequestHead {
+    /// The service.
+    pub job: id::JobId,
+    /// Path and query below the service, without the leading slash.
+    pub rest: String,
+    /// Identifier of the request.
+    pub request_id: Arc<str>,
+    /// Time that the caller gives the whole request.
+    pub time_left: Option<time::SpanMs>,
+    /// Key for requests that must not run twice: the `idempotency-key`, or else the caller's own
+    /// request id. Unset if the caller gave neither and so cannot name the request again.
+    pub idempotency_key: Option<Arc<str>>,
+    /// Team of the caller.
+    pub team: Option<id::TeamId>,
+    /// Class of the request.
+    pub urgency: job::Urgency,
+    /// Whether the request may run more than once.
+    pub idempotent: bool,
+}
+
+impl RequestHead {
+    /// Reads a request's head. `fallback_id` names the request if the caller did not.
+    ///
+    /// # Errors
+    ///
+    /// [`InvalidHead`] says which part is wrong.
+    pub fn parse(
+        method: &Method,
+        uri: &http::Uri,
+        headers: &HeaderMap,
+        fallback_id: impl FnOnce() -> Arc<str>,
+    ) -> Result<Self, InvalidHead> {
+        let (job, rest) = split_path(uri)?;
+        let request_id = match token(headers, &refusal::X_REQUEST_ID)? {
+            Some(text) => Arc::from(text),
+            None => fallback_id(),
+        };
+        let idempotent = parse_idempotent(method, headers)?;
+        let key = token(headers, &IDEMPOTENCY_KEY)?;
+        let own_id = token(headers, &refusal::X_REQUEST_ID)?;
+        Ok(Self {
+            job,
+            rest,
+            request_id,
+            time_left: parse_deadline(headers)?,
+            idempotency_key: key.or(own_id).map(Arc::from),
+            team: parse_team(headers)?,
+            urgency: parse_urgency(headers)?,
+            idempotent,
+        })
+    }
+}
+
+/// The caller's request id, if it gave a usable one.
+pub(crate) fn request_id(headers: &HeaderMap) -> Option<&str> {
+    token(headers, &refusal::X_REQUEST_ID).ok().flatten()
+}
+
+/// Whether a header is meant for the front and not for the target.
+#[must_use]
+pub fn is_own_header(name: &HeaderName) -> bool {
+    name == X_DEADLINE_MS || name == X_TEAM || name == X_URGENCY || name == X_IDEMPOTENT
+}
+
+/// Name of the header that tells the target how much time is left.
+#[must_use]
+pub const fn deadline_header() -> HeaderName {
+    X_DEADLINE_MS
+}
+
+fn split_path(uri: &http::Uri) -> Result<(id::JobId, String), InvalidHead> {
+    let path_and_query = uri.path_and_query().ok_or(InvalidHead::Path)?.as_str();
+    let below = path_and_query
+        .strip_prefix(PREFIX)
+        .ok_or(InvalidHead::Path)?;
+    let job_end = below.find(['/', '?']).unwrap_or(below.len());
+    let (name, rest) = below.split_at(job_end);
+    let job = id::JobId::new(name).map_err(InvalidHead::Job)?;
+    let rest = rest.strip_prefix('/').unwrap_or(rest);
+    let path = rest.split('?').next().unwrap_or_default();
+    if path.split('/').any(is_dot_segment) {
+        return Err(InvalidHead::Path);
+    }
+    Ok((job, rest.to_owned()))
+}
+
+/// Whether a path segment could lead out of the task's own paths, also when percent-encoded.
+fn is_dot_segment(segment: &str) -> bool {
+    let decoded = segment.to_ascii_lowercase().replace("%2e", ".");
+    decoded == "." || decoded == ".."
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Result<Option<&'a str>, InvalidHead> {
+    let Some(value) = headers.get(name) else {
+        return Ok(None);
+    };
+    let text = value.to_str().map_err(|_| InvalidHead::NotText {
+        header: name.clone(),
+    })?;
+    Ok(Some(text))
+}
+
+fn token<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Result<Option<&'a str>, InvalidHead> {
+    let Some(text) = text(headers, name)? else {
+        return Ok(None);
+    };
+    if text.is_empty() || text.len() > MAX_TOKEN_BYTES {
+        return Err(InvalidHead::Length {
+            header: name.clone(),
+        });
+    }
+    Ok(Some(text))
+}
+
+fn parse_deadline(headers: &HeaderMap) -> Result<Option<time::SpanMs>, InvalidHead> {
+    let Some(text) = text(headers, &X_DEADLINE_MS)? else {
+        return Ok(None);
+    };
+    match text.parse::<u64>() {
+        Ok(milliseconds) if milliseconds > 0 => Ok(Some(time::SpanMs(milliseconds))),
+        _ => Err(InvalidHead::Deadline),
+    }
+}
+
+fn parse_team(headers: &HeaderMap) -> Result<Option<id::TeamId>, InvalidHead> {
+    text(headers, &X_TEAM)?
+        .map(|name| id::TeamId::new(name).map_err(InvalidHead::Team))
+        .transpose()
+}
+
+fn parse_urgency(headers: &HeaderMap) -> Result<job::Urgency, InvalidHead> {
+    match text(headers, &X_URGENCY)? {
+        None | Some("normal") => Ok(job::Urgency::Normal),
+        Some("urgent") => Ok(job::Urgency::Urgent),
+        Some("background") => Ok(job::Urgency::Background),
+        Some(_) => Err(InvalidHead::Urgency),
+    }
+}
+
+fn parse_idempotent(method: &Method, headers: &HeaderMap) -> Result<bool, InvalidHead> {
+    match text(headers, &X_IDEMPOTENT)? {
+        None => Ok(method.is_idempotent()),
+        Some("true") => Ok(true),
+        Some("false") => Ok(false),
+        Some(_) => Err(InvalidHead::Idempotent),
+    }
+}
