--- a/crates/mangotrestle-dev/src/profile.rs
+++ b/crates/mangotrestle-dev/src/profile.rs
@@ -136,7 +136,10 @@
     /// Every worker, dealt over the availability zones in turn and then over racks.
     #[must_use]
     pub fn worker_plans(&self) -> Vec<WorkerPlan> {
-        self.groups.iter().flat_map(|group| self.plans_of(group)).collect()
+        self.groups
+            .iter()
+            .flat_map(|group| self.plans_of(group))
+            .collect()
     }
 
     fn plans_of(&self, group: &WorkerGroup) -> Vec<WorkerPlan> {
--- a/crates/mangotrestle-operator/src/generated.rs
+++ b/crates/mangotrestle-operator/src/generated.rs
@@ -79,6 +79,13 @@
     pub job: ::prost::alloc::string::String,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RetryJobRequest {
+    #[prost(message, optional, tag = "1")]
+    pub header: ::core::option::Option<CommandHeader>,
+    #[prost(string, tag = "2")]
+    pub job: ::prost::alloc::string::String,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ListJobsRequest {
     #[prost(string, tag = "1")]
     pub pool: ::prost::alloc::string::String,
@@ -292,6 +299,11 @@
     pub what: ::prost::alloc::string::String,
     #[prost(uint64, tag = "4")]
     pub from_revision: u64,
+    #[prost(string, tag = "5")]
+    pub command_id: ::prost::alloc::string::String,
+    /// Number of the result code that the command ended with.
+    #[prost(uint32, tag = "6")]
+    pub code: u32,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct StreamEventsRequest {
@@ -541,6 +553,30 @@
                 );
             self.inner.unary(req, path, codec).await
         }
+        /// Puts a parked or failed job back in the queue.
+        pub async fn retry_job(
+            &mut self,
+            request: impl tonic::IntoRequest<super::RetryJobRequest>,
+        ) -> std::result::Result<tonic::Response<super::CommandResult>, tonic::Status> {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/mangotrestle.operator.v1.Operator/RetryJob",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(
+                    GrpcMethod::new("mangotrestle.operator.v1.Operator", "RetryJob"),
+                );
+            self.inner.unary(req, path, codec).await
+        }
         pub async fn list_jobs(
             &mut self,
             request: impl tonic::IntoRequest<super::ListJobsRequest>,
@@ -788,6 +824,11 @@
             &self,
             request: tonic::Request<super::CancelJobRequest>,
         ) -> std::result::Result<tonic::Response<super::CommandResult>, tonic::Status>;
+        /// Puts a parked or failed job back in the queue.
+        async fn retry_job(
+            &self,
+            request: tonic::Request<super::RetryJobRequest>,
+        ) -> std::result::Result<tonic::Response<super::CommandResult>, tonic::Status>;
         async fn list_jobs(
             &self,
             request: tonic::Request<super::ListJobsRequest>,
@@ -1010,6 +1051,49 @@
                     };
                     Box::pin(fut)
                 }
+                "/mangotrestle.operator.v1.Operator/RetryJob" => {
+                    #[allow(non_camel_case_types)]
+                    struct RetryJobSvc<T: Operator>(pub Arc<T>);
+                    impl<T: Operator> tonic::server::UnaryService<super::RetryJobRequest>
+                    for RetryJobSvc<T> {
+                        type Response = super::CommandResult;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::RetryJobRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Operator>::retry_job(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = RetryJobSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 "/mangotrestle.operator.v1.Operator/ListJobs" => {
                     #[allow(non_camel_case_types)]
                     struct ListJobsSvc<T: Operator>(pub Arc<T>);
