Add both sides of the lease protocol as state machines

Grantor is the worker's side, Leadership the leader's side of one pool. Both take times and messages and return messages, so tests explore the code that runs.

--- /dev/null
+++ b/crates/mangotrestle-core/src/lease/grantor.rs
@@ -0,0 +1,446 @@
+//! The worker's side of the lease protocol.
+//!
+//! A worker obeys whoever claimed it last. What it runs, it runs under a lease for each run, which
+//! only renewals extend; a claim fences the former leader and extends nothing. All times are
+//! readings of the worker's own clock, so a delayed or repeated message cannot extend anything
+//! either.
+//!
+//! The host that embeds a [`Grantor`] starts and ends the real processes: it launches what
+//! [`Started::launch`] names, ends what [`Grantor::tick`] and [`Grantor::stop`] return, and
+//! reports ends by [`Grantor::run_ended`].
+
+use std::collections::BTreeMap;
+
+use crate::id;
+use crate::lease::message;
+use crate::resources;
+use crate::result_code::ResultCode;
+use crate::task;
+use crate::time;
+
+/// Default term of a worker lease.
+pub const DEFAULT_TERM: time::SpanMs = time::SpanMs::from_secs(15);
+
+/// What a worker is and has.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct GrantorConfig {
+    incarnation: id::Incarnation,
+    capacity: resources::Resources,
+    rack: id::RackId,
+    target_address: String,
+    term: time::SpanMs,
+}
+
+impl GrantorConfig {
+    /// A worker of one incarnation with its capacity and rack.
+    #[must_use]
+    pub fn new(
+        incarnation: id::Incarnation,
+        capacity: resources::Resources,
+        rack: id::RackId,
+    ) -> Self {
+        Self {
+            incarnation,
+            capacity,
+            rack,
+            target_address: String::new(),
+            term: DEFAULT_TERM,
+        }
+    }
+
+    /// Address, `ip:port`, at which tasks take requests. Empty by default.
+    #[must_use]
+    pub fn target_address(mut self, address: &str) -> Self {
+        address.clone_into(&mut self.target_address);
+        self
+    }
+
+    /// Longest that a lease lasts from any one message, [`DEFAULT_TERM`] by default.
+    #[must_use]
+    pub const fn term(mut self, term: time::SpanMs) -> Self {
+        self.term = term;
+        self
+    }
+}
+
+/// Who holds the worker lease.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+struct Holder {
+    leader: id::EntryHostId,
+    incarnation: id::Incarnation,
+}
+
+/// The lease on the worker as a whole.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+struct WorkerLease {
+    holder: Holder,
+    epoch: message::Epoch,
+    expires: time::WorkerTimeMs,
+}
+
+/// A run that goes on.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+struct Running {
+    attempt: u32,
+    need: resources::Resources,
+    lease_expires: time::WorkerTimeMs,
+}
+
+/// What a start did.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct Started {
+    /// The answer for the leader.
+    pub answer: message::StartAnswer,
+    /// The runs to launch now. A repeated start is answered as before and launches nothing.
+    pub launch: Vec<message::StartRun>,
+}
+
+/// A worker as the lease protocol sees it.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct Grantor {
+    config: GrantorConfig,
+    lease: Option<WorkerLease>,
+    rival_epoch: message::Epoch,
+    roster_version: message::RosterVersion,
+    leaving: bool,
+    running: BTreeMap<task::TaskId, Running>,
+    ended: BTreeMap<task::RunId, task::RunOutcome>,
+    /// Runs that must not start (again), each until a time after which every start that can still
+    /// be under way has passed its start-before.
+    barred: BTreeMap<task::RunId, time::WorkerTimeMs>,
+    lapsed: Vec<task::RunId>,
+}
+
+impl Grantor {
+    /// A worker that nobody holds and that runs nothing.
+    #[must_use]
+    pub const fn new(config: GrantorConfig) -> Self {
+        Self {
+            config,
+            lease: None,
+            rival_epoch: message::Epoch(0),
+            roster_version: message::RosterVersion(0),
+            leaving: false,
+            running: BTreeMap::new(),
+            ended: BTreeMap::new(),
+            barred: BTreeMap::new(),
+            lapsed: Vec::new(),
+        }
+    }
+
+    /// Grants the worker lease under a new epoch, whoever held it before.
+    ///
+    /// # Errors
+    ///
+    /// [`StaleRoster`](ResultCode::StaleRoster) if a newer roster is known here.
+    pub fn claim(
+        &mut self,
+        now: time::WorkerTimeMs,
+        request: &message::ClaimRequest,
+    ) -> Result<message::ClaimGranted, message::Refusal> {
+        self.lapse(now);
+        if request.roster_version < self.roster_version {
+            return Err(refusal(ResultCode::StaleRoster, now));
+        }
+        self.roster_version = request.roster_version;
+        let lease = self.grant(now, request);
+        Ok(self.describe(now, &lease))
+    }
+
+    /// Extends the worker lease and the lease of every run.
+    ///
+    /// # Errors
+    ///
+    /// [`StaleEpoch`](ResultCode::StaleEpoch) if another claim was granted since,
+    /// [`Expired`](ResultCode::Expired) if the lease lapsed or belongs to another incarnation.
+    pub fn renew(
+        &mut self,
+        now: time::WorkerTimeMs,
+        request: &message::RenewRequest,
+    ) -> Result<message::RenewGranted, message::Refusal> {
+        self.lapse(now);
+        self.authorize(now, request.worker_incarnation, request.epoch)?;
+        self.extend(request.lease_expires_ms.min(now + self.config.term));
+        self.roster_version = self.roster_version.max(request.roster_version);
+        for run in &request.acknowledged {
+            self.acknowledge(now, run);
+        }
+        Ok(message::RenewGranted {
+            worker_time_ms: now,
+            ended: self.ended_runs(),
+            usage: Vec::new(),
+            leaving: self.leaving,
+        })
+    }
+
+    /// Starts runs, each accepted or refused on its own.
+    ///
+    /// # Errors
+    ///
+    /// As [`Grantor::renew`], [`Expired`](ResultCode::Expired) if start-before has passed and
+    /// [`InvalidInput`](ResultCode::InvalidInput) if it is more than a term away. A batch refused
+    /// as a whole started nothing.
+    pub fn start(
+        &mut self,
+        now: time::WorkerTimeMs,
+        request: &message::StartRequest,
+    ) -> Result<Started, message::Refusal> {
+        self.lapse(now);
+        self.authorize(now, request.worker_incarnation, request.epoch)?;
+        if now >= request.start_before_ms {
+            return Err(refusal(ResultCode::Expired, now));
+        }
+        if request.start_before_ms > now + self.config.term {
+            return Err(refusal(ResultCode::InvalidInput, now));
+        }
+        let mut results = Vec::with_capacity(request.runs.len());
+        let mut launch = Vec::new();
+        for start in &request.runs {
+            let known = self.knows(&start.run);
+            let result = if known {
+                ResultCode::Ok
+            } else {
+                self.admit(start)
+            };
+            if result == ResultCode::Ok && !known {
+                launch.push(start.clone());
+            }
+            results.push(result);
+        }
+        let answer = message::StartAnswer {
+            worker_time_ms: now,
+            results,
+        };
+        Ok(Started { answer, launch })
+    }
+
+    /// Returns the runs to stop out of those asked for, and bars all of them from starting. A run
+    /// goes on occupying the worker until its end is reported.
+    ///
+    /// # Errors
+    ///
+    /// As [`Grantor::renew`].
+    pub fn stop(
+        &mut self,
+        now: time::WorkerTimeMs,
+        request: &message::StopRequest,
+    ) -> Result<Vec<task::RunId>, message::Refusal> {
+        self.lapse(now);
+        self.authorize(now, request.worker_incarnation, request.epoch)?;
+        let mut stopping = Vec::new();
+        for run in &request.runs {
+            if self.is_running(run) {
+                stopping.push(run.clone());
+            } else {
+                self.bar(now, run);
+            }
+        }
+        Ok(stopping)
+    }
+
+    /// Lapses what has expired. Returns the runs to end at once, each of them exactly once.
+    pub fn tick(&mut self, now: time::WorkerTimeMs) -> Vec<task::RunId> {
+        self.lapse(now);
+        std::mem::take(&mut self.lapsed)
+    }
+
+    /// Records the end of a run; the holder learns of it until it acknowledges. Ends of runs that
+    /// do not go on are ignored.
+    pub fn run_ended(&mut self, run: &task::RunId, outcome: task::RunOutcome) {
+        if self.is_running(run) {
+            self.running.remove(&run.task);
+            self.ended.insert(run.clone(), outcome);
+        }
+    }
+
+    /// Says whether the worker leaves; if so it takes no new runs.
+    pub const fn set_leaving(&mut self, leaving: bool) {
+        self.leaving = leaving;
+    }
+
+    /// The incarnation of this worker.
+    #[must_use]
+    pub const fn incarnation(&self) -> id::Incarnation {
+        self.config.incarnation
+    }
+
+    /// Whether this very run goes on.
+    #[must_use]
+    pub fn is_running(&self, run: &task::RunId) -> bool {
+        self.running
+            .get(&run.task)
+            .is_some_and(|running| running.attempt == run.attempt)
+    }
+
+    /// Everything that runs.
+    #[must_use]
+    pub fn running(&self) -> Vec<message::RunningTask> {
+        let runs = self.running.iter();
+        runs.map(|(task, running)| running.as_message(task))
+            .collect()
+    }
+
+    /// When the next lease lapses, if any is open.
+    #[must_use]
+    pub fn next_lapse(&self) -> Option<time::WorkerTimeMs> {
+        let runs = self.running.values().map(|running| running.lease_expires);
+        runs.min()
+    }
+
+    /// What is occupied now.
+    #[must_use]
+    pub fn occupied(&self) -> resources::Resources {
+        let needs = self.running.values().map(|running| running.need);
+        needs.fold(resources::Resources::ZERO, |sum, need| sum + need)
+    }
+
+    fn grant(&mut self, now: time::WorkerTimeMs, request: &message::ClaimRequest) -> WorkerLease {
+        let holder = Holder {
+            leader: request.leader.clone(),
+            incarnation: request.leader_incarnation,
+        };
+        let former = self.lease.as_ref();
+        let epoch = former.map_or(0, |former| former.epoch.0) + 1;
+        if let Some(former) = former.filter(|former| former.holder != holder) {
+            self.rival_epoch = former.epoch;
+        }
+        let lease = WorkerLease {
+            holder,
+            epoch: message::Epoch(epoch),
+            expires: now + self.config.term,
+        };
+        self.lease = Some(lease.clone());
+        lease
+    }
+
+    fn describe(&self, now: time::WorkerTimeMs, lease: &WorkerLease) -> message::ClaimGranted {
+        message::ClaimGranted {
+            worker_incarnation: self.config.incarnation,
+            epoch: lease.epoch,
+            rival_epoch: self.rival_epoch,
+            worker_time_ms: now,
+            lease_expires_ms: lease.expires,
+            capacity: self.config.capacity,
+            rack: self.config.rack.clone(),
+            running: self.running(),
+            ended: self.ended_runs(),
+            leaving: self.leaving,
+            target_address: self.config.target_address.clone(),
+        }
+    }
+
+    /// Checks that a message comes from the holder of an unlapsed lease.
+    fn authorize(
+        &self,
+        now: time::WorkerTimeMs,
+        incarnation: id::Incarnation,
+        epoch: message::Epoch,
+    ) -> Result<(), message::Refusal> {
+        let lease = self.lease.as_ref();
+        let lease = lease.filter(|_| incarnation == self.config.incarnation);
+        match lease {
+            None => Err(refusal(ResultCode::Expired, now)),
+            Some(lease) if epoch != lease.epoch => Err(refusal(ResultCode::StaleEpoch, now)),
+            Some(lease) if now >= lease.expires => Err(refusal(ResultCode::Expired, now)),
+            Some(_) => Ok(()),
+        }
+    }
+
+    fn extend(&mut self, expires: time::WorkerTimeMs) {
+        if let Some(lease) = &mut self.lease {
+            lease.expires = lease.expires.max(expires);
+        }
+        for running in self.running.values_mut() {
+            running.lease_expires = running.lease_expires.max(expires);
+        }
+    }
+
+    /// Whether a start of this run was accepted before and is still remembered.
+    fn knows(&self, run: &task::RunId) -> bool {
+        self.is_running(run) || self.ended.contains_key(run)
+    }
+
+    /// Admits a run that is not known yet, under the lease as it stands.
+    fn admit(&mut self, start: &message::StartRun) -> ResultCode {
+        if self.leaving {
+            return ResultCode::Leaving;
+        }
+        if self.barred.contains_key(&start.run) {
+            return ResultCode::Expired;
+        }
+        if self.running.contains_key(&start.run.task) {
+            return ResultCode::AlreadyExists;
+        }
+        let free = self.config.capacity - self.occupied();
+        if !start.need.fits_in(&free) {
+            return ResultCode::NoCapacity;
+        }
+        let Some(lease) = &self.lease else {
+            return ResultCode::Expired;
+        };
+        let running = Running {
+            attempt: start.run.attempt,
+            need: start.need,
+            lease_expires: lease.expires,
+        };
+        self.running.insert(start.run.task.clone(), running);
+        ResultCode::Ok
+    }
+
+    fn acknowledge(&mut self, now: time::WorkerTimeMs, run: &task::RunId) {
+        if self.ended.remove(run).is_some() {
+            self.bar(now, run);
+        }
+    }
+
+    /// Keeps a run from starting for a term: no start-before reaches further than that.
+    fn bar(&mut self, now: time::WorkerTimeMs, run: &task::RunId) {
+        self.barred.insert(run.clone(), now + self.config.term);
+    }
+
+    fn lapse(&mut self, now: time::WorkerTimeMs) {
+        let lapsed: Vec<task::RunId> = self
+            .running
+            .iter()
+            .filter(|(_, running)| now >= running.lease_expires)
+            .map(|(task, running)| running.run_id(task))
+            .collect();
+        for run in lapsed {
+            self.run_ended(&run, task::RunOutcome::Lost);
+            self.lapsed.push(run);
+        }
+        self.barred.retain(|_, until| now < *until);
+    }
+
+    fn ended_runs(&self) -> Vec<message::EndedRun> {
+        let ended = self.ended.iter().map(|(run, &outcome)| message::EndedRun {
+            run: run.clone(),
+            outcome,
+        });
+        ended.collect()
+    }
+}
+
+impl Running {
+    fn run_id(&self, task: &task::TaskId) -> task::RunId {
+        task::RunId {
+            task: task.clone(),
+            attempt: self.attempt,
+        }
+    }
+
+    fn as_message(&self, task: &task::TaskId) -> message::RunningTask {
+        message::RunningTask {
+            run: self.run_id(task),
+            need: self.need,
+            lease_expires_ms: self.lease_expires,
+        }
+    }
+}
+
+const fn refusal(code: ResultCode, worker_time_ms: time::WorkerTimeMs) -> message::Refusal {
+    message::Refusal {
+        code,
+        worker_time_ms,
+    }
+}
--- /dev/null
+++ b/crates/mangotrestle-core/src/lease/leadership/campaign.rs
@@ -0,0 +1,188 @@
+//! The way to a majority: loading the roster, claiming, backing off.
+
+use crate::id;
+use crate::lease::leadership::{Leadership, LeadershipCommand, LeadershipNotice, Phase, slot};
+use crate::lease::message;
+use crate::lease::roster;
+use crate::time;
+
+impl Leadership {
+    pub(super) fn set_preferred(&mut self, now: time::TimeMs, preferred: bool) {
+        self.preferred = preferred;
+        match (&self.phase, preferred) {
+            (Phase::Idle, true) => self.start_campaign(now),
+            // A leader that acts goes on until another one has claimed its workers.
+            (Phase::Acting(_) | Phase::Idle, _) | (_, true) => {}
+            (_, false) => self.end_tenure(Phase::Idle),
+        }
+    }
+
+    pub(super) fn list_workers(&mut self, now: time::TimeMs, workers: Vec<id::WorkerId>) {
+        self.listed = workers.into_iter().collect();
+        self.drop_unlisted();
+        if !matches!(self.phase, Phase::Acting(_) | Phase::Claiming { .. }) {
+            return;
+        }
+        for worker in self.listed.clone() {
+            self.add_worker(now, &worker);
+        }
+    }
+
+    pub(super) fn start_campaign(&mut self, now: time::TimeMs) {
+        let until = now + self.config.answer_timeout;
+        self.phase = Phase::Loading { until };
+        self.commands.push(LeadershipCommand::LoadRoster);
+    }
+
+    /// Claims every worker of the roster and of the host list.
+    pub(super) fn begin_claims(&mut self, now: time::TimeMs) {
+        self.forget_workers();
+        let round = self.config.answer_timeout + self.config.answer_timeout;
+        self.phase = Phase::Claiming { until: now + round };
+        let members = self.rosters.members().map(|member| member.worker.clone());
+        let workers: Vec<id::WorkerId> = members.chain(self.listed.iter().cloned()).collect();
+        for worker in workers {
+            self.add_worker(now, &worker);
+        }
+    }
+
+    /// Ends a campaign or a tenure; nothing learnt in it holds any more.
+    pub(super) fn end_tenure(&mut self, next: Phase) {
+        let had_news = matches!(self.phase, Phase::Acting(_) | Phase::Claiming { .. });
+        self.phase = next;
+        self.forget_workers();
+        self.rosters.abandon();
+        if had_news {
+            self.notify(LeadershipNotice::LostMajority);
+        }
+    }
+
+    /// Ends a campaign or a tenure and tries again later, if this entry host still should.
+    pub(super) fn back_off_or_idle(&mut self, now: time::TimeMs) {
+        if !self.preferred {
+            self.end_tenure(Phase::Idle);
+            return;
+        }
+        let span = self.back_off(self.lost_rounds);
+        self.lost_rounds = self.lost_rounds.saturating_add(1);
+        let until = now + span + self.jitter.below(span);
+        self.end_tenure(Phase::BackingOff { until });
+    }
+
+    /// Moves on when a phase's time is over or its aim is reached.
+    pub(super) fn advance_phase(&mut self, now: time::TimeMs) {
+        match self.phase {
+            Phase::BackingOff { until } if now >= until => self.start_campaign(now),
+            Phase::Loading { until } if now >= until => self.roster_unavailable(now),
+            Phase::Idle | Phase::BackingOff { .. } | Phase::Loading { .. } => {}
+            Phase::Claiming { until } => self.advance_claims(now, until),
+            Phase::Acting(_) => self.advance_tenure(now),
+        }
+    }
+
+    fn advance_claims(&mut self, now: time::TimeMs, until: time::TimeMs) {
+        if self.holds_majority(now) {
+            self.become_acting(now);
+            self.advance_tenure(now);
+            return;
+        }
+        let complete = self.may_make_roster(now) && self.all_answered();
+        if now < until && !complete {
+            return;
+        }
+        if self.make_roster(now) {
+            return;
+        }
+        self.back_off_or_idle(now);
+    }
+
+    fn all_answered(&self) -> bool {
+        self.workers.values().all(|slot| slot.pending.is_none())
+    }
+
+    /// Whether unlapsed leases on a majority of the roster are held.
+    fn holds_majority(&self, now: time::TimeMs) -> bool {
+        let Some(roster) = self.rosters.counted() else {
+            return false;
+        };
+        let enough = self.holds > roster.members.len() / 2;
+        enough && roster.has_majority(|member| self.counts_until(member).is_some_and(|t| now < t))
+    }
+
+    /// Until when the vote of a member counts, `None` if it is not held.
+    pub(super) fn counts_until(&self, member: &roster::Member) -> Option<time::TimeMs> {
+        let hold = self.vote(member)?;
+        Some(hold.valid_until(self.config.term, self.config.drift))
+    }
+
+    pub(super) fn vote(&self, member: &roster::Member) -> Option<&slot::Hold> {
+        let slot = self.workers.get(&member.worker)?;
+        slot.vote(member, self.rosters.version())
+    }
+
+    /// Notes which incarnation answers for a worker: members with older ones are gone.
+    pub(super) fn note_incarnation(
+        &mut self,
+        now: time::TimeMs,
+        worker: &id::WorkerId,
+        incarnation: id::Incarnation,
+    ) {
+        self.rosters.note_incarnation(now, worker, incarnation);
+    }
+
+    pub(super) fn incarnation_gone(&mut self, now: time::TimeMs, member: roster::Member) {
+        self.resolve_gone(&member);
+        self.rosters.note_gone(now, member);
+    }
+
+    /// Another leader made a newer roster known: read it before anything else is claimed.
+    pub(super) fn roster_is_stale(&mut self, now: time::TimeMs) {
+        match self.phase {
+            Phase::Claiming { .. } => {
+                self.rosters.forget();
+                self.back_off_or_idle(now);
+            }
+            Phase::Acting(_) => self.commands.push(LeadershipCommand::LoadRoster),
+            _ => {}
+        }
+    }
+
+    /// Starts to claim a worker that is not known yet.
+    fn add_worker(&mut self, now: time::TimeMs, worker: &id::WorkerId) {
+        if !self.workers.contains_key(worker) {
+            self.workers.insert(worker.clone(), slot::Slot::default());
+            self.schedule(worker, now);
+        }
+    }
+
+    /// Drops workers that are neither listed nor members nor held.
+    fn drop_unlisted(&mut self) {
+        let members: std::collections::BTreeSet<&id::WorkerId> = self
+            .rosters
+            .members()
+            .map(|member| &member.worker)
+            .collect();
+        let (listed, timers) = (&self.listed, &mut self.timers);
+        self.workers.retain(|worker, slot| {
+            let keep = slot.hold.is_some() || listed.contains(worker) || members.contains(worker);
+            if let Some(at) = slot.due.filter(|_| !keep) {
+                timers.remove(&super::Timer {
+                    at,
+                    worker: worker.clone(),
+                });
+            }
+            keep
+        });
+    }
+
+    fn forget_workers(&mut self) {
+        self.workers.clear();
+        self.timers.clear();
+        self.holds = 0;
+    }
+
+    /// The version to name in claims and renewals.
+    pub(super) fn announced_version(&self) -> message::RosterVersion {
+        self.rosters.announced_version()
+    }
+}
--- a/crates/mangotrestle-core/src/lease/message.rs
+++ b/crates/mangotrestle-core/src/lease/message.rs
@@ -47,6 +47,9 @@
     pub worker_incarnation: id::Incarnation,
     /// Epoch that the claim was given; every later message carries it.
     pub epoch: Epoch,
+    /// Highest epoch that this incarnation ever granted to another leader, zero if none. A leader
+    /// that claims again learns from it whether another one held the lease in between.
+    pub rival_epoch: Epoch,
     /// The worker's clock at the answer.
     pub worker_time_ms: time::WorkerTimeMs,
     /// When the worker lease lapses unless it is renewed.
--- a/crates/mangotrestle-worker/src/generated.rs
+++ b/crates/mangotrestle-worker/src/generated.rs
@@ -78,6 +78,9 @@
     pub leaving: bool,
     #[prost(string, tag = "10")]
     pub target_address: ::prost::alloc::string::String,
+    /// Highest epoch that this incarnation ever granted to another leader, zero if none.
+    #[prost(uint64, tag = "11")]
+    pub rival_epoch: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct RunningTask {
