--- /dev/null
+++ b/crates/mangotrestle-core/src/pool/restore.rs
@@ -0,0 +1,71 @@
+//! From the folded journal to what the scheduler restores.
+
+use std::sync::Arc;
+
+use crate::id;
+use crate::journal;
+use crate::lease::message;
+use crate::scheduler;
+use crate::task;
+
+/// A job as the scheduler restores it; `None` while its acceptance has not been read.
+pub(super) fn job_snapshot(
+    _job: &id::JobId,
+    state: &journal::JobState,
+) -> Option<scheduler::JobSnapshot> {
+    let spec = state.spec.as_ref()?;
+    Some(scheduler::JobSnapshot {
+        spec: Arc::new(spec.clone()),
+        accepted_wall_ms: state.accepted_wall_ms,
+        cancelled: state.cancelled_wall_ms.is_some(),
+        parked: state.parked().map(|parked| parked.code),
+        first_index: 0,
+        tasks: spec.tasks,
+        started: state
+            .tasks()
+            .map(|(index, task)| task_snapshot(index, task))
+            .collect(),
+    })
+}
+
+fn task_snapshot(index: u32, task: &journal::TaskState) -> scheduler::TaskSnapshot {
+    scheduler::TaskSnapshot {
+        index,
+        attempt: task.attempt,
+        state: snapshot_state(task),
+    }
+}
+
+fn snapshot_state(task: &journal::TaskState) -> scheduler::TaskSnapshotState {
+    use journal::Phase;
+    use scheduler::TaskSnapshotState as State;
+    match task.phase {
+        Phase::Started => match &task.worker {
+            Some(worker) => State::Started {
+                worker: worker.clone(),
+            },
+            None => State::Unknown,
+        },
+        Phase::Unknown => State::Unknown,
+        Phase::Ended(task::RunOutcome::Succeeded)
+        | Phase::Resolved(journal::Resolution::Succeeded) => State::Succeeded,
+        Phase::Resolved(journal::Resolution::Failed) => State::Failed,
+        // Whether a failed task runs again is the scheduler's decision, which counts anew after a
+        // change of leader.
+        Phase::Ended(
+            task::RunOutcome::Failed
+            | task::RunOutcome::NotRun
+            | task::RunOutcome::Stopped
+            | task::RunOutcome::Lost,
+        )
+        | Phase::Resolved(journal::Resolution::RunAgain) => State::Waiting,
+    }
+}
+
+/// A worker's entry of a running task, as the scheduler reads it.
+pub(super) fn listed_run(running: message::RunningTask) -> scheduler::ListedRun {
+    scheduler::ListedRun {
+        run: running.run,
+        need: running.need,
+    }
+}
