--- a/crates/mangotrestle-core/src/lease/message.rs
+++ b/crates/mangotrestle-core/src/lease/message.rs
@@ -4,6 +4,8 @@
 //! that clock from the worker's last answer, so a delayed or repeated message never extends
 //! anything.
 
+use std::fmt;
+
 use serde::{Deserialize, Serialize};
 
 use crate::id;
@@ -175,14 +177,44 @@
     pub checkpoint: bool,
 }
 
+/// A worker's answer to a stop. The ends of the runs are reported once they have stopped.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub struct StopAccepted {
+    /// The worker's clock at the answer.
+    pub worker_time_ms: time::WorkerTimeMs,
+}
+
+/// Asks a worker to report ends of runs as they happen, for as long as the lease is not claimed
+/// by another leader.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub struct WatchRequest {
+    /// Incarnation of the worker that the lease was claimed from.
+    pub worker_incarnation: id::Incarnation,
+    /// Epoch of the lease.
+    pub epoch: Epoch,
+}
+
+/// Ends of runs, as they happened.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct WatchEvent {
+    /// The runs that ended.
+    pub ended: Vec<EndedRun>,
+}
+
 /// Why a worker refused a message as a whole.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub struct Refusal {
     /// [`StaleEpoch`](result_code::ResultCode::StaleEpoch),
     /// [`Expired`](result_code::ResultCode::Expired),
     /// [`StaleRoster`](result_code::ResultCode::StaleRoster) or
-    /// [`Leaving`](result_code::ResultCode::Leaving).
+    /// [`InvalidInput`](result_code::ResultCode::InvalidInput).
     pub code: result_code::ResultCode,
     /// The worker's clock at the refusal.
     pub worker_time_ms: time::WorkerTimeMs,
 }
+
+impl fmt::Display for Refusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.code.fmt(f)
+    }
+}
