--- /dev/null
+++ b/crates/mangotrestle-core/src/routing/latency.rs
@@ -0,0 +1,66 @@
+//! A running estimate of a latency: smoothed mean and mean deviation.
+//!
+//! The weights are those that TCP uses for its retransmission timer: one eighth for the mean and
+//! one quarter for the deviation. An observation costs O(1) and the state is three words.
+//!
+//! ```
+//! use mangotrestle_core::routing::latency::Latency;
+//!
+//! let mut latency = Latency::default();
+//! for _ in 0..50 {
+//!     latency.observe_us(8_000);
+//! }
+//! assert_eq!(latency.mean_us(), Some(8_000));
+//! assert_eq!(latency.high_us(), Some(8_000));
+//! ```
+
+/// See the [module's documentation](self).
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Latency {
+    mean_us: u64,
+    deviation_us: u64,
+    samples: u32,
+}
+
+impl Latency {
+    /// Takes an observation in.
+    pub fn observe_us(&mut self, sample_us: u64) {
+        if self.samples == 0 {
+            self.mean_us = sample_us;
+            self.deviation_us = sample_us / 2;
+        } else {
+            let difference = sample_us.abs_diff(self.mean_us);
+            self.deviation_us = blend(self.deviation_us, difference, 4);
+            self.mean_us = blend(self.mean_us, sample_us, 8);
+        }
+        self.samples = self.samples.saturating_add(1);
+    }
+
+    /// The smoothed mean; unset before the first observation.
+    #[must_use]
+    pub fn mean_us(&self) -> Option<u64> {
+        (self.samples > 0).then_some(self.mean_us)
+    }
+
+    /// What few observations exceed: the mean and twice the deviation.
+    #[must_use]
+    pub fn high_us(&self) -> Option<u64> {
+        (self.samples > 0).then(|| self.mean_us.saturating_add(2 * self.deviation_us))
+    }
+
+    /// Number of observations.
+    #[must_use]
+    pub const fn samples(&self) -> u32 {
+        self.samples
+    }
+}
+
+/// Moves `old` towards `new` by one `part`th of the way, rounded away from `old` so that a
+/// constant input is reached.
+fn blend(old: u64, new: u64, part: u64) -> u64 {
+    if new >= old {
+        old + (new - old).div_ceil(part)
+    } else {
+        old - (old - new).div_ceil(part)
+    }
+}
--- /dev/null
+++ b/crates/mangotrestle-core/src/routing/wait_queue.rs
@@ -0,0 +1,145 @@
+//! Requests that wait for a target, by urgency and then by arrival.
+//!
+//! The queue is bounded in number, and each entry has a time at which it is given up. Whether an
+//! entry should wait at all is asked first of [`estimate_wait`]: a request that would be given up
+//! anyway is refused at once, so that its caller can go elsewhere.
+//!
+//! Insertion, removal and taking the first cost O(log n).
+//!
+//! ```
+//! use mangotrestle_core::job::Urgency;
+//! use mangotrestle_core::routing::wait_queue::WaitQueue;
+//! use mangotrestle_core::time::TimeMs;
+//!
+//! let mut queue = WaitQueue::new();
+//! let background = queue.push(Urgency::Background, TimeMs(50), "report");
+//! let urgent = queue.push(Urgency::Urgent, TimeMs(50), "payment");
+//! assert_eq!(queue.first(), Some((urgent, &"payment")));
+//! assert_eq!(queue.remove(urgent), Some("payment"));
+//! assert_eq!(queue.first().map(|(ticket, _)| ticket), Some(background));
+//! ```
+
+use std::collections::BTreeMap;
+
+use crate::job;
+use crate::time;
+
+/// Names one entry of a queue; later entries have greater numbers within their class.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Ticket {
+    urgency: job::Urgency,
+    number: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Entry<T> {
+    give_up_at: time::TimeMs,
+    item: T,
+}
+
+/// See the [module's documentation](self).
+#[derive(Clone, Debug)]
+pub struct WaitQueue<T> {
+    entries: BTreeMap<Ticket, Entry<T>>,
+    /// Entries of each class, by urgency.
+    counts: [usize; 3],
+    next_number: u64,
+}
+
+impl<T> Default for WaitQueue<T> {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl<T> WaitQueue<T> {
+    /// An empty queue.
+    #[must_use]
+    pub const fn new() -> Self {
+        Self {
+            entries: BTreeMap::new(),
+            counts: [0; 3],
+            next_number: 0,
+        }
+    }
+
+    /// Number of entries.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether nothing waits.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Entries that would be served before a new one of the given class.
+    #[must_use]
+    pub fn ahead_of(&self, urgency: job::Urgency) -> usize {
+        self.counts[..=urgency as usize].iter().sum()
+    }
+
+    /// Adds an entry that is given up at the given time.
+    pub fn push(&mut self, urgency: job::Urgency, give_up_at: time::TimeMs, item: T) -> Ticket {
+        let ticket = Ticket {
+            urgency,
+            number: self.next_number,
+        };
+        self.next_number += 1;
+        self.counts[urgency as usize] += 1;
+        self.entries.insert(ticket, Entry { give_up_at, item });
+        ticket
+    }
+
+    /// The entry to serve next.
+    #[must_use]
+    pub fn first(&self) -> Option<(Ticket, &T)> {
+        self.iter().next()
+    }
+
+    /// Entries in the order to serve them.
+    pub fn iter(&self) -> impl Iterator<Item = (Ticket, &T)> {
+        self.entries
+            .iter()
+            .map(|(&ticket, entry)| (ticket, &entry.item))
+    }
+
+    /// Removes an entry.
+    pub fn remove(&mut self, ticket: Ticket) -> Option<T> {
+        let entry = self.entries.remove(&ticket)?;
+        self.counts[ticket.urgency as usize] -= 1;
+        Some(entry.item)
+    }
+
+    /// Removes every entry whose time has come, at a cost of O(n).
+    pub fn take_expired(&mut self, now: time::TimeMs) -> Vec<(Ticket, T)> {
+        let expired: Vec<Ticket> = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| entry.give_up_at <= now)
+            .map(|(&ticket, _)| ticket)
+            .collect();
+        expired
+            .into_iter()
+            .filter_map(|ticket| Some((ticket, self.remove(ticket)?)))
+            .collect()
+    }
+}
+
+/// Expected wait of a request with `ahead` others before it, when `in_service` are served at the
+/// same time for `service_us` each.
+///
+/// ```
+/// use mangotrestle_core::routing::wait_queue;
+/// use mangotrestle_core::time::SpanMs;
+/// // Ten ahead, five at a time, 20 ms each: two rounds and a part of a third.
+/// assert_eq!(wait_queue::estimate_wait(10, 5, 20_000), SpanMs(44));
+/// ```
+#[must_use]
+pub fn estimate_wait(ahead: usize, in_service: u32, service_us: u64) -> time::SpanMs {
+    let rounds = u64::try_from(ahead).unwrap_or(u64::MAX).saturating_add(1);
+    let wait_us = rounds.saturating_mul(service_us) / u64::from(in_service.max(1));
+    time::SpanMs(wait_us / 1_000)
+}
