--- a/crates/mangotrestle/src/main.rs
+++ b/crates/mangotrestle/src/main.rs
@@ -1,2 +1,3 @@
-//! Placeholder.
+//! The `mangotrestle` binary.
+
 fn main() {}
--- /dev/null
+++ b/crates/mangotrestle/src/settings/mod.rs
@@ -0,0 +1,436 @@
+//! Settings of `mangotrestle serve`, from flags and environment variables.
+//!
+//! [`TABLE`] declares every setting once. A flag wins over the environment variable of the same
+//! name, which wins over the default. All faults are found in one pass and reported together, each
+//! with the setting, the text given, where it was given and what was expected, so that a daemon
+//! that does not start says everything at its first try.
+//!
+//! A setting is never a secret: tokens and keys are named by the path of their file, and the
+//! content of those files is shown nowhere.
+//!
+//! ```
+//! use mangotrestle::settings::Settings;
+//! use mangotrestle_core::id;
+//!
+//! let settings = Settings::builder()
+//!     .entry_host(id::EntryHostId::new("gikondo-1").unwrap())
+//!     .availability_zone(id::AvailabilityZoneId::new("gikondo").unwrap())
+//!     .table_address("127.0.0.1:7500".parse().unwrap())
+//!     .object_store_address("127.0.0.1:7501".parse().unwrap())
+//!     .host_list_address("127.0.0.1:7502".parse().unwrap())
+//!     .build()
+//!     .unwrap();
+//! assert_eq!(settings.pools_led()[0].as_str(), "gikondo");
+//! ```
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+use std::path::PathBuf;
+
+use mangotrestle_core::id;
+use mangotrestle_core::time;
+
+mod check;
+mod declare;
+mod value;
+
+pub use value::LogLevel;
+pub use value::LogOutput;
+pub use value::SettingValue;
+
+/// Prefix of every environment variable.
+pub const VARIABLE_PREFIX: &str = "MANGOTRESTLE_";
+
+/// Variables that operators' commands read, besides those of [`TABLE`].
+pub const COMMAND_VARIABLES: &[&str] = &[
+    "MANGOTRESTLE_ENDPOINT",
+    "MANGOTRESTLE_TOKEN_FILE",
+    "MANGOTRESTLE_AUTHORITY_FILE",
+    "MANGOTRESTLE_OPERATOR",
+];
+
+const MINUTE_MS: u64 = 60_000;
+const HOUR_MS: u64 = 60 * MINUTE_MS;
+const MIB: u64 = 1024 * 1024;
+
+declare::settings! {
+    /// name of this entry host, unique in the system
+    entry_host: id::EntryHostId, "", None, None;
+    /// availability zone of this entry host
+    availability_zone: id::AvailabilityZoneId, "", None, None;
+    /// pools that this entry host may lead; empty means the pool named like its zone
+    pools: Vec<id::PoolId>, "", None, Some("");
+    /// address for operators' gRPC
+    operator_listen: SocketAddr, "", None, Some("127.0.0.1:7400");
+    /// address for callers' HTTP requests
+    caller_listen: SocketAddr, "", None, Some("127.0.0.1:7401");
+    /// address for other entry hosts
+    peer_listen: SocketAddr, "", None, Some("127.0.0.1:7402");
+    /// address for metrics and health checks
+    health_listen: SocketAddr, "", None, Some("127.0.0.1:7403");
+    /// address at which other entry hosts reach this one; empty means peer-listen
+    peer_advertise: Option<SocketAddr>, "", None, Some("");
+    /// other entry hosts to ask for the rest when starting
+    seed_peers: Vec<SocketAddr>, "", None, Some("");
+    /// address of the platform's table service
+    table_address: SocketAddr, "", None, None;
+    /// address of the platform's object store
+    object_store_address: SocketAddr, "", None, None;
+    /// address of the platform's host list
+    host_list_address: SocketAddr, "", None, None;
+    /// term of a worker's lease
+    lease_term_ms: time::SpanMs, "ms", Some(500..=10 * MINUTE_MS), Some("10000");
+    /// interval of renewals of a worker's lease, at most a third of its term
+    lease_renew_interval_ms: time::SpanMs, "ms", Some(50..=3 * MINUTE_MS), Some("3000");
+    /// interval of heartbeats between entry hosts
+    heartbeat_interval_ms: time::SpanMs, "ms", Some(50..=MINUTE_MS), Some("1000");
+    /// interval of look-ups of the configuration's version
+    config_poll_interval_ms: time::SpanMs, "ms", Some(50..=MINUTE_MS), Some("3000");
+    /// interval of look-ups of the host list
+    host_list_poll_interval_ms: time::SpanMs, "ms", Some(50..=10 * MINUTE_MS), Some("2000");
+    /// longest time between an order to stop and the end of the process
+    shutdown_bound_ms: time::SpanMs, "ms", Some(0..=HOUR_MS), Some("30000");
+    /// this entry host's share of the table's writes
+    table_writes_per_s: u32, "1/s", Some(1..=100_000), Some("40");
+    /// this entry host's share of the table's reads
+    table_reads_per_s: u32, "1/s", Some(1..=100_000), Some("200");
+    /// greatest body of a caller's request
+    max_request_body_bytes: u64, "bytes", Some(0..=64 * MIB), Some("1048576");
+    /// longest time that a request waits for a target
+    max_queue_time_ms: time::SpanMs, "ms", Some(0..=10 * MINUTE_MS), Some("2000");
+    /// deadline of a request that names none
+    default_deadline_ms: time::SpanMs, "ms", Some(1..=HOUR_MS), Some("10000");
+    /// threads for callers' requests
+    traffic_threads: usize, "threads", Some(1..=1_024), Some("2");
+    /// certificate chain (PEM) for callers; empty means no TLS
+    caller_tls_certificate: Option<PathBuf>, "", None, Some("");
+    /// private key (PEM) for callers
+    caller_tls_key: Option<PathBuf>, "", None, Some("");
+    /// certificate chain (PEM) for operators; empty means no TLS
+    operator_tls_certificate: Option<PathBuf>, "", None, Some("");
+    /// private key (PEM) for operators
+    operator_tls_key: Option<PathBuf>, "", None, Some("");
+    /// interval of look-ups of renewed certificates
+    tls_reload_interval_ms: time::SpanMs, "ms", Some(100..=HOUR_MS), Some("10000");
+    /// operators' tokens (TOML); empty accepts everyone, on loopback only
+    operator_token_file: Option<PathBuf>, "", None, Some("");
+    /// least severe log lines written: error, warning, info, debug or trace
+    log_level: LogLevel, "", None, Some("info");
+    /// where log lines go: stdout or stderr
+    log_output: LogOutput, "", None, Some("stdout");
+    /// seed of random choices; 0 takes another one at each start
+    seed: u64, "", None, Some("0");
+}
+
+/// What the table says of one setting.
+#[derive(Clone, Debug)]
+pub struct Declaration {
+    /// Name, such as `lease_term_ms`.
+    pub name: &'static str,
+    /// Unit of the value, or nothing.
+    pub unit: &'static str,
+    /// Least and greatest value of a number.
+    pub range: Option<RangeInclusive<u64>>,
+    /// Default, as a flag would give it; `None` if the setting is required.
+    pub default: Option<&'static str>,
+    help: &'static str,
+}
+
+impl Declaration {
+    /// The flag, such as `--lease-term-ms`.
+    #[must_use]
+    pub fn flag(&self) -> String {
+        format!("--{}", self.name.replace('_', "-"))
+    }
+
+    /// The environment variable, such as `MANGOTRESTLE_LEASE_TERM_MS`.
+    #[must_use]
+    pub fn variable(&self) -> String {
+        format!("{VARIABLE_PREFIX}{}", self.name.to_uppercase())
+    }
+
+    /// What the setting is for.
+    #[must_use]
+    pub fn help(&self) -> &'static str {
+        self.help.trim()
+    }
+}
+
+/// Where a value was given.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Source {
+    /// On the command line.
+    Flag,
+    /// By an environment variable.
+    Environment,
+    /// Nowhere; it is the declared default.
+    Default,
+    /// Nowhere, and there is no default.
+    Missing,
+    /// By a program, through the builder.
+    Builder,
+}
+
+impl fmt::Display for Source {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(match self {
+            Self::Flag => "flag",
+            Self::Environment => "environment",
+            Self::Default => "default",
+            Self::Missing => "missing",
+            Self::Builder => "builder",
+        })
+    }
+}
+
+/// The text that counts for one setting.
+#[derive(Clone, Debug)]
+pub struct Effective {
+    /// The setting.
+    pub declaration: &'static Declaration,
+    /// The text, if there is one.
+    pub text: Option<String>,
+    /// Where it was given.
+    pub source: Source,
+}
+
+/// One thing that is wrong with the settings.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Fault {
+    /// Name of the setting, or of a variable that is no setting.
+    pub setting: String,
+    /// The text given, if any.
+    pub given: Option<String>,
+    /// Where it was given.
+    pub source: Source,
+    /// What was expected.
+    pub expected: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &self.given {
+            Some(given) => write!(
+                f,
+                "{}: {given:?} given ({}), expected {}",
+                self.setting, self.source, self.expected
+            ),
+            None => write!(
+                f,
+                "{}: nothing given, expected {}",
+                self.setting, self.expected
+            ),
+        }
+    }
+}
+
+/// Everything that is wrong with the settings.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct InvalidSettings {
+    /// The faults, in the order of [`TABLE`].
+    pub faults: Vec<Fault>,
+}
+
+impl fmt::Display for InvalidSettings {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} setting(s) are wrong:", self.faults.len())?;
+        for fault in &self.faults {
+            write!(f, "\n  {fault}")?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for InvalidSettings {}
+
+impl Settings {
+    /// Starts with the declared defaults.
+    #[must_use]
+    pub fn builder() -> SettingsBuilder {
+        SettingsBuilder::default()
+    }
+
+    /// Merges flags and environment variables, and checks the whole.
+    ///
+    /// # Errors
+    ///
+    /// Every fault found.
+    pub fn resolve(
+        arguments: &ServeArguments,
+        environment: &[(String, String)],
+    ) -> Result<Self, InvalidSettings> {
+        let mut faults = unknown_variables(environment);
+        let effective = effective(arguments, environment);
+        let builder = SettingsBuilder::read(&effective, &mut faults);
+        builder.check(faults, |name| {
+            let row = effective.iter().find(|row| row.declaration.name == name);
+            row.map_or(Source::Default, |row| row.source)
+        })
+    }
+
+    /// The pools that this entry host may lead.
+    ///
+    /// # Panics
+    ///
+    /// Never: the name of a zone is always a name for a pool.
+    #[must_use]
+    pub fn pools_led(&self) -> Vec<id::PoolId> {
+        if !self.pools.is_empty() {
+            return self.pools.clone();
+        }
+        let zone = self.availability_zone.as_str();
+        vec![id::PoolId::new(zone).expect("zones and pools share one rule for names")]
+    }
+
+    /// The address at which other entry hosts reach this one.
+    #[must_use]
+    pub fn peer_advertised(&self) -> SocketAddr {
+        self.peer_advertise.unwrap_or(self.peer_listen)
+    }
+}
+
+impl SettingsBuilder {
+    /// Fills in the defaults and checks the whole.
+    ///
+    /// # Errors
+    ///
+    /// Every fault found.
+    pub fn build(mut self) -> Result<Settings, InvalidSettings> {
+        let mut faults = Vec::new();
+        self.fill(&mut faults);
+        self.check(faults, |_| Source::Builder)
+    }
+
+    /// Adds the faults that show only when settings are compared with ranges and each other.
+    fn check(
+        self,
+        mut faults: Vec<Fault>,
+        source_of: impl Fn(&str) -> Source,
+    ) -> Result<Settings, InvalidSettings> {
+        check::relations(&self, &source_of, &mut faults);
+        match self.finish() {
+            Some(settings) => {
+                check::ranges(&settings, &source_of, &mut faults);
+                if faults.is_empty() {
+                    return Ok(settings);
+                }
+            }
+            None => debug_assert!(!faults.is_empty(), "a missing value is a fault"),
+        }
+        faults.sort_by_key(|fault| position(&fault.setting));
+        Err(InvalidSettings { faults })
+    }
+}
+
+/// Place of a setting in the table; what is no setting comes last.
+fn position(name: &str) -> usize {
+    let found = TABLE
+        .iter()
+        .position(|declaration| declaration.name == name);
+    found.unwrap_or(TABLE.len())
+}
+
+/// The text that counts for each setting, in the order of [`TABLE`].
+#[must_use]
+pub fn effective(arguments: &ServeArguments, environment: &[(String, String)]) -> Vec<Effective> {
+    let merge = |(declaration, flag): (&'static Declaration, Option<&str>)| {
+        let variable = declaration.variable();
+        let from_environment = environment.iter().find(|(name, _)| *name == variable);
+        let (text, source) = match (flag, from_environment, declaration.default) {
+            (Some(text), _, _) => (Some(text), Source::Flag),
+            (None, Some((_, text)), _) => (Some(text.as_str()), Source::Environment),
+            (None, None, Some(text)) => (Some(text), Source::Default),
+            (None, None, None) => (None, Source::Missing),
+        };
+        Effective {
+            declaration,
+            text: text.map(str::to_owned),
+            source,
+        }
+    };
+    TABLE.iter().zip(arguments.texts()).map(merge).collect()
+}
+
+/// The rows of `--print-settings`, one line a setting.
+#[must_use]
+pub fn print(effective: &[Effective]) -> String {
+    let mut lines = String::new();
+    for row in effective {
+        let declaration = row.declaration;
+        let text = row.text.as_deref().unwrap_or("");
+        let line = format!(
+            "{:<26} {:<24} {:<8} {}",
+            declaration.name, text, declaration.unit, row.source
+        );
+        lines.push_str(line.trim_end());
+        lines.push('\n');
+    }
+    lines
+}
+
+/// A misspelt variable would otherwise be ignored without a word.
+fn unknown_variables(environment: &[(String, String)]) -> Vec<Fault> {
+    let is_known = |name: &str| {
+        COMMAND_VARIABLES.contains(&name) || TABLE.iter().any(|row| row.variable() == name)
+    };
+    let unknown = environment
+        .iter()
+        .filter(|(name, _)| name.starts_with(VARIABLE_PREFIX) && !is_known(name));
+    unknown
+        .map(|(name, _)| Fault {
+            setting: name.clone(),
+            given: None,
+            source: Source::Environment,
+            expected: "no variable of this name, it is not a setting".to_owned(),
+        })
+        .collect()
+}
+
+fn read_one<T: SettingValue>(row: &Effective, faults: &mut Vec<Fault>) -> Option<T> {
+    let Some(text) = &row.text else {
+        faults.push(missing(row.declaration));
+        return None;
+    };
+    match T::parse(text) {
+        Ok(value) => Some(value),
+        Err(expected) => {
+            faults.push(Fault {
+                setting: row.declaration.name.to_owned(),
+                given: Some(text.clone()),
+                source: row.source,
+                expected,
+            });
+            None
+        }
+    }
+}
+
+fn read_default<T: SettingValue>(
+    declaration: &'static Declaration,
+    faults: &mut Vec<Fault>,
+) -> Option<T> {
+    let row = Effective {
+        declaration,
+        text: declaration.default.map(str::to_owned),
+        source: Source::Default,
+    };
+    read_one(&row, faults)
+}
+
+fn missing(declaration: &Declaration) -> Fault {
+    Fault {
+        setting: declaration.name.to_owned(),
+        given: None,
+        source: Source::Missing,
+        expected: format!(
+            "{} (set {} or {})",
+            declaration.help(),
+            declaration.flag(),
+            declaration.variable()
+        ),
+    }
+}
+
+#[cfg(test)]
+mod tests;
