Add logs, the metrics page, TLS with renewal and the token file

No slog formatter writes plain key=value lines with escaped values in a fixed order, so a small Drain does; writing happens on slog-async's thread, which drops and counts lines rather than hold up a decision. tonic takes its certificates once, so a listener of our own hands out connections after their handshake to axum and tonic alike, with the certificates then in force. Files are compared by content: a modification time misses a renewal that restores it. Token file faults name a line and never its text.

--- a/crates/mangotrestle/src/lib.rs
+++ b/crates/mangotrestle/src/lib.rs
@@ -2,4 +2,10 @@
 //! them in their own process.
 
 pub mod daemon;
+pub mod logging;
+pub mod position;
 pub mod settings;
+pub mod telemetry;
+pub mod timestamp;
+pub mod tls;
+pub mod tokens;
--- /dev/null
+++ b/crates/mangotrestle/src/logging/mod.rs
@@ -0,0 +1,187 @@
+//! Logs: one line of `key=value` pairs for each event.
+//!
+//! A line begins with the time, the level and the event's name; the pairs of the logger and then
+//! those of the event follow:
+//!
+//! ```text
+//! ts=2026-12-03T02:10:44.017Z level=info event=task.placed entry_host=gikondo-1 job=furan-7 index=0 worker=spectral-3
+//! ```
+//!
+//! The event is the message given to `slog`'s macros, so it is a fixed name and never a sentence.
+//! Values are quoted when they hold a space, a quote, `=` or a control character; a line break
+//! inside a value is escaped, so that one event is always one line.
+//!
+//! Lines are written by a thread of their own. When that thread falls behind, lines are dropped
+//! and their number is logged, because a slow log reader must never hold up a decision.
+
+use std::fmt;
+use std::io::{self, Write};
+use std::sync::Mutex;
+use std::time::SystemTime;
+
+use slog::Drain;
+use slog::Serializer;
+
+use crate::settings;
+use crate::timestamp;
+
+/// Lines that wait for the writing thread before any are dropped.
+const QUEUE_LINES: usize = 16_384;
+
+/// Greatest length of one value in a line, in bytes; longer ones are cut off.
+pub const MAX_VALUE_BYTES: usize = 2_048;
+
+/// A logger that writes in the background, and the guard that flushes it.
+///
+/// The guard must be dropped last, after everything that logs.
+pub fn start(
+    level: settings::LogLevel,
+    output: settings::LogOutput,
+) -> (slog::Logger, slog_async::AsyncGuard) {
+    let drain = match output {
+        settings::LogOutput::Stdout => KeyValueDrain::new(Target::Stdout(io::stdout())),
+        settings::LogOutput::Stderr => KeyValueDrain::new(Target::Stderr(io::stderr())),
+    };
+    let drain = slog::LevelFilter::new(drain, level.0);
+    let (queue, guard) = slog_async::Async::new(drain.ignore_res())
+        .chan_size(QUEUE_LINES)
+        .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
+        .thread_name("log-writer".to_owned())
+        .build_with_guard();
+    (slog::Logger::root(queue.ignore_res(), slog::o!()), guard)
+}
+
+/// A logger that drops every line, for tests and tools.
+pub fn discard() -> slog::Logger {
+    slog::Logger::root(slog::Discard, slog::o!())
+}
+
+/// One of the process's two outputs.
+enum Target {
+    Stdout(io::Stdout),
+    Stderr(io::Stderr),
+}
+
+impl Write for Target {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        match self {
+            Self::Stdout(output) => output.write(bytes),
+            Self::Stderr(output) => output.write(bytes),
+        }
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        match self {
+            Self::Stdout(output) => output.flush(),
+            Self::Stderr(output) => output.flush(),
+        }
+    }
+}
+
+/// Writes each record as one line.
+#[derive(Debug)]
+pub struct KeyValueDrain<W> {
+    output: Mutex<W>,
+}
+
+impl<W: Write> KeyValueDrain<W> {
+    /// Writes lines to `output`.
+    pub fn new(output: W) -> Self {
+        Self {
+            output: Mutex::new(output),
+        }
+    }
+}
+
+impl<W: Write> slog::Drain for KeyValueDrain<W> {
+    type Ok = ();
+    type Err = io::Error;
+
+    fn log(&self, record: &slog::Record<'_>, values: &slog::OwnedKVList) -> io::Result<()> {
+        let line = format_line(SystemTime::now(), record, values)?;
+        let mut output = self
+            .output
+            .lock()
+            .map_err(|_| io::Error::other("a thread that wrote logs has panicked"))?;
+        output.write_all(line.as_bytes())
+    }
+}
+
+/// The line of one record, with its line break.
+fn format_line(
+    now: SystemTime,
+    record: &slog::Record<'_>,
+    values: &slog::OwnedKVList,
+) -> io::Result<String> {
+    let mut line = format!(
+        "ts={} level={} event=",
+        timestamp::format(now),
+        level_name(record.level())
+    );
+    push_value(&mut line, &record.msg().to_string());
+    let mut pairs = Pairs::default();
+    // Both lists hand out their newest pair first.
+    slog::KV::serialize(&record.kv(), record, &mut pairs).map_err(io::Error::other)?;
+    slog::KV::serialize(values, record, &mut pairs).map_err(io::Error::other)?;
+    for (key, value) in pairs.0.iter().rev() {
+        line.push(' ');
+        line.push_str(key);
+        line.push('=');
+        push_value(&mut line, value);
+    }
+    line.push('\n');
+    Ok(line)
+}
+
+const fn level_name(level: slog::Level) -> &'static str {
+    match level {
+        slog::Level::Critical => "critical",
+        slog::Level::Error => "error",
+        slog::Level::Warning => "warning",
+        slog::Level::Info => "info",
+        slog::Level::Debug => "debug",
+        slog::Level::Trace => "trace",
+    }
+}
+
+/// The pairs of a record, in the order in which they are handed out.
+#[derive(Default)]
+struct Pairs(Vec<(slog::Key, String)>);
+
+impl Serializer for Pairs {
+    fn emit_arguments(&mut self, key: slog::Key, value: &fmt::Arguments<'_>) -> slog::Result {
+        self.0.push((key, value.to_string()));
+        Ok(())
+    }
+}
+
+/// Appends a value, quoted if it needs to be and cut off if it is too long.
+fn push_value(line: &mut String, value: &str) {
+    let value = &value[..value.floor_char_boundary(MAX_VALUE_BYTES)];
+    let needs_quotes = |c: char| c.is_whitespace() || c.is_control() || c == '"' || c == '=';
+    if !value.is_empty() && !value.contains(needs_quotes) {
+        line.push_str(value);
+        return;
+    }
+    line.push('"');
+    for character in value.chars() {
+        match character {
+            '"' => line.push_str("\\\""),
+            '\\' => line.push_str("\\\\"),
+            '\n' => line.push_str("\\n"),
+            other if other.is_control() || is_line_break(other) => {
+                line.extend(other.escape_unicode());
+            }
+            other => line.push(other),
+        }
+    }
+    line.push('"');
+}
+
+/// Characters that some readers take for the end of a line, beside control characters.
+const fn is_line_break(character: char) -> bool {
+    matches!(character, '\u{2028}' | '\u{2029}')
+}
+
+#[cfg(test)]
+mod tests;
