--- a/crates/mangotrestle/src/lib.rs
+++ b/crates/mangotrestle/src/lib.rs
@@ -1,1 +1,11 @@
-//! Placeholder.
+//! Parts of the `mangotrestle` binary, as a library so that tests and developers' tools can run
+//! them in their own process.
+
+pub mod daemon;
+pub mod logging;
+pub mod position;
+pub mod settings;
+pub mod telemetry;
+pub mod timestamp;
+pub mod tls;
+pub mod tokens;
