--- a/crates/mangotrestle-core/src/result_code.rs
+++ b/crates/mangotrestle-core/src/result_code.rs
@@ -61,6 +61,8 @@
     QuotaExceeded = 1103, "quota-exceeded";
     /// No worker could ever hold one task of the job.
     NeverFits = 1104, "never-fits";
+    /// The job failed on every worker that tried it.
+    FailsEverywhere = 1105, "fails-everywhere";
     /// Not run: the store is unavailable and the work must be recorded first.
     StoreUnavailable = 2000, "store-unavailable";
     /// Not run: too much work is waiting.
--- /dev/null
+++ b/crates/mangotrestle-core/src/scheduler/bookkeeping.rs
@@ -0,0 +1,180 @@
+//! The few ways in which records, queue, index and sums change, so that they change together.
+
+use crate::time;
+
+use super::Scheduler;
+use super::amount;
+use super::decision;
+use super::index::WorkerKey;
+use super::jobs::TaskKey;
+use super::lifecycle;
+use super::preemption;
+use super::queue::{self, JobKey};
+use super::worker;
+
+impl Scheduler {
+    /// Stores a task's record, counts it and keeps the queue in step.
+    pub(super) fn set_task(
+        &mut self,
+        now_ms: time::TimeMs,
+        key: TaskKey,
+        to: lifecycle::TaskRecord,
+    ) {
+        let job = &mut self.jobs[key.job];
+        let from = std::mem::replace(&mut job.tasks[key.position as usize], to);
+        *job.counter(from.stage()) -= 1;
+        *job.counter(to.stage()) += 1;
+        let was_ready = from.waiting().is_some();
+        let is_ready = to.waiting().is_some();
+        if was_ready && !is_ready {
+            job.ready -= 1;
+        }
+        if is_ready && !was_ready {
+            job.ready += 1;
+            job.waiting.push(key.position);
+            job.ready_since_ms = now_ms;
+        }
+        self.sync_job(key.job);
+    }
+
+    /// Brings a job's place in the queue and its reported state up to date.
+    pub(super) fn sync_job(&mut self, key: JobKey) {
+        let job = &mut self.jobs[key];
+        let state = job.current_state();
+        if state != job.state {
+            job.state = state;
+            let notice = decision::Decision::JobStateChanged {
+                job: job.spec.id.clone(),
+                state,
+                code: job.parked,
+            };
+            self.notices.push_back(notice);
+        }
+        match (job.queued, job.is_queueable()) {
+            (None, true) => self.enqueue(key),
+            (Some(entry), false) => {
+                job.queued = None;
+                self.queue.remove(&entry);
+                self.drop_reservation(key);
+            }
+            _ => {}
+        }
+    }
+
+    fn enqueue(&mut self, key: JobKey) {
+        self.correct_need(key);
+        let shape = self.shape_of(key);
+        let job = &mut self.jobs[key];
+        let entry = queue::QueueEntry {
+            job: key,
+            team: job.team,
+            shape,
+            accepted_wall_ms: job.accepted_wall_ms,
+        };
+        job.queued = Some(entry);
+        self.queue.insert(&entry);
+    }
+
+    /// Takes a job out of the queue and puts it in again, after its need has changed.
+    pub(super) fn requeue(&mut self, key: JobKey) {
+        if let Some(entry) = self.jobs[key].queued.take() {
+            self.queue.remove(&entry);
+        }
+        self.sync_job(key);
+    }
+
+    /// Brings a worker's sums and its place in the index up to date, after anything about it
+    /// changed.
+    pub(super) fn refresh(&mut self, key: WorkerKey) {
+        let Some(worker) = self.workers.get_mut(key) else {
+            self.open.remove(key);
+            self.reserved.remove(key);
+            return;
+        };
+        worker.recompute();
+        let room = worker.capacity.minus(&worker.booked);
+        let filled = worker.holds.iter().filter(|hold| hold.need.fits_in(&room));
+        self.filled_holds.extend(filled.map(|hold| hold.task));
+        if !worker.is_usable() {
+            self.open.remove(key);
+            self.reserved.remove(key);
+            return;
+        }
+        let free = worker.free();
+        let accelerator_host = worker.is_accelerator_host();
+        let (index, other) = if worker.reserved_by.is_some() {
+            (&mut self.reserved, &mut self.open)
+        } else {
+            (&mut self.open, &mut self.reserved)
+        };
+        let moved = other.free(key).is_some();
+        other.remove(key);
+        let before = index.free(key);
+        index.insert(key, free, accelerator_host);
+        let grew = before.is_none_or(|before| free.exceeds(&before));
+        if moved || grew {
+            self.queue.unblock(&free);
+        }
+    }
+
+    /// Books a run on a worker.
+    pub(super) fn attach(&mut self, key: WorkerKey, run: worker::Run) {
+        let job = &mut self.jobs[run.task.job];
+        if job.is_service() {
+            job.count_rack(self.workers[key].rack, true);
+        }
+        self.queue.add_use(job.team, &run.need);
+        self.workers[key].runs.push(run);
+        self.offer_victim(key, run.task);
+        self.refresh(key);
+    }
+
+    /// Takes a run off its worker, once it surely ended.
+    pub(super) fn detach(&mut self, task: TaskKey) -> Option<worker::Run> {
+        let key = self.jobs.record(task)?.worker()?;
+        let position = self
+            .workers
+            .get(key)?
+            .runs
+            .iter()
+            .position(|run| run.task == task)?;
+        self.withdraw_victim(key, task);
+        let worker = &mut self.workers[key];
+        let run = worker.runs.swap_remove(position);
+        let rack = worker.rack;
+        let job = &mut self.jobs[task.job];
+        if job.is_service() {
+            job.count_rack(rack, false);
+        }
+        if run.stop == Some(decision::StopReason::Preempted) {
+            job.preempting = job.preempting.saturating_sub(1);
+        }
+        let team = job.team;
+        self.queue.subtract_use(team, &run.need);
+        self.refresh(key);
+        Some(run)
+    }
+
+    /// Lists a run as one that urgent work may stop, if it is one.
+    pub(super) fn offer_victim(&mut self, worker: WorkerKey, task: TaskKey) {
+        if let Some(victim) = self.victim(worker, task) {
+            self.preemptible.insert(victim);
+        }
+    }
+
+    /// Takes a run from the list of those that urgent work may stop. Comes before any change of
+    /// the run that the list depends on.
+    pub(super) fn withdraw_victim(&mut self, worker: WorkerKey, task: TaskKey) {
+        if let Some(run) = self.workers[worker].run(task) {
+            let victim = preemption::Victim::new(run.saved_ms, worker, task);
+            self.preemptible.remove(&victim);
+        }
+    }
+
+    /// Changes the capacity that shares are measured against.
+    pub(super) fn change_capacity(&mut self, from: &amount::Amount, to: &amount::Amount) {
+        let total = self.queue.capacity_mut();
+        total.subtract(from);
+        total.add(to);
+    }
+}
--- a/crates/mangotrestle-core/src/scheduler/config.rs
+++ b/crates/mangotrestle-core/src/scheduler/config.rs
@@ -45,6 +45,7 @@
 pub struct SchedulerConfig {
     pub(super) packing_weight: u32,
     pub(super) spread_weight: u32,
+    pub(super) keep_accelerator_hosts: bool,
     pub(super) quotas: collections::FastMap<id::TeamId, TeamQuota>,
     pub(super) default_quota: TeamQuota,
     pub(super) max_preemptions_per_task: u8,
@@ -83,6 +84,7 @@
         Self {
             packing_weight: 1,
             spread_weight: 1,
+            keep_accelerator_hosts: false,
             quotas: collections::FastMap::default(),
             default_quota: TeamQuota::default(),
             max_preemptions_per_task: 3,
@@ -137,6 +139,16 @@
         self
     }
 
+    /// Whether workers with accelerators are kept for tasks that need some. Default: no.
+    ///
+    /// Use it where accelerators are scarce and other workers hold the rest: a task without
+    /// accelerators on such a worker can strand them by taking the last slot.
+    #[must_use]
+    pub fn keep_accelerator_hosts(mut self, keep: bool) -> Self {
+        self.config.keep_accelerator_hosts = keep;
+        self
+    }
+
     /// Quota of one team. Default: the default quota.
     #[must_use]
     pub fn quota(mut self, team: id::TeamId, quota: TeamQuota) -> Self {
--- /dev/null
+++ b/crates/mangotrestle-core/src/scheduler/correction.rs
@@ -0,0 +1,230 @@
+//! Correction of declared sizes by measured use.
+//!
+//! A worker is never given more than it holds, neither by what was declared nor by what is
+//! measured: a run is booked with whichever is greater. Where runs grow over a worker's capacity
+//! after their start, the worker is relieved: processors by throttling first, and memory, or
+//! processors that throttling did not free, by checkpointing a run and moving it.
+
+use crate::job;
+use crate::resources;
+use crate::task;
+use crate::time;
+
+use super::Scheduler;
+use super::amount;
+use super::decision;
+use super::index::WorkerKey;
+use super::jobs::TaskKey;
+use super::queue::JobKey;
+use super::timer;
+use super::worker;
+
+/// Age from which a measured run counts as a success of its worker.
+const PROVEN_AGE_MS: u64 = 10_000;
+
+/// Reads one of the resources that are measured.
+type Resource = fn(&amount::Amount) -> u32;
+
+fn cpu(amount: &amount::Amount) -> u32 {
+    amount.cpu_millicores
+}
+
+fn memory(amount: &amount::Amount) -> u32 {
+    amount.memory_mib
+}
+
+impl Scheduler {
+    /// Takes in what a run uses.
+    pub(super) fn report_use(
+        &mut self,
+        now_ms: time::TimeMs,
+        run: &task::RunId,
+        used: &resources::Resources,
+    ) {
+        let Some(key) = self.current_run(run) else {
+            return;
+        };
+        let record = self.jobs.record(key).filter(lifecycle_is_active);
+        let Some(worker_key) = record.and_then(|record| record.worker()) else {
+            return;
+        };
+        // Accelerators and slots are given out whole, so there is nothing to correct.
+        let used = amount::Amount {
+            accelerators: 0,
+            slots: 0,
+            ..amount::Amount::from(used)
+        };
+        let Some(entry) = self.workers[worker_key].run_mut(key) else {
+            return;
+        };
+        entry.peak = entry.peak.max_each(&used);
+        let booked = entry.need.max_each(&used);
+        let changed = booked != entry.booked;
+        entry.booked = booked;
+        let proven = now_ms.since(entry.started_ms).0 >= PROVEN_AGE_MS;
+        self.learn_use(key, run.attempt, &used);
+        if proven && self.jobs[key.job].is_service() {
+            self.record_success(now_ms, worker_key, key.job);
+        }
+        if changed {
+            self.note_overcommitment(worker_key);
+            self.refresh(worker_key);
+            self.relieve(now_ms, worker_key);
+        }
+    }
+
+    fn learn_use(&mut self, key: TaskKey, attempt: u32, used: &amount::Amount) {
+        let run = (u64::from(key.job) << 32) ^ (u64::from(key.position) << 8) ^ u64::from(attempt);
+        let family = self.jobs[key.job].family;
+        self.families.report_use(family, run, used);
+    }
+
+    pub(super) fn note_overcommitment(&mut self, key: WorkerKey) {
+        self.workers[key].overcommitted = true;
+    }
+
+    pub(super) fn checkpointed(&mut self, now_ms: time::TimeMs, run: &task::RunId) {
+        let Some(key) = self.current_run(run) else {
+            return;
+        };
+        let Some(worker) = self.jobs.record(key).and_then(|record| record.worker()) else {
+            return;
+        };
+        self.withdraw_victim(worker, key);
+        if let Some(entry) = self.workers[worker].run_mut(key) {
+            entry.saved_ms = now_ms;
+            self.offer_victim(worker, key);
+        }
+    }
+
+    /// Raises what a job's tasks are booked with to what its family was seen to use.
+    pub(super) fn correct_need(&mut self, key: JobKey) {
+        let job = &self.jobs[key];
+        let learned = self.families.size(job.family);
+        let need = job.need.max_each(&learned);
+        if need != job.need && self.some_worker_holds(&need) {
+            self.jobs[key].need = need;
+        }
+    }
+
+    fn some_worker_holds(&self, need: &amount::Amount) -> bool {
+        let skip = self.skips_accelerator_hosts(need);
+        self.workers.iter().any(|(_, worker)| {
+            need.fits_in(&worker.capacity) && !(skip && worker.is_accelerator_host())
+        })
+    }
+
+    /// Brings a worker back under its capacity, or lets go of runs that were throttled.
+    pub(super) fn relieve(&mut self, now_ms: time::TimeMs, key: WorkerKey) {
+        let Some(worker) = self.workers.get_mut(key) else {
+            return;
+        };
+        let memory_over = memory(&worker.booked) > memory(&worker.capacity);
+        let cpu_over = cpu(&worker.booked) > cpu(&worker.capacity);
+        if memory_over {
+            self.move_largest(now_ms, key, memory);
+        }
+        if cpu_over {
+            self.relieve_cpu(now_ms, key);
+        } else {
+            self.workers[key].over_since_ms = None;
+            self.release_throttled(key);
+        }
+    }
+
+    fn relieve_cpu(&mut self, now_ms: time::TimeMs, key: WorkerKey) {
+        let worker = &mut self.workers[key];
+        let since_ms = *worker.over_since_ms.get_or_insert(now_ms);
+        let grace_ms = self.config.throttle_grace_ms;
+        if now_ms >= since_ms + grace_ms {
+            self.move_largest(now_ms, key, cpu);
+            return;
+        }
+        self.timers
+            .set(since_ms + grace_ms, timer::Timer::Relieve(key));
+        let worker = &self.workers[key];
+        let excessive = |run: &&worker::Run| !run.throttled && cpu(&run.booked) > cpu(&run.need);
+        let tasks: Vec<TaskKey> = worker
+            .runs
+            .iter()
+            .filter(excessive)
+            .map(|run| run.task)
+            .collect();
+        for task in tasks {
+            self.throttle(key, task, true);
+        }
+    }
+
+    fn throttle(&mut self, key: WorkerKey, task: TaskKey, on: bool) {
+        let worker = &mut self.workers[key];
+        let id = worker.id.clone();
+        let Some(run) = worker.run_mut(task) else {
+            return;
+        };
+        run.throttled = on;
+        let limit = on.then_some(u64::from(run.need.cpu_millicores));
+        self.notices.push_back(decision::Decision::Throttle {
+            run: self.jobs[task.job].run_id(task.position),
+            worker: id,
+            cpu_millicores: limit,
+        });
+    }
+
+    /// Releases throttled runs whose greatest use has room again.
+    fn release_throttled(&mut self, key: WorkerKey) {
+        let worker = &self.workers[key];
+        let mut room = cpu(&worker.free());
+        let mut released = Vec::new();
+        for run in worker.runs.iter().filter(|run| run.throttled) {
+            let growth = cpu(&run.peak).saturating_sub(cpu(&run.booked));
+            if growth <= room {
+                room -= growth;
+                released.push(run.task);
+            }
+        }
+        for task in released {
+            self.throttle(key, task, false);
+        }
+    }
+
+    /// Moves the run that exceeds its need most, unless runs that already stop make room enough.
+    fn move_largest(&mut self, now_ms: time::TimeMs, key: WorkerKey, resource: Resource) {
+        let worker = &self.workers[key];
+        let stopping: u32 = worker
+            .runs
+            .iter()
+            .filter(|run| run.stop.is_some())
+            .map(|run| resource(&run.booked))
+            .sum();
+        if resource(&worker.booked).saturating_sub(stopping) <= resource(&worker.capacity) {
+            return;
+        }
+        let excess = |run: &worker::Run| resource(&run.booked) - resource(&run.need);
+        let movable = |run: &&worker::Run| {
+            let spec = &self.jobs[run.task.job].spec;
+            run.stop.is_none() && spec.idempotent && spec.kind != job::JobKind::Gang
+        };
+        let largest = worker
+            .runs
+            .iter()
+            .filter(movable)
+            .max_by_key(|run| (excess(run), resource(&run.booked)));
+        let Some(&run) = largest else {
+            return;
+        };
+        self.grow_need(run.task.job, &run.peak);
+        self.request_stop(now_ms, run.task, decision::StopReason::Oversized);
+    }
+
+    fn grow_need(&mut self, key: JobKey, peak: &amount::Amount) {
+        let need = self.jobs[key].need.max_each(peak);
+        if need != self.jobs[key].need && self.some_worker_holds(&need) {
+            self.jobs[key].need = need;
+            self.requeue(key);
+        }
+    }
+}
+
+fn lifecycle_is_active(record: &super::lifecycle::TaskRecord) -> bool {
+    record.is_active()
+}
--- a/crates/mangotrestle-core/src/scheduler/decision.rs
+++ b/crates/mangotrestle-core/src/scheduler/decision.rs
@@ -53,6 +53,8 @@
     Superseded,
     /// The worker leaves.
     WorkerLeaving,
+    /// Another task of the gang ended, and the gang runs only as a whole.
+    GangBroken,
 }
 
 /// State of a job, as operators see it.
--- /dev/null
+++ b/crates/mangotrestle-core/src/scheduler/gangs.rs
@@ -0,0 +1,309 @@
+//! Gangs: tasks that start together or not at all.
+//!
+//! A gang that does not fit gets a reservation: the workers on which it can start soonest, by the
+//! expected ends of what runs there. Other work goes on reserved workers only if it ends before
+//! the gang can start (backfill), so a gang waits for a bounded time however large it is.
+
+use std::ops::ControlFlow;
+
+use smallvec::SmallVec;
+
+use crate::job;
+use crate::time;
+
+use super::Scheduler;
+use super::amount;
+use super::decision;
+use super::index::{SearchOrder, SearchScope, WorkerKey};
+use super::jobs::TaskKey;
+use super::placing::{Choice, Placement};
+use super::queue::{self, JobKey};
+use super::worker;
+
+/// Part of its age that a run beyond its expected end is taken to run on.
+const OVERRUN_DIVISOR: u64 = 4;
+
+/// Least time that a run beyond its expected end is taken to run on.
+const OVERRUN_MIN_MS: u64 = 1_000;
+
+/// Workers kept for a gang.
+#[derive(Debug)]
+pub(super) struct Reservation {
+    pub(super) job: JobKey,
+    pub(super) workers: Vec<WorkerKey>,
+    /// When the gang is expected to fit.
+    pub(super) start_ms: time::TimeMs,
+}
+
+/// Tasks of a gang on one worker.
+#[derive(Clone, Copy, Debug)]
+struct Portion {
+    worker: WorkerKey,
+    tasks: u32,
+}
+
+/// Collects workers until a gang is complete.
+#[derive(Debug)]
+struct Collector {
+    need: amount::Amount,
+    missing: u32,
+    portions: Vec<Portion>,
+}
+
+impl Collector {
+    fn take(&mut self, worker: WorkerKey, free: &amount::Amount) -> ControlFlow<()> {
+        let tasks = self.need.count_in(free).min(self.missing);
+        if tasks > 0 {
+            self.portions.push(Portion { worker, tasks });
+            self.missing -= tasks;
+        }
+        if self.missing == 0 {
+            ControlFlow::Break(())
+        } else {
+            ControlFlow::Continue(())
+        }
+    }
+}
+
+/// Tasks of a gang that fit on a worker from a time on.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct Opening {
+    at_ms: time::TimeMs,
+    worker: WorkerKey,
+    tasks: u32,
+}
+
+impl Scheduler {
+    /// Tries to start a gang as a whole.
+    pub(super) fn place_gang(
+        &mut self,
+        now_ms: time::TimeMs,
+        head: &queue::Head,
+        decisions: &mut Vec<decision::Decision>,
+    ) -> Placement {
+        let tasks = self.jobs[head.job].ready;
+        let team = self.jobs[head.job].team;
+        if !self.queue.within_quota(team, &head.shape.need, tasks) {
+            return Placement::OverQuota;
+        }
+        if let Some(portions) = self.gang_portions(head, tasks) {
+            self.start_gang(now_ms, head.job, &portions, decisions);
+            return Placement::Started;
+        }
+        self.update_reservation(now_ms, head.job, &head.shape.need, tasks);
+        Placement::NoRoom
+    }
+
+    fn gang_portions(&self, head: &queue::Head, tasks: u32) -> Option<Vec<Portion>> {
+        let need = &head.shape.need;
+        let scope = SearchScope {
+            order: SearchOrder::Tight,
+            per_bucket: usize::MAX,
+            offset: 0,
+            skip_accelerator_hosts: self.skips_accelerator_hosts(need),
+        };
+        let mut collector = Collector {
+            need: *need,
+            missing: tasks,
+            portions: Vec::new(),
+        };
+        let urgent = head.shape.urgency == job::Urgency::Urgent;
+        let own = |worker: WorkerKey| self.workers[worker].reserved_by == Some(head.job);
+        self.reserved.search(need, scope, |worker, free| {
+            if urgent || own(worker) {
+                collector.take(worker, free)
+            } else {
+                ControlFlow::Continue(())
+            }
+        });
+        if collector.missing > 0 && self.open.total().may_hold(need, collector.missing) {
+            let take = |worker: WorkerKey, free: &amount::Amount| collector.take(worker, free);
+            self.open.search(need, scope, take);
+        }
+        (collector.missing == 0).then_some(collector.portions)
+    }
+
+    fn start_gang(
+        &mut self,
+        now_ms: time::TimeMs,
+        job: JobKey,
+        portions: &[Portion],
+        decisions: &mut Vec<decision::Decision>,
+    ) {
+        let candidates = u32::try_from(portions.len()).unwrap_or(u32::MAX);
+        let mut positions = self.jobs[job].all_waiting().into_iter();
+        for portion in portions {
+            let choice = Choice {
+                worker: portion.worker,
+                path: decision::PlacementPath::Gang,
+                score: 0,
+                candidates,
+            };
+            for position in positions.by_ref().take(portion.tasks as usize) {
+                let task = TaskKey { job, position };
+                self.start(now_ms, task, &choice, decisions);
+            }
+        }
+    }
+
+    /// When the gang that a worker is reserved for is expected to start.
+    pub(super) fn reservation_start(&self, worker: WorkerKey) -> Option<time::TimeMs> {
+        let job = self.workers[worker].reserved_by?;
+        let reservation = self.reservations.iter().find(|entry| entry.job == job)?;
+        Some(reservation.start_ms)
+    }
+
+    /// Plans a reservation for a gang that has none, or brings its start up to date.
+    fn update_reservation(
+        &mut self,
+        now_ms: time::TimeMs,
+        job: JobKey,
+        need: &amount::Amount,
+        tasks: u32,
+    ) {
+        if let Some(position) = self.reservations.iter().position(|entry| entry.job == job) {
+            let workers = &self.reservations[position].workers;
+            let candidates = workers.iter().map(|&key| (key, &self.workers[key]));
+            let openings = gang_openings(now_ms, need, tasks, candidates);
+            if let Some(last) = last_opening(&openings, tasks) {
+                self.reservations[position].start_ms = openings[last].at_ms;
+                return;
+            }
+            self.drop_reservation(job);
+        }
+        if self.reservations.len() < self.config.max_reservations {
+            self.plan_reservation(now_ms, job, need, tasks);
+        }
+    }
+
+    fn plan_reservation(
+        &mut self,
+        now_ms: time::TimeMs,
+        job: JobKey,
+        need: &amount::Amount,
+        tasks: u32,
+    ) {
+        let skip = self.skips_accelerator_hosts(need);
+        let candidates = self.workers.iter().filter(|(_, worker)| {
+            worker.is_usable()
+                && worker.reserved_by.is_none()
+                && need.fits_in(&worker.capacity)
+                && !(skip && worker.is_accelerator_host())
+        });
+        let openings = gang_openings(now_ms, need, tasks, candidates);
+        let Some(last) = last_opening(&openings, tasks) else {
+            return;
+        };
+        let mut workers: Vec<WorkerKey> = openings[..=last]
+            .iter()
+            .map(|opening| opening.worker)
+            .collect();
+        workers.sort_unstable();
+        workers.dedup();
+        for &key in &workers {
+            self.workers[key].reserved_by = Some(job);
+            self.refresh(key);
+        }
+        self.reservations.push(Reservation {
+            job,
+            workers,
+            start_ms: openings[last].at_ms,
+        });
+    }
+
+    /// Gives back what is reserved for a job.
+    pub(super) fn drop_reservation(&mut self, job: JobKey) {
+        let Some(position) = self.reservations.iter().position(|entry| entry.job == job) else {
+            return;
+        };
+        let reservation = self.reservations.swap_remove(position);
+        for key in reservation.workers {
+            if let Some(worker) = self.workers.get_mut(key) {
+                worker.reserved_by = None;
+                self.refresh(key);
+            }
+        }
+    }
+
+    /// Gives back the reservation that a worker belongs to, because it cannot serve it any more.
+    pub(super) fn break_reservation(&mut self, key: WorkerKey) {
+        if let Some(job) = self.workers[key].reserved_by {
+            self.drop_reservation(job);
+            // The gang has to look for other workers even if nothing else gets free.
+            self.queue.unblock_all();
+        }
+    }
+}
+
+/// When tasks of the gang fit on the candidates, the earliest first.
+fn gang_openings<'a>(
+    now_ms: time::TimeMs,
+    need: &amount::Amount,
+    tasks: u32,
+    candidates: impl Iterator<Item = (WorkerKey, &'a worker::Worker)>,
+) -> Vec<Opening> {
+    let mut openings = Vec::new();
+    for (key, worker) in candidates {
+        if worker.is_usable() {
+            worker_openings(now_ms, need, tasks, key, worker, &mut openings);
+        }
+    }
+    openings.sort_unstable();
+    openings
+}
+
+fn worker_openings(
+    now_ms: time::TimeMs,
+    need: &amount::Amount,
+    tasks: u32,
+    key: WorkerKey,
+    worker: &worker::Worker,
+    openings: &mut Vec<Opening>,
+) {
+    let mut ends: SmallVec<[(time::TimeMs, amount::Amount); 8]> = worker
+        .runs
+        .iter()
+        .filter_map(|run| Some((expected_end(now_ms, run)?, run.booked)))
+        .collect();
+    ends.sort_unstable();
+    let mut booked = worker.booked.plus(&worker.held);
+    let mut fitting = 0;
+    let mut open = |at_ms: time::TimeMs, booked: &amount::Amount| {
+        let count = need.count_in(&worker.capacity.minus(booked)).min(tasks);
+        if count > fitting {
+            openings.push(Opening {
+                at_ms,
+                worker: key,
+                tasks: count - fitting,
+            });
+            fitting = count;
+        }
+    };
+    open(now_ms, &booked);
+    for (at_ms, amount) in ends {
+        booked = booked.minus(&amount);
+        open(at_ms, &booked);
+    }
+}
+
+/// When a run is expected to end; never for services.
+fn expected_end(now_ms: time::TimeMs, run: &worker::Run) -> Option<time::TimeMs> {
+    if run.stop.is_some() {
+        return Some(now_ms);
+    }
+    let end_ms = run.expected_end_ms?;
+    if end_ms > now_ms {
+        return Some(end_ms);
+    }
+    let age_ms = now_ms.since(run.started_ms).0;
+    Some(now_ms + time::SpanMs((age_ms / OVERRUN_DIVISOR).max(OVERRUN_MIN_MS)))
+}
+
+/// Position of the opening with which a gang is complete.
+fn last_opening(openings: &[Opening], tasks: u32) -> Option<usize> {
+    let mut fitting = 0_u32;
+    openings.iter().position(|opening| {
+        fitting = fitting.saturating_add(opening.tasks);
+        fitting >= tasks
+    })
+}
--- /dev/null
+++ b/crates/mangotrestle-core/src/scheduler/health.rs
@@ -0,0 +1,193 @@
+//! Workers that fail what they start, and jobs that fail wherever they start.
+//!
+//! One failure looks the same for both, so the two are told apart by who else fails: a worker is
+//! at fault when different jobs fail on it that are not under suspicion themselves, and a job is
+//! at fault when it fails on different workers and has never succeeded.
+
+use crate::result_code;
+use crate::time;
+
+use super::Scheduler;
+use super::decision;
+use super::index::WorkerKey;
+use super::queue::JobKey;
+use super::timer;
+use super::worker;
+
+/// Different workers on which a job without success has failed before it is suspected itself.
+const SUSPECT_AFTER_WORKERS: usize = 2;
+
+/// Failures in a row of jobs that succeed elsewhere, as a multiple of the different jobs needed.
+const FAILURES_IN_ROW_FACTOR: usize = 2;
+
+/// Greatest part of the pool that may be quarantined, as a divisor. If more fails at once, the
+/// cause is more likely outside the workers, and taking them out would stop everything.
+const QUARANTINED_PART_DIVISOR: usize = 4;
+
+/// What the end of a run says about a worker that is being probed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum ProbeResult {
+    Succeeded,
+    Failed,
+    Unclear,
+}
+
+impl Scheduler {
+    pub(super) fn record_success(&mut self, now_ms: time::TimeMs, key: WorkerKey, job: JobKey) {
+        let _ = now_ms;
+        if let Some(worker) = self.workers.get_mut(key) {
+            worker.failed_jobs.clear();
+            worker.failures_in_row = 0;
+        }
+        self.jobs[job].has_succeeded = true;
+    }
+
+    pub(super) fn record_failure(&mut self, now_ms: time::TimeMs, key: WorkerKey, job: JobKey) {
+        if self.jobs[job].parked.is_some() {
+            return;
+        }
+        let Some(worker) = self.workers.get_mut(key) else {
+            return;
+        };
+        if worker.trust != worker::Trust::Trusted {
+            return;
+        }
+        worker.failures_in_row += 1;
+        if !worker.failed_jobs.contains(&job) {
+            worker.failed_jobs.push(job);
+        }
+        let entry = &mut self.jobs[job];
+        if !entry.failed_on.contains(&key) {
+            entry.failed_on.push(key);
+        }
+        if self.is_black_hole(key) {
+            self.quarantine(now_ms, key);
+        } else if self.fails_everywhere(job) {
+            self.blame_job(job);
+        }
+    }
+
+    fn is_suspect(&self, job: JobKey) -> bool {
+        self.jobs.get(job).is_none_or(|job| {
+            job.parked.is_some()
+                || (!job.has_succeeded && job.failed_on.len() >= SUSPECT_AFTER_WORKERS)
+        })
+    }
+
+    fn is_black_hole(&self, key: WorkerKey) -> bool {
+        let worker = &self.workers[key];
+        let credible = |job: &&JobKey| !self.is_suspect(**job);
+        let different = worker.failed_jobs.iter().filter(credible).count();
+        let needed = self.config.quarantine_after_jobs;
+        let proven = |&job: &JobKey| self.jobs.get(job).is_some_and(|job| job.has_succeeded);
+        let in_row = worker.failures_in_row as usize >= needed * FAILURES_IN_ROW_FACTOR
+            && worker.failed_jobs.iter().any(proven);
+        different >= needed || in_row
+    }
+
+    fn fails_everywhere(&self, job: JobKey) -> bool {
+        let job = &self.jobs[job];
+        !job.has_succeeded && job.failed_on.len() >= self.config.park_after_workers
+    }
+
+    /// Parks a job and clears the workers that it failed on.
+    fn blame_job(&mut self, job: JobKey) {
+        for key in std::mem::take(&mut self.jobs[job].failed_on) {
+            if let Some(worker) = self.workers.get_mut(key) {
+                worker.failed_jobs.retain(|failed| *failed != job);
+                if worker.failed_jobs.is_empty() {
+                    worker.failures_in_row = 0;
+                }
+            }
+        }
+        self.park(job, result_code::ResultCode::FailsEverywhere);
+    }
+
+    /// Takes a worker out of use and clears the jobs that failed on it.
+    fn quarantine(&mut self, now_ms: time::TimeMs, key: WorkerKey) {
+        let is_out = |worker: &worker::Worker| worker.trust != worker::Trust::Trusted;
+        let out = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| is_out(worker))
+            .count();
+        let repeated = is_out(&self.workers[key]);
+        if !repeated && out > 0 && out + 1 > self.workers.len() / QUARANTINED_PART_DIVISOR {
+            return;
+        }
+        let worker = &mut self.workers[key];
+        let doublings = worker.quarantines.min(16);
+        worker.quarantines += 1;
+        worker.trust = worker::Trust::Quarantined;
+        worker.failures_in_row = 0;
+        let failed_jobs = std::mem::take(&mut worker.failed_jobs);
+        let id = worker.id.clone();
+        for job in failed_jobs {
+            if self.jobs.get(job).is_some() {
+                self.jobs[job].failed_on.retain(|failed| *failed != key);
+            }
+        }
+        let wait_ms = self.config.quarantine_base_ms.0 << doublings;
+        let wait_ms = wait_ms.min(self.config.quarantine_max_ms.0);
+        let probe_at_ms = now_ms + time::SpanMs(wait_ms);
+        self.probes.retain(|&probe| probe != key);
+        self.release_holds_on(now_ms, key);
+        self.break_reservation(key);
+        self.refresh(key);
+        self.timers.set(probe_at_ms, timer::Timer::Probe(key));
+        self.notices
+            .push_back(decision::Decision::WorkerQuarantined {
+                worker: id,
+                probe_at_ms: Some(probe_at_ms),
+            });
+    }
+
+    /// Lets a quarantined worker have one run.
+    pub(super) fn offer_probe(&mut self, key: WorkerKey) {
+        let Some(worker) = self.workers.get_mut(key) else {
+            return;
+        };
+        if worker.trust == worker::Trust::Trusted || !worker.is_present() {
+            return;
+        }
+        worker.trust = worker::Trust::Probing;
+        let free = worker.free();
+        if !self.probes.contains(&key) {
+            self.probes.push(key);
+        }
+        self.queue.unblock(&free);
+    }
+
+    pub(super) fn probe_ended(
+        &mut self,
+        now_ms: time::TimeMs,
+        key: WorkerKey,
+        result: ProbeResult,
+    ) {
+        let Some(worker) = self.workers.get_mut(key) else {
+            return;
+        };
+        if worker.trust != worker::Trust::Probing {
+            return;
+        }
+        match result {
+            ProbeResult::Succeeded => self.trust_again(key),
+            ProbeResult::Failed => self.quarantine(now_ms, key),
+            ProbeResult::Unclear => self.offer_probe(key),
+        }
+    }
+
+    fn trust_again(&mut self, key: WorkerKey) {
+        let worker = &mut self.workers[key];
+        worker.trust = worker::Trust::Trusted;
+        worker.quarantines = worker.quarantines.saturating_sub(1);
+        let id = worker.id.clone();
+        self.probes.retain(|&probe| probe != key);
+        self.refresh(key);
+        self.notices
+            .push_back(decision::Decision::WorkerQuarantined {
+                worker: id,
+                probe_at_ms: None,
+            });
+    }
+}
--- /dev/null
+++ b/crates/mangotrestle-core/src/scheduler/index.rs
@@ -0,0 +1,226 @@
+//! Index of workers by what is free on them.
+//!
+//! Workers are grouped into buckets by (has accelerators, free accelerators, free slots, octave of
+//! free processors, octave of free memory). A search walks the buckets that can hold the need and
+//! takes a few candidates from each, so its cost follows the number of distinct buckets, which
+//! hardly grows with the number of workers. Only in a bucket on the need's own octave do members
+//! have to be compared one by one; they lie in one array.
+
+use std::collections::BTreeMap;
+use std::ops::ControlFlow;
+
+use super::amount;
+
+/// Key of a worker in the scheduler's table.
+pub(super) type WorkerKey = u32;
+
+/// Sorts workers without accelerators first, then by rising free amounts.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct Class {
+    accelerator_host: bool,
+    accelerators: u16,
+    slots: u16,
+    cpu_octave: u8,
+    memory_octave: u8,
+}
+
+impl Class {
+    fn of(free: &amount::Amount, accelerator_host: bool) -> Self {
+        Self {
+            accelerator_host,
+            accelerators: free.accelerators,
+            slots: free.slots,
+            cpu_octave: octave(free.cpu_millicores),
+            memory_octave: octave(free.memory_mib),
+        }
+    }
+
+    fn may_hold(self, need: Self) -> bool {
+        self.accelerators >= need.accelerators
+            && self.slots >= need.slots
+            && self.cpu_octave >= need.cpu_octave
+            && self.memory_octave >= need.memory_octave
+    }
+}
+
+fn octave(amount: u32) -> u8 {
+    // The greatest possible value is 32.
+    u8::try_from(u32::BITS - amount.leading_zeros()).unwrap_or(u8::MAX)
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Member {
+    worker: WorkerKey,
+    free: amount::Amount,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Place {
+    class: Class,
+    position: u32,
+}
+
+/// Order in which buckets are searched.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum SearchOrder {
+    /// Workers with little room first.
+    Tight,
+    /// Workers with much room first.
+    Roomy,
+}
+
+/// Workers by free amount.
+#[derive(Debug, Default)]
+pub(super) struct FreeIndex {
+    buckets: BTreeMap<Class, Vec<Member>>,
+    places: Vec<Option<Place>>,
+    total: amount::Total,
+    len: usize,
+}
+
+impl FreeIndex {
+    pub(super) fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Sum of everything free.
+    pub(super) fn total(&self) -> &amount::Total {
+        &self.total
+    }
+
+    /// What is free on a worker, if it is in the index.
+    pub(super) fn free(&self, worker: WorkerKey) -> Option<amount::Amount> {
+        let place = self.places.get(worker as usize).copied().flatten()?;
+        Some(self.buckets[&place.class][place.position as usize].free)
+    }
+
+    /// Puts a worker in, or moves it. Constant time but for the search of the bucket.
+    pub(super) fn insert(
+        &mut self,
+        worker: WorkerKey,
+        free: amount::Amount,
+        accelerator_host: bool,
+    ) {
+        let class = Class::of(&free, accelerator_host);
+        let place = self.places.get(worker as usize).copied().flatten();
+        if let Some(place) = place.filter(|place| place.class == class) {
+            self.update_in_place(place, free);
+            return;
+        }
+        self.remove(worker);
+        let members = self.buckets.entry(class).or_default();
+        let position = u32::try_from(members.len()).unwrap_or(u32::MAX);
+        members.push(Member { worker, free });
+        if self.places.len() <= worker as usize {
+            self.places.resize(worker as usize + 1, None);
+        }
+        self.places[worker as usize] = Some(Place { class, position });
+        self.total.add(&free);
+        self.len += 1;
+    }
+
+    fn update_in_place(&mut self, place: Place, free: amount::Amount) {
+        let Some(members) = self.buckets.get_mut(&place.class) else {
+            return;
+        };
+        let member = &mut members[place.position as usize];
+        self.total.subtract(&member.free);
+        self.total.add(&free);
+        member.free = free;
+    }
+
+    /// Takes a worker out, if it is in.
+    pub(super) fn remove(&mut self, worker: WorkerKey) {
+        let Some(place) = self.places.get_mut(worker as usize).and_then(Option::take) else {
+            return;
+        };
+        let Some(members) = self.buckets.get_mut(&place.class) else {
+            return;
+        };
+        let member = members.swap_remove(place.position as usize);
+        if let Some(moved) = members.get(place.position as usize) {
+            self.places[moved.worker as usize] = Some(place);
+        }
+        if members.is_empty() {
+            self.buckets.remove(&place.class);
+        }
+        self.total.subtract(&member.free);
+        self.len -= 1;
+    }
+
+    /// Calls `visit` with workers that hold the need, bucket by bucket and at most
+    /// `per_bucket` of each, until it breaks. `offset` decides where in a bucket to begin.
+    ///
+    /// Every bucket that holds a fitting worker is visited, so an exhausted search with nothing
+    /// found proves that nothing fits.
+    pub(super) fn search(
+        &self,
+        need: &amount::Amount,
+        scope: SearchScope,
+        mut visit: impl FnMut(WorkerKey, &amount::Amount) -> ControlFlow<()>,
+    ) {
+        let wanted = Class::of(need, false);
+        for accelerator_host in [false, true] {
+            if accelerator_host && scope.skip_accelerator_hosts {
+                return;
+            }
+            let lowest = Class {
+                accelerator_host,
+                ..wanted
+            };
+            let highest = Class {
+                accelerator_host,
+                accelerators: u16::MAX,
+                slots: u16::MAX,
+                cpu_octave: u8::MAX,
+                memory_octave: u8::MAX,
+            };
+            let range = self.buckets.range(lowest..=highest);
+            let mut one = |(class, members): (&Class, &Vec<Member>)| {
+                if class.may_hold(wanted) {
+                    visit_bucket(need, members, &scope, &mut visit)
+                } else {
+                    ControlFlow::Continue(())
+                }
+            };
+            let flow = match scope.order {
+                SearchOrder::Tight => range.into_iter().try_for_each(&mut one),
+                SearchOrder::Roomy => range.into_iter().rev().try_for_each(&mut one),
+            };
+            if flow.is_break() {
+                return;
+            }
+        }
+    }
+}
+
+/// Bounds of a search.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct SearchScope {
+    pub(super) order: SearchOrder,
+    pub(super) per_bucket: usize,
+    pub(super) offset: usize,
+    pub(super) skip_accelerator_hosts: bool,
+}
+
+fn visit_bucket(
+    need: &amount::Amount,
+    members: &[Member],
+    scope: &SearchScope,
+    visit: &mut impl FnMut(WorkerKey, &amount::Amount) -> ControlFlow<()>,
+) -> ControlFlow<()> {
+    let start = scope.offset % members.len();
+    let (before, after) = members.split_at(start);
+    let mut found = 0;
+    for member in after.iter().chain(before) {
+        if !need.fits_in(&member.free) {
+            continue;
+        }
+        visit(member.worker, &member.free)?;
+        found += 1;
+        if found == scope.per_bucket {
+            break;
+        }
+    }
+    ControlFlow::Continue(())
+}
--- /dev/null
+++ b/crates/mangotrestle-core/src/scheduler/intake.rs
@@ -0,0 +1,245 @@
+//! What each event changes.
+
+use std::sync::Arc;
+
+use smallvec::SmallVec;
+
+use crate::id;
+use crate::job;
+use crate::result_code;
+use crate::task;
+use crate::time;
+
+use super::Scheduler;
+use super::amount;
+use super::decision;
+use super::event::SchedulerEvent;
+use super::jobs;
+use super::lifecycle;
+use super::queue::JobKey;
+use super::rounds;
+use super::timer;
+use super::view;
+
+/// How long a job may wait before it is checked whether any worker could hold it.
+const CHECK_FITS_AFTER_MS: time::SpanMs = time::SpanMs(60_000);
+
+impl Scheduler {
+    pub(super) fn take_in(&mut self, now_ms: time::TimeMs, event: SchedulerEvent) {
+        match event {
+            SchedulerEvent::JobAccepted {
+                spec,
+                accepted_wall_ms,
+            } => self.accept(now_ms, &spec, accepted_wall_ms),
+            SchedulerEvent::JobCancelled { job } => self.cancel(&job),
+            SchedulerEvent::JobForgotten { job } => self.forget(&job),
+            SchedulerEvent::ExtraReplicas {
+                spec,
+                first_index,
+                count,
+            } => self.set_extra_replicas(now_ms, &spec, first_index, count),
+            SchedulerEvent::WorkerAvailable(listing) => self.list_worker(now_ms, &listing),
+            SchedulerEvent::WorkerUnreachable { worker } => {
+                self.worker_unreachable(now_ms, &worker);
+            }
+            SchedulerEvent::WorkerLost { worker } => self.worker_lost(now_ms, &worker),
+            SchedulerEvent::WorkerLeaving { worker, leaving } => {
+                self.worker_leaving(now_ms, &worker, leaving);
+            }
+            SchedulerEvent::StartRefused { run, code } => self.start_refused(now_ms, &run, code),
+            // The run stays booked as starting until the worker is listed or lost.
+            SchedulerEvent::StartUnknown { run: _ } => {}
+            SchedulerEvent::RunStarted { run } => self.run_started(now_ms, &run),
+            SchedulerEvent::RunEnded { run, outcome } => self.run_ended(now_ms, &run, outcome),
+            SchedulerEvent::Usage { run, used } => self.report_use(now_ms, &run, &used),
+            SchedulerEvent::Checkpointed { run } => self.checkpointed(now_ms, &run),
+            SchedulerEvent::ConfigChanged(config) => self.change_config(now_ms, *config),
+            SchedulerEvent::OperatorRetry { task } => self.operator_retry(now_ms, &task),
+            SchedulerEvent::RecoveryComplete => self.complete_recovery(),
+            SchedulerEvent::TimeOfDay { time_of_day_ms } => {
+                self.set_time_of_day(now_ms, time_of_day_ms);
+            }
+        }
+    }
+
+    fn accept(
+        &mut self,
+        now_ms: time::TimeMs,
+        spec: &Arc<job::JobSpec>,
+        accepted_wall_ms: time::WallTimeMs,
+    ) {
+        if self.jobs.key(&spec.id).is_some() {
+            return;
+        }
+        let key = self.insert_job(now_ms, spec, accepted_wall_ms, 0, spec.tasks);
+        self.adopt_strays(now_ms, key);
+        self.sync_job(key);
+        self.update_warm_windows(now_ms);
+    }
+
+    /// Enters a job with its tasks waiting, but not yet into the queue.
+    pub(super) fn insert_job(
+        &mut self,
+        now_ms: time::TimeMs,
+        spec: &Arc<job::JobSpec>,
+        accepted_wall_ms: time::WallTimeMs,
+        first_index: u32,
+        tasks: u32,
+    ) -> JobKey {
+        let team = self.queue.team_key(&spec.team, &self.config);
+        let family = self.families.key(&spec.team, &spec.id);
+        let key = self.jobs.insert(jobs::Job {
+            spec: Arc::clone(spec),
+            accepted_wall_ms,
+            first_index,
+            tasks: vec![lifecycle::TaskRecord::new(); tasks as usize],
+            waiting: (0..tasks).rev().collect(),
+            ready: tasks,
+            counts: view::TaskCounts {
+                waiting: tasks,
+                ..view::TaskCounts::default()
+            },
+            wanted: tasks,
+            team,
+            family,
+            need: amount::Amount::from(&spec.need),
+            queued: None,
+            cancelled: false,
+            parked: None,
+            recovering: false,
+            state: decision::JobState::Waiting,
+            failed_on: SmallVec::new(),
+            has_succeeded: false,
+            racks: SmallVec::new(),
+            preempting: 0,
+            ready_since_ms: now_ms,
+        });
+        let at_ms = now_ms + CHECK_FITS_AFTER_MS;
+        self.timers.set(at_ms, timer::Timer::CheckFits(key));
+        key
+    }
+
+    pub(super) fn cancel(&mut self, id: &id::JobId) {
+        let Some(key) = self.jobs.key(id) else {
+            self.stop_strays_of(id);
+            return;
+        };
+        let job = &mut self.jobs[key];
+        if job.cancelled || (job.is_finished() && job.counts.unknown == 0) {
+            return;
+        }
+        job.cancelled = true;
+        self.cancelling.push_back(rounds::CancelSweep {
+            job: key,
+            next_position: 0,
+        });
+        self.sync_job(key);
+    }
+
+    fn forget(&mut self, id: &id::JobId) {
+        let Some(key) = self.jobs.key(id) else {
+            return;
+        };
+        if !self.jobs[key].is_finished() {
+            return;
+        }
+        let count = u32::try_from(self.jobs[key].tasks.len()).unwrap_or(u32::MAX);
+        for position in 0..count {
+            let task = jobs::TaskKey { job: key, position };
+            let record = self.jobs.record(task);
+            if let Some(unknown) = record.and_then(lifecycle::TaskRecord::unknown) {
+                self.forget_awaited(task, unknown.into_record().worker());
+            }
+        }
+        self.jobs.remove(key);
+    }
+
+    fn change_config(&mut self, now_ms: time::TimeMs, config: super::SchedulerConfig) {
+        let former = std::mem::replace(&mut self.config, config);
+        self.queue.set_quotas(&self.config);
+        self.queue.unblock_all();
+        self.close_windows(now_ms, &former);
+        self.update_warm_windows(now_ms);
+    }
+
+    fn operator_retry(&mut self, now_ms: time::TimeMs, task: &task::TaskId) {
+        let Some(key) = self.jobs.task_key(task) else {
+            return;
+        };
+        if self.jobs[key.job].cancelled {
+            return;
+        }
+        self.unpark(key.job);
+        let Some(record) = self.jobs.record(key) else {
+            return;
+        };
+        if let Some(unknown) = record.unknown() {
+            self.set_task(now_ms, key, unknown.retry().into_record());
+            self.forget_awaited(key, record.worker());
+        } else if let Some(failed) = record.failed() {
+            self.set_task(now_ms, key, failed.retry().into_record());
+        }
+    }
+
+    pub(super) fn unpark(&mut self, key: JobKey) {
+        let job = &mut self.jobs[key];
+        if job.parked.take().is_some() {
+            job.failed_on.clear();
+            self.sync_job(key);
+        }
+    }
+
+    pub(super) fn park(&mut self, key: JobKey, code: result_code::ResultCode) {
+        let job = &mut self.jobs[key];
+        if job.parked.is_none() && !job.cancelled {
+            job.parked = Some(code);
+            self.sync_job(key);
+        }
+    }
+
+    /// Parks a job that no worker could hold even if it were empty.
+    pub(super) fn check_fits(&mut self, now_ms: time::TimeMs, key: JobKey) {
+        let Some(job) = self.jobs.get(key) else {
+            return;
+        };
+        if job.queued.is_none() || job.is_finished() {
+            return;
+        }
+        if self.workers.len() > 0 && !self.could_fit(key) {
+            self.park(key, result_code::ResultCode::NeverFits);
+            return;
+        }
+        let at_ms = now_ms + CHECK_FITS_AFTER_MS;
+        self.timers.set(at_ms, timer::Timer::CheckFits(key));
+    }
+
+    /// Whether the pool's workers could hold a job if they were empty.
+    pub(super) fn could_fit(&self, key: JobKey) -> bool {
+        let job = &self.jobs[key];
+        let need = amount::Amount::from(&job.spec.need);
+        let skip = self.skips_accelerator_hosts(&need);
+        let wanted = if job.is_gang() { job.counts.waiting } else { 1 };
+        let mut fitting = 0_u32;
+        self.workers.iter().any(|(_, worker)| {
+            if !(skip && worker.is_accelerator_host()) {
+                fitting = fitting.saturating_add(need.count_in(&worker.capacity));
+            }
+            fitting >= wanted
+        })
+    }
+
+    /// Brings back jobs that were parked because they fitted nowhere, after a worker came.
+    pub(super) fn unpark_fitting(&mut self) {
+        let parked: Vec<JobKey> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| job.parked == Some(result_code::ResultCode::NeverFits))
+            .map(|(key, _)| key)
+            .collect();
+        for key in parked {
+            if self.could_fit(key) {
+                self.unpark(key);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/mangotrestle-core/src/scheduler/invariants.rs
@@ -0,0 +1,216 @@
+//! Checks of everything that must always hold, for tests and for fault finding.
+//!
+//! Each check works from the plain records, without the index and the sums that decisions use.
+
+use displaydoc::Display;
+
+use super::Scheduler;
+use super::amount;
+use super::index::WorkerKey;
+use super::jobs;
+use super::lifecycle;
+use super::queue::JobKey;
+use super::view;
+use super::worker;
+
+/// What does not hold.
+#[derive(Clone, Debug, Display, Eq, PartialEq)]
+pub enum InvariantBreach {
+    /// worker {worker}: more is booked than it holds, by declared or measured size
+    Overcommitted {
+        /// The worker.
+        worker: String,
+    },
+    /// worker {worker}: the sums of what is booked or held are wrong
+    WorkerSums {
+        /// The worker.
+        worker: String,
+    },
+    /// worker {worker}: the index holds something else than what is free
+    Index {
+        /// The worker.
+        worker: String,
+    },
+    /// worker {worker}: a run there is not the run of its task
+    RunWithoutTask {
+        /// The worker.
+        worker: String,
+    },
+    /// worker {worker}: a task is booked twice
+    RunTwice {
+        /// The worker.
+        worker: String,
+    },
+    /// job {job}: task {position} should have exactly one run and has {runs}
+    TaskRuns {
+        /// The job.
+        job: String,
+        /// Position of the task.
+        position: u32,
+        /// Runs found.
+        runs: u32,
+    },
+    /// job {job}: the counts of its tasks are wrong
+    Counts {
+        /// The job.
+        job: String,
+    },
+    /// job {job}: it is in the queue and should not be, or the other way round
+    Queue {
+        /// The job.
+        job: String,
+    },
+    /// team {team}: the sum of what it uses is wrong
+    TeamUse {
+        /// The team.
+        team: String,
+    },
+    /// the total of the workers' capacities is wrong
+    Capacity,
+}
+
+impl std::error::Error for InvariantBreach {}
+
+impl Scheduler {
+    /// Checks that nothing is overcommitted, that each task has at most one run, and that all
+    /// sums, counts and indexes agree with the records. Looks at everything.
+    ///
+    /// # Errors
+    ///
+    /// The first breach found.
+    pub fn check_invariants(&self) -> Result<(), InvariantBreach> {
+        self.workers
+            .iter()
+            .try_for_each(|(key, worker)| self.check_worker(key, worker))?;
+        self.jobs
+            .iter()
+            .try_for_each(|(key, job)| self.check_job(key, job))?;
+        self.check_teams()?;
+        self.check_capacity()
+    }
+
+    fn check_worker(&self, key: WorkerKey, worker: &worker::Worker) -> Result<(), InvariantBreach> {
+        let name = || worker.id.to_string();
+        check_sums(worker)?;
+        let expected = worker.is_usable().then(|| worker.free());
+        let (index, other) = if worker.reserved_by.is_some() {
+            (&self.reserved, &self.open)
+        } else {
+            (&self.open, &self.reserved)
+        };
+        if index.free(key) != expected || other.free(key).is_some() {
+            return Err(InvariantBreach::Index { worker: name() });
+        }
+        for run in &worker.runs {
+            let record = self.jobs.record(run.task);
+            let matches = record.is_some_and(|record| {
+                record.is_active()
+                    && record.worker() == Some(key)
+                    && record.attempt() == run.attempt
+                    && (run.stop.is_some() == (record.stage() == lifecycle::Stage::Stopping))
+            });
+            if !matches {
+                return Err(InvariantBreach::RunWithoutTask { worker: name() });
+            }
+            let same = |other: &&worker::Run| other.task == run.task;
+            if worker.runs.iter().filter(same).count() != 1 {
+                return Err(InvariantBreach::RunTwice { worker: name() });
+            }
+        }
+        Ok(())
+    }
+
+    fn check_job(&self, key: JobKey, job: &jobs::Job) -> Result<(), InvariantBreach> {
+        let name = || job.spec.id.to_string();
+        let mut counts = view::TaskCounts::default();
+        let mut ready = 0;
+        for (position, record) in (0..).zip(&job.tasks) {
+            count(&mut counts, record.stage());
+            ready += u32::from(record.stage() == lifecycle::Stage::Waiting);
+            let task = jobs::TaskKey { job: key, position };
+            let on_worker = record.worker().and_then(|worker| self.workers.get(worker));
+            let runs = u32::from(on_worker.is_some_and(|worker| worker.run(task).is_some()));
+            if runs != u32::from(record.is_active()) {
+                return Err(InvariantBreach::TaskRuns {
+                    job: name(),
+                    position,
+                    runs,
+                });
+            }
+        }
+        if counts != job.counts || ready != job.ready {
+            return Err(InvariantBreach::Counts { job: name() });
+        }
+        if job.queued.is_some() != job.is_queueable() {
+            return Err(InvariantBreach::Queue { job: name() });
+        }
+        Ok(())
+    }
+
+    fn check_teams(&self) -> Result<(), InvariantBreach> {
+        let mut used = vec![amount::Total::default(); self.queue.teams().len()];
+        for (_, worker) in self.workers.iter() {
+            for run in &worker.runs {
+                used[self.jobs[run.task.job].team as usize].add(&run.need);
+            }
+        }
+        let teams = self.queue.teams().iter().zip(&used);
+        match teams.into_iter().find(|(team, used)| team.used != **used) {
+            Some((team, _)) => Err(InvariantBreach::TeamUse {
+                team: team.id.to_string(),
+            }),
+            None => Ok(()),
+        }
+    }
+
+    fn check_capacity(&self) -> Result<(), InvariantBreach> {
+        let mut total = amount::Total::default();
+        for (_, worker) in self.workers.iter() {
+            total.add(&worker.capacity);
+        }
+        if total == *self.queue.capacity() {
+            Ok(())
+        } else {
+            Err(InvariantBreach::Capacity)
+        }
+    }
+}
+
+fn check_sums(worker: &worker::Worker) -> Result<(), InvariantBreach> {
+    let name = || worker.id.to_string();
+    let mut declared = amount::Amount::default();
+    let mut booked = amount::Amount::default();
+    for run in &worker.runs {
+        declared = declared.plus(&run.need);
+        booked = booked.plus(&run.booked);
+    }
+    for stray in &worker.strays {
+        declared = declared.plus(&stray.need);
+        booked = booked.plus(&stray.need);
+    }
+    let held = worker
+        .holds
+        .iter()
+        .fold(amount::Amount::default(), |sum, hold| sum.plus(&hold.need));
+    if booked != worker.booked || held != worker.held {
+        return Err(InvariantBreach::WorkerSums { worker: name() });
+    }
+    let over = declared.exceeds(&worker.capacity) || booked.exceeds(&worker.capacity);
+    if over && !worker.overcommitted {
+        return Err(InvariantBreach::Overcommitted { worker: name() });
+    }
+    Ok(())
+}
+
+fn count(counts: &mut view::TaskCounts, stage: lifecycle::Stage) {
+    use lifecycle::Stage;
+    let counter = match stage {
+        Stage::Waiting | Stage::BackingOff | Stage::Assigned => &mut counts.waiting,
+        Stage::Starting | Stage::Running | Stage::Stopping => &mut counts.running,
+        Stage::Succeeded => &mut counts.succeeded,
+        Stage::Failed => &mut counts.failed,
+        Stage::Stopped => &mut counts.stopped,
+        Stage::Unknown => &mut counts.unknown,
+    };
+    *counter += 1;
+}
--- /dev/null
+++ b/crates/mangotrestle-core/src/scheduler/jobs.rs
@@ -0,0 +1,253 @@
+//! Jobs and their tasks.
+
+use std::ops::{Index, IndexMut};
+use std::sync::Arc;
+
+use smallvec::SmallVec;
+
+use crate::collections;
+use crate::id;
+use crate::job;
+use crate::result_code;
+use crate::task;
+use crate::time;
+
+use super::amount;
+use super::decision;
+use super::index::WorkerKey;
+use super::learning::FamilyKey;
+use super::lifecycle;
+use super::queue::{JobKey, QueueEntry, TeamKey};
+use super::view;
+
+/// A task by its job's key and its position among the job's tasks here.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub(super) struct TaskKey {
+    pub(super) job: JobKey,
+    pub(super) position: u32,
+}
+
+/// Replicas of a service on one rack.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct RackCount {
+    pub(super) rack: u32,
+    pub(super) replicas: u32,
+}
+
+/// One job.
+#[derive(Debug)]
+pub(super) struct Job {
+    pub(super) spec: Arc<job::JobSpec>,
+    pub(super) accepted_wall_ms: time::WallTimeMs,
+    pub(super) first_index: u32,
+    pub(super) tasks: Vec<lifecycle::TaskRecord>,
+    /// Positions that were put into the queue; those that are not waiting any more are stale.
+    pub(super) waiting: Vec<u32>,
+    /// Tasks in the waiting stage proper, without those that back off or are assigned.
+    pub(super) ready: u32,
+    pub(super) counts: view::TaskCounts,
+    /// Tasks at this position and after it are surplus replicas.
+    pub(super) wanted: u32,
+    pub(super) team: TeamKey,
+    pub(super) family: FamilyKey,
+    /// What was asked for, or more where the job was seen to use more.
+    pub(super) need: amount::Amount,
+    pub(super) queued: Option<QueueEntry>,
+    pub(super) cancelled: bool,
+    pub(super) parked: Option<result_code::ResultCode>,
+    pub(super) recovering: bool,
+    pub(super) state: decision::JobState,
+    pub(super) failed_on: SmallVec<[WorkerKey; 4]>,
+    pub(super) has_succeeded: bool,
+    pub(super) racks: SmallVec<[RackCount; 2]>,
+    /// Runs that stop in favour of urgent work.
+    pub(super) preempting: u32,
+    pub(super) ready_since_ms: time::TimeMs,
+}
+
+impl Job {
+    pub(super) fn is_service(&self) -> bool {
+        self.spec.kind == job::JobKind::Service
+    }
+
+    pub(super) fn is_gang(&self) -> bool {
+        self.spec.kind == job::JobKind::Gang
+    }
+
+    /// Whether its waiting tasks should be in the queue.
+    pub(super) fn is_queueable(&self) -> bool {
+        if self.cancelled || self.parked.is_some() || self.recovering || self.ready == 0 {
+            return false;
+        }
+        // A gang starts together, so it waits until all its tasks are there.
+        !self.is_gang() || (self.ready == self.counts.waiting && self.counts.running == 0)
+    }
+
+    pub(super) fn run_id(&self, position: u32) -> task::RunId {
+        task::RunId {
+            task: task::TaskId {
+                job: self.spec.id.clone(),
+                index: self.first_index + position,
+            },
+            attempt: self.tasks[position as usize].attempt(),
+        }
+    }
+
+    /// The next waiting task.
+    pub(super) fn next_waiting(&mut self) -> Option<u32> {
+        while let Some(&position) = self.waiting.last() {
+            if self.tasks[position as usize].waiting().is_some() {
+                return Some(position);
+            }
+            self.waiting.pop();
+        }
+        self.waiting = Vec::new();
+        None
+    }
+
+    /// Every waiting task, by rising position.
+    pub(super) fn all_waiting(&self) -> Vec<u32> {
+        let waiting = |&position: &u32| self.tasks[position as usize].waiting().is_some();
+        let count = u32::try_from(self.tasks.len()).unwrap_or(u32::MAX);
+        (0..count).filter(waiting).collect()
+    }
+
+    pub(super) fn counter(&mut self, stage: lifecycle::Stage) -> &mut u32 {
+        use lifecycle::Stage;
+        match stage {
+            Stage::Waiting | Stage::BackingOff | Stage::Assigned => &mut self.counts.waiting,
+            Stage::Starting | Stage::Running | Stage::Stopping => &mut self.counts.running,
+            Stage::Succeeded => &mut self.counts.succeeded,
+            Stage::Failed => &mut self.counts.failed,
+            Stage::Stopped => &mut self.counts.stopped,
+            Stage::Unknown => &mut self.counts.unknown,
+        }
+    }
+
+    /// State that follows from the tasks.
+    pub(super) fn current_state(&self) -> decision::JobState {
+        use decision::JobState;
+        let counts = &self.counts;
+        if self.cancelled {
+            return JobState::Cancelled;
+        }
+        if self.parked.is_some() {
+            return JobState::Parked;
+        }
+        if counts.running > 0 || (counts.waiting > 0 && counts.succeeded > 0) {
+            return JobState::Running;
+        }
+        if counts.waiting > 0 {
+            return JobState::Waiting;
+        }
+        if counts.unknown > 0 {
+            return JobState::Unknown;
+        }
+        if counts.failed > 0 {
+            return JobState::Failed;
+        }
+        JobState::Succeeded
+    }
+
+    /// Whether nothing of it can change any more but on an operator's word.
+    pub(super) fn is_finished(&self) -> bool {
+        self.counts.waiting == 0 && self.counts.running == 0
+    }
+
+    pub(super) fn replicas_on(&self, rack: u32) -> u32 {
+        let entry = self.racks.iter().find(|entry| entry.rack == rack);
+        entry.map_or(0, |entry| entry.replicas)
+    }
+
+    pub(super) fn count_rack(&mut self, rack: u32, added: bool) {
+        let Some(position) = self.racks.iter().position(|entry| entry.rack == rack) else {
+            if added {
+                self.racks.push(RackCount { rack, replicas: 1 });
+            }
+            return;
+        };
+        let entry = &mut self.racks[position];
+        if added {
+            entry.replicas += 1;
+            return;
+        }
+        entry.replicas = entry.replicas.saturating_sub(1);
+        if entry.replicas == 0 {
+            self.racks.swap_remove(position);
+        }
+    }
+}
+
+/// All jobs.
+#[derive(Debug, Default)]
+pub(super) struct Jobs {
+    entries: Vec<Option<Job>>,
+    free_keys: Vec<JobKey>,
+    keys: collections::FastMap<id::JobId, JobKey>,
+}
+
+impl Jobs {
+    pub(super) fn key(&self, id: &id::JobId) -> Option<JobKey> {
+        self.keys.get(id).copied()
+    }
+
+    pub(super) fn insert(&mut self, job: Job) -> JobKey {
+        let id = job.spec.id.clone();
+        let key = if let Some(key) = self.free_keys.pop() {
+            self.entries[key as usize] = Some(job);
+            key
+        } else {
+            self.entries.push(Some(job));
+            JobKey::try_from(self.entries.len() - 1).unwrap_or(JobKey::MAX)
+        };
+        self.keys.insert(id, key);
+        key
+    }
+
+    pub(super) fn remove(&mut self, key: JobKey) {
+        if let Some(job) = self.entries[key as usize].take() {
+            self.keys.remove(&job.spec.id);
+            self.free_keys.push(key);
+        }
+    }
+
+    pub(super) fn get(&self, key: JobKey) -> Option<&Job> {
+        self.entries.get(key as usize)?.as_ref()
+    }
+
+    pub(super) fn iter(&self) -> impl Iterator<Item = (JobKey, &Job)> {
+        (0..)
+            .zip(&self.entries)
+            .filter_map(|(key, job)| Some((key, job.as_ref()?)))
+    }
+
+    /// Key of a task, if the job is known and has it here.
+    pub(super) fn task_key(&self, task: &task::TaskId) -> Option<TaskKey> {
+        let job = self.key(&task.job)?;
+        let entry = &self[job];
+        let position = task.index.checked_sub(entry.first_index)?;
+        ((position as usize) < entry.tasks.len()).then_some(TaskKey { job, position })
+    }
+
+    pub(super) fn record(&self, task: TaskKey) -> Option<lifecycle::TaskRecord> {
+        let job = self.get(task.job)?;
+        job.tasks.get(task.position as usize).copied()
+    }
+}
+
+impl Index<JobKey> for Jobs {
+    type Output = Job;
+
+    fn index(&self, key: JobKey) -> &Job {
+        self.get(key).expect("the key is of a known job")
+    }
+}
+
+impl IndexMut<JobKey> for Jobs {
+    fn index_mut(&mut self, key: JobKey) -> &mut Job {
+        self.entries
+            .get_mut(key as usize)
+            .and_then(Option::as_mut)
+            .expect("the key is of a known job")
+    }
+}
--- /dev/null
+++ b/crates/mangotrestle-core/src/scheduler/learning.rs
@@ -0,0 +1,121 @@
+//! What past runs teach about jobs of the same family.
+//!
+//! Declared sizes and run times are often far off. A *family* is the jobs of one team whose names
+//! differ only in a trailing number or date, such as a nightly run. Of each family the scheduler
+//! keeps the second greatest size of the recent runs, so that one stray run teaches nothing, the
+//! usual run time, and the usual time from start to ready.
+
+use crate::collections;
+use crate::id;
+use crate::time;
+
+use super::amount;
+
+pub(super) type FamilyKey = u32;
+
+/// Reports after which the older half of what was learned is forgotten.
+const WINDOW_REPORTS: u32 = 512;
+
+/// Divisor of the moving averages.
+const SMOOTHING: u64 = 4;
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Window {
+    /// Greatest use by any run, and who it was.
+    greatest: amount::Amount,
+    greatest_by: u64,
+    /// Greatest use by any other run.
+    second: amount::Amount,
+    reports: u32,
+}
+
+impl Window {
+    fn add(&mut self, run: u64, used: &amount::Amount) {
+        self.reports += 1;
+        if run == self.greatest_by {
+            self.greatest = self.greatest.max_each(used);
+            return;
+        }
+        if used.fits_in(&self.greatest) {
+            self.second = self.second.max_each(used);
+            return;
+        }
+        self.second = self.second.max_each(&self.greatest);
+        self.greatest = *used;
+        self.greatest_by = run;
+    }
+}
+
+/// What is known of a family.
+#[derive(Clone, Copy, Debug, Default)]
+struct Family {
+    current: Window,
+    former: Window,
+    run_time_ms: Option<u64>,
+    start_time_ms: Option<u64>,
+}
+
+/// All families.
+#[derive(Debug, Default)]
+pub(super) struct Families {
+    entries: Vec<Family>,
+    keys: collections::FastMap<(id::TeamId, Box<str>), FamilyKey>,
+}
+
+/// The part of a job's name that it shares with its family.
+fn family_name(job: &id::JobId) -> &str {
+    let variable = |c: char| c.is_ascii_digit() || matches!(c, '-' | '_' | '.');
+    let name = job.as_str().trim_end_matches(variable);
+    if name.is_empty() { job.as_str() } else { name }
+}
+
+fn average(old: Option<u64>, sample: u64) -> u64 {
+    old.map_or(sample, |old| (old * (SMOOTHING - 1) + sample) / SMOOTHING)
+}
+
+impl Families {
+    pub(super) fn key(&mut self, team: &id::TeamId, job: &id::JobId) -> FamilyKey {
+        let name = (team.clone(), Box::from(family_name(job)));
+        let next = FamilyKey::try_from(self.entries.len()).unwrap_or(FamilyKey::MAX);
+        let key = *self.keys.entry(name).or_insert(next);
+        if key == next {
+            self.entries.push(Family::default());
+        }
+        key
+    }
+
+    /// Takes in what a run uses.
+    pub(super) fn report_use(&mut self, family: FamilyKey, run: u64, used: &amount::Amount) {
+        let family = &mut self.entries[family as usize];
+        if family.current.reports >= WINDOW_REPORTS {
+            family.former = std::mem::take(&mut family.current);
+        }
+        family.current.add(run, used);
+    }
+
+    pub(super) fn report_run_time(&mut self, family: FamilyKey, span: time::SpanMs) {
+        let family = &mut self.entries[family as usize];
+        family.run_time_ms = Some(average(family.run_time_ms, span.0));
+    }
+
+    pub(super) fn report_start_time(&mut self, family: FamilyKey, span: time::SpanMs) {
+        let family = &mut self.entries[family as usize];
+        let smoothed = average(family.start_time_ms, span.0);
+        // A start that took longer counts in full: being late costs more than being early.
+        family.start_time_ms = Some(smoothed.max(span.0));
+    }
+
+    /// Size that runs of the family were seen to need.
+    pub(super) fn size(&self, family: FamilyKey) -> amount::Amount {
+        let family = &self.entries[family as usize];
+        family.current.second.max_each(&family.former.second)
+    }
+
+    pub(super) fn run_time(&self, family: FamilyKey) -> Option<time::SpanMs> {
+        self.entries[family as usize].run_time_ms.map(time::SpanMs)
+    }
+
+    pub(super) fn start_time(&self, family: FamilyKey) -> time::SpanMs {
+        time::SpanMs(self.entries[family as usize].start_time_ms.unwrap_or(0))
+    }
+}
--- /dev/null
+++ b/crates/mangotrestle-core/src/scheduler/lifecycle.rs
@@ -0,0 +1,305 @@
+//! Life cycle of a task.
+//!
+//! Records are stored compactly with their stage as a value. To change one, the code asks for it
+//! in the stage that it expects and gets a [`Task`] typed by that stage, which offers only the
+//! transitions that the stage allows. There is thus no way from an unknown outcome back to the
+//! queue but [`Task::retry`], and a task that may be running cannot be started.
+
+use std::marker::PhantomData;
+
+use super::index::WorkerKey;
+
+/// Marks that a record names no worker.
+const NO_WORKER: WorkerKey = WorkerKey::MAX;
+
+/// Stage of a task's life, as stored.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub(super) enum Stage {
+    /// In the queue.
+    Waiting,
+    /// In the queue again after a while.
+    BackingOff,
+    /// Waits for room that is being made on a worker.
+    Assigned,
+    /// Sent to a worker that has not answered.
+    Starting,
+    /// Runs on a worker.
+    Running,
+    /// Is to stop.
+    Stopping,
+    Succeeded,
+    Failed,
+    Stopped,
+    /// May have had an effect, and its end is not known.
+    Unknown,
+}
+
+/// A task as it is stored.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) struct TaskRecord {
+    worker: WorkerKey,
+    attempt: u32,
+    stage: Stage,
+    preemptions: u8,
+    failures: u8,
+}
+
+impl TaskRecord {
+    pub(super) const fn new() -> Self {
+        Self {
+            worker: NO_WORKER,
+            attempt: 0,
+            stage: Stage::Waiting,
+            preemptions: 0,
+            failures: 0,
+        }
+    }
+
+    /// A record in the stage that a snapshot states.
+    pub(super) const fn restored(stage: Stage, attempt: u32, worker: Option<WorkerKey>) -> Self {
+        Self {
+            worker: match worker {
+                Some(worker) => worker,
+                None => NO_WORKER,
+            },
+            attempt,
+            stage,
+            preemptions: 0,
+            failures: 0,
+        }
+    }
+
+    pub(super) const fn stage(&self) -> Stage {
+        self.stage
+    }
+
+    pub(super) const fn attempt(&self) -> u32 {
+        self.attempt
+    }
+
+    pub(super) const fn preemptions(&self) -> u8 {
+        self.preemptions
+    }
+
+    pub(super) const fn failures(&self) -> u8 {
+        self.failures
+    }
+
+    pub(super) fn worker(&self) -> Option<WorkerKey> {
+        (self.worker != NO_WORKER).then_some(self.worker)
+    }
+
+    /// Whether a run of the task may be going on.
+    pub(super) const fn is_active(&self) -> bool {
+        matches!(
+            self.stage,
+            Stage::Starting | Stage::Running | Stage::Stopping
+        )
+    }
+
+    fn typed<S>(self, matches: bool) -> Option<Task<S>> {
+        matches.then_some(Task {
+            record: self,
+            stage: PhantomData,
+        })
+    }
+
+    pub(super) fn waiting(self) -> Option<Task<Waiting>> {
+        self.typed(self.stage == Stage::Waiting)
+    }
+
+    pub(super) fn backing_off(self) -> Option<Task<BackingOff>> {
+        self.typed(self.stage == Stage::BackingOff)
+    }
+
+    pub(super) fn assigned(self) -> Option<Task<Assigned>> {
+        self.typed(self.stage == Stage::Assigned)
+    }
+
+    pub(super) fn starting(self) -> Option<Task<Starting>> {
+        self.typed(self.stage == Stage::Starting)
+    }
+
+    pub(super) fn active(self) -> Option<Task<Active>> {
+        self.typed(self.is_active())
+    }
+
+    pub(super) fn stopped(self) -> Option<Task<Stopped>> {
+        self.typed(self.stage == Stage::Stopped)
+    }
+
+    pub(super) fn failed(self) -> Option<Task<Failed>> {
+        self.typed(self.stage == Stage::Failed)
+    }
+
+    pub(super) fn unknown(self) -> Option<Task<Unknown>> {
+        self.typed(self.stage == Stage::Unknown)
+    }
+}
+
+macro_rules! stages {
+    ($($(#[$doc:meta])* $name:ident),*) => {
+        $($(#[$doc])* #[derive(Clone, Copy, Debug)] pub(super) enum $name {})*
+    };
+}
+
+stages!(
+    Waiting,
+    BackingOff,
+    Assigned,
+    Starting,
+    /// Starting, running or stopping.
+    Active,
+    Running,
+    Succeeded,
+    Failed,
+    Stopped,
+    Unknown
+);
+
+/// A task that is known to be in stage `S`.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Task<S> {
+    record: TaskRecord,
+    stage: PhantomData<S>,
+}
+
+impl<S> Task<S> {
+    pub(super) fn into_record(self) -> TaskRecord {
+        self.record
+    }
+
+    fn enter<T>(mut self, stage: Stage) -> Task<T> {
+        self.record.stage = stage;
+        Task {
+            record: self.record,
+            stage: PhantomData,
+        }
+    }
+
+    fn leave_worker<T>(mut self, stage: Stage) -> Task<T> {
+        self.record.worker = NO_WORKER;
+        self.enter(stage)
+    }
+}
+
+impl Task<Waiting> {
+    /// Sends the task to a worker under a new attempt number, not below `attempt_floor`.
+    pub(super) fn start(mut self, worker: WorkerKey, attempt_floor: u32) -> Task<Starting> {
+        self.record.worker = worker;
+        self.record.attempt = self.record.attempt.saturating_add(1).max(attempt_floor);
+        self.enter(Stage::Starting)
+    }
+
+    /// Assigns the task to a worker on which room is being made.
+    pub(super) fn assign(mut self, worker: WorkerKey) -> Task<Assigned> {
+        self.record.worker = worker;
+        self.enter(Stage::Assigned)
+    }
+
+    pub(super) fn stop(self) -> Task<Stopped> {
+        self.leave_worker(Stage::Stopped)
+    }
+
+    pub(super) fn back_off(self) -> Task<BackingOff> {
+        self.leave_worker(Stage::BackingOff)
+    }
+
+    /// Takes over a run that a worker lists and that left no record.
+    pub(super) fn adopt(mut self, worker: WorkerKey, attempt: u32) -> Task<Running> {
+        self.record.worker = worker;
+        self.record.attempt = attempt;
+        self.enter(Stage::Running)
+    }
+}
+
+impl Task<BackingOff> {
+    pub(super) fn ready(self) -> Task<Waiting> {
+        self.enter(Stage::Waiting)
+    }
+}
+
+impl Task<Assigned> {
+    pub(super) fn release(self) -> Task<Waiting> {
+        self.leave_worker(Stage::Waiting)
+    }
+}
+
+impl Task<Starting> {
+    pub(super) fn confirm(self) -> Task<Running> {
+        self.enter(Stage::Running)
+    }
+}
+
+impl Task<Active> {
+    pub(super) fn stop(self) -> Task<Active> {
+        self.enter(Stage::Stopping)
+    }
+
+    pub(super) fn count_preemption(mut self) -> Self {
+        self.record.preemptions = self.record.preemptions.saturating_add(1);
+        self
+    }
+
+    pub(super) fn count_failure(mut self) -> Self {
+        self.record.failures = self.record.failures.saturating_add(1);
+        self
+    }
+
+    /// The run surely ended, and the task may run again.
+    pub(super) fn requeue(self) -> Task<Waiting> {
+        self.leave_worker(Stage::Waiting)
+    }
+
+    pub(super) fn succeed(self) -> Task<Succeeded> {
+        self.leave_worker(Stage::Succeeded)
+    }
+
+    pub(super) fn fail(self) -> Task<Failed> {
+        self.leave_worker(Stage::Failed)
+    }
+
+    pub(super) fn end_stopped(self) -> Task<Stopped> {
+        self.leave_worker(Stage::Stopped)
+    }
+
+    /// The run's end is not known; the record keeps the worker that may tell.
+    pub(super) fn lose(self) -> Task<Unknown> {
+        self.enter(Stage::Unknown)
+    }
+}
+
+impl Task<Stopped> {
+    /// The replica is wanted again.
+    pub(super) fn resume(self) -> Task<Waiting> {
+        self.enter(Stage::Waiting)
+    }
+}
+
+impl Task<Failed> {
+    /// An operator wants the task to run again.
+    pub(super) fn retry(mut self) -> Task<Waiting> {
+        self.record.failures = 0;
+        self.enter(Stage::Waiting)
+    }
+}
+
+impl Task<Unknown> {
+    /// An operator wants the task to run again, or the worker said that nothing was lost.
+    pub(super) fn retry(self) -> Task<Waiting> {
+        self.leave_worker(Stage::Waiting)
+    }
+
+    /// The worker turned up with the run.
+    pub(super) fn found(self) -> Task<Running> {
+        self.enter(Stage::Running)
+    }
+
+    pub(super) fn succeed(self) -> Task<Succeeded> {
+        self.leave_worker(Stage::Succeeded)
+    }
+
+    pub(super) fn fail(self) -> Task<Failed> {
+        self.leave_worker(Stage::Failed)
+    }
+}
--- a/crates/mangotrestle-core/src/scheduler/mod.rs
+++ b/crates/mangotrestle-core/src/scheduler/mod.rs
@@ -4,104 +4,251 @@
 //! leases, network or clock: events go in through [`Scheduler::handle`], and
 //! [`Scheduler::decide`] says what to start and stop. Intake and decision rounds are apart, so
 //! that a wave of cancellations is taken in without holding up starts.
-
+//!
+//! # Example
+//!
+//! ```
+//! use std::sync::Arc;
+//!
+//! use mangotrestle_core::{id, job, resources, scheduler, time};
+//!
+//! # fn main() -> Result<(), id::InvalidId> {
+//! let config = scheduler::SchedulerConfig::builder().build();
+//! let mut pool = scheduler::Scheduler::new(config, 7);
+//! let now = time::TimeMs(0);
+//! let need = resources::Resources {
+//!     cpu_millicores: 1_000,
+//!     memory_mib: 512,
+//!     accelerators: 0,
+//!     slots: 1,
+//! };
+//! pool.handle(
+//!     now,
+//!     scheduler::SchedulerEvent::WorkerAvailable(scheduler::WorkerListing {
+//!         worker: id::WorkerId::new("worker-1")?,
+//!         rack: id::RackId::new("rack-1")?,
+//!         availability_zone: id::AvailabilityZoneId::new("zone-1")?,
+//!         capacity: need.times(8),
+//!         running: Vec::new(),
+//!         leaving: false,
+//!     }),
+//! );
+//! pool.handle(
+//!     now,
+//!     scheduler::SchedulerEvent::JobAccepted {
+//!         spec: Arc::new(job::JobSpec {
+//!             id: id::JobId::new("certificates")?,
+//!             team: id::TeamId::new("bookings")?,
+//!             pool: id::PoolId::new("pool-1")?,
+//!             kind: job::JobKind::Batch,
+//!             urgency: job::Urgency::Normal,
+//!             tasks: 2,
+//!             need,
+//!             run_time_ms: Some(time::SpanMs::from_secs(60)),
+//!             idempotent: true,
+//!             preemptible: false,
+//!             lost_worker: job::LostWorkerPolicy::RestartAfterLapse,
+//!         }),
+//!         accepted_wall_ms: time::WallTimeMs(0),
+//!     },
+//! );
+//! let mut decisions = Vec::new();
+//! pool.decide(now, 100, &mut decisions);
+//! let starts = decisions
+//!     .iter()
+//!     .filter(|decision| matches!(decision, scheduler::Decision::Start { .. }))
+//!     .count();
+//! assert_eq!(starts, 2);
+//! # Ok(())
+//! # }
+//! ```
+
+mod amount;
+mod bookkeeping;
 mod config;
+mod correction;
 mod decision;
 mod event;
+mod gangs;
+mod health;
+mod index;
+mod intake;
+mod invariants;
+mod jobs;
+mod learning;
+mod lifecycle;
+pub mod naive;
+mod placing;
+mod preemption;
+mod queries;
+mod queue;
+mod recovery;
+mod replicas;
+mod rounds;
+mod run_ends;
 mod snapshot;
+#[cfg(test)]
+mod tests;
+mod timer;
 mod view;
+mod worker;
+
+use std::collections::{BTreeSet, VecDeque};
+
+use rand::SeedableRng;
+use rand::rngs;
+
+use crate::collections;
+use crate::id;
+use crate::task;
+use crate::time;
 
 pub use config::{SchedulerConfig, SchedulerConfigBuilder, TeamQuota, WarmWindow};
 pub use decision::{Decision, JobState, PlacementPath, PlacementReason, StopReason};
 pub use event::{ListedRun, SchedulerEvent, WorkerListing};
+pub use invariants::InvariantBreach;
 pub use snapshot::{JobSnapshot, TaskSnapshot, TaskSnapshotState};
 pub use view::{
     Constraint, JobView, TaskCounts, TaskState, TaskView, WaitingReason, WorkerState, WorkerView,
 };
 
-use crate::id;
-use crate::time;
-
 /// Schedules the jobs of one pool.
 #[derive(Debug)]
 pub struct Scheduler {
     config: SchedulerConfig,
+    rng: rngs::SmallRng,
     attempt_floor: u32,
+    workers: worker::Workers,
+    jobs: jobs::Jobs,
+    queue: queue::Queue,
+    families: learning::Families,
+    /// Usable workers that are not reserved.
+    open: index::FreeIndex,
+    /// Usable workers that are reserved for a gang.
+    reserved: index::FreeIndex,
+    reservations: Vec<gangs::Reservation>,
+    /// Runs that may be stopped for urgent work, the least work lost first.
+    preemptible: BTreeSet<preemption::Victim>,
+    /// Quarantined workers that may get a probe.
+    probes: Vec<index::WorkerKey>,
+    /// Assigned tasks whose room may have been made.
+    filled_holds: Vec<jobs::TaskKey>,
+    cancelling: VecDeque<rounds::CancelSweep>,
+    stops: VecDeque<timer::StopTicket>,
+    notices: VecDeque<Decision>,
+    strays: collections::FastMap<task::RunId, index::WorkerKey>,
+    timers: timer::Timers,
+    midnight: Option<replicas::Midnight>,
+    next_window_check_ms: Option<time::TimeMs>,
 }
 
 impl Scheduler {
     /// A scheduler without jobs and workers. The seed decides among equals.
     #[must_use]
-    pub fn new(config: SchedulerConfig, _seed: u64) -> Self {
+    pub fn new(config: SchedulerConfig, seed: u64) -> Self {
         Self {
             config,
+            rng: rngs::SmallRng::seed_from_u64(seed),
             attempt_floor: 1,
+            workers: worker::Workers::default(),
+            jobs: jobs::Jobs::default(),
+            queue: queue::Queue::default(),
+            families: learning::Families::default(),
+            open: index::FreeIndex::default(),
+            reserved: index::FreeIndex::default(),
+            reservations: Vec::new(),
+            preemptible: BTreeSet::new(),
+            probes: Vec::new(),
+            filled_holds: Vec::new(),
+            cancelling: VecDeque::new(),
+            stops: VecDeque::new(),
+            notices: VecDeque::new(),
+            strays: collections::FastMap::default(),
+            timers: timer::Timers::default(),
+            midnight: None,
+            next_window_check_ms: None,
         }
     }
 
     /// Makes every new run's attempt number at least this, so that a new leader's runs are told
     /// apart from runs of a former leader that left no record.
     pub fn set_attempt_floor(&mut self, floor: u32) {
-        self.attempt_floor = floor;
+        self.attempt_floor = floor.max(1);
     }
 
     /// Takes in an event. Whatever follows from it comes out of [`Scheduler::decide`].
-    pub fn handle(&mut self, _now_ms: time::TimeMs, event: SchedulerEvent) {
-        if let SchedulerEvent::ConfigChanged(config) = event {
-            self.config = *config;
-        }
+    pub fn handle(&mut self, now_ms: time::TimeMs, event: SchedulerEvent) {
+        self.take_in(now_ms, event);
     }
 
     /// Appends up to `max_decisions` decisions, and says whether there may be more at once.
+    ///
+    /// Stops take at most half of a round while starts wait, so that a wave of cancellations does
+    /// not hold up starts.
     pub fn decide(
         &mut self,
-        _now_ms: time::TimeMs,
-        _max_decisions: usize,
-        _decisions: &mut Vec<Decision>,
+        now_ms: time::TimeMs,
+        max_decisions: usize,
+        decisions: &mut Vec<Decision>,
     ) -> bool {
-        false
+        self.run_round(now_ms, max_decisions, decisions)
     }
 
-    /// When to decide again if no event comes before.
+    /// When to decide again if no event comes before. Unset if only an event can change anything.
     #[must_use]
-    pub fn next_wake_up(&self, _now_ms: time::TimeMs) -> Option<time::TimeMs> {
-        None
+    pub fn next_wake_up(&self, now_ms: time::TimeMs) -> Option<time::TimeMs> {
+        if self.has_work() {
+            return Some(now_ms);
+        }
+        self.timers.next().map(|at_ms| at_ms.max(now_ms))
     }
 
     /// Takes over a job from a snapshot. Its started tasks are booked on their workers until those
     /// are listed or lost; its waiting tasks start after [`SchedulerEvent::RecoveryComplete`].
-    pub fn restore(&mut self, _now_ms: time::TimeMs, _job: &JobSnapshot) {}
+    pub fn restore(&mut self, now_ms: time::TimeMs, job: &JobSnapshot) {
+        self.restore_job(now_ms, job);
+    }
 
     /// The jobs as they can be restored.
     pub fn snapshot(&self) -> impl Iterator<Item = JobSnapshot> + '_ {
-        std::iter::empty()
+        self.jobs.iter().map(|(key, _)| self.job_snapshot(key))
     }
 
     /// All jobs, as operators see them.
     pub fn jobs(&self) -> impl Iterator<Item = JobView> + '_ {
-        std::iter::empty()
+        self.jobs.iter().map(|(_, job)| queries::job_view(job))
     }
 
     /// One job.
     #[must_use]
-    pub fn job(&self, _job: &id::JobId) -> Option<JobView> {
-        None
+    pub fn job(&self, job: &id::JobId) -> Option<JobView> {
+        let key = self.jobs.key(job)?;
+        Some(queries::job_view(&self.jobs[key]))
     }
 
-    /// The tasks of a job.
+    /// The tasks of a job; empty if it is not known.
     #[must_use]
-    pub fn tasks(&self, _job: &id::JobId) -> Vec<TaskView> {
-        Vec::new()
+    pub fn tasks(&self, job: &id::JobId) -> Vec<TaskView> {
+        self.jobs
+            .key(job)
+            .map(|key| self.task_views(key))
+            .unwrap_or_default()
     }
 
-    /// Why a job's waiting tasks do not start; empty if none waits.
+    /// Why a job's waiting tasks do not start; empty if none waits. Looks at every worker.
     #[must_use]
-    pub fn explain_waiting(&self, _now_ms: time::TimeMs, _job: &id::JobId) -> Vec<WaitingReason> {
-        Vec::new()
+    pub fn explain_waiting(&self, now_ms: time::TimeMs, job: &id::JobId) -> Vec<WaitingReason> {
+        let _ = now_ms;
+        self.jobs
+            .key(job)
+            .map(|key| self.waiting_reasons(key))
+            .unwrap_or_default()
     }
 
     /// All workers.
     pub fn workers(&self) -> impl Iterator<Item = WorkerView> + '_ {
-        std::iter::empty()
+        self.workers
+            .iter()
+            .map(|(_, worker)| self.worker_view(worker))
     }
 }
--- /dev/null
+++ b/crates/mangotrestle-core/src/scheduler/naive.rs
@@ -0,0 +1,195 @@
+//! A scheduler that is easy to believe: it looks at every worker for every task.
+//!
+//! It keeps no index, no sums and no reservations: it walks the waiting jobs by urgency and age
+//! and puts each task on the first worker with room. Tests compare what the real scheduler admits
+//! with it, and measurements compare costs and waiting times.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use crate::id;
+use crate::job;
+use crate::resources;
+use crate::task;
+use crate::time;
+
+/// A worker with what runs there.
+#[derive(Clone, Debug)]
+pub struct NaiveWorker {
+    /// The worker.
+    pub id: id::WorkerId,
+    /// What it holds.
+    pub capacity: resources::Resources,
+    /// What each run occupies.
+    pub runs: Vec<NaiveRun>,
+}
+
+/// A run on a worker.
+#[derive(Clone, Debug)]
+pub struct NaiveRun {
+    /// The run.
+    pub run: task::RunId,
+    /// What it occupies.
+    pub need: resources::Resources,
+}
+
+impl NaiveWorker {
+    /// What is free, by adding up every run.
+    #[must_use]
+    pub fn free(&self) -> resources::Resources {
+        let runs = self.runs.iter();
+        let used = runs.fold(resources::Resources::ZERO, |sum, run| sum + run.need);
+        self.capacity - used
+    }
+}
+
+/// A job with its waiting tasks.
+#[derive(Clone, Debug)]
+struct NaiveJob {
+    spec: Arc<job::JobSpec>,
+    accepted_wall_ms: time::WallTimeMs,
+    waiting: Vec<u32>,
+}
+
+/// A placement.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct NaiveStart {
+    /// The run.
+    pub run: task::RunId,
+    /// Where.
+    pub worker: id::WorkerId,
+}
+
+/// Schedules by scanning.
+#[derive(Clone, Debug, Default)]
+pub struct NaiveScheduler {
+    workers: Vec<NaiveWorker>,
+    jobs: Vec<NaiveJob>,
+    attempts: BTreeMap<task::TaskId, u32>,
+}
+
+impl NaiveScheduler {
+    /// Adds an empty worker.
+    pub fn add_worker(&mut self, id: id::WorkerId, capacity: resources::Resources) {
+        self.workers.push(NaiveWorker {
+            id,
+            capacity,
+            runs: Vec::new(),
+        });
+    }
+
+    /// Adds a job with all its tasks waiting.
+    pub fn add_job(&mut self, spec: Arc<job::JobSpec>, accepted_wall_ms: time::WallTimeMs) {
+        self.jobs.push(NaiveJob {
+            waiting: (0..spec.tasks).collect(),
+            spec,
+            accepted_wall_ms,
+        });
+    }
+
+    /// Takes a run off its worker.
+    pub fn end_run(&mut self, run: &task::RunId) {
+        for worker in &mut self.workers {
+            worker.runs.retain(|entry| entry.run != *run);
+        }
+    }
+
+    /// The workers.
+    #[must_use]
+    pub fn workers(&self) -> &[NaiveWorker] {
+        &self.workers
+    }
+
+    /// Whether one task with this need fits on some worker.
+    #[must_use]
+    pub fn fits_somewhere(&self, need: &resources::Resources) -> bool {
+        self.workers
+            .iter()
+            .any(|worker| need.fits_in(&worker.free()))
+    }
+
+    /// Starts up to `max_starts` of what fits, by urgency and age, each on the first worker with
+    /// room. A gang that does not fit as a whole is passed over.
+    pub fn place(&mut self, max_starts: usize) -> Vec<NaiveStart> {
+        self.jobs
+            .sort_by_key(|job| (job.spec.urgency, job.accepted_wall_ms));
+        let mut starts = Vec::new();
+        for position in 0..self.jobs.len() {
+            if starts.len() >= max_starts {
+                break;
+            }
+            let room = max_starts - starts.len();
+            if self.jobs[position].spec.kind == job::JobKind::Gang {
+                self.place_gang(position, &mut starts);
+            } else {
+                self.place_tasks(position, room, &mut starts);
+            }
+        }
+        self.jobs.retain(|job| !job.waiting.is_empty());
+        starts
+    }
+
+    fn place_tasks(&mut self, position: usize, room: usize, starts: &mut Vec<NaiveStart>) {
+        for _ in 0..room {
+            let job = &self.jobs[position];
+            let Some(&index) = job.waiting.first() else {
+                return;
+            };
+            let need = job.spec.need;
+            let Some(worker) = self.first_fit(&need) else {
+                return;
+            };
+            self.jobs[position].waiting.remove(0);
+            starts.push(self.start(position, index, worker));
+        }
+    }
+
+    fn place_gang(&mut self, position: usize, starts: &mut Vec<NaiveStart>) {
+        let need = self.jobs[position].spec.need;
+        let waiting = std::mem::take(&mut self.jobs[position].waiting);
+        let mut placed = Vec::new();
+        for &index in &waiting {
+            let Some(worker) = self.first_fit(&need) else {
+                break;
+            };
+            placed.push(self.start(position, index, worker));
+        }
+        if placed.len() == waiting.len() {
+            starts.extend(placed);
+            return;
+        }
+        for start in placed {
+            self.end_run(&start.run);
+        }
+        self.jobs[position].waiting = waiting;
+    }
+
+    fn first_fit(&self, need: &resources::Resources) -> Option<usize> {
+        self.workers
+            .iter()
+            .position(|worker| need.fits_in(&worker.free()))
+    }
+
+    fn start(&mut self, position: usize, index: u32, worker: usize) -> NaiveStart {
+        let spec = &self.jobs[position].spec;
+        let task = task::TaskId {
+            job: spec.id.clone(),
+            index,
+        };
+        let attempt = self.attempts.entry(task.clone()).or_insert(0);
+        *attempt += 1;
+        let run = task::RunId {
+            task,
+            attempt: *attempt,
+        };
+        let worker = &mut self.workers[worker];
+        worker.runs.push(NaiveRun {
+            run: run.clone(),
+            need: spec.need,
+        });
+        NaiveStart {
+            run,
+            worker: worker.id.clone(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/mangotrestle-core/src/scheduler/placing.rs
@@ -0,0 +1,346 @@
+//! Where the next task goes.
+
+use std::ops::ControlFlow;
+
+use rand::RngExt;
+
+use crate::job;
+use crate::time;
+
+use super::Scheduler;
+use super::amount;
+use super::decision;
+use super::index::{SearchOrder, SearchScope, WorkerKey};
+use super::jobs::TaskKey;
+use super::lifecycle;
+use super::queue::{self, JobKey};
+use super::worker;
+
+/// Workers whose scores are compared for one task.
+const CANDIDATES: u32 = 12;
+
+/// Workers that are taken from one bucket of the index.
+const CANDIDATES_PER_BUCKET: usize = 3;
+
+/// Whole of a worker, in the unit of scores.
+const SCORE_SCALE: i64 = 1_024;
+
+/// Score of one replica of the same service on the rack.
+const RACK_PENALTY: i64 = 4 * SCORE_SCALE;
+
+/// Score of a task without accelerators that goes to a host with free ones.
+const ACCELERATOR_PENALTY: i64 = SCORE_SCALE;
+
+/// Score of a worker on which the job has failed.
+const FAILED_HERE_PENALTY: i64 = 1_024 * SCORE_SCALE;
+
+/// What came of trying to place the head of the queue.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Placement {
+    Started,
+    /// Room is being made.
+    Assigned,
+    NoRoom,
+    OverQuota,
+}
+
+/// A worker that was chosen.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Choice {
+    pub(super) worker: WorkerKey,
+    pub(super) path: decision::PlacementPath,
+    pub(super) score: i64,
+    pub(super) candidates: u32,
+}
+
+fn octave(span: time::SpanMs) -> u8 {
+    u8::try_from(u64::BITS - span.0.leading_zeros()).unwrap_or(u8::MAX)
+}
+
+impl Scheduler {
+    pub(super) fn shape_of(&self, key: JobKey) -> queue::Shape {
+        let job = &self.jobs[key];
+        let run_time = self.expected_run_time(key);
+        let spec = &job.spec;
+        queue::Shape {
+            urgency: spec.urgency,
+            need: job.need,
+            gang_tasks: if job.is_gang() { job.ready } else { 0 },
+            run_time_octave: run_time.map_or(u8::MAX, octave),
+            may_probe: spec.kind == job::JobKind::Batch && spec.idempotent,
+        }
+    }
+
+    /// How long a task of a job is expected to run, by its family or else by its word.
+    pub(super) fn expected_run_time(&self, key: JobKey) -> Option<time::SpanMs> {
+        let job = &self.jobs[key];
+        if job.is_service() {
+            return None;
+        }
+        self.families.run_time(job.family).or(job.spec.run_time_ms)
+    }
+
+    /// Tries to place the next task of a job that is no gang.
+    pub(super) fn place_next(
+        &mut self,
+        now_ms: time::TimeMs,
+        head: &queue::Head,
+        decisions: &mut Vec<decision::Decision>,
+    ) -> Placement {
+        let job = &mut self.jobs[head.job];
+        let (team, need) = (job.team, job.need);
+        let Some(position) = job.next_waiting() else {
+            self.requeue(head.job);
+            return Placement::Started;
+        };
+        if !self.queue.within_quota(team, &need, 1) {
+            return Placement::OverQuota;
+        }
+        let task = TaskKey {
+            job: head.job,
+            position,
+        };
+        if let Some(choice) = self.choose(now_ms, head) {
+            self.start(now_ms, task, &choice, decisions);
+            return Placement::Started;
+        }
+        let urgent = head.shape.urgency == job::Urgency::Urgent;
+        if urgent && self.preempt_for(now_ms, task, &need) {
+            return Placement::Assigned;
+        }
+        Placement::NoRoom
+    }
+
+    fn choose(&mut self, now_ms: time::TimeMs, head: &queue::Head) -> Option<Choice> {
+        if let Some(choice) = self.choose_probe(head) {
+            return Some(choice);
+        }
+        let offset = self.rng.random_range(0..usize::MAX / 2);
+        self.choose_open(head, offset)
+            .or_else(|| self.choose_reserved(now_ms, head, offset))
+    }
+
+    /// A quarantined worker that is due for a probe.
+    fn choose_probe(&mut self, head: &queue::Head) -> Option<Choice> {
+        if !head.shape.may_probe || self.probes.is_empty() {
+            return None;
+        }
+        let job = &self.jobs[head.job];
+        let position = self.probes.iter().position(|&key| {
+            self.workers.get(key).is_some_and(|worker| {
+                head.shape.need.fits_in(&worker.free()) && !job.failed_on.contains(&key)
+            })
+        })?;
+        Some(Choice {
+            worker: self.probes.swap_remove(position),
+            path: decision::PlacementPath::Probe,
+            score: 0,
+            candidates: 1,
+        })
+    }
+
+    fn choose_open(&self, head: &queue::Head, offset: usize) -> Option<Choice> {
+        let job = &self.jobs[head.job];
+        let spread = job.is_service() && self.config.spread_weight > 0;
+        let tight = self.config.packing_weight >= self.config.spread_weight && !spread;
+        let order = if tight {
+            SearchOrder::Tight
+        } else {
+            SearchOrder::Roomy
+        };
+        let bounds = SearchScope {
+            order,
+            per_bucket: CANDIDATES_PER_BUCKET,
+            offset,
+            skip_accelerator_hosts: self.skips_accelerator_hosts(&head.shape.need),
+        };
+        let mut best: Option<Choice> = None;
+        let mut candidates = 0;
+        self.open.search(&head.shape.need, bounds, |worker, free| {
+            candidates += 1;
+            let score = self.score(head, worker, free);
+            if best.is_none_or(|best| score > best.score) {
+                best = Some(Choice {
+                    worker,
+                    path: decision::PlacementPath::Score,
+                    score,
+                    candidates,
+                });
+            }
+            // A worker on which the job failed is the last resort, so the search goes on.
+            let acceptable = best.is_some_and(|best| best.score > -FAILED_HERE_PENALTY / 2);
+            if candidates >= CANDIDATES && acceptable {
+                ControlFlow::Break(())
+            } else {
+                ControlFlow::Continue(())
+            }
+        });
+        best.map(|best| Choice { candidates, ..best })
+    }
+
+    /// A worker that is reserved for a gang and is free again before the gang can start.
+    fn choose_reserved(
+        &self,
+        now_ms: time::TimeMs,
+        head: &queue::Head,
+        offset: usize,
+    ) -> Option<Choice> {
+        if self.reserved.len() == 0 {
+            return None;
+        }
+        let urgent = head.shape.urgency == job::Urgency::Urgent;
+        let end_ms = self.expected_run_time(head.job).map(|span| now_ms + span);
+        if end_ms.is_none() && !urgent {
+            return None;
+        }
+        let scope = SearchScope {
+            order: SearchOrder::Tight,
+            per_bucket: usize::MAX,
+            offset,
+            skip_accelerator_hosts: self.skips_accelerator_hosts(&head.shape.need),
+        };
+        let mut found = None;
+        self.reserved
+            .search(&head.shape.need, scope, |worker, free| {
+                let starts_ms = self.reservation_start(worker);
+                let ends_before = end_ms.is_some_and(|end_ms| Some(end_ms) <= starts_ms);
+                if !urgent && !ends_before {
+                    return ControlFlow::Continue(());
+                }
+                found = Some(Choice {
+                    worker,
+                    path: decision::PlacementPath::Backfill,
+                    score: self.score(head, worker, free),
+                    candidates: 1,
+                });
+                ControlFlow::Break(())
+            });
+        found
+    }
+
+    pub(super) fn skips_accelerator_hosts(&self, need: &amount::Amount) -> bool {
+        self.config.keep_accelerator_hosts && need.accelerators == 0
+    }
+
+    fn score(&self, head: &queue::Head, key: WorkerKey, free: &amount::Amount) -> i64 {
+        let worker = &self.workers[key];
+        let need = &head.shape.need;
+        let left = free.minus(need);
+        let fraction =
+            |left: u32, whole: u32| i64::from(left) * SCORE_SCALE / i64::from(whole.max(1));
+        let idle = i64::midpoint(
+            fraction(left.cpu_millicores, worker.capacity.cpu_millicores),
+            fraction(left.memory_mib, worker.capacity.memory_mib),
+        );
+        let packing = i64::from(self.config.packing_weight);
+        let spread = i64::from(self.config.spread_weight);
+        let job = &self.jobs[head.job];
+        let mut score = (spread - packing) * idle;
+        if need.accelerators == 0 && worker.is_accelerator_host() {
+            score -= packing * ACCELERATOR_PENALTY * i64::from(free.accelerators);
+        }
+        if job.is_service() {
+            score -= spread * RACK_PENALTY * i64::from(job.replicas_on(worker.rack));
+        }
+        if job.failed_on.contains(&key) {
+            score -= FAILED_HERE_PENALTY;
+        }
+        score
+    }
+
+    /// Books a waiting task on the chosen worker and says so.
+    pub(super) fn start(
+        &mut self,
+        now_ms: time::TimeMs,
+        task: TaskKey,
+        choice: &Choice,
+        decisions: &mut Vec<decision::Decision>,
+    ) {
+        let Some(waiting) = self
+            .jobs
+            .record(task)
+            .and_then(lifecycle::TaskRecord::waiting)
+        else {
+            return;
+        };
+        let started = waiting.start(choice.worker, self.attempt_floor);
+        self.set_task(now_ms, task, started.into_record());
+        let run = self.new_run(now_ms, task, started);
+        self.attach(choice.worker, run);
+        let job = &self.jobs[task.job];
+        let worker = &self.workers[choice.worker];
+        decisions.push(decision::Decision::Start {
+            run: job.run_id(task.position),
+            worker: worker.id.clone(),
+            need: run.need.into(),
+            run_time_ms: job.spec.run_time_ms,
+            idempotent: job.spec.idempotent,
+            urgent: job.spec.urgency == job::Urgency::Urgent,
+            reason: decision::PlacementReason {
+                path: choice.path,
+                score: choice.score,
+                candidates: choice.candidates,
+                free_after: worker.free().into(),
+                waited_ms: now_ms.since(job.ready_since_ms),
+            },
+        });
+    }
+
+    fn new_run(
+        &self,
+        now_ms: time::TimeMs,
+        task: TaskKey,
+        started: lifecycle::Task<lifecycle::Starting>,
+    ) -> worker::Run {
+        let job = &self.jobs[task.job];
+        let run_time = self.expected_run_time(task.job);
+        worker::Run {
+            task,
+            attempt: started.into_record().attempt(),
+            need: job.need,
+            booked: job.need,
+            peak: amount::Amount::default(),
+            started_ms: now_ms,
+            saved_ms: now_ms,
+            expected_end_ms: run_time.map(|span| now_ms + span),
+            stop: None,
+            throttled: false,
+        }
+    }
+
+    /// Starts an assigned task, if the room for it has been made.
+    pub(super) fn start_assigned(
+        &mut self,
+        now_ms: time::TimeMs,
+        task: TaskKey,
+        decisions: &mut Vec<decision::Decision>,
+    ) {
+        let Some(assigned) = self
+            .jobs
+            .record(task)
+            .and_then(lifecycle::TaskRecord::assigned)
+        else {
+            return;
+        };
+        let Some(key) = assigned.into_record().worker() else {
+            return;
+        };
+        let worker = &self.workers[key];
+        let need = self.jobs[task.job].need;
+        let room = worker.capacity.minus(&worker.booked);
+        let held = worker.holds.iter().find(|hold| hold.task == task);
+        let fits = held.is_some_and(|hold| need.fits_in(&hold.need)) && need.fits_in(&room);
+        let team = self.jobs[task.job].team;
+        if !worker.is_usable() || !fits || !self.queue.within_quota(team, &need, 1) {
+            return;
+        }
+        self.release_hold(now_ms, task);
+        let choice = Choice {
+            worker: key,
+            path: decision::PlacementPath::Preemption,
+            score: 0,
+            candidates: 1,
+        };
+        self.start(now_ms, task, &choice, decisions);
+    }
+}
--- /dev/null
+++ b/crates/mangotrestle-core/src/scheduler/preemption.rs
@@ -0,0 +1,198 @@
+//! Room for urgent work: which runs to checkpoint and stop.
+//!
+//! Candidates are kept in the order of the work that would be lost, so the search looks at a few
+//! workers and not at all. Per task and per job there is a bound on how often and how many at a
+//! time are stopped.
+
+use std::cmp::Reverse;
+
+use smallvec::SmallVec;
+
+use crate::job;
+use crate::time;
+
+use super::Scheduler;
+use super::amount;
+use super::decision;
+use super::index::WorkerKey;
+use super::jobs::TaskKey;
+use super::lifecycle;
+use super::timer;
+use super::worker;
+
+/// Workers that are compared for one urgent task.
+const WORKERS_COMPARED: usize = 16;
+
+/// Candidates that are looked at for one urgent task.
+const VICTIMS_EXAMINED: usize = 256;
+
+/// How long an urgent task waits for room that is being made before it looks elsewhere.
+const HOLD_TIMEOUT_MS: time::SpanMs = time::SpanMs(5_000);
+
+/// A run that urgent work may stop, ordered by the work lost.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) struct Victim {
+    saved_ms: Reverse<time::TimeMs>,
+    worker: WorkerKey,
+    task: TaskKey,
+}
+
+impl Victim {
+    pub(super) fn new(saved_ms: time::TimeMs, worker: WorkerKey, task: TaskKey) -> Self {
+        Self {
+            saved_ms: Reverse(saved_ms),
+            worker,
+            task,
+        }
+    }
+}
+
+/// Runs of one worker that together make enough room.
+#[derive(Debug)]
+struct Plan {
+    worker: WorkerKey,
+    victims: SmallVec<[TaskKey; 8]>,
+    lost_ms: u64,
+}
+
+impl Scheduler {
+    /// The entry of a run in the list of candidates, if it may be stopped.
+    pub(super) fn victim(&self, worker: WorkerKey, task: TaskKey) -> Option<Victim> {
+        let run = self.workers[worker].run(task)?;
+        let job = &self.jobs[task.job];
+        let spec = &job.spec;
+        let record = job.tasks[task.position as usize];
+        let allowed = spec.preemptible
+            && spec.idempotent
+            && !job.is_gang()
+            && spec.urgency != job::Urgency::Urgent
+            && run.stop.is_none()
+            && record.preemptions() < self.config.max_preemptions_per_task;
+        allowed.then(|| Victim::new(run.saved_ms, worker, task))
+    }
+
+    /// Starts to make room for an urgent task. Returns whether room is being made.
+    pub(super) fn preempt_for(
+        &mut self,
+        now_ms: time::TimeMs,
+        task: TaskKey,
+        need: &amount::Amount,
+    ) -> bool {
+        let Some(plan) = self.find_plan(now_ms, need) else {
+            return false;
+        };
+        let Some(waiting) = self
+            .jobs
+            .record(task)
+            .and_then(lifecycle::TaskRecord::waiting)
+        else {
+            return false;
+        };
+        for &victim in &plan.victims {
+            let job = &mut self.jobs[victim.job];
+            job.preempting += 1;
+            let position = victim.position as usize;
+            if let Some(active) = job.tasks[position].active() {
+                job.tasks[position] = active.count_preemption().into_record();
+            }
+            self.request_stop(now_ms, victim, decision::StopReason::Preempted);
+        }
+        self.workers[plan.worker]
+            .holds
+            .push(worker::Hold { task, need: *need });
+        let record = waiting.assign(plan.worker).into_record();
+        self.set_task(now_ms, task, record);
+        self.refresh(plan.worker);
+        self.timers
+            .set(now_ms + HOLD_TIMEOUT_MS, timer::Timer::ReleaseHold(task));
+        true
+    }
+
+    fn find_plan(&self, now_ms: time::TimeMs, need: &amount::Amount) -> Option<Plan> {
+        let mut seen: SmallVec<[WorkerKey; WORKERS_COMPARED]> = SmallVec::new();
+        let mut best: Option<Plan> = None;
+        for victim in self.preemptible.iter().take(VICTIMS_EXAMINED) {
+            if seen.contains(&victim.worker) {
+                continue;
+            }
+            seen.push(victim.worker);
+            let plan = self.plan_on(now_ms, victim.worker, need);
+            let better = |plan: &Plan| best.as_ref().is_none_or(|best| plan.lost_ms < best.lost_ms);
+            if let Some(plan) = plan.filter(better) {
+                best = Some(plan);
+            }
+            if seen.len() == WORKERS_COMPARED && best.is_some() {
+                break;
+            }
+        }
+        best
+    }
+
+    /// The runs to stop on one worker, the least work lost first.
+    fn plan_on(&self, now_ms: time::TimeMs, key: WorkerKey, need: &amount::Amount) -> Option<Plan> {
+        let worker = &self.workers[key];
+        if !worker.is_usable() || !need.fits_in(&worker.capacity) {
+            return None;
+        }
+        let mut candidates: SmallVec<[&worker::Run; 8]> = worker
+            .runs
+            .iter()
+            .filter(|run| self.victim(key, run.task).is_some())
+            .collect();
+        candidates.sort_by_key(|run| Reverse(run.saved_ms));
+        let mut plan = Plan {
+            worker: key,
+            victims: SmallVec::new(),
+            lost_ms: 0,
+        };
+        // Sums are exact here: free amounts that were cut at zero would hide an overcommitment.
+        let mut booked = worker.booked.plus(&worker.held);
+        for run in candidates {
+            if booked.plus(need).fits_in(&worker.capacity) {
+                break;
+            }
+            if !self.may_stop_another(run.task, &plan.victims) {
+                continue;
+            }
+            booked = booked.minus(&run.booked);
+            plan.victims.push(run.task);
+            plan.lost_ms += now_ms.since(run.saved_ms).0;
+        }
+        booked.plus(need).fits_in(&worker.capacity).then_some(plan)
+    }
+
+    /// Whether the bound on a job's runs that stop at one time allows one more.
+    fn may_stop_another(&self, task: TaskKey, planned: &[TaskKey]) -> bool {
+        let job = &self.jobs[task.job];
+        let planned = planned.iter().filter(|other| other.job == task.job).count();
+        let stopping = job.preempting as usize + planned;
+        let running = job.counts.running as usize;
+        let allowed = running * self.config.max_stopping_percent as usize / 100;
+        stopping < allowed.max(1)
+    }
+
+    /// Puts an assigned task back into the queue, if it still is assigned.
+    pub(super) fn release_hold(&mut self, now_ms: time::TimeMs, task: TaskKey) {
+        let Some(assigned) = self
+            .jobs
+            .record(task)
+            .and_then(lifecycle::TaskRecord::assigned)
+        else {
+            return;
+        };
+        let key = assigned.into_record().worker();
+        self.set_task(now_ms, task, assigned.release().into_record());
+        if let Some(key) = key {
+            self.workers[key].holds.retain(|hold| hold.task != task);
+            self.refresh(key);
+        }
+    }
+
+    /// Puts every task back into the queue that waits for room on a worker.
+    pub(super) fn release_holds_on(&mut self, now_ms: time::TimeMs, key: WorkerKey) {
+        let holds = self.workers[key].holds.clone();
+        for hold in holds {
+            self.release_hold(now_ms, hold.task);
+        }
+    }
+}
--- /dev/null
+++ b/crates/mangotrestle-core/src/scheduler/queue.rs
@@ -0,0 +1,422 @@
+//! Queue of jobs with waiting tasks, in the order in which they should start.
+//!
+//! Order: urgency band, then weighted dominant share of the team, then age. Jobs whose tasks look
+//! alike to the search form a *shape*; a shape that does not fit anywhere is blocked as a whole
+//! until a worker has room for it, so a long backlog costs nothing while it waits. Within a shape,
+//! the jobs of one team form a *lane*, so a change of a team's share moves lanes and not jobs.
+
+use std::collections::BTreeSet;
+
+use crate::collections;
+use crate::id;
+use crate::job;
+use crate::time;
+
+use super::amount;
+use super::config;
+
+/// Key of a job in the scheduler's table.
+pub(super) type JobKey = u32;
+pub(super) type TeamKey = u32;
+type ShapeKey = u32;
+type LaneKey = u32;
+
+/// What the search for a place sees of a job.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub(super) struct Shape {
+    pub(super) urgency: job::Urgency,
+    pub(super) need: amount::Amount,
+    /// Tasks that start together; zero for a job that is no gang.
+    pub(super) gang_tasks: u32,
+    /// Octave of the expected run time, `u8::MAX` if it has no end.
+    pub(super) run_time_octave: u8,
+    /// Whether a probe of a quarantined worker may run tasks of this shape.
+    pub(super) may_probe: bool,
+}
+
+/// Place of a lane in the order. Lower goes first.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct Rank {
+    urgency: job::Urgency,
+    share: u64,
+    accepted_wall_ms: time::WallTimeMs,
+    lane: LaneKey,
+}
+
+#[derive(Debug)]
+struct ShapeQueue {
+    shape: Shape,
+    lanes: BTreeSet<Rank>,
+    lane_count: u32,
+    blocked: bool,
+    head: Option<Rank>,
+}
+
+#[derive(Debug)]
+struct Lane {
+    shape: ShapeKey,
+    team: TeamKey,
+    jobs: BTreeSet<(time::WallTimeMs, JobKey)>,
+    rank: Option<Rank>,
+    over_quota: bool,
+}
+
+/// A team's use of the pool.
+#[derive(Debug)]
+pub(super) struct Team {
+    pub(super) id: id::TeamId,
+    pub(super) used: amount::Total,
+    limit: Option<amount::Total>,
+    weight: u64,
+    share: u64,
+    lanes: Vec<LaneKey>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct BlockedShape {
+    shape: ShapeKey,
+    need: amount::Amount,
+}
+
+/// The next job to place.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Head {
+    pub(super) job: JobKey,
+    pub(super) shape: Shape,
+    lane: LaneKey,
+}
+
+/// All waiting jobs.
+#[derive(Debug, Default)]
+pub(super) struct Queue {
+    shapes: Vec<ShapeQueue>,
+    free_shapes: Vec<ShapeKey>,
+    shape_keys: collections::FastMap<Shape, ShapeKey>,
+    lanes: Vec<Lane>,
+    free_lanes: Vec<LaneKey>,
+    lane_keys: collections::FastMap<(ShapeKey, TeamKey), LaneKey>,
+    heads: BTreeSet<(Rank, ShapeKey)>,
+    blocked: Vec<BlockedShape>,
+    teams: Vec<Team>,
+    team_keys: collections::FastMap<id::TeamId, TeamKey>,
+    capacity: amount::Total,
+}
+
+fn total_of(resources: &crate::resources::Resources) -> amount::Total {
+    amount::Total {
+        accelerators: u64::from(resources.accelerators),
+        slots: u64::from(resources.slots),
+        cpu_millicores: resources.cpu_millicores,
+        memory_mib: resources.memory_mib,
+    }
+}
+
+impl Queue {
+    /// Key of a team, which is entered with its quota at the first sight.
+    pub(super) fn team_key(
+        &mut self,
+        team: &id::TeamId,
+        config: &config::SchedulerConfig,
+    ) -> TeamKey {
+        if let Some(&key) = self.team_keys.get(team) {
+            return key;
+        }
+        let quota = config.quota(team);
+        let key = TeamKey::try_from(self.teams.len()).unwrap_or(TeamKey::MAX);
+        self.teams.push(Team {
+            id: team.clone(),
+            used: amount::Total::default(),
+            limit: quota.limit.as_ref().map(total_of),
+            weight: u64::from(quota.weight.max(1)),
+            share: 0,
+            lanes: Vec::new(),
+        });
+        self.team_keys.insert(team.clone(), key);
+        key
+    }
+
+    pub(super) fn teams(&self) -> &[Team] {
+        &self.teams
+    }
+
+    /// Puts new quotas in force.
+    pub(super) fn set_quotas(&mut self, config: &config::SchedulerConfig) {
+        for team in &mut self.teams {
+            let quota = config.quota(&team.id);
+            team.limit = quota.limit.as_ref().map(total_of);
+            team.weight = u64::from(quota.weight.max(1));
+        }
+        for key in 0..self.teams.len() {
+            self.rerank_team(TeamKey::try_from(key).unwrap_or(TeamKey::MAX), true);
+        }
+    }
+
+    /// Total capacity that shares are measured against.
+    pub(super) fn capacity_mut(&mut self) -> &mut amount::Total {
+        &mut self.capacity
+    }
+
+    pub(super) fn capacity(&self) -> &amount::Total {
+        &self.capacity
+    }
+
+    /// Counts an amount to a team.
+    pub(super) fn add_use(&mut self, team: TeamKey, amount: &amount::Amount) {
+        self.teams[team as usize].used.add(amount);
+        self.rerank_team(team, false);
+    }
+
+    /// Takes an amount off a team. Lanes that were over quota come back into the order.
+    pub(super) fn subtract_use(&mut self, team: TeamKey, amount: &amount::Amount) {
+        self.teams[team as usize].used.subtract(amount);
+        self.rerank_team(team, true);
+    }
+
+    /// Whether a team may use so much more.
+    pub(super) fn within_quota(&self, team: TeamKey, need: &amount::Amount, count: u32) -> bool {
+        let team = &self.teams[team as usize];
+        let Some(limit) = &team.limit else {
+            return true;
+        };
+        let left = amount::Total {
+            accelerators: limit.accelerators.saturating_sub(team.used.accelerators),
+            slots: limit.slots.saturating_sub(team.used.slots),
+            cpu_millicores: limit
+                .cpu_millicores
+                .saturating_sub(team.used.cpu_millicores),
+            memory_mib: limit.memory_mib.saturating_sub(team.used.memory_mib),
+        };
+        left.may_hold(need, count)
+    }
+
+    fn rerank_team(&mut self, team: TeamKey, release: bool) {
+        let entry = &mut self.teams[team as usize];
+        // Shares are compared in steps of a 1/4096 of the pool, so that most starts move nothing.
+        let share = self.capacity.dominant_share_ppm(&entry.used) / 244 * 1_000 / entry.weight;
+        let changed = share != entry.share;
+        entry.share = share;
+        if !changed && !release {
+            return;
+        }
+        for position in 0..self.teams[team as usize].lanes.len() {
+            let lane = self.teams[team as usize].lanes[position];
+            let released = release && self.lanes[lane as usize].over_quota;
+            if released {
+                self.lanes[lane as usize].over_quota = false;
+            }
+            if changed || released {
+                self.rerank(lane);
+            }
+        }
+    }
+
+    fn rerank(&mut self, lane_key: LaneKey) {
+        let lane = &mut self.lanes[lane_key as usize];
+        let first = lane.jobs.first().copied();
+        let rank = match first {
+            Some((accepted_wall_ms, _)) if !lane.over_quota => Some(Rank {
+                urgency: self.shapes[lane.shape as usize].shape.urgency,
+                share: self.teams[lane.team as usize].share,
+                accepted_wall_ms,
+                lane: lane_key,
+            }),
+            _ => None,
+        };
+        if rank == lane.rank {
+            return;
+        }
+        let shape = lane.shape;
+        let lanes = &mut self.shapes[shape as usize].lanes;
+        if let Some(old) = lane.rank {
+            lanes.remove(&old);
+        }
+        if let Some(new) = rank {
+            lanes.insert(new);
+        }
+        lane.rank = rank;
+        self.refresh_head(shape);
+    }
+
+    fn refresh_head(&mut self, key: ShapeKey) {
+        let shape = &mut self.shapes[key as usize];
+        let head = if shape.blocked {
+            None
+        } else {
+            shape.lanes.first().copied()
+        };
+        if head == shape.head {
+            return;
+        }
+        if let Some(old) = shape.head {
+            self.heads.remove(&(old, key));
+        }
+        if let Some(new) = head {
+            self.heads.insert((new, key));
+        }
+        shape.head = head;
+    }
+
+    fn shape_key(&mut self, shape: Shape) -> ShapeKey {
+        if let Some(&key) = self.shape_keys.get(&shape) {
+            return key;
+        }
+        let queue = ShapeQueue {
+            shape,
+            lanes: BTreeSet::new(),
+            lane_count: 0,
+            blocked: false,
+            head: None,
+        };
+        let key = if let Some(key) = self.free_shapes.pop() {
+            self.shapes[key as usize] = queue;
+            key
+        } else {
+            self.shapes.push(queue);
+            ShapeKey::try_from(self.shapes.len() - 1).unwrap_or(ShapeKey::MAX)
+        };
+        self.shape_keys.insert(shape, key);
+        key
+    }
+
+    fn lane_key(&mut self, shape: ShapeKey, team: TeamKey) -> LaneKey {
+        if let Some(&key) = self.lane_keys.get(&(shape, team)) {
+            return key;
+        }
+        let lane = Lane {
+            shape,
+            team,
+            jobs: BTreeSet::new(),
+            rank: None,
+            over_quota: false,
+        };
+        let key = if let Some(key) = self.free_lanes.pop() {
+            self.lanes[key as usize] = lane;
+            key
+        } else {
+            self.lanes.push(lane);
+            LaneKey::try_from(self.lanes.len() - 1).unwrap_or(LaneKey::MAX)
+        };
+        self.lane_keys.insert((shape, team), key);
+        self.teams[team as usize].lanes.push(key);
+        self.shapes[shape as usize].lane_count += 1;
+        key
+    }
+
+    /// Puts a job into the order.
+    pub(super) fn insert(&mut self, entry: &QueueEntry) {
+        let shape = self.shape_key(entry.shape);
+        let lane = self.lane_key(shape, entry.team);
+        self.lanes[lane as usize]
+            .jobs
+            .insert((entry.accepted_wall_ms, entry.job));
+        self.rerank(lane);
+    }
+
+    /// Takes a job out of the order, by what it was inserted with.
+    pub(super) fn remove(&mut self, entry: &QueueEntry) {
+        let Some(&shape) = self.shape_keys.get(&entry.shape) else {
+            return;
+        };
+        let Some(&lane_key) = self.lane_keys.get(&(shape, entry.team)) else {
+            return;
+        };
+        let lane = &mut self.lanes[lane_key as usize];
+        lane.jobs.remove(&(entry.accepted_wall_ms, entry.job));
+        let empty = lane.jobs.is_empty();
+        self.rerank(lane_key);
+        if empty {
+            self.drop_lane(lane_key);
+        }
+    }
+
+    fn drop_lane(&mut self, key: LaneKey) {
+        let (shape, team) = {
+            let lane = &self.lanes[key as usize];
+            (lane.shape, lane.team)
+        };
+        self.lane_keys.remove(&(shape, team));
+        self.teams[team as usize]
+            .lanes
+            .retain(|&other| other != key);
+        self.free_lanes.push(key);
+        let queue = &mut self.shapes[shape as usize];
+        queue.lane_count -= 1;
+        if queue.lane_count == 0 {
+            let value = queue.shape;
+            queue.blocked = false;
+            self.blocked.retain(|blocked| blocked.shape != shape);
+            self.shape_keys.remove(&value);
+            self.free_shapes.push(shape);
+        }
+    }
+
+    /// The job to place next.
+    pub(super) fn head(&self) -> Option<Head> {
+        let (rank, shape) = self.heads.first()?;
+        let lane = &self.lanes[rank.lane as usize];
+        let &(_, job) = lane.jobs.first()?;
+        Some(Head {
+            job,
+            shape: self.shapes[*shape as usize].shape,
+            lane: rank.lane,
+        })
+    }
+
+    /// Sets a head's whole shape aside until some worker has room for it.
+    pub(super) fn block(&mut self, head: &Head) {
+        let key = self.lanes[head.lane as usize].shape;
+        let queue = &mut self.shapes[key as usize];
+        if queue.blocked {
+            return;
+        }
+        queue.blocked = true;
+        self.blocked.push(BlockedShape {
+            shape: key,
+            need: head.shape.need,
+        });
+        self.refresh_head(key);
+    }
+
+    /// Sets a head's lane aside until its team uses less.
+    pub(super) fn hold_over_quota(&mut self, head: &Head) {
+        self.lanes[head.lane as usize].over_quota = true;
+        self.rerank(head.lane);
+    }
+
+    /// Brings back the shapes that a worker with so much free has room for.
+    pub(super) fn unblock(&mut self, free: &amount::Amount) {
+        let mut position = 0;
+        while position < self.blocked.len() {
+            let blocked = self.blocked[position];
+            if !blocked.need.fits_in(free) {
+                position += 1;
+                continue;
+            }
+            self.blocked.swap_remove(position);
+            self.shapes[blocked.shape as usize].blocked = false;
+            self.refresh_head(blocked.shape);
+        }
+    }
+
+    /// Brings back every shape.
+    pub(super) fn unblock_all(&mut self) {
+        for blocked in std::mem::take(&mut self.blocked) {
+            self.shapes[blocked.shape as usize].blocked = false;
+            self.refresh_head(blocked.shape);
+        }
+    }
+
+    /// Whether anything could be tried at once.
+    pub(super) fn is_ready(&self) -> bool {
+        !self.heads.is_empty()
+    }
+}
+
+/// What a job was inserted with.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct QueueEntry {
+    pub(super) job: JobKey,
+    pub(super) team: TeamKey,
+    pub(super) shape: Shape,
+    pub(super) accepted_wall_ms: time::WallTimeMs,
+}
--- /dev/null
+++ b/crates/mangotrestle-core/src/scheduler/recovery.rs
@@ -0,0 +1,520 @@
+//! Taking over: jobs from snapshots, and what workers list as the truth about what runs.
+
+use std::sync::Arc;
+
+use crate::collections;
+use crate::id;
+use crate::job;
+use crate::task;
+use crate::time;
+
+use super::Scheduler;
+use super::amount;
+use super::decision;
+use super::event::{ListedRun, WorkerListing};
+use super::index::WorkerKey;
+use super::jobs::TaskKey;
+use super::lifecycle;
+use super::queue::JobKey;
+use super::snapshot;
+use super::timer;
+use super::worker;
+
+/// How often a further run of each job is moved from a leaving worker.
+const DRAIN_INTERVAL_MS: time::SpanMs = time::SpanMs(1_000);
+
+impl Scheduler {
+    /// Takes a worker into use and reconciles what is booked there with what it lists.
+    pub(super) fn list_worker(&mut self, now_ms: time::TimeMs, listing: &WorkerListing) {
+        let key = self.workers.key_or_insert(&listing.worker);
+        self.enter_listing(key, listing);
+        let listed: collections::FastSet<&task::RunId> =
+            listing.running.iter().map(|listed| &listed.run).collect();
+        self.end_unlisted(now_ms, key, &listed);
+        self.drop_unlisted_strays(key, &listed);
+        for entry in &listing.running {
+            self.reconcile(now_ms, key, entry);
+        }
+        self.settle_awaited(now_ms, key);
+        self.note_overcommitment(key);
+        self.refresh(key);
+        if listing.leaving {
+            self.start_drain(now_ms, key);
+        }
+        self.unpark_fitting();
+    }
+
+    fn enter_listing(&mut self, key: WorkerKey, listing: &WorkerListing) {
+        let rack = self.workers.rack_key(&listing.rack);
+        self.move_to_rack(key, rack);
+        let capacity = amount::Amount::from(&listing.capacity);
+        let worker = &mut self.workers[key];
+        let former = std::mem::replace(&mut worker.capacity, capacity);
+        worker.availability_zone = Some(listing.availability_zone.clone());
+        worker.reachable = true;
+        worker.leaving = listing.leaving;
+        worker.paused_until_ms = None;
+        self.change_capacity(&former, &capacity);
+    }
+
+    fn move_to_rack(&mut self, key: WorkerKey, rack: u32) {
+        let former = std::mem::replace(&mut self.workers[key].rack, rack);
+        if former == rack {
+            return;
+        }
+        for run in &self.workers[key].runs {
+            let job = &mut self.jobs[run.task.job];
+            if job.is_service() {
+                job.count_rack(former, false);
+                job.count_rack(rack, true);
+            }
+        }
+    }
+
+    /// Ends the runs that a worker does not list.
+    fn end_unlisted(
+        &mut self,
+        now_ms: time::TimeMs,
+        key: WorkerKey,
+        listed: &collections::FastSet<&task::RunId>,
+    ) {
+        for task in self.tasks_on(key) {
+            let run = self.jobs[task.job].run_id(task.position);
+            if !listed.contains(&run) {
+                self.run_ended(now_ms, &run, task::RunOutcome::Lost);
+            }
+        }
+    }
+
+    fn tasks_on(&self, key: WorkerKey) -> Vec<TaskKey> {
+        self.workers[key].runs.iter().map(|run| run.task).collect()
+    }
+
+    /// Brings one listed run and its task together.
+    fn reconcile(&mut self, now_ms: time::TimeMs, key: WorkerKey, listed: &ListedRun) {
+        if self.strays.get(&listed.run) == Some(&key) {
+            return;
+        }
+        let Some(task) = self.jobs.task_key(&listed.run.task) else {
+            self.add_stray(key, listed);
+            return;
+        };
+        let record = self.jobs[task.job].tasks[task.position as usize];
+        let here = record.worker() == Some(key) && record.attempt() == listed.run.attempt;
+        if here && record.is_active() {
+            self.run_started(now_ms, &listed.run);
+        } else if let Some(unknown) = record.unknown().filter(|_| here) {
+            self.set_task(now_ms, task, unknown.found().into_record());
+            self.workers[key].awaited.retain(|awaited| *awaited != task);
+            self.book_listed(now_ms, key, task, listed);
+        } else if self.can_adopt(task, listed.run.attempt) {
+            self.adopt(now_ms, key, task, listed);
+        } else {
+            self.add_stray(key, listed);
+        }
+    }
+
+    fn can_adopt(&self, task: TaskKey, attempt: u32) -> bool {
+        let Some(record) = self.jobs.record(task) else {
+            return false;
+        };
+        let queued = matches!(
+            record.stage(),
+            lifecycle::Stage::Waiting | lifecycle::Stage::BackingOff | lifecycle::Stage::Assigned
+        );
+        queued && attempt >= record.attempt() && self.is_wanted(task)
+    }
+
+    /// Makes a listed run the run of its waiting task.
+    fn adopt(&mut self, now_ms: time::TimeMs, key: WorkerKey, task: TaskKey, listed: &ListedRun) {
+        self.release_hold(now_ms, task);
+        self.retry(now_ms, task);
+        let Some(waiting) = self
+            .jobs
+            .record(task)
+            .and_then(lifecycle::TaskRecord::waiting)
+        else {
+            return;
+        };
+        let running = waiting.adopt(key, listed.run.attempt);
+        self.set_task(now_ms, task, running.into_record());
+        self.book_listed(now_ms, key, task, listed);
+    }
+
+    fn book_listed(
+        &mut self,
+        now_ms: time::TimeMs,
+        key: WorkerKey,
+        task: TaskKey,
+        listed: &ListedRun,
+    ) {
+        let need = amount::Amount::from(&listed.need);
+        self.note_overcommitment(key);
+        let run = self.listed_run(now_ms, task, listed.run.attempt, need);
+        self.attach(key, run);
+        if self.jobs[task.job].cancelled {
+            self.request_stop(now_ms, task, decision::StopReason::Cancelled);
+        } else if !self.is_wanted(task) {
+            self.request_stop(now_ms, task, decision::StopReason::Surplus);
+        }
+    }
+
+    fn listed_run(
+        &self,
+        now_ms: time::TimeMs,
+        task: TaskKey,
+        attempt: u32,
+        need: amount::Amount,
+    ) -> worker::Run {
+        let run_time = self.expected_run_time(task.job);
+        worker::Run {
+            task,
+            attempt,
+            need,
+            booked: need,
+            peak: amount::Amount::default(),
+            started_ms: now_ms,
+            saved_ms: now_ms,
+            expected_end_ms: run_time.map(|span| now_ms + span),
+            stop: None,
+            throttled: false,
+        }
+    }
+
+    /// Settles tasks that waited for this worker's word and are not listed: what can be done again
+    /// goes back into the queue, and what cannot stays unknown.
+    fn settle_awaited(&mut self, now_ms: time::TimeMs, key: WorkerKey) {
+        let awaited = self.workers[key].awaited.clone();
+        for task in awaited {
+            let Some(unknown) = self
+                .jobs
+                .record(task)
+                .and_then(lifecycle::TaskRecord::unknown)
+            else {
+                continue;
+            };
+            if self.jobs[task.job].spec.idempotent {
+                self.workers[key].awaited.retain(|awaited| *awaited != task);
+                self.set_task(now_ms, task, unknown.retry().into_record());
+                self.stop_if_unwanted(now_ms, task);
+            }
+        }
+    }
+
+    /// Books a listed run that is no task's known run. It is stopped if its job is known, and kept
+    /// if nothing is known of the job, which may be restored later.
+    fn add_stray(&mut self, key: WorkerKey, listed: &ListedRun) {
+        let stopping = self.jobs.key(&listed.run.task.job).is_some();
+        self.workers[key].strays.push(worker::Stray {
+            run: listed.run.clone(),
+            need: amount::Amount::from(&listed.need),
+            stopping,
+        });
+        self.strays.insert(listed.run.clone(), key);
+        if stopping {
+            let ticket = timer::StopTicket::Stray(listed.run.clone());
+            self.stops.push_back(ticket);
+        } else {
+            self.notices.push_back(decision::Decision::OrphanRun {
+                run: listed.run.clone(),
+                worker: self.workers[key].id.clone(),
+            });
+        }
+    }
+
+    pub(super) fn drop_stray(&mut self, run: &task::RunId) {
+        if let Some(key) = self.strays.remove(run) {
+            self.workers[key].strays.retain(|stray| stray.run != *run);
+            self.refresh(key);
+        }
+    }
+
+    fn drop_unlisted_strays(
+        &mut self,
+        key: WorkerKey,
+        listed: &collections::FastSet<&task::RunId>,
+    ) {
+        let strays = self.workers[key].strays.iter();
+        let gone: Vec<task::RunId> = strays
+            .filter(|stray| !listed.contains(&stray.run))
+            .map(|stray| stray.run.clone())
+            .collect();
+        for run in gone {
+            self.drop_stray(&run);
+        }
+    }
+
+    /// Stops the runs of a job that is not known here.
+    pub(super) fn stop_strays_of(&mut self, id: &id::JobId) {
+        for (key, run) in self.strays_of(id) {
+            let strays = self.workers[key].strays.iter_mut();
+            for stray in strays.filter(|stray| stray.run == run && !stray.stopping) {
+                stray.stopping = true;
+                self.stops.push_back(timer::StopTicket::Stray(run.clone()));
+            }
+        }
+    }
+
+    fn strays_of(&self, id: &id::JobId) -> Vec<(WorkerKey, task::RunId)> {
+        let of_job = self.strays.iter().filter(|(run, _)| run.task.job == *id);
+        let mut found: Vec<_> = of_job.map(|(run, key)| (*key, run.clone())).collect();
+        found.sort_unstable();
+        found
+    }
+
+    /// Gives runs that workers listed before their job was known to the job.
+    pub(super) fn adopt_strays(&mut self, now_ms: time::TimeMs, job: JobKey) {
+        let id = self.jobs[job].spec.id.clone();
+        for (key, run) in self.strays_of(&id) {
+            let strays = &self.workers[key].strays;
+            let Some(stray) = strays.iter().find(|stray| stray.run == run) else {
+                continue;
+            };
+            let listed = ListedRun {
+                run: run.clone(),
+                need: stray.need.into(),
+            };
+            let stopping = stray.stopping;
+            self.drop_stray(&run);
+            self.reconcile(now_ms, key, &listed);
+            let adopted = self.current_run(&run);
+            if let Some(task) = adopted.filter(|_| stopping) {
+                self.request_stop(now_ms, task, decision::StopReason::Superseded);
+            }
+        }
+    }
+
+    pub(super) fn worker_unreachable(&mut self, now_ms: time::TimeMs, id: &id::WorkerId) {
+        if let Some(key) = self.workers.key(id) {
+            self.workers[key].reachable = false;
+            self.take_out_of_use(now_ms, key);
+        }
+    }
+
+    fn take_out_of_use(&mut self, now_ms: time::TimeMs, key: WorkerKey) {
+        self.probes.retain(|&probe| probe != key);
+        self.release_holds_on(now_ms, key);
+        self.break_reservation(key);
+        self.refresh(key);
+    }
+
+    pub(super) fn worker_lost(&mut self, now_ms: time::TimeMs, id: &id::WorkerId) {
+        let Some(key) = self.workers.key(id) else {
+            return;
+        };
+        self.workers[key].reachable = false;
+        self.take_out_of_use(now_ms, key);
+        for task in self.tasks_on(key) {
+            self.lose_run(now_ms, task);
+        }
+        for stray in std::mem::take(&mut self.workers[key].strays) {
+            self.strays.remove(&stray.run);
+        }
+        let capacity = std::mem::take(&mut self.workers[key].capacity);
+        self.change_capacity(&capacity, &amount::Amount::default());
+        self.refresh(key);
+        self.remove_if_unused(key);
+    }
+
+    fn lose_run(&mut self, now_ms: time::TimeMs, task: TaskKey) {
+        let spec = &self.jobs[task.job].spec;
+        let waits = spec.lost_worker == job::LostWorkerPolicy::WaitForWorker;
+        if waits && self.is_wanted(task) {
+            let active = self
+                .jobs
+                .record(task)
+                .and_then(lifecycle::TaskRecord::active);
+            self.detach(task);
+            if let Some(active) = active {
+                self.lose_track(now_ms, task, active);
+            }
+            return;
+        }
+        let run = self.jobs[task.job].run_id(task.position);
+        self.run_ended(now_ms, &run, task::RunOutcome::Lost);
+    }
+
+    /// Forgets a lost worker of which nothing is expected any more.
+    pub(super) fn remove_if_unused(&mut self, key: WorkerKey) {
+        let Some(worker) = self.workers.get(key) else {
+            return;
+        };
+        let expected = worker.reachable
+            || worker.capacity != amount::Amount::default()
+            || !worker.awaited.is_empty()
+            || !worker.runs.is_empty()
+            || !worker.strays.is_empty();
+        if !expected {
+            self.workers.remove(key);
+            self.refresh(key);
+        }
+    }
+
+    pub(super) fn worker_leaving(
+        &mut self,
+        now_ms: time::TimeMs,
+        id: &id::WorkerId,
+        leaving: bool,
+    ) {
+        let Some(key) = self.workers.key(id) else {
+            return;
+        };
+        if self.workers[key].leaving == leaving {
+            return;
+        }
+        self.workers[key].leaving = leaving;
+        if leaving {
+            self.start_drain(now_ms, key);
+        } else {
+            self.refresh(key);
+        }
+    }
+
+    fn start_drain(&mut self, now_ms: time::TimeMs, key: WorkerKey) {
+        self.take_out_of_use(now_ms, key);
+        self.drain(now_ms, key);
+    }
+
+    /// Moves one run of each job from a leaving worker: services, and batch work that may be
+    /// checkpointed. The rest runs to its end.
+    pub(super) fn drain(&mut self, now_ms: time::TimeMs, key: WorkerKey) {
+        let Some(worker) = self.workers.get(key) else {
+            return;
+        };
+        if !worker.leaving {
+            return;
+        }
+        let movable = |run: &&worker::Run| {
+            let job = &self.jobs[run.task.job];
+            let moves = job.is_service() || (job.spec.preemptible && job.spec.idempotent);
+            run.stop.is_none() && moves
+        };
+        let mut tasks: Vec<TaskKey> = worker
+            .runs
+            .iter()
+            .filter(movable)
+            .map(|run| run.task)
+            .collect();
+        if tasks.is_empty() {
+            return;
+        }
+        tasks.sort_unstable();
+        tasks.dedup_by_key(|task| task.job);
+        for task in tasks {
+            self.request_stop(now_ms, task, decision::StopReason::WorkerLeaving);
+        }
+        let at_ms = now_ms + DRAIN_INTERVAL_MS;
+        self.timers.set(at_ms, timer::Timer::Drain(key));
+    }
+
+    /// Lets the waiting tasks of restored jobs start.
+    pub(super) fn complete_recovery(&mut self) {
+        let recovering: Vec<JobKey> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| job.recovering)
+            .map(|(key, _)| key)
+            .collect();
+        for key in recovering {
+            self.jobs[key].recovering = false;
+            self.sync_job(key);
+        }
+    }
+
+    pub(super) fn restore_job(&mut self, now_ms: time::TimeMs, from: &snapshot::JobSnapshot) {
+        if self.jobs.key(&from.spec.id).is_some() {
+            return;
+        }
+        let key = self.insert_job(
+            now_ms,
+            &from.spec,
+            from.accepted_wall_ms,
+            from.first_index,
+            from.tasks,
+        );
+        self.jobs[key].recovering = true;
+        self.jobs[key].parked = from.parked;
+        for task in &from.started {
+            self.restore_task(now_ms, key, task);
+        }
+        self.jobs[key].state = self.jobs[key].current_state();
+        self.adopt_strays(now_ms, key);
+        if from.cancelled {
+            self.cancel(&from.spec.id);
+        }
+    }
+
+    fn restore_task(&mut self, now_ms: time::TimeMs, job: JobKey, from: &snapshot::TaskSnapshot) {
+        use snapshot::TaskSnapshotState;
+        let id = task::TaskId {
+            job: self.jobs[job].spec.id.clone(),
+            index: from.index,
+        };
+        let Some(task) = self.jobs.task_key(&id) else {
+            return;
+        };
+        let (stage, worker) = match &from.state {
+            TaskSnapshotState::Waiting => (lifecycle::Stage::Waiting, None),
+            TaskSnapshotState::Started { worker } => {
+                let worker = self.workers.key_or_insert(worker);
+                (lifecycle::Stage::Running, Some(worker))
+            }
+            TaskSnapshotState::Succeeded => (lifecycle::Stage::Succeeded, None),
+            TaskSnapshotState::Failed => (lifecycle::Stage::Failed, None),
+            TaskSnapshotState::Stopped => (lifecycle::Stage::Stopped, None),
+            TaskSnapshotState::Unknown => (lifecycle::Stage::Unknown, None),
+        };
+        let record = lifecycle::TaskRecord::restored(stage, from.attempt, worker);
+        self.set_task(now_ms, task, record);
+        if let Some(worker) = worker {
+            let need = self.jobs[job].need;
+            self.note_overcommitment(worker);
+            let run = self.listed_run(now_ms, task, from.attempt, need);
+            self.attach(worker, run);
+        }
+    }
+
+    pub(super) fn job_snapshot(&self, key: JobKey) -> snapshot::JobSnapshot {
+        let job = &self.jobs[key];
+        let records = (job.first_index..).zip(&job.tasks);
+        let started = records.filter_map(|(index, record)| self.task_snapshot(index, *record));
+        snapshot::JobSnapshot {
+            spec: Arc::clone(&job.spec),
+            accepted_wall_ms: job.accepted_wall_ms,
+            cancelled: job.cancelled,
+            parked: job.parked,
+            first_index: job.first_index,
+            tasks: u32::try_from(job.tasks.len()).unwrap_or(u32::MAX),
+            started: started.collect(),
+        }
+    }
+
+    fn task_snapshot(
+        &self,
+        index: u32,
+        record: lifecycle::TaskRecord,
+    ) -> Option<snapshot::TaskSnapshot> {
+        use lifecycle::Stage;
+        use snapshot::TaskSnapshotState;
+        let state = match record.stage() {
+            Stage::Waiting | Stage::BackingOff | Stage::Assigned => {
+                if record.attempt() == 0 {
+                    return None;
+                }
+                TaskSnapshotState::Waiting
+            }
+            Stage::Starting | Stage::Running | Stage::Stopping => TaskSnapshotState::Started {
+                worker: self.workers.get(record.worker()?)?.id.clone(),
+            },
+            Stage::Succeeded => TaskSnapshotState::Succeeded,
+            Stage::Failed => TaskSnapshotState::Failed,
+            Stage::Stopped => TaskSnapshotState::Stopped,
+            Stage::Unknown => TaskSnapshotState::Unknown,
+        };
+        Some(snapshot::TaskSnapshot {
+            index,
+            attempt: record.attempt(),
+            state,
+        })
+    }
+}
--- /dev/null
+++ b/crates/mangotrestle-core/src/scheduler/replicas.rs
@@ -0,0 +1,186 @@
+//! How many replicas of a service there should be: warm windows, and replicas that make up for
+//! those of another zone.
+
+use std::sync::Arc;
+
+use crate::id;
+use crate::job;
+use crate::time;
+
+use super::Scheduler;
+use super::config;
+use super::decision;
+use super::jobs::TaskKey;
+use super::lifecycle;
+use super::queue::JobKey;
+use super::timer;
+
+/// Length of a day.
+const DAY_MS: u64 = 24 * 60 * 60 * 1_000;
+
+/// How often warm windows are looked at.
+const WINDOW_CHECK_MS: time::SpanMs = time::SpanMs(1_000);
+
+/// Added to the measured start time of a service, for its time in the queue.
+const LEAD_MARGIN_MS: time::SpanMs = time::SpanMs(5_000);
+
+/// Relates the monotonic clock to the time of day.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Midnight {
+    read_at_ms: time::TimeMs,
+    time_of_day_ms: time::SpanMs,
+}
+
+impl Midnight {
+    fn time_of_day(&self, now_ms: time::TimeMs) -> u64 {
+        (self.time_of_day_ms.0 + now_ms.since(self.read_at_ms).0) % DAY_MS
+    }
+}
+
+/// Whether a window is open, or opens within the lead time.
+fn is_warm(window: &config::WarmWindow, time_of_day_ms: u64, lead: time::SpanMs) -> bool {
+    let length_ms = (DAY_MS + window.closes_ms.0 - window.opens_ms.0 % DAY_MS) % DAY_MS;
+    let lead_ms = lead.0.min(DAY_MS - length_ms);
+    let start_ms = (DAY_MS + window.opens_ms.0 - lead_ms) % DAY_MS;
+    let into_window_ms = (DAY_MS + time_of_day_ms - start_ms) % DAY_MS;
+    into_window_ms < length_ms + lead_ms
+}
+
+impl Scheduler {
+    pub(super) fn set_time_of_day(&mut self, now_ms: time::TimeMs, time_of_day_ms: time::SpanMs) {
+        self.midnight = Some(Midnight {
+            read_at_ms: now_ms,
+            time_of_day_ms,
+        });
+        self.update_warm_windows(now_ms);
+    }
+
+    /// Opens and closes warm windows, each ahead by the service's measured start time.
+    pub(super) fn update_warm_windows(&mut self, now_ms: time::TimeMs) {
+        let Some(midnight) = self.midnight else {
+            return;
+        };
+        if self.config.warm_windows.is_empty() {
+            return;
+        }
+        let time_of_day_ms = midnight.time_of_day(now_ms);
+        let services: Vec<id::JobId> = window_services(&self.config);
+        for id in services {
+            let Some(key) = self.service_key(&id) else {
+                continue;
+            };
+            let lead = self.families.start_time(self.jobs[key].family) + LEAD_MARGIN_MS;
+            let windows = self.config.warm_windows.iter();
+            let minimum = windows
+                .filter(|window| window.job == id && is_warm(window, time_of_day_ms, lead))
+                .map(|window| window.minimum)
+                .max()
+                .unwrap_or(0);
+            let wanted = minimum.min(job::MAX_TASKS).max(self.jobs[key].spec.tasks);
+            self.set_wanted(now_ms, key, wanted);
+        }
+        self.set_window_timer(now_ms);
+    }
+
+    fn set_window_timer(&mut self, now_ms: time::TimeMs) {
+        let due = self
+            .next_window_check_ms
+            .is_none_or(|at_ms| at_ms <= now_ms);
+        if due {
+            let at_ms = now_ms + WINDOW_CHECK_MS;
+            self.next_window_check_ms = Some(at_ms);
+            self.timers.set(at_ms, timer::Timer::WarmWindows);
+        }
+    }
+
+    /// Brings services back to their usual count that had windows in former settings only.
+    pub(super) fn close_windows(&mut self, now_ms: time::TimeMs, former: &config::SchedulerConfig) {
+        let kept = window_services(&self.config);
+        for id in window_services(former) {
+            if kept.contains(&id) {
+                continue;
+            }
+            if let Some(key) = self.service_key(&id) {
+                let wanted = self.jobs[key].spec.tasks;
+                self.set_wanted(now_ms, key, wanted);
+            }
+        }
+    }
+
+    /// A service that is homed here.
+    fn service_key(&self, id: &id::JobId) -> Option<JobKey> {
+        let key = self.jobs.key(id)?;
+        let job = &self.jobs[key];
+        (job.is_service() && job.first_index == 0 && !job.cancelled).then_some(key)
+    }
+
+    pub(super) fn set_extra_replicas(
+        &mut self,
+        now_ms: time::TimeMs,
+        spec: &Arc<job::JobSpec>,
+        first_index: u32,
+        count: u32,
+    ) {
+        if spec.kind != job::JobKind::Service || first_index == 0 {
+            return;
+        }
+        let count = count.min(job::MAX_TASKS);
+        let key = match self.jobs.key(&spec.id) {
+            Some(key) if self.jobs[key].first_index == first_index => key,
+            Some(_) => return,
+            None => {
+                let accepted_wall_ms = time::WallTimeMs(0);
+                let key = self.insert_job(now_ms, spec, accepted_wall_ms, first_index, count);
+                self.adopt_strays(now_ms, key);
+                self.sync_job(key);
+                key
+            }
+        };
+        self.set_wanted(now_ms, key, count);
+    }
+
+    /// Sets how many replicas of a service are wanted. Idempotent.
+    fn set_wanted(&mut self, now_ms: time::TimeMs, key: JobKey, wanted: u32) {
+        let former = std::mem::replace(&mut self.jobs[key].wanted, wanted);
+        if former == wanted {
+            return;
+        }
+        self.add_tasks(now_ms, key, wanted);
+        for position in former..wanted {
+            let task = TaskKey { job: key, position };
+            let record = self.jobs.record(task);
+            if let Some(stopped) = record.and_then(lifecycle::TaskRecord::stopped) {
+                self.set_task(now_ms, task, stopped.resume().into_record());
+            }
+        }
+        for position in wanted..former {
+            let task = TaskKey { job: key, position };
+            self.stop_if_unwanted(now_ms, task);
+            self.request_stop(now_ms, task, decision::StopReason::Surplus);
+        }
+        self.sync_job(key);
+    }
+
+    fn add_tasks(&mut self, now_ms: time::TimeMs, key: JobKey, wanted: u32) {
+        let job = &mut self.jobs[key];
+        let present = u32::try_from(job.tasks.len()).unwrap_or(u32::MAX);
+        for position in present..wanted {
+            job.tasks.push(lifecycle::TaskRecord::new());
+            job.waiting.push(position);
+            job.counts.waiting += 1;
+            job.ready += 1;
+            job.ready_since_ms = now_ms;
+        }
+    }
+}
+
+fn window_services(config: &config::SchedulerConfig) -> Vec<id::JobId> {
+    let mut services: Vec<id::JobId> = config
+        .warm_windows
+        .iter()
+        .map(|window| window.job.clone())
+        .collect();
+    services.sort_unstable();
+    services.dedup();
+    services
+}
--- /dev/null
+++ b/crates/mangotrestle-core/src/scheduler/rounds.rs
@@ -0,0 +1,198 @@
+//! Decision rounds: timers, stops and starts, in bounded portions.
+
+use crate::time;
+
+use super::Scheduler;
+use super::decision;
+use super::index::WorkerKey;
+use super::jobs::TaskKey;
+use super::placing::Placement;
+use super::queue::JobKey;
+use super::timer;
+
+/// Task records that one round looks at for cancelled jobs.
+const SWEPT_TASKS_PER_ROUND: u32 = 4_096;
+
+/// Attempts to place something, for each decision that a round may still make.
+const ATTEMPTS_PER_DECISION: usize = 2;
+
+/// A cancelled job whose tasks are being stopped.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct CancelSweep {
+    pub(super) job: JobKey,
+    pub(super) next_position: u32,
+}
+
+impl Scheduler {
+    pub(super) fn has_work(&self) -> bool {
+        self.queue.is_ready()
+            || !self.filled_holds.is_empty()
+            || !self.cancelling.is_empty()
+            || !self.stops.is_empty()
+            || !self.notices.is_empty()
+    }
+
+    pub(super) fn run_round(
+        &mut self,
+        now_ms: time::TimeMs,
+        max_decisions: usize,
+        decisions: &mut Vec<decision::Decision>,
+    ) -> bool {
+        let end = decisions.len() + max_decisions;
+        while let Some(timer) = self.timers.pop_due(now_ms) {
+            self.fire(now_ms, timer);
+        }
+        self.sweep_cancelled(now_ms);
+        let starts_wait = self.queue.is_ready() || !self.filled_holds.is_empty();
+        let stops_end = if starts_wait {
+            decisions.len() + max_decisions.div_ceil(2)
+        } else {
+            end
+        };
+        self.send_stops(now_ms, stops_end, decisions);
+        self.send_notices(stops_end, decisions);
+        self.start_on_holds(now_ms, decisions);
+        self.place_waiting(now_ms, end, decisions);
+        self.send_stops(now_ms, end, decisions);
+        self.send_notices(end, decisions);
+        self.has_work()
+    }
+
+    fn fire(&mut self, now_ms: time::TimeMs, timer: timer::Timer) {
+        match timer {
+            timer::Timer::Retry(task) => self.retry(now_ms, task),
+            timer::Timer::ResendStop(ticket) => self.stops.push_back(ticket),
+            timer::Timer::ReleaseHold(task) => self.release_hold(now_ms, task),
+            timer::Timer::Resume(worker) => self.resume(now_ms, worker),
+            timer::Timer::Probe(worker) => self.offer_probe(worker),
+            timer::Timer::Relieve(worker) => self.relieve(now_ms, worker),
+            timer::Timer::Drain(worker) => self.drain(now_ms, worker),
+            timer::Timer::CheckFits(job) => self.check_fits(now_ms, job),
+            timer::Timer::WarmWindows => self.update_warm_windows(now_ms),
+        }
+    }
+
+    /// Ends a pause, unless it was prolonged meanwhile.
+    fn resume(&mut self, now_ms: time::TimeMs, key: WorkerKey) {
+        let Some(worker) = self.workers.get_mut(key) else {
+            return;
+        };
+        if worker
+            .paused_until_ms
+            .is_some_and(|until_ms| until_ms <= now_ms)
+        {
+            worker.paused_until_ms = None;
+            self.refresh(key);
+        }
+    }
+
+    /// Stops the tasks of cancelled jobs, a bounded number at a time.
+    fn sweep_cancelled(&mut self, now_ms: time::TimeMs) {
+        let mut budget = SWEPT_TASKS_PER_ROUND;
+        while budget > 0 {
+            let Some(mut sweep) = self.cancelling.pop_front() else {
+                return;
+            };
+            let Some(job) = self.jobs.get(sweep.job).filter(|job| job.cancelled) else {
+                continue;
+            };
+            let count = u32::try_from(job.tasks.len()).unwrap_or(u32::MAX);
+            let end = count.min(sweep.next_position.saturating_add(budget));
+            budget -= end.saturating_sub(sweep.next_position).max(1);
+            for position in sweep.next_position..end {
+                let task = TaskKey {
+                    job: sweep.job,
+                    position,
+                };
+                self.stop_if_unwanted(now_ms, task);
+                self.request_stop(now_ms, task, decision::StopReason::Cancelled);
+            }
+            sweep.next_position = end;
+            if end < count {
+                self.cancelling.push_front(sweep);
+            }
+        }
+    }
+
+    fn send_stops(
+        &mut self,
+        now_ms: time::TimeMs,
+        end: usize,
+        decisions: &mut Vec<decision::Decision>,
+    ) {
+        while decisions.len() < end {
+            let Some(ticket) = self.stops.pop_front() else {
+                return;
+            };
+            if let Some(stop) = self.stop_decision(&ticket) {
+                decisions.push(stop);
+                let at_ms = now_ms + self.config.stop_resend_ms;
+                self.timers.set(at_ms, timer::Timer::ResendStop(ticket));
+            }
+        }
+    }
+
+    fn stop_decision(&self, ticket: &timer::StopTicket) -> Option<decision::Decision> {
+        match ticket {
+            timer::StopTicket::Known { task, attempt } => {
+                let record = self.jobs.record(*task)?;
+                let worker = self.workers.get(record.worker()?)?;
+                let run = worker.run(*task).filter(|run| run.attempt == *attempt)?;
+                let reason = run.stop?;
+                Some(decision::Decision::Stop {
+                    run: self.jobs[task.job].run_id(task.position),
+                    worker: worker.id.clone(),
+                    checkpoint: self.wants_checkpoint(*task, reason),
+                    reason,
+                })
+            }
+            timer::StopTicket::Stray(run) => {
+                let worker = self.workers.get(*self.strays.get(run)?)?;
+                Some(decision::Decision::Stop {
+                    run: run.clone(),
+                    worker: worker.id.clone(),
+                    checkpoint: false,
+                    reason: decision::StopReason::Superseded,
+                })
+            }
+        }
+    }
+
+    fn send_notices(&mut self, end: usize, decisions: &mut Vec<decision::Decision>) {
+        let count = end.saturating_sub(decisions.len()).min(self.notices.len());
+        decisions.extend(self.notices.drain(..count));
+    }
+
+    fn start_on_holds(&mut self, now_ms: time::TimeMs, decisions: &mut Vec<decision::Decision>) {
+        for task in std::mem::take(&mut self.filled_holds) {
+            self.start_assigned(now_ms, task, decisions);
+        }
+    }
+
+    fn place_waiting(
+        &mut self,
+        now_ms: time::TimeMs,
+        end: usize,
+        decisions: &mut Vec<decision::Decision>,
+    ) {
+        let room = end.saturating_sub(decisions.len());
+        for _ in 0..room.saturating_mul(ATTEMPTS_PER_DECISION) {
+            if decisions.len() >= end {
+                return;
+            }
+            let Some(head) = self.queue.head() else {
+                return;
+            };
+            let placement = if head.shape.gang_tasks > 0 {
+                self.place_gang(now_ms, &head, decisions)
+            } else {
+                self.place_next(now_ms, &head, decisions)
+            };
+            match placement {
+                Placement::Started | Placement::Assigned => {}
+                Placement::NoRoom => self.queue.block(&head),
+                Placement::OverQuota => self.queue.hold_over_quota(&head),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/mangotrestle-core/src/scheduler/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of the scheduler parts that only private items show.
--- a/crates/mangotrestle-core/src/scheduler/view.rs
+++ b/crates/mangotrestle-core/src/scheduler/view.rs
@@ -96,10 +96,10 @@
 pub struct WorkerView {
     /// The worker.
     pub id: id::WorkerId,
-    /// Its rack.
-    pub rack: id::RackId,
-    /// Its availability zone.
-    pub availability_zone: id::AvailabilityZoneId,
+    /// Its rack; unset until it has listed itself.
+    pub rack: Option<id::RackId>,
+    /// Its availability zone; unset until it has listed itself.
+    pub availability_zone: Option<id::AvailabilityZoneId>,
     /// What it holds.
     pub capacity: resources::Resources,
     /// What is free for new work.
@@ -158,7 +158,7 @@
         /// On how many workers.
         workers: u32,
     },
-    /// {workers} workers are reserved for gangs
+    /// {workers} workers with room are kept for gangs or for accelerators
     Reserved {
         /// On how many workers.
         workers: u32,
--- /dev/null
+++ b/crates/mangotrestle-core/src/scheduler/worker.rs
@@ -0,0 +1,242 @@
+//! Workers and what is booked on them.
+
+use std::ops::{Index, IndexMut};
+
+use smallvec::SmallVec;
+
+use crate::collections;
+use crate::id;
+use crate::task;
+use crate::time;
+
+use super::amount;
+use super::decision;
+use super::index::WorkerKey;
+use super::jobs::TaskKey;
+use super::queue::JobKey;
+
+/// A run that starts, runs or stops on a worker.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Run {
+    pub(super) task: TaskKey,
+    pub(super) attempt: u32,
+    /// What the run was started with.
+    pub(super) need: amount::Amount,
+    /// The need or the measured use, whichever is greater.
+    pub(super) booked: amount::Amount,
+    /// Greatest measured use.
+    pub(super) peak: amount::Amount,
+    pub(super) started_ms: time::TimeMs,
+    /// Start or last checkpoint; what was done since is lost by stopping the run.
+    pub(super) saved_ms: time::TimeMs,
+    pub(super) expected_end_ms: Option<time::TimeMs>,
+    pub(super) stop: Option<decision::StopReason>,
+    pub(super) throttled: bool,
+}
+
+/// A run that a worker lists and that is not the known run of any task.
+#[derive(Clone, Debug)]
+pub(super) struct Stray {
+    pub(super) run: task::RunId,
+    pub(super) need: amount::Amount,
+    pub(super) stopping: bool,
+}
+
+/// Room kept for a task while lower work is stopped.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Hold {
+    pub(super) task: TaskKey,
+    pub(super) need: amount::Amount,
+}
+
+/// Whether a worker is trusted with work.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Trust {
+    Trusted,
+    Quarantined,
+    /// May get one run as a probe.
+    Probing,
+}
+
+/// One worker.
+#[derive(Debug)]
+pub(super) struct Worker {
+    pub(super) id: id::WorkerId,
+    pub(super) rack: u32,
+    pub(super) availability_zone: Option<id::AvailabilityZoneId>,
+    pub(super) capacity: amount::Amount,
+    pub(super) runs: Vec<Run>,
+    pub(super) strays: Vec<Stray>,
+    pub(super) holds: SmallVec<[Hold; 1]>,
+    /// Tasks of unknown outcome that only this worker can tell about.
+    pub(super) awaited: Vec<TaskKey>,
+    pub(super) booked: amount::Amount,
+    pub(super) held: amount::Amount,
+    pub(super) reachable: bool,
+    pub(super) leaving: bool,
+    pub(super) paused_until_ms: Option<time::TimeMs>,
+    pub(super) trust: Trust,
+    pub(super) quarantines: u32,
+    pub(super) failed_jobs: SmallVec<[JobKey; 4]>,
+    pub(super) failures_in_row: u32,
+    pub(super) reserved_by: Option<JobKey>,
+    pub(super) over_since_ms: Option<time::TimeMs>,
+    /// Whether a listing or a measurement, and no decision, put it over its capacity.
+    pub(super) overcommitted: bool,
+}
+
+impl Worker {
+    fn new(id: id::WorkerId) -> Self {
+        Self {
+            id,
+            rack: 0,
+            availability_zone: None,
+            capacity: amount::Amount::default(),
+            runs: Vec::new(),
+            strays: Vec::new(),
+            holds: SmallVec::new(),
+            awaited: Vec::new(),
+            booked: amount::Amount::default(),
+            held: amount::Amount::default(),
+            reachable: false,
+            leaving: false,
+            paused_until_ms: None,
+            trust: Trust::Trusted,
+            quarantines: 0,
+            failed_jobs: SmallVec::new(),
+            failures_in_row: 0,
+            reserved_by: None,
+            over_since_ms: None,
+            overcommitted: false,
+        }
+    }
+
+    /// Whether it answers and stays.
+    pub(super) fn is_present(&self) -> bool {
+        self.reachable && !self.leaving
+    }
+
+    /// Whether ordinary work may go there.
+    pub(super) fn is_usable(&self) -> bool {
+        self.is_present() && self.paused_until_ms.is_none() && self.trust == Trust::Trusted
+    }
+
+    /// What is free for new work.
+    pub(super) fn free(&self) -> amount::Amount {
+        self.capacity.minus(&self.booked.plus(&self.held))
+    }
+
+    pub(super) fn is_accelerator_host(&self) -> bool {
+        self.capacity.accelerators > 0
+    }
+
+    pub(super) fn run(&self, task: TaskKey) -> Option<&Run> {
+        self.runs.iter().find(|run| run.task == task)
+    }
+
+    pub(super) fn run_mut(&mut self, task: TaskKey) -> Option<&mut Run> {
+        self.runs.iter_mut().find(|run| run.task == task)
+    }
+
+    /// Sums up what is booked and held. A worker has few runs, and sums that are made anew cannot
+    /// drift from them.
+    pub(super) fn recompute(&mut self) {
+        let runs = self.runs.iter().map(|run| &run.booked);
+        let strays = self.strays.iter().map(|stray| &stray.need);
+        self.booked = sum(runs.chain(strays));
+        self.held = sum(self.holds.iter().map(|hold| &hold.need));
+        if self.booked.fits_in(&self.capacity) {
+            self.overcommitted = false;
+        }
+    }
+}
+
+fn sum<'a>(amounts: impl Iterator<Item = &'a amount::Amount>) -> amount::Amount {
+    amounts.fold(amount::Amount::default(), |sum, amount| sum.plus(amount))
+}
+
+/// All workers, and their racks by number.
+#[derive(Debug, Default)]
+pub(super) struct Workers {
+    entries: Vec<Option<Worker>>,
+    free_keys: Vec<WorkerKey>,
+    keys: collections::FastMap<id::WorkerId, WorkerKey>,
+    racks: Vec<id::RackId>,
+    rack_keys: collections::FastMap<id::RackId, u32>,
+}
+
+impl Workers {
+    pub(super) fn key(&self, id: &id::WorkerId) -> Option<WorkerKey> {
+        self.keys.get(id).copied()
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.keys.len()
+    }
+
+    /// Key of a worker, which is entered as unreachable and empty at the first sight.
+    pub(super) fn key_or_insert(&mut self, id: &id::WorkerId) -> WorkerKey {
+        if let Some(key) = self.key(id) {
+            return key;
+        }
+        let worker = Some(Worker::new(id.clone()));
+        let key = if let Some(key) = self.free_keys.pop() {
+            self.entries[key as usize] = worker;
+            key
+        } else {
+            self.entries.push(worker);
+            WorkerKey::try_from(self.entries.len() - 1).unwrap_or(WorkerKey::MAX)
+        };
+        self.keys.insert(id.clone(), key);
+        key
+    }
+
+    pub(super) fn remove(&mut self, key: WorkerKey) {
+        if let Some(worker) = self.entries[key as usize].take() {
+            self.keys.remove(&worker.id);
+            self.free_keys.push(key);
+        }
+    }
+
+    pub(super) fn get(&self, key: WorkerKey) -> Option<&Worker> {
+        self.entries.get(key as usize)?.as_ref()
+    }
+
+    pub(super) fn get_mut(&mut self, key: WorkerKey) -> Option<&mut Worker> {
+        self.entries.get_mut(key as usize)?.as_mut()
+    }
+
+    pub(super) fn iter(&self) -> impl Iterator<Item = (WorkerKey, &Worker)> {
+        (0..)
+            .zip(&self.entries)
+            .filter_map(|(key, worker)| Some((key, worker.as_ref()?)))
+    }
+
+    pub(super) fn rack_key(&mut self, rack: &id::RackId) -> u32 {
+        if let Some(&key) = self.rack_keys.get(rack) {
+            return key;
+        }
+        let key = u32::try_from(self.racks.len()).unwrap_or(u32::MAX);
+        self.racks.push(rack.clone());
+        self.rack_keys.insert(rack.clone(), key);
+        key
+    }
+
+    pub(super) fn rack(&self, key: u32) -> Option<&id::RackId> {
+        self.racks.get(key as usize)
+    }
+}
+
+impl Index<WorkerKey> for Workers {
+    type Output = Worker;
+
+    fn index(&self, key: WorkerKey) -> &Worker {
+        self.get(key).expect("the key is of a known worker")
+    }
+}
+
+impl IndexMut<WorkerKey> for Workers {
+    fn index_mut(&mut self, key: WorkerKey) -> &mut Worker {
+        self.get_mut(key).expect("the key is of a known worker")
+    }
+}
