Accept commands without a leader, through an inbox in the table

A command's effect now includes a row in the pool's inbox, so any entry host can accept a command while a pool is between two leaders.

--- a/crates/mangotrestle-core/src/pool/command.rs
+++ b/crates/mangotrestle-core/src/pool/command.rs
@@ -48,6 +48,13 @@
         /// The message.
         request: message::StopRequest,
     },
+    /// Follow the ends of runs on a worker; renewals bring what such a stream misses.
+    Watch {
+        /// The worker.
+        worker: id::WorkerId,
+        /// The message.
+        request: message::WatchRequest,
+    },
     /// The targets of services changed.
     RoutesChanged {
         /// The services.
--- a/crates/mangotrestle-core/src/pool/mod.rs
+++ b/crates/mangotrestle-core/src/pool/mod.rs
@@ -256,6 +256,13 @@
             epoch: granted.epoch,
             running: granted.running.len(),
         }));
+        commands.push(PoolCommand::Watch {
+            worker: worker.clone(),
+            request: message::WatchRequest {
+                worker_incarnation: granted.worker_incarnation,
+                epoch: granted.epoch,
+            },
+        });
         self.tenure.hold(worker.clone(), granted);
         if self.tenure.is_loaded() {
             self.take_listing(now, worker, commands);
--- a/crates/mangotrestle-platform/src/pool_store/load.rs
+++ b/crates/mangotrestle-platform/src/pool_store/load.rs
@@ -2,6 +2,7 @@
 
 use mangotrestle_core::id;
 use mangotrestle_core::journal;
+use mangotrestle_core::lease::roster;
 
 use super::{LoadError, PoolStore, Tail, snapshot};
 use crate::object_store;
@@ -35,7 +36,7 @@
     /// The reference to the snapshot, with its version.
     pub snapshot: Option<(schema::SnapshotReference, table::Version)>,
     /// The roster, with its version in the table.
-    pub roster: Option<(schema::RosterRow, table::Version)>,
+    pub roster: Option<(roster::Roster, table::Version)>,
     /// What was unusual.
     pub notes: Vec<Note>,
 }
@@ -93,7 +94,7 @@
     /// Those of the table.
     pub async fn roster(
         &self,
-    ) -> Result<Option<(schema::RosterRow, table::Version)>, table::TableError> {
+    ) -> Result<Option<(roster::Roster, table::Version)>, table::TableError> {
         let row = self.table.get(&schema::roster_key(&self.pool)).await?;
         row.map(|row| Ok((row.decode()?, row.version))).transpose()
     }
@@ -105,7 +106,7 @@
     /// [`table::TableError::Conflict`] if another roster was written.
     pub async fn write_roster(
         &self,
-        roster: &schema::RosterRow,
+        roster: &roster::Roster,
         expected: Option<table::Version>,
     ) -> Result<table::Committed, table::TableError> {
         let key = schema::roster_key(&self.pool);
--- a/crates/mangotrestle-platform/src/schema.rs
+++ b/crates/mangotrestle-platform/src/schema.rs
@@ -4,9 +4,11 @@
 //! | --- | --- | --- |
 //! | `job/<job>` | [`JobHome`] | the entry host that accepts the job |
 //! | `pool/<pool>/job/<job>` | [`JobRow`] | the same, in the same transaction |
+//! | `pool/<pool>/worker/<worker>` | [`WorkerRow`] | the entry host that accepts the command |
+//! | `pool/<pool>/inbox/<wall time>-<command>` | [`InboxRow`] | the same; deleted by the leader |
 //! | `pool/<pool>/journal/<sequence>` | [`JournalRow`] | the pool's acting leader |
 //! | `pool/<pool>/snapshot` | [`SnapshotReference`] | the pool's acting leader |
-//! | `pool/<pool>/roster` | [`RosterRow`] | the pool's acting leader |
+//! | `pool/<pool>/roster` | [`Roster`](mangotrestle_core::lease::roster::Roster) | the pool's acting leader |
 //! | `command/<command>` | [`CommandRow`] | with the effect of the command |
 //! | `audit/<wall time>-<command>` | [`AuditRow`] | with the effect of the command |
 //! | `config/head` | [`ConfigHead`] | with a new configuration version |
@@ -21,7 +23,6 @@
 use mangotrestle_core::id;
 use mangotrestle_core::job;
 use mangotrestle_core::journal;
-use mangotrestle_core::lease::message;
 use mangotrestle_core::result_code;
 use mangotrestle_core::time;
 use serde::{Deserialize, Serialize};
@@ -68,6 +69,24 @@
     format!("pool/{pool}/roster")
 }
 
+/// Common start of the keys of a pool's inbox.
+#[must_use]
+pub fn inbox_prefix(pool: &id::PoolId) -> String {
+    format!("pool/{pool}/inbox/")
+}
+
+/// Key of an accepted command in a pool's inbox; keys rise with the wall time.
+#[must_use]
+pub fn inbox_key(pool: &id::PoolId, wall_ms: time::WallTimeMs, command: &id::CommandId) -> String {
+    format!("pool/{pool}/inbox/{:012x}-{command}", wall_ms.0)
+}
+
+/// Key of an operator's mark on a worker.
+#[must_use]
+pub fn worker_key(pool: &id::PoolId, worker: &id::WorkerId) -> String {
+    format!("pool/{pool}/worker/{worker}")
+}
+
 /// Common start of the keys of commands' answers.
 pub const COMMAND_PREFIX: &str = "command/";
 
@@ -136,6 +155,35 @@
     pub spec: job::JobSpec,
     /// When it was accepted.
     pub accepted_wall_ms: time::WallTimeMs,
+    /// Counts the operators' commands about the job, from 1 at its acceptance.
+    #[serde(default = "first_revision")]
+    pub revision: u64,
+    /// Whether an operator cancelled it.
+    #[serde(default)]
+    pub cancelled: bool,
+}
+
+const fn first_revision() -> u64 {
+    1
+}
+
+/// An operator's mark on a worker.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct WorkerRow {
+    /// Counts the commands about the worker, from 1.
+    pub revision: u64,
+    /// Whether it takes no new work.
+    pub draining: bool,
+}
+
+/// An accepted command that the pool's leader has not journalled yet.
+///
+/// Whichever entry host accepts a command writes this row in the same transaction; the leader
+/// deletes it once its journal holds the record. Accepting a command therefore needs no leader.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct InboxRow {
+    /// What the leader has to fold in.
+    pub record: journal::Record,
 }
 
 /// Who writes a journal.
@@ -177,24 +225,6 @@
     pub previous: Option<StoredSnapshot>,
 }
 
-/// A member of a roster.
-#[derive(Clone, Debug, Eq, Hash, PartialEq, Serialize, Deserialize)]
-pub struct RosterMember {
-    /// The worker.
-    pub worker: id::WorkerId,
-    /// One life of the worker.
-    pub incarnation: id::Incarnation,
-}
-
-/// Who votes on a pool's leader.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
-pub struct RosterRow {
-    /// Version of the roster.
-    pub version: message::RosterVersion,
-    /// Its members.
-    pub members: Vec<RosterMember>,
-}
-
 /// First answer to a command.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct CommandRow {
