Carry slot shares, inbox notices and operators' questions between entry hosts

Commands are accepted through the table, so the leader needs no forwarded commands; it needs a hint that its inbox changed. Shares use the ledger's own request and grant, whose numbers the safety of shares rests on.

--- a/crates/mangotrestle-peer/src/client.rs
+++ b/crates/mangotrestle-peer/src/client.rs
@@ -98,17 +98,22 @@
         self.long_calls.routes(request).await.map_err(classify)
     }
 
-    /// Forwards a command to a pool's leader.
+    /// Says that a pool's inbox has something new.
     ///
     /// # Errors
     ///
-    /// After [`PeerError::NoAnswer`] the command may have been executed; send it again with its
-    /// identifier.
-    pub async fn forward(
-        &self,
-        request: message::ForwardRequest,
-    ) -> Result<message::ForwardAnswer, PeerError> {
-        self.calls.forward(request).await.map_err(classify)
+    /// [`PeerError`]; the leader then finds it at its next look.
+    pub async fn inbox_changed(&self, notice: message::InboxNotice) -> Result<(), PeerError> {
+        self.calls.inbox_changed(notice).await.map_err(classify)
+    }
+
+    /// Passes an operator's question on.
+    ///
+    /// # Errors
+    ///
+    /// [`PeerError`].
+    pub async fn query(&self, question: serde_json::Value) -> Result<serde_json::Value, PeerError> {
+        self.calls.query(question).await.map_err(classify)
     }
 
     /// Fetches changes of a pool's jobs from its leader.
--- a/crates/mangotrestle-peer/src/message.rs
+++ b/crates/mangotrestle-peer/src/message.rs
@@ -2,8 +2,8 @@
 
 use mangotrestle_core::id;
 use mangotrestle_core::job;
-use mangotrestle_core::journal;
 use mangotrestle_core::result_code;
+use mangotrestle_core::routing::slot_share;
 use mangotrestle_core::time;
 use serde::{Deserialize, Serialize};
 
@@ -93,9 +93,9 @@
     /// Leader whose routes the asking host holds, with its incarnation.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub holds: Option<RoutesVersion>,
-    /// Requests in flight or waiting for each target, so that shares follow demand.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub demand: Vec<TargetDemand>,
+    /// Asks for shares of the pool's workers as well.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub shares: Option<slot_share::ShareRequest>,
     /// Time for which the leader may hold the answer back until there is news.
     #[serde(default)]
     pub wait_ms: time::SpanMs,
@@ -112,17 +112,6 @@
     pub version: u64,
 }
 
-/// How much an entry host has for a target.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
-pub struct TargetDemand {
-    /// Worker of the target.
-    pub worker: id::WorkerId,
-    /// Requests in flight.
-    pub in_flight: u32,
-    /// Requests that wait.
-    pub waiting: u32,
-}
-
 /// Targets of a pool, as a difference to what the asking host holds.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct RoutesAnswer {
@@ -137,12 +126,9 @@
     /// Targets that are gone.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub removed: Vec<TargetKey>,
-    /// Slot shares of the asking host, all of them each time.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub shares: Vec<SlotShare>,
-    /// Time for which the shares hold, counted from when the request was *sent*.
-    #[serde(default)]
-    pub shares_valid_ms: time::SpanMs,
+    /// Shares of the pool's workers for the asking host.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub grant: Option<slot_share::ShareGrant>,
 }
 
 /// Names a replica of a service.
@@ -159,8 +145,8 @@
 pub struct RouteTarget {
     /// The replica.
     pub key: TargetKey,
-    /// Number of the run.
-    pub attempt: u32,
+    /// Team that owns the service.
+    pub team: id::TeamId,
     /// Worker that it runs on.
     pub worker: id::WorkerId,
     /// Its availability zone.
@@ -172,86 +158,11 @@
     pub leaving: bool,
 }
 
-/// Slots of a worker that an entry host may use.
+/// Says that something was put into a pool's inbox, so that its leader need not wait to look.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
-pub struct SlotShare {
-    /// The worker.
-    pub worker: id::WorkerId,
-    /// Requests that the entry host may have in flight there.
-    pub slots: u32,
-    /// Connections that it may hold there.
-    pub connections: u32,
-}
-
-/// An operator's command on its way to a pool's leader.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct ForwardRequest {
+pub struct InboxNotice {
     /// The pool.
     pub pool: id::PoolId,
-    /// Identifier of the command.
-    pub command: id::CommandId,
-    /// Who sent it.
-    pub operator: String,
-    /// Revision that it was based on; unset skips the check.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub based_on: Option<u64>,
-    /// What to do.
-    pub action: ForwardAction,
-}
-
-/// What a pool's leader is asked to do.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case", tag = "kind")]
-pub enum ForwardAction {
-    /// A job was accepted in the table; take it up.
-    JobAccepted {
-        /// The job.
-        spec: Box<job::JobSpec>,
-        /// When it was accepted.
-        accepted_wall_ms: time::WallTimeMs,
-    },
-    /// Cancel a job.
-    Cancel {
-        /// The job.
-        job: id::JobId,
-    },
-    /// Try a parked job again.
-    Release {
-        /// The job.
-        job: id::JobId,
-    },
-    /// Decide about a task whose end is unknown.
-    Resolve {
-        /// The task's job.
-        job: id::JobId,
-        /// Index of the task.
-        index: u32,
-        /// The operator's word.
-        resolution: journal::Resolution,
-    },
-    /// Mark a worker as draining, or take the mark back.
-    Drain {
-        /// The worker.
-        worker: id::WorkerId,
-        /// Whether it takes no new work.
-        draining: bool,
-    },
-}
-
-/// A leader's answer to a forwarded command.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
-pub struct ForwardAnswer {
-    /// Outcome.
-    pub code: result_code::ResultCode,
-    /// For the operator.
-    #[serde(default)]
-    pub message: String,
-    /// Revision of the changed thing after the command, or its present one after a conflict.
-    #[serde(default)]
-    pub revision: u64,
-    /// When to try again, for refusals that pass; 0 if trying again is of no use.
-    #[serde(default)]
-    pub retry_after_ms: u64,
 }
 
 /// Asks a pool's leader for what a successor needs when the store is down.
--- a/crates/mangotrestle-peer/src/server.rs
+++ b/crates/mangotrestle-peer/src/server.rs
@@ -36,11 +36,18 @@
         request: message::RoutesRequest,
     ) -> impl Future<Output = Result<message::RoutesAnswer, result_code::ResultCode>> + Send;
 
-    /// Executes a command on a pool that this host leads.
-    fn forward(
+    /// Takes note that a pool's inbox has something new.
+    fn inbox_changed(
         &self,
-        request: message::ForwardRequest,
-    ) -> impl Future<Output = Result<message::ForwardAnswer, result_code::ResultCode>> + Send;
+        notice: message::InboxNotice,
+    ) -> impl Future<Output = Result<(), result_code::ResultCode>> + Send;
+
+    /// Answers an operator's question that another entry host passes on. Question and answer are
+    /// the daemon's own types.
+    fn query(
+        &self,
+        question: serde_json::Value,
+    ) -> impl Future<Output = Result<serde_json::Value, result_code::ResultCode>> + Send;
 
     /// Gives the jobs of a pool that this host leads.
     fn pool_summary(
@@ -60,8 +67,11 @@
     #[method(name = "routes")]
     async fn routes(&self, message: message::RoutesRequest) -> RpcResult<message::RoutesAnswer>;
 
-    #[method(name = "forward")]
-    async fn forward(&self, message: message::ForwardRequest) -> RpcResult<message::ForwardAnswer>;
+    #[method(name = "inbox_changed")]
+    async fn inbox_changed(&self, message: message::InboxNotice) -> RpcResult<()>;
+
+    #[method(name = "query")]
+    async fn query(&self, message: serde_json::Value) -> RpcResult<serde_json::Value>;
 
     #[method(name = "pool_summary")]
     async fn pool_summary(
@@ -91,8 +101,12 @@
         self.backend.routes(message).await.map_err(error)
     }
 
-    async fn forward(&self, message: message::ForwardRequest) -> RpcResult<message::ForwardAnswer> {
-        self.backend.forward(message).await.map_err(error)
+    async fn inbox_changed(&self, message: message::InboxNotice) -> RpcResult<()> {
+        self.backend.inbox_changed(message).await.map_err(error)
+    }
+
+    async fn query(&self, message: serde_json::Value) -> RpcResult<serde_json::Value> {
+        self.backend.query(message).await.map_err(error)
     }
 
     async fn pool_summary(
