Add the operators' commands, job files and exit codes

Every command that changes state carries an identifier, which is shown before it is sent, so that a command whose answer is lost can be sent again without a second effect. argh reads common options only in front of the subcommand, so they are moved there first. Faults in job files come with line, column and field, taken from the spans of the toml library.

--- a/crates/mangotrestle-operator/src/client.rs
+++ b/crates/mangotrestle-operator/src/client.rs
@@ -169,6 +169,11 @@
         self.options.endpoints[self.current]
     }
 
+    /// Closes the connection; the next call opens one to the same entry host first.
+    pub fn disconnect(&mut self) {
+        self.connected = None;
+    }
+
     /// Submits a job.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/mangotrestle/src/command/exit_code.rs
@@ -0,0 +1,83 @@
+//! Exit codes of the binary. `docs/operators/command-line.md` lists them; a test holds the two
+//! together.
+
+use std::process;
+
+use mangotrestle_core::result_code::ResultCode;
+
+/// How a run of the binary ends.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[repr(u8)]
+pub enum ExitCode {
+    /// Done as asked.
+    Ok = 0,
+    /// A fault inside the system or of the machine.
+    Internal = 1,
+    /// The command line, a setting, a file or a field is wrong.
+    Usage = 2,
+    /// The token is missing, not known, or may not do this.
+    Unauthorized = 3,
+    /// There is nothing with this name.
+    NotFound = 4,
+    /// The state is not the one that the command was based on, or the name is taken.
+    Conflict = 5,
+    /// Refused for good, such as by a quota.
+    Refused = 6,
+    /// Not done; the same command may succeed later.
+    TryLater = 7,
+    /// It is not known whether the command had an effect; send it again with the same identifier.
+    Unknown = 8,
+    /// `job wait`: the job ended other than succeeded.
+    JobFailed = 9,
+    /// `job wait`: the job did not end in time.
+    TimedOut = 10,
+}
+
+impl ExitCode {
+    /// All codes, by number.
+    pub const ALL: &'static [Self] = &[
+        Self::Ok,
+        Self::Internal,
+        Self::Usage,
+        Self::Unauthorized,
+        Self::NotFound,
+        Self::Conflict,
+        Self::Refused,
+        Self::TryLater,
+        Self::Unknown,
+        Self::JobFailed,
+        Self::TimedOut,
+    ];
+
+    /// The exit code for a command that ended with a result code.
+    #[must_use]
+    pub const fn of(code: ResultCode) -> Self {
+        match code {
+            ResultCode::Ok => Self::Ok,
+            ResultCode::InvalidInput | ResultCode::InvalidSettings | ResultCode::TooLarge => {
+                Self::Usage
+            }
+            ResultCode::Unauthorized => Self::Unauthorized,
+            ResultCode::NotFound => Self::NotFound,
+            ResultCode::AlreadyExists | ResultCode::RevisionConflict => Self::Conflict,
+            ResultCode::QuotaExceeded | ResultCode::NeverFits => Self::Refused,
+            ResultCode::OutcomeUnknown
+            | ResultCode::EarlierOutcomeUnknown
+            | ResultCode::AnswerTruncated => Self::Unknown,
+            ResultCode::Internal => Self::Internal,
+            _ => Self::TryLater,
+        }
+    }
+
+    /// The number that the shell sees.
+    #[must_use]
+    pub const fn number(self) -> u8 {
+        self as u8
+    }
+}
+
+impl From<ExitCode> for process::ExitCode {
+    fn from(code: ExitCode) -> Self {
+        Self::from(code.number())
+    }
+}
--- a/crates/mangotrestle/src/lib.rs
+++ b/crates/mangotrestle/src/lib.rs
@@ -1,7 +1,9 @@
 //! Parts of the `mangotrestle` binary, as a library so that tests and developers' tools can run
 //! them in their own process.
 
+pub mod command;
 pub mod daemon;
+pub mod job_file;
 pub mod logging;
 pub mod position;
 pub mod settings;
