Wire the daemon: control thread, pools, peers, operators and callers

Control state runs on one thread with a queue; calls to workers, peers and the platform run in tasks that report back. Commands are transactions that need no leader; questions go to the leader of the pool.

--- a/crates/mangotrestle-core/src/lease/leadership/mod.rs
+++ b/crates/mangotrestle-core/src/lease/leadership/mod.rs
@@ -192,6 +192,20 @@
         }
     }
 
+    /// Number of members of the roster that counts, zero if none is known.
+    #[must_use]
+    pub fn roster_members(&self) -> usize {
+        self.rosters.members().count()
+    }
+
+    /// Greatest epoch of the leases that are held, zero if none is. Of two hosts that say they
+    /// lead, the one with the greater epoch is the newer leader.
+    #[must_use]
+    pub fn greatest_epoch(&self) -> message::Epoch {
+        let holds = self.workers.values().filter_map(|slot| slot.hold.as_ref());
+        holds.map(|hold| hold.epoch).max().unwrap_or_default()
+    }
+
     /// The roster version that this leadership counts on, zero if it knows none.
     #[must_use]
     pub fn roster_version(&self) -> message::RosterVersion {
--- a/crates/mangotrestle-core/src/membership/view.rs
+++ b/crates/mangotrestle-core/src/membership/view.rs
@@ -434,6 +434,25 @@
         self.candidate(pool, now).as_ref() == Some(&self.settings.host)
     }
 
+    /// Configuration version that a peer said it holds; 0 if it said none.
+    #[must_use]
+    pub fn config_version(&self, host: &id::EntryHostId) -> u64 {
+        self.peers.get(host).map_or(0, |peer| peer.config_version)
+    }
+
+    /// Reachable peers that hold a higher configuration version than the given one.
+    pub fn peers_with_config_above(
+        &self,
+        version: u64,
+        now: time::TimeMs,
+    ) -> impl Iterator<Item = &id::EntryHostId> + '_ {
+        let newer = move |peer: &Peer| {
+            peer.config_version > version && self.state_of(peer, now) != PeerState::Dead
+        };
+        let peers = self.peers.iter().filter(move |(_, peer)| newer(peer));
+        peers.map(|(host, _)| host)
+    }
+
     /// Highest configuration version that a reachable peer holds; 0 if none is reachable.
     #[must_use]
     pub fn highest_config_version(&self, now: time::TimeMs) -> u64 {
--- a/crates/mangotrestle-core/src/pool/mod.rs
+++ b/crates/mangotrestle-core/src/pool/mod.rs
@@ -190,6 +190,12 @@
         self.tenure.routes.all()
     }
 
+    /// Targets of one service, while this entry host leads; `None` if it has none.
+    #[must_use]
+    pub fn targets_of_service(&self, job: &id::JobId) -> Option<&ServiceTargets> {
+        self.tenure.routes.of(job)
+    }
+
     fn lead(
         &mut self,
         now: Now,
--- a/crates/mangotrestle-core/src/pool/routes.rs
+++ b/crates/mangotrestle-core/src/pool/routes.rs
@@ -40,6 +40,10 @@
         self.services.values()
     }
 
+    pub(super) fn of(&self, job: &id::JobId) -> Option<&ServiceTargets> {
+        self.services.get(job)
+    }
+
     /// Has the targets of a job recomputed.
     pub(super) fn mark_job(&mut self, job: &id::JobId) {
         if !self.marked_jobs.contains(job) {
--- a/crates/mangotrestle-operator/src/message.rs
+++ b/crates/mangotrestle-operator/src/message.rs
@@ -10,7 +10,7 @@
 use mangotrestle_core::resources;
 use mangotrestle_core::result_code;
 use mangotrestle_core::time;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 /// Greatest size of a configuration document, in bytes.
 pub const MAX_DOCUMENT_BYTES: usize = 256 * 1024;
@@ -27,7 +27,7 @@
 macro_rules! named_enum {
     ($(#[$doc:meta])* $name:ident { $($(#[$variant_doc:meta])* $variant:ident = $text:literal,)* }) => {
         $(#[$doc])*
-        #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Serialize)]
+        #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Serialize, Deserialize)]
         #[serde(rename_all = "kebab-case")]
         pub enum $name {
             $($(#[$variant_doc])* $variant,)*
@@ -137,7 +137,7 @@
 );
 
 /// Identity of a command and what it was based on.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Command {
     /// Unique for each command; the same again when a command is resent.
     pub id: id::CommandId,
@@ -149,7 +149,7 @@
 }
 
 /// What became of a command.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct CommandOutcome {
     /// The result.
     pub code: result_code::ResultCode,
@@ -200,7 +200,7 @@
 }
 
 /// Why a query was refused.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Refusal {
     /// The result.
     pub code: result_code::ResultCode,
@@ -247,7 +247,7 @@
 }
 
 /// A job with the counts of its tasks.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct JobSummary {
     /// What was asked for.
     pub spec: job::JobSpec,
@@ -268,7 +268,7 @@
 }
 
 /// A job with each of its tasks.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct JobDetail {
     /// The job.
     pub summary: JobSummary,
@@ -279,7 +279,7 @@
 }
 
 /// One task of a job.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct TaskDetail {
     /// Index in the job, from zero.
     pub index: u32,
@@ -292,7 +292,7 @@
 }
 
 /// A worker as its pool's leader sees it.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct WorkerDetail {
     /// The worker.
     pub id: id::WorkerId,
@@ -313,7 +313,7 @@
 }
 
 /// An accepted version of the configuration.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct ConfigDocument {
     /// Its number; the order of versions.
     pub version: u64,
@@ -335,7 +335,7 @@
 }
 
 /// Which version an entry host has in force.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct HostConfig {
     /// The entry host.
     pub entry_host: id::EntryHostId,
@@ -346,7 +346,7 @@
 }
 
 /// Past versions and where each is in force.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
 pub struct ConfigHistory {
     /// Versions, newest first.
     pub versions: Vec<ConfigDocument>,
@@ -355,7 +355,7 @@
 }
 
 /// State of the cell as one entry host sees it.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Status {
     /// The entry host that answers.
     pub entry_host: id::EntryHostId,
@@ -374,7 +374,7 @@
 }
 
 /// Counts of one pool.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct PoolStatus {
     /// The pool.
     pub pool: id::PoolId,
@@ -395,7 +395,7 @@
 }
 
 /// What an entry host believes of another.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct PeerStatus {
     /// The other entry host.
     pub entry_host: id::EntryHostId,
@@ -404,7 +404,7 @@
 }
 
 /// Something that does not work at the moment.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Degradation {
     /// What it is, such as `store`.
     pub what: String,
@@ -415,7 +415,7 @@
 }
 
 /// A command in the audit log.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct AuditEntry {
     /// When it was accepted.
     pub wall_ms: time::WallTimeMs,
@@ -432,7 +432,7 @@
 }
 
 /// Something that happened, as `events` shows it.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Event {
     /// Number of the event on this entry host, rising.
     pub sequence: u64,
--- a/crates/mangotrestle-peer/src/client.rs
+++ b/crates/mangotrestle-peer/src/client.rs
@@ -115,18 +115,6 @@
     pub async fn query(&self, question: serde_json::Value) -> Result<serde_json::Value, PeerError> {
         self.calls.query(question).await.map_err(classify)
     }
-
-    /// Fetches changes of a pool's jobs from its leader.
-    ///
-    /// # Errors
-    ///
-    /// As for [`routes`](Self::routes).
-    pub async fn pool_summary(
-        &self,
-        request: message::SummaryRequest,
-    ) -> Result<message::PoolSummary, PeerError> {
-        self.calls.pool_summary(request).await.map_err(classify)
-    }
 }
 
 fn build(address: SocketAddr, timeout: Duration) -> Result<HttpClient, PeerError> {
--- a/crates/mangotrestle-peer/src/message.rs
+++ b/crates/mangotrestle-peer/src/message.rs
@@ -1,8 +1,6 @@
 //! What entry hosts say to each other.
 
 use mangotrestle_core::id;
-use mangotrestle_core::job;
-use mangotrestle_core::result_code;
 use mangotrestle_core::routing::slot_share;
 use mangotrestle_core::time;
 use serde::{Deserialize, Serialize};
@@ -164,82 +162,3 @@
     /// The pool.
     pub pool: id::PoolId,
 }
-
-/// Asks a pool's leader for what a successor needs when the store is down.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
-pub struct SummaryRequest {
-    /// The pool.
-    pub pool: id::PoolId,
-    /// Leader whose summary the asking host holds, and how far.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub holds: Option<RoutesVersion>,
-}
-
-/// Changes of a pool's jobs since the version that the asking host holds.
-///
-/// Running tasks are left out: a successor learns them from the workers.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct PoolSummary {
-    /// Version after the changes.
-    pub version: RoutesVersion,
-    /// Whether the asking host must first drop everything that it holds for the pool.
-    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
-    pub full: bool,
-    /// Jobs that are new or changed.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub jobs: Vec<JobSummary>,
-    /// Jobs that are gone.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub removed: Vec<id::JobId>,
-    /// Whether more changes follow at once.
-    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
-    pub more: bool,
-}
-
-/// A job as a successor needs it.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct JobSummary {
-    /// The job.
-    pub spec: job::JobSpec,
-    /// Its revision.
-    pub revision: u64,
-    /// When it was accepted.
-    #[serde(default)]
-    pub accepted_wall_ms: time::WallTimeMs,
-    /// Whether it was cancelled.
-    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
-    pub cancelled: bool,
-    /// Why it is parked, if it is.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub parked: Option<result_code::ResultCode>,
-    /// Tasks that are done for good.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub done: Vec<IndexRange>,
-}
-
-/// Tasks with neighbouring indices.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
-pub struct IndexRange {
-    /// First index.
-    pub first: u32,
-    /// Last index.
-    pub last: u32,
-}
-
-impl IndexRange {
-    /// Ranges that hold exactly the given rising indices.
-    #[must_use]
-    pub fn collect(indices: impl IntoIterator<Item = u32>) -> Vec<Self> {
-        let mut ranges: Vec<Self> = Vec::new();
-        for index in indices {
-            match ranges.last_mut() {
-                Some(range) if range.last.checked_add(1) == Some(index) => range.last = index,
-                _ => ranges.push(Self {
-                    first: index,
-                    last: index,
-                }),
-            }
-        }
-        ranges
-    }
-}
--- a/crates/mangotrestle-peer/src/server.rs
+++ b/crates/mangotrestle-peer/src/server.rs
@@ -48,12 +48,6 @@
         &self,
         question: serde_json::Value,
     ) -> impl Future<Output = Result<serde_json::Value, result_code::ResultCode>> + Send;
-
-    /// Gives the jobs of a pool that this host leads.
-    fn pool_summary(
-        &self,
-        request: message::SummaryRequest,
-    ) -> impl Future<Output = Result<message::PoolSummary, result_code::ResultCode>> + Send;
 }
 
 #[rpc(server, client, namespace = "peer")]
@@ -72,12 +66,6 @@
 
     #[method(name = "query")]
     async fn query(&self, message: serde_json::Value) -> RpcResult<serde_json::Value>;
-
-    #[method(name = "pool_summary")]
-    async fn pool_summary(
-        &self,
-        message: message::SummaryRequest,
-    ) -> RpcResult<message::PoolSummary>;
 }
 
 struct Adapter<B> {
@@ -108,13 +96,6 @@
     async fn query(&self, message: serde_json::Value) -> RpcResult<serde_json::Value> {
         self.backend.query(message).await.map_err(error)
     }
-
-    async fn pool_summary(
-        &self,
-        message: message::SummaryRequest,
-    ) -> RpcResult<message::PoolSummary> {
-        self.backend.pool_summary(message).await.map_err(error)
-    }
 }
 
 fn error(code: result_code::ResultCode) -> ErrorObjectOwned {
--- a/crates/mangotrestle-platform/src/configuration_store.rs
+++ b/crates/mangotrestle-platform/src/configuration_store.rs
@@ -319,6 +319,7 @@
             operator: proposal.operator.to_owned(),
             what: format!("configuration version {version}"),
             from_revision: based_on,
+            command: proposal.command.clone(),
         },
     }
 }
--- a/crates/mangotrestle-platform/src/schema.rs
+++ b/crates/mangotrestle-platform/src/schema.rs
@@ -247,8 +247,10 @@
     pub operator: String,
     /// What, in words.
     pub what: String,
-    /// Revision that the command was based on; 0 if it named none.
+    /// Revision of the changed thing before the command.
     pub from_revision: u64,
+    /// The command.
+    pub command: id::CommandId,
 }
 
 /// Highest configuration version.
--- /dev/null
+++ b/crates/mangotrestle/src/daemon/control/heartbeats.rs
@@ -0,0 +1,63 @@
+//! Clients of other entry hosts, and heartbeats to them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use mangotrestle_core::collections;
+use mangotrestle_core::membership;
+use mangotrestle_peer::message;
+
+use super::event;
+use crate::daemon::context;
+
+/// Sends heartbeats and reports their answers.
+pub(super) struct Heartbeats {
+    context: Arc<context::Context>,
+    clients: collections::FastMap<SocketAddr, mangotrestle_peer::PeerClient>,
+}
+
+impl Heartbeats {
+    pub(super) fn new(context: Arc<context::Context>) -> Self {
+        Self {
+            context,
+            clients: collections::FastMap::default(),
+        }
+    }
+
+    /// The client of the entry host at an address.
+    pub(super) fn client(&mut self, address: SocketAddr) -> Option<mangotrestle_peer::PeerClient> {
+        if let Some(client) = self.clients.get(&address) {
+            return Some(client.clone());
+        }
+        let client = mangotrestle_peer::PeerClient::new(address).ok()?;
+        self.clients.insert(address, client.clone());
+        Some(client)
+    }
+
+    /// Sends a heartbeat; an answer counts as one from the peer.
+    pub(super) fn send(&mut self, address: SocketAddr, heartbeat: message::Heartbeat) {
+        let Some(client) = self.client(address) else {
+            return;
+        };
+        let context = Arc::clone(&self.context);
+        tokio::spawn(async move {
+            if let Ok(heartbeat) = client.heartbeat(heartbeat).await {
+                context.report(event::ControlEvent::Heartbeat {
+                    heartbeat,
+                    reply: None,
+                });
+            }
+        });
+    }
+}
+
+/// What a heartbeat says about its sender.
+pub(super) fn heard(heartbeat: &message::Heartbeat) -> membership::Heard {
+    membership::Heard {
+        host: heartbeat.host.clone(),
+        incarnation: heartbeat.incarnation,
+        availability_zone: heartbeat.availability_zone.clone(),
+        leaving: heartbeat.leaving,
+        config_version: heartbeat.config_version,
+    }
+}
--- /dev/null
+++ b/crates/mangotrestle/src/daemon/control/store_tasks.rs
@@ -0,0 +1,232 @@
+//! Tasks that read and write a pool's rows and report back to the control thread.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use mangotrestle_core::id;
+use mangotrestle_core::lease::leadership;
+use mangotrestle_core::lease::message;
+use mangotrestle_core::lease::roster;
+use mangotrestle_core::pool;
+use mangotrestle_platform::backoff;
+use mangotrestle_platform::pool_store;
+use mangotrestle_platform::schema;
+use mangotrestle_platform::table;
+
+use super::event;
+use super::journal_writer;
+use crate::daemon::context;
+
+/// Back-off between two tries to load a pool's state.
+const LOAD_RETRY_BASE: Duration = Duration::from_millis(100);
+/// Longest back-off between two tries to load a pool's state.
+const LOAD_RETRY_CEILING: Duration = Duration::from_secs(5);
+/// Most inbox rows that are read at once.
+const INBOX_PAGE_ROWS: u32 = 500;
+
+/// A pool whose rows are read and written.
+#[derive(Clone)]
+pub(super) struct StoreTasks {
+    context: Arc<context::Context>,
+    pool: event::PoolIndex,
+    id: id::PoolId,
+}
+
+impl StoreTasks {
+    pub(super) const fn new(
+        context: Arc<context::Context>,
+        pool: event::PoolIndex,
+        id: id::PoolId,
+    ) -> Self {
+        Self { context, pool, id }
+    }
+
+    /// Index of the pool.
+    pub(super) const fn index(&self) -> event::PoolIndex {
+        self.pool
+    }
+
+    fn store(&self) -> pool_store::PoolStore {
+        self.context.pool_store(&self.id)
+    }
+
+    fn lead(&self, event: leadership::LeadershipEvent) {
+        let event = pool::PoolEvent::Leadership(event);
+        self.context.report(event::ControlEvent::Pool {
+            pool: self.pool,
+            event,
+        });
+    }
+
+    /// Reads the roster.
+    pub(super) fn load_roster(&self) {
+        let tasks = self.clone();
+        tokio::spawn(async move {
+            let event = match tasks.store().roster().await {
+                Ok(row) => {
+                    let roster = row.map(|(roster, _)| roster);
+                    leadership::LeadershipEvent::RosterLoaded(roster)
+                }
+                Err(_) => leadership::LeadershipEvent::RosterUnavailable,
+            };
+            tasks.lead(event);
+        });
+    }
+
+    /// Writes the roster if the table still holds the given version.
+    pub(super) fn commit_roster(&self, from: message::RosterVersion, roster: roster::Roster) {
+        let tasks = self.clone();
+        tokio::spawn(async move {
+            let event = match write_roster(&tasks.store(), from, &roster).await {
+                Ok(()) => leadership::LeadershipEvent::RosterCommitted(roster.version),
+                Err(table::TableError::Conflict { .. }) => {
+                    leadership::LeadershipEvent::RosterConflict
+                }
+                Err(_) => leadership::LeadershipEvent::RosterUnavailable,
+            };
+            tasks.lead(event);
+        });
+    }
+
+    /// Loads the pool's state and opens its journal, however long the platform takes. Ends early
+    /// when the control thread does not care for the tenure any more.
+    pub(super) fn load_state(&self, tenure: u64) -> tokio::task::AbortHandle {
+        let tasks = self.clone();
+        let task = tokio::spawn(async move {
+            let store = tasks.store();
+            let mut delays = backoff::Backoff::new(LOAD_RETRY_BASE, LOAD_RETRY_CEILING);
+            let loaded = loop {
+                match load_and_fence(&store).await {
+                    Ok(loaded) => break loaded,
+                    Err(fault) => tasks.log_load_fault(&fault),
+                }
+                tokio::time::sleep(delays.next_delay()).await;
+            };
+            let context = Arc::clone(&tasks.context);
+            let pool = tasks.pool;
+            let journal =
+                journal_writer::JournalWriter::open(context, pool, tenure, &store, &loaded);
+            let state = Box::new(loaded.state);
+            tasks.context.report(event::ControlEvent::PoolLoaded {
+                pool,
+                tenure,
+                state,
+                journal,
+            });
+        });
+        task.abort_handle()
+    }
+
+    fn log_load_fault(&self, fault: &str) {
+        slog::warn!(self.context.log, "pool.load_failed"; "pool" => self.id.as_str(), "error" => fault);
+    }
+
+    /// Reads a page of the inbox.
+    pub(super) fn read_inbox(&self, tenure: u64) {
+        let tasks = self.clone();
+        tokio::spawn(async move {
+            let prefix = schema::inbox_prefix(&tasks.id);
+            let entries = match tasks
+                .context
+                .platform
+                .table
+                .scan(&prefix, None, INBOX_PAGE_ROWS)
+                .await
+            {
+                Ok(page) => page
+                    .rows
+                    .iter()
+                    .filter_map(|row| tasks.inbox_entry(row))
+                    .collect(),
+                Err(_) => Vec::new(),
+            };
+            let pool = tasks.pool;
+            tasks.context.report(event::ControlEvent::Inbox {
+                pool,
+                tenure,
+                entries,
+            });
+        });
+    }
+
+    fn inbox_entry(&self, row: &table::Row) -> Option<event::InboxEntry> {
+        match row.decode::<schema::InboxRow>() {
+            Ok(decoded) => Some(event::InboxEntry {
+                key: row.key.clone(),
+                record: decoded.record,
+            }),
+            Err(error) => {
+                slog::error!(self.context.log, "inbox.malformed"; "key" => &row.key, "error" => %error);
+                None
+            }
+        }
+    }
+
+    /// Deletes inbox rows that the journal holds. Rows that stay are found and deleted again.
+    pub(super) fn clear_inbox(&self, keys: Vec<String>) {
+        let tasks = self.clone();
+        tokio::spawn(async move {
+            let mut transaction = table::Transaction::new();
+            transaction.deletes = keys;
+            let writes = &tasks.context.platform.writes;
+            let _ = writes
+                .commit(transaction, mangotrestle_platform::budget::Priority::Normal)
+                .await;
+        });
+    }
+
+    /// Folds the journal into a snapshot if it has grown enough.
+    pub(super) fn compact(&self, folded: &pool_store::Folded) {
+        let tasks = self.clone();
+        let folded = folded.clone();
+        tokio::spawn(async move {
+            let policy = pool_store::CompactionPolicy::default();
+            let wall_ms = tasks.context.clock.wall();
+            match tasks
+                .store()
+                .compact_if_due(&folded, &policy, wall_ms)
+                .await
+            {
+                Ok(None) => {}
+                Ok(Some(done)) => slog::info!(
+                    tasks.context.log, "journal.compacted";
+                    "pool" => tasks.id.as_str(), "through" => done.through,
+                    "snapshot_bytes" => done.snapshot_bytes, "deleted_rows" => done.deleted_rows,
+                    "forgotten_jobs" => done.forgotten.len()
+                ),
+                Err(error) => slog::warn!(
+                    tasks.context.log, "journal.compaction_failed";
+                    "pool" => tasks.id.as_str(), "error" => %error
+                ),
+            }
+        });
+    }
+}
+
+async fn load_and_fence(store: &pool_store::PoolStore) -> Result<pool_store::Loaded, String> {
+    let mut loaded = store.load().await.map_err(|error| error.to_string())?;
+    store
+        .fence(&mut loaded)
+        .await
+        .map_err(|error| error.to_string())?;
+    Ok(loaded)
+}
+
+async fn write_roster(
+    store: &pool_store::PoolStore,
+    from: message::RosterVersion,
+    roster: &roster::Roster,
+) -> Result<(), table::TableError> {
+    let present = store.roster().await?;
+    let present_version = present
+        .as_ref()
+        .map_or(message::RosterVersion(0), |(row, _)| row.version);
+    if present_version != from {
+        return Err(table::TableError::Conflict {
+            failed: Vec::new(),
+            current: Vec::new(),
+        });
+    }
+    let expected = present.map(|(_, version)| version);
+    store.write_roster(roster, expected).await.map(drop)
+}
--- /dev/null
+++ b/crates/mangotrestle/src/daemon/hosts.rs
@@ -0,0 +1,18 @@
+//! Looks at the platform's host list at intervals.
+
+use std::sync::Arc;
+
+use super::context;
+use super::control::event;
+
+/// Reads the list again and again; while it cannot be read, the last good one stays in use.
+pub(super) async fn poll(context: Arc<context::Context>) {
+    let interval = context.settings.host_list_poll_interval_ms.as_duration();
+    loop {
+        match context.platform.hosts.fetch().await {
+            Ok(list) => context.report(event::ControlEvent::HostsListed(list)),
+            Err(error) => slog::warn!(context.log, "host_list.unavailable"; "error" => %error),
+        }
+        tokio::time::sleep(interval.mul_f64(super::jitter())).await;
+    }
+}
--- /dev/null
+++ b/crates/mangotrestle/src/daemon/peer_backend.rs
@@ -0,0 +1,81 @@
+//! What this entry host does for others.
+
+use std::sync::Arc;
+
+use mangotrestle_core::result_code::ResultCode;
+use mangotrestle_peer::message;
+use tokio::sync::oneshot;
+
+use super::context;
+use super::control::event;
+use super::query;
+
+/// Answers peers from the control thread.
+pub(super) struct Backend {
+    context: Arc<context::Context>,
+}
+
+impl Backend {
+    pub(super) const fn new(context: Arc<context::Context>) -> Self {
+        Self { context }
+    }
+}
+
+impl mangotrestle_peer::PeerBackend for Backend {
+    async fn heartbeat(
+        &self,
+        heartbeat: message::Heartbeat,
+    ) -> Result<message::Heartbeat, ResultCode> {
+        let (reply, answer) = oneshot::channel();
+        self.context.report(event::ControlEvent::Heartbeat {
+            heartbeat,
+            reply: Some(reply),
+        });
+        answer.await.map_err(|_| ResultCode::NotReady)
+    }
+
+    async fn config(
+        &self,
+        request: message::ConfigRequest,
+    ) -> Result<message::ConfigAnswer, ResultCode> {
+        let (reply, answer) = oneshot::channel();
+        self.context
+            .report(event::ControlEvent::ConfigAsked { reply });
+        let held = answer.await.map_err(|_| ResultCode::NotReady)?;
+        let newer = held.version > request.held;
+        let document = newer.then(|| serde_json::to_value(&*held.document));
+        let document = document.transpose().map_err(|_| ResultCode::Internal)?;
+        Ok(message::ConfigAnswer {
+            version: held.version,
+            changes: Vec::new(),
+            document,
+        })
+    }
+
+    async fn routes(
+        &self,
+        request: message::RoutesRequest,
+    ) -> Result<message::RoutesAnswer, ResultCode> {
+        let (reply, answer) = oneshot::channel();
+        self.context
+            .report(event::ControlEvent::RoutesAsked { request, reply });
+        answer.await.ok().flatten().ok_or(ResultCode::NotLeader)
+    }
+
+    async fn inbox_changed(&self, notice: message::InboxNotice) -> Result<(), ResultCode> {
+        self.context
+            .report(event::ControlEvent::InboxChanged { pool: notice.pool });
+        Ok(())
+    }
+
+    async fn query(&self, question: serde_json::Value) -> Result<serde_json::Value, ResultCode> {
+        let query: query::Query =
+            serde_json::from_value(question).map_err(|_| ResultCode::InvalidInput)?;
+        let answer = self
+            .context
+            .query(query)
+            .await
+            .ok_or(ResultCode::NotReady)?;
+        serde_json::to_value(answer).map_err(|_| ResultCode::Internal)
+    }
+}
