--- a/crates/mangotrestle-core/src/lease/grantor.rs
+++ b/crates/mangotrestle-core/src/lease/grantor.rs
@@ -159,7 +159,7 @@
         request: &message::RenewRequest,
     ) -> Result<message::RenewGranted, message::Refusal> {
         self.lapse(now);
-        self.authorize(now, request.worker_incarnation, request.epoch)?;
+        self.check_holder(now, request.worker_incarnation, request.epoch)?;
         self.extend(request.lease_expires_ms.min(now + self.config.term));
         self.roster_version = self.roster_version.max(request.roster_version);
         for run in &request.acknowledged {
@@ -186,7 +186,7 @@
         request: &message::StartRequest,
     ) -> Result<Started, message::Refusal> {
         self.lapse(now);
-        self.authorize(now, request.worker_incarnation, request.epoch)?;
+        self.check_holder(now, request.worker_incarnation, request.epoch)?;
         if now >= request.start_before_ms {
             return Err(refusal(ResultCode::Expired, now));
         }
@@ -226,7 +226,7 @@
         request: &message::StopRequest,
     ) -> Result<Vec<task::RunId>, message::Refusal> {
         self.lapse(now);
-        self.authorize(now, request.worker_incarnation, request.epoch)?;
+        self.check_holder(now, request.worker_incarnation, request.epoch)?;
         let mut stopping = Vec::new();
         for run in &request.runs {
             if self.is_running(run) {
@@ -238,6 +238,27 @@
         Ok(stopping)
     }
 
+    /// Checks that a message comes from the holder of an unlapsed lease.
+    ///
+    /// # Errors
+    ///
+    /// As [`Grantor::renew`].
+    pub fn check_holder(
+        &self,
+        now: time::WorkerTimeMs,
+        incarnation: id::Incarnation,
+        epoch: message::Epoch,
+    ) -> Result<(), message::Refusal> {
+        let lease = self.lease.as_ref();
+        let lease = lease.filter(|_| incarnation == self.config.incarnation);
+        match lease {
+            None => Err(refusal(ResultCode::Expired, now)),
+            Some(lease) if epoch != lease.epoch => Err(refusal(ResultCode::StaleEpoch, now)),
+            Some(lease) if now >= lease.expires => Err(refusal(ResultCode::Expired, now)),
+            Some(_) => Ok(()),
+        }
+    }
+
     /// Lapses what has expired. Returns the runs to end at once, each of them exactly once.
     pub fn tick(&mut self, now: time::WorkerTimeMs) -> Vec<task::RunId> {
         self.lapse(now);
@@ -329,23 +350,6 @@
         }
     }
 
-    /// Checks that a message comes from the holder of an unlapsed lease.
-    fn authorize(
-        &self,
-        now: time::WorkerTimeMs,
-        incarnation: id::Incarnation,
-        epoch: message::Epoch,
-    ) -> Result<(), message::Refusal> {
-        let lease = self.lease.as_ref();
-        let lease = lease.filter(|_| incarnation == self.config.incarnation);
-        match lease {
-            None => Err(refusal(ResultCode::Expired, now)),
-            Some(lease) if epoch != lease.epoch => Err(refusal(ResultCode::StaleEpoch, now)),
-            Some(lease) if now >= lease.expires => Err(refusal(ResultCode::Expired, now)),
-            Some(_) => Ok(()),
-        }
-    }
-
     fn extend(&mut self, expires: time::WorkerTimeMs) {
         if let Some(lease) = &mut self.lease {
             lease.expires = lease.expires.max(expires);
--- /dev/null
+++ b/crates/mangotrestle-dev/src/stand_in/worker/endpoint.rs
@@ -0,0 +1,94 @@
+//! The HTTP endpoint at which a worker's service tasks take requests.
+//!
+//! Requests go to `/tasks/{job}/{index}/...`. A request that the worker refuses gets 503 with a
+//! result code between 2000 and 2999 in [`X_RESULT_CODE`]: it did not run. Everything else did.
+
+use std::sync::Arc;
+
+use axum::Router;
+use axum::body::Bytes;
+use axum::extract::{Path, State};
+use axum::response::{IntoResponse, Response};
+use http::{HeaderMap, HeaderName, Method, StatusCode};
+use mangotrestle_core::id;
+use mangotrestle_core::result_code::ResultCode;
+use mangotrestle_core::task;
+
+use super::host::Host;
+
+/// Number of the result code, in refusals.
+pub const X_RESULT_CODE: HeaderName = HeaderName::from_static("x-result-code");
+/// Identifier of a request; the answer carries it.
+pub const X_REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
+/// Key of a request that must not run twice; POST and PATCH without it use their request id.
+pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+
+pub(super) fn router(host: Arc<Host>) -> Router {
+    Router::new()
+        .route("/tasks/{job}/{index}", axum::routing::any(serve_root))
+        .route("/tasks/{job}/{index}/", axum::routing::any(serve_root))
+        .route("/tasks/{job}/{index}/{*rest}", axum::routing::any(serve))
+        .with_state(host)
+}
+
+async fn serve_root(
+    host: State<Arc<Host>>,
+    Path((job, index)): Path<(String, u32)>,
+    method: Method,
+    headers: HeaderMap,
+    body: Bytes,
+) -> Response {
+    let path = Path((job, index, String::new()));
+    serve(host, path, method, headers, body).await
+}
+
+async fn serve(
+    State(host): State<Arc<Host>>,
+    Path((job, index, _)): Path<(String, u32, String)>,
+    method: Method,
+    headers: HeaderMap,
+    body: Bytes,
+) -> Response {
+    let Ok(job) = id::JobId::new(&job) else {
+        return refuse(ResultCode::TargetRefused);
+    };
+    host.wait_while_paused().await;
+    let task = task::TaskId { job, index };
+    let slot = match host.admit_request(&task) {
+        Ok(slot) => slot,
+        Err(code) => return refuse(code),
+    };
+    if let Some(key) = single_run_key(&method, &headers) {
+        host.ledger.request_ran(&key);
+    }
+    tokio::time::sleep(host.service_delay()).await;
+    host.wait_while_paused().await;
+    drop(slot);
+    answer(&headers, body)
+}
+
+/// Echoes the body and the request's identifier, so that a caller can tell answers apart.
+fn answer(headers: &HeaderMap, body: Bytes) -> Response {
+    let mut response = (StatusCode::OK, body).into_response();
+    if let Some(request_id) = headers.get(X_REQUEST_ID) {
+        response
+            .headers_mut()
+            .insert(X_REQUEST_ID, request_id.clone());
+    }
+    response
+}
+
+fn single_run_key(method: &Method, headers: &HeaderMap) -> Option<String> {
+    let text = |name| headers.get(name)?.to_str().ok().map(str::to_owned);
+    let repeats = method != Method::POST && method != Method::PATCH;
+    match text(IDEMPOTENCY_KEY) {
+        Some(key) => Some(key),
+        None if repeats => None,
+        None => text(X_REQUEST_ID),
+    }
+}
+
+fn refuse(code: ResultCode) -> Response {
+    let headers = [(X_RESULT_CODE, code.number().to_string())];
+    (StatusCode::SERVICE_UNAVAILABLE, headers, code.slug()).into_response()
+}
--- /dev/null
+++ b/crates/mangotrestle-dev/src/stand_in/worker/host.rs
@@ -0,0 +1,458 @@
+//! One worker: the core's grantor, timers for tasks, and the faults between it and its leader.
+
+use std::collections::BTreeMap;
+use std::net;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use mangotrestle_core::id;
+use mangotrestle_core::lease::grantor;
+use mangotrestle_core::lease::message;
+use mangotrestle_core::result_code::ResultCode;
+use mangotrestle_core::task;
+use mangotrestle_core::time;
+use mangotrestle_worker::service;
+use tokio::sync::{Notify, mpsc, watch};
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
+
+use super::clock::HostClock;
+use super::endpoint;
+use super::faults::Faults;
+use super::gate::Gate;
+use super::ledger::{Beginning, Ledger};
+use super::{FleetSettings, WorkerSpec};
+
+/// Connections that a worker takes for the lease protocol.
+const LEASE_CONNECTIONS: usize = 64;
+/// Ends of runs that are kept for a slow reader of a watch; more come with the next renewal.
+const WATCH_BUFFER: usize = 64;
+/// How long the driver sleeps when nothing is due.
+const IDLE_WAKE: Duration = Duration::from_hours(1);
+
+/// A worker and its servers.
+#[derive(Debug)]
+pub(super) struct RunningHost {
+    pub(super) host: Arc<Host>,
+    pub(super) lease_address: net::SocketAddr,
+    pub(super) target_address: net::SocketAddr,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Drop for RunningHost {
+    fn drop(&mut self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+}
+
+/// One worker.
+#[derive(Debug)]
+pub(super) struct Host {
+    pub(super) id: id::WorkerId,
+    pub(super) ledger: Arc<Ledger>,
+    spec: WorkerSpec,
+    settings: FleetSettings,
+    target_address: net::SocketAddr,
+    state: Mutex<State>,
+    faults: watch::Sender<Faults>,
+    changed: Notify,
+    requests: AtomicUsize,
+}
+
+#[derive(Debug)]
+struct State {
+    grantor: grantor::Grantor,
+    clock: HostClock,
+    tasks: BTreeMap<task::RunId, Running>,
+    watchers: Vec<mpsc::Sender<message::WatchEvent>>,
+}
+
+/// A task as a timer.
+#[derive(Debug)]
+struct Running {
+    start: message::StartRun,
+    ends_at: Option<Instant>,
+    outcome: task::RunOutcome,
+}
+
+/// A request slot that is in use.
+#[derive(Debug)]
+pub(super) struct RequestSlot<'a> {
+    host: &'a Host,
+}
+
+impl Drop for RequestSlot<'_> {
+    fn drop(&mut self) {
+        self.host.requests.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Binds a worker's ports and starts to serve them.
+pub(super) async fn start(
+    spec: WorkerSpec,
+    settings: FleetSettings,
+    ledger: &Arc<Ledger>,
+) -> std::io::Result<RunningHost> {
+    let (faults, seen) = watch::channel(Faults::default());
+    let leases = Gate::bind(seen.clone(), LEASE_CONNECTIONS, Arc::clone(ledger)).await?;
+    let targets = Gate::bind(seen, settings.connections, Arc::clone(ledger)).await?;
+    let (lease_address, target_address) = (leases.address(), targets.address());
+    let first = id::Incarnation(1);
+    let host = Arc::new(Host {
+        id: spec.id.clone(),
+        ledger: Arc::clone(ledger),
+        state: Mutex::new(State {
+            grantor: new_grantor(&spec, settings, target_address, first),
+            clock: HostClock::new(first.0),
+            tasks: BTreeMap::new(),
+            watchers: Vec::new(),
+        }),
+        spec,
+        settings,
+        target_address,
+        faults,
+        changed: Notify::new(),
+        requests: AtomicUsize::new(0),
+    });
+    let server = service::server(Arc::clone(&host));
+    let endpoint = endpoint::router(Arc::clone(&host));
+    let tasks = vec![
+        tokio::spawn(async move {
+            let router = tonic::transport::Server::builder().add_service(server);
+            // It ends only when the worker is dropped.
+            let _ = router.serve_with_incoming(leases.into_stream()).await;
+        }),
+        tokio::spawn(async move {
+            let _ = axum::serve(targets, endpoint).await;
+        }),
+        tokio::spawn(drive(Arc::clone(&host))),
+    ];
+    Ok(RunningHost {
+        host,
+        lease_address,
+        target_address,
+        tasks,
+    })
+}
+
+fn new_grantor(
+    spec: &WorkerSpec,
+    settings: FleetSettings,
+    target_address: net::SocketAddr,
+    incarnation: id::Incarnation,
+) -> grantor::Grantor {
+    let config = grantor::GrantorConfig::new(incarnation, spec.capacity, spec.rack.clone())
+        .target_address(&target_address.to_string())
+        .term(settings.term);
+    grantor::Grantor::new(config)
+}
+
+/// Ends tasks when their time or their lease is over.
+async fn drive(host: Arc<Host>) {
+    loop {
+        let wake = host.step();
+        tokio::select! {
+            () = tokio::time::sleep_until(wake) => {}
+            () = host.changed.notified() => {}
+        }
+    }
+}
+
+impl Host {
+    pub(super) fn set_faults(&self, faults: Faults) {
+        let before = *self.faults.borrow();
+        let mut state = self.state();
+        state.grantor.set_leaving(faults.leaving);
+        if faults.paused && !before.paused {
+            self.freeze(&state);
+        }
+        if before.paused && !faults.paused {
+            self.thaw(&mut state);
+        }
+        drop(state);
+        self.faults.send_replace(faults);
+        self.changed.notify_one();
+    }
+
+    pub(super) fn restart(&self) {
+        let mut state = self.state();
+        self.freeze(&state);
+        state.tasks.clear();
+        state.watchers.clear();
+        let incarnation = id::Incarnation(state.grantor.incarnation().0 + 1);
+        state.grantor = new_grantor(&self.spec, self.settings, self.target_address, incarnation);
+        state.grantor.set_leaving(self.faults.borrow().leaving);
+        state.clock = HostClock::new(incarnation.0);
+    }
+
+    pub(super) fn running_count(&self) -> usize {
+        self.state().tasks.len()
+    }
+
+    pub(super) async fn wait_while_paused(&self) {
+        let mut faults = self.faults.subscribe();
+        // The sender lives as long as this worker.
+        let _ = faults.wait_for(|faults| !faults.paused).await;
+    }
+
+    pub(super) fn service_delay(&self) -> Duration {
+        self.settings.service_delay + self.faults.borrow().service_delay
+    }
+
+    /// Takes a request slot for a service task, or says why the request does not run.
+    pub(super) fn admit_request(&self, task: &task::TaskId) -> Result<RequestSlot<'_>, ResultCode> {
+        let state = self.state();
+        let first = task::RunId {
+            task: task.clone(),
+            attempt: 0,
+        };
+        let running = state.tasks.range(first..).next();
+        if running.is_none_or(|(run, _)| run.task != *task) {
+            return Err(ResultCode::TargetRefused);
+        }
+        if self.faults.borrow().leaving {
+            return Err(ResultCode::NotReady);
+        }
+        if self.requests.fetch_add(1, Ordering::Relaxed) >= self.settings.request_slots {
+            self.requests.fetch_sub(1, Ordering::Relaxed);
+            self.ledger.slots_exceeded();
+            return Err(ResultCode::Overloaded);
+        }
+        Ok(RequestSlot { host: self })
+    }
+
+    /// Does what is due and returns when to look again.
+    fn step(&self) -> Instant {
+        let mut state = self.state();
+        let idle = Instant::now() + IDLE_WAKE;
+        if self.faults.borrow().paused {
+            return idle;
+        }
+        self.end_due_tasks(&mut state);
+        let lapse = state.grantor.next_lapse();
+        let lapse = lapse.map(|reading| state.clock.instant(reading));
+        let ends = state.tasks.values().filter_map(|task| task.ends_at);
+        ends.chain(lapse).min().unwrap_or(idle)
+    }
+
+    fn end_due_tasks(&self, state: &mut State) {
+        let now = Instant::now();
+        let lapsed = state.grantor.tick(state.clock.now());
+        for run in lapsed {
+            self.remove(state, &run);
+            state.report(&run, task::RunOutcome::Lost);
+        }
+        let due = state
+            .tasks
+            .iter()
+            .filter(|(_, task)| task.ends_at.is_some_and(|at| at <= now))
+            .map(|(run, _)| run.clone());
+        let due: Vec<task::RunId> = due.collect();
+        for run in due {
+            if let Some(ended) = self.remove(state, &run) {
+                state.grantor.run_ended(&run, ended.outcome);
+                state.report(&run, ended.outcome);
+            }
+        }
+    }
+
+    fn remove(&self, state: &mut State, run: &task::RunId) -> Option<Running> {
+        self.ledger.end(&self.id, run);
+        state.tasks.remove(run)
+    }
+
+    fn launch(&self, state: &mut State, start: message::StartRun) {
+        self.ledger.begin(self.beginning(&start));
+        let now = Instant::now();
+        let fails = self.faults.borrow().fail_starts;
+        let ends_at = if fails {
+            Some(now)
+        } else {
+            start.run_time_ms.map(|span| now + span.as_duration())
+        };
+        let outcome = if fails {
+            task::RunOutcome::Failed
+        } else {
+            task::RunOutcome::Succeeded
+        };
+        let run = start.run.clone();
+        state.tasks.insert(
+            run,
+            Running {
+                start,
+                ends_at,
+                outcome,
+            },
+        );
+    }
+
+    const fn beginning<'a>(&'a self, start: &'a message::StartRun) -> Beginning<'a> {
+        Beginning {
+            worker: &self.id,
+            run: &start.run,
+            need: start.need,
+            capacity: self.spec.capacity,
+            idempotent: start.idempotent,
+        }
+    }
+
+    /// Tasks of a host that stands still do not run.
+    fn freeze(&self, state: &State) {
+        for run in state.tasks.keys() {
+            self.ledger.end(&self.id, run);
+        }
+    }
+
+    /// A host that goes on first ends what lapsed in the meantime.
+    fn thaw(&self, state: &mut State) {
+        let lapsed = state.grantor.tick(state.clock.now());
+        for run in lapsed {
+            state.tasks.remove(&run);
+            state.report(&run, task::RunOutcome::Lost);
+        }
+        for task in state.tasks.values() {
+            self.ledger.resume_run(self.beginning(&task.start));
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Lets the worker's faults act on a message: it waits, and its answer may get lost.
+    async fn exchange<T>(
+        &self,
+        act: impl FnOnce(&mut State, time::WorkerTimeMs) -> Result<T, message::Refusal> + Send,
+    ) -> Result<T, service::ServiceError> {
+        self.wait_while_paused().await;
+        let answer = {
+            let mut state = self.state();
+            self.end_due_tasks(&mut state);
+            let now = state.clock.now();
+            act(&mut state, now)
+        };
+        self.changed.notify_one();
+        let faults = *self.faults.borrow();
+        if !faults.answer_delay.is_zero() {
+            tokio::time::sleep(faults.answer_delay).await;
+        }
+        if faults.lose_answers {
+            let lost = "the answer got lost".to_owned();
+            return Err(service::ServiceError::Unavailable(lost));
+        }
+        answer.map_err(service::ServiceError::from)
+    }
+}
+
+impl State {
+    fn report(&mut self, run: &task::RunId, outcome: task::RunOutcome) {
+        let event = message::WatchEvent {
+            ended: vec![message::EndedRun {
+                run: run.clone(),
+                outcome,
+            }],
+        };
+        // A watcher that is slow or gone learns of the end by its next renewal.
+        self.watchers.retain(|watcher| !watcher.is_closed());
+        for watcher in &self.watchers {
+            let _ = watcher.try_send(event.clone());
+        }
+    }
+}
+
+impl service::WorkerService for Host {
+    async fn claim(
+        &self,
+        request: message::ClaimRequest,
+    ) -> Result<message::ClaimGranted, service::ServiceError> {
+        self.exchange(|state, now| {
+            let granted = state.grantor.claim(now, &request)?;
+            state.watchers.clear();
+            Ok(granted)
+        })
+        .await
+    }
+
+    async fn renew(
+        &self,
+        request: message::RenewRequest,
+    ) -> Result<message::RenewGranted, service::ServiceError> {
+        self.exchange(|state, now| {
+            let mut granted = state.grantor.renew(now, &request)?;
+            granted.usage = usage(state);
+            Ok(granted)
+        })
+        .await
+    }
+
+    async fn start(
+        &self,
+        request: message::StartRequest,
+    ) -> Result<message::StartAnswer, service::ServiceError> {
+        self.exchange(|state, now| {
+            let started = state.grantor.start(now, &request)?;
+            for start in started.launch {
+                self.launch(state, start);
+            }
+            Ok(started.answer)
+        })
+        .await
+    }
+
+    async fn stop(
+        &self,
+        request: message::StopRequest,
+    ) -> Result<message::StopAccepted, service::ServiceError> {
+        self.exchange(|state, now| {
+            let stopping = state.grantor.stop(now, &request)?;
+            let ends_at = Instant::now() + request.grace_ms.as_duration();
+            for run in stopping {
+                if let Some(task) = state.tasks.get_mut(&run) {
+                    task.stop_at(ends_at);
+                }
+            }
+            Ok(message::StopAccepted {
+                worker_time_ms: now,
+            })
+        })
+        .await
+    }
+
+    async fn watch(
+        &self,
+        request: message::WatchRequest,
+    ) -> Result<mpsc::Receiver<message::WatchEvent>, service::ServiceError> {
+        self.exchange(|state, now| {
+            state
+                .grantor
+                .check_holder(now, request.worker_incarnation, request.epoch)?;
+            let (sender, receiver) = mpsc::channel(WATCH_BUFFER);
+            state.watchers.push(sender);
+            Ok(receiver)
+        })
+        .await
+    }
+}
+
+impl Running {
+    /// Ends the task after its grace, or as it would have ended before.
+    fn stop_at(&mut self, at: Instant) {
+        if self.ends_at.is_none_or(|ends_at| at < ends_at) {
+            self.ends_at = Some(at);
+            self.outcome = task::RunOutcome::Stopped;
+        }
+    }
+}
+
+/// Tasks use what they need.
+fn usage(state: &State) -> Vec<message::TaskUsage> {
+    let tasks = state.tasks.values();
+    let used = tasks.map(|task| message::TaskUsage {
+        run: task.start.run.clone(),
+        used: task.start.need,
+    });
+    used.collect()
+}
