--- a/crates/mangotrestle-core/src/lease/grantor.rs
+++ b/crates/mangotrestle-core/src/lease/grantor.rs
@@ -214,7 +214,7 @@
         Ok(Started { answer, launch })
     }
 
-    /// Returns the runs to stop out of those asked for, and bars all of them from starting. A run
+    /// Accepts to stop runs, and bars those that are not here from starting. A run
     /// goes on occupying the worker until its end is reported.
     ///
     /// # Errors
@@ -224,7 +224,7 @@
         &mut self,
         now: time::WorkerTimeMs,
         request: &message::StopRequest,
-    ) -> Result<Vec<task::RunId>, message::Refusal> {
+    ) -> Result<message::StopAccepted, message::Refusal> {
         self.lapse(now);
         self.check_holder(now, request.worker_incarnation, request.epoch)?;
         let mut stopping = Vec::new();
@@ -235,7 +235,10 @@
                 self.bar(now, run);
             }
         }
-        Ok(stopping)
+        Ok(message::StopAccepted {
+            worker_time_ms: now,
+            stopping,
+        })
     }
 
     /// Checks that a message comes from the holder of an unlapsed lease.
--- a/crates/mangotrestle-core/src/lease/message.rs
+++ b/crates/mangotrestle-core/src/lease/message.rs
@@ -177,11 +177,14 @@
     pub checkpoint: bool,
 }
 
-/// A worker's answer to a stop. The ends of the runs are reported once they have stopped.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+/// A worker's answer to a stop.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub struct StopAccepted {
     /// The worker's clock at the answer.
     pub worker_time_ms: time::WorkerTimeMs,
+    /// The runs that were there; their ends are reported once they have stopped. The others are
+    /// not there, and a start that is still under way will be refused.
+    pub stopping: Vec<task::RunId>,
 }
 
 /// Asks a worker to report ends of runs as they happen, for as long as the lease is not claimed
--- a/crates/mangotrestle-dev/src/stand_in/worker/host.rs
+++ b/crates/mangotrestle-dev/src/stand_in/worker/host.rs
@@ -407,16 +407,14 @@
         request: message::StopRequest,
     ) -> Result<message::StopAccepted, service::ServiceError> {
         self.exchange(|state, now| {
-            let stopping = state.grantor.stop(now, &request)?;
+            let accepted = state.grantor.stop(now, &request)?;
             let ends_at = Instant::now() + request.grace_ms.as_duration();
-            for run in stopping {
-                if let Some(task) = state.tasks.get_mut(&run) {
+            for run in &accepted.stopping {
+                if let Some(task) = state.tasks.get_mut(run) {
                     task.stop_at(ends_at);
                 }
             }
-            Ok(message::StopAccepted {
-                worker_time_ms: now,
-            })
+            Ok(accepted)
         })
         .await
     }
--- a/crates/mangotrestle-worker/src/client.rs
+++ b/crates/mangotrestle-worker/src/client.rs
@@ -203,7 +203,7 @@
         let mut inner = self.inner.clone();
         let answer = self.call(inner.stop(self.request(message))).await?;
         match answer.answer {
-            Some(Answer::Accepted(accepted)) => Ok(accepted.into()),
+            Some(Answer::Accepted(accepted)) => self.convert(accepted),
             Some(Answer::Refused(refusal)) => Err(self.refused(refusal)),
             None => Err(self.no_answer()),
         }
--- a/crates/mangotrestle-worker/src/convert/responses.rs
+++ b/crates/mangotrestle-worker/src/convert/responses.rs
@@ -4,7 +4,10 @@
 use mangotrestle_core::lease::message;
 use mangotrestle_core::time;
 
-use super::{InvalidMessage, MAX_ADDRESS_BYTES, checked_id, checked_list, required, result_code};
+use super::{
+    InvalidMessage, MAX_ADDRESS_BYTES, checked_id, checked_list, generated_run_ids, required,
+    result_code, run_ids,
+};
 use crate::generated;
 
 impl From<&message::RunningTask> for generated::RunningTask {
@@ -154,15 +157,19 @@
     fn from(accepted: &message::StopAccepted) -> Self {
         Self {
             worker_time_ms: accepted.worker_time_ms.0,
+            stopping: generated_run_ids(&accepted.stopping),
         }
     }
 }
 
-impl From<generated::StopAccepted> for message::StopAccepted {
-    fn from(accepted: generated::StopAccepted) -> Self {
-        Self {
+impl TryFrom<generated::StopAccepted> for message::StopAccepted {
+    type Error = InvalidMessage;
+
+    fn try_from(accepted: generated::StopAccepted) -> Result<Self, InvalidMessage> {
+        Ok(Self {
             worker_time_ms: time::WorkerTimeMs(accepted.worker_time_ms),
-        }
+            stopping: run_ids("stopping", accepted.stopping)?,
+        })
     }
 }
 
--- a/crates/mangotrestle-worker/src/generated.rs
+++ b/crates/mangotrestle-worker/src/generated.rs
@@ -202,14 +202,14 @@
     #[prost(bool, tag = "5")]
     pub checkpoint: bool,
 }
-#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct StopAnswer {
     #[prost(oneof = "stop_answer::Answer", tags = "1, 2")]
     pub answer: ::core::option::Option<stop_answer::Answer>,
 }
 /// Nested message and enum types in `StopAnswer`.
 pub mod stop_answer {
-    #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Oneof)]
+    #[derive(Clone, PartialEq, ::prost::Oneof)]
     pub enum Answer {
         #[prost(message, tag = "1")]
         Accepted(super::StopAccepted),
@@ -217,10 +217,13 @@
         Refused(super::Refusal),
     }
 }
-#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct StopAccepted {
     #[prost(uint64, tag = "1")]
     pub worker_time_ms: u64,
+    /// The runs that were there and stop now. The others are not there and will not start.
+    #[prost(message, repeated, tag = "2")]
+    pub stopping: ::prost::alloc::vec::Vec<RunId>,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct WatchRequest {
