--- a/crates/mangotrestle-core/src/lease/grantor.rs
+++ b/crates/mangotrestle-core/src/lease/grantor.rs
@@ -159,7 +159,7 @@
         request: &message::RenewRequest,
     ) -> Result<message::RenewGranted, message::Refusal> {
         self.lapse(now);
-        self.authorize(now, request.worker_incarnation, request.epoch)?;
+        self.check_holder(now, request.worker_incarnation, request.epoch)?;
         self.extend(request.lease_expires_ms.min(now + self.config.term));
         self.roster_version = self.roster_version.max(request.roster_version);
         for run in &request.acknowledged {
@@ -186,7 +186,7 @@
         request: &message::StartRequest,
     ) -> Result<Started, message::Refusal> {
         self.lapse(now);
-        self.authorize(now, request.worker_incarnation, request.epoch)?;
+        self.check_holder(now, request.worker_incarnation, request.epoch)?;
         if now >= request.start_before_ms {
             return Err(refusal(ResultCode::Expired, now));
         }
@@ -214,7 +214,7 @@
         Ok(Started { answer, launch })
     }
 
-    /// Returns the runs to stop out of those asked for, and bars all of them from starting. A run
+    /// Accepts to stop runs, and bars those that are not here from starting. A run
     /// goes on occupying the worker until its end is reported.
     ///
     /// # Errors
@@ -224,9 +224,9 @@
         &mut self,
         now: time::WorkerTimeMs,
         request: &message::StopRequest,
-    ) -> Result<Vec<task::RunId>, message::Refusal> {
+    ) -> Result<message::StopAccepted, message::Refusal> {
         self.lapse(now);
-        self.authorize(now, request.worker_incarnation, request.epoch)?;
+        self.check_holder(now, request.worker_incarnation, request.epoch)?;
         let mut stopping = Vec::new();
         for run in &request.runs {
             if self.is_running(run) {
@@ -235,7 +235,31 @@
                 self.bar(now, run);
             }
         }
-        Ok(stopping)
+        Ok(message::StopAccepted {
+            worker_time_ms: now,
+            stopping,
+        })
+    }
+
+    /// Checks that a message comes from the holder of an unlapsed lease.
+    ///
+    /// # Errors
+    ///
+    /// As [`Grantor::renew`].
+    pub fn check_holder(
+        &self,
+        now: time::WorkerTimeMs,
+        incarnation: id::Incarnation,
+        epoch: message::Epoch,
+    ) -> Result<(), message::Refusal> {
+        let lease = self.lease.as_ref();
+        let lease = lease.filter(|_| incarnation == self.config.incarnation);
+        match lease {
+            None => Err(refusal(ResultCode::Expired, now)),
+            Some(lease) if epoch != lease.epoch => Err(refusal(ResultCode::StaleEpoch, now)),
+            Some(lease) if now >= lease.expires => Err(refusal(ResultCode::Expired, now)),
+            Some(_) => Ok(()),
+        }
     }
 
     /// Lapses what has expired. Returns the runs to end at once, each of them exactly once.
@@ -329,23 +353,6 @@
         }
     }
 
-    /// Checks that a message comes from the holder of an unlapsed lease.
-    fn authorize(
-        &self,
-        now: time::WorkerTimeMs,
-        incarnation: id::Incarnation,
-        epoch: message::Epoch,
-    ) -> Result<(), message::Refusal> {
-        let lease = self.lease.as_ref();
-        let lease = lease.filter(|_| incarnation == self.config.incarnation);
-        match lease {
-            None => Err(refusal(ResultCode::Expired, now)),
-            Some(lease) if epoch != lease.epoch => Err(refusal(ResultCode::StaleEpoch, now)),
-            Some(lease) if now >= lease.expires => Err(refusal(ResultCode::Expired, now)),
-            Some(_) => Ok(()),
-        }
-    }
-
     fn extend(&mut self, expires: time::WorkerTimeMs) {
         if let Some(lease) = &mut self.lease {
             lease.expires = lease.expires.max(expires);
