--- a/crates/mangotrestle-core/src/scheduler/config.rs
+++ b/crates/mangotrestle-core/src/scheduler/config.rs
@@ -93,7 +93,7 @@
             quarantine_after_jobs: 3,
             quarantine_base_ms: time::SpanMs::from_secs(30),
             quarantine_max_ms: time::SpanMs::from_secs(3_600),
-            park_after_workers: 4,
+            park_after_workers: 3,
             max_task_failures: 3,
             retry_base_ms: time::SpanMs(500),
             retry_max_ms: time::SpanMs::from_secs(60),
@@ -200,7 +200,7 @@
         self
     }
 
-    /// Different workers on which a job fails before it is parked. Default: 4.
+    /// Different workers on which a job fails before it is parked. Default: 3.
     #[must_use]
     pub fn park_after_workers(mut self, count: usize) -> Self {
         self.config.park_after_workers = count;
--- a/crates/mangotrestle-core/src/scheduler/correction.rs
+++ b/crates/mangotrestle-core/src/scheduler/correction.rs
@@ -15,6 +15,7 @@
 use super::decision;
 use super::index::WorkerKey;
 use super::jobs::TaskKey;
+use super::lifecycle;
 use super::queue::JobKey;
 use super::timer;
 use super::worker;
@@ -41,19 +42,26 @@
         run: &task::RunId,
         used: &resources::Resources,
     ) {
-        let Some(key) = self.current_run(run) else {
-            return;
-        };
-        let record = self.jobs.record(key).filter(lifecycle_is_active);
-        let Some(worker_key) = record.and_then(|record| record.worker()) else {
-            return;
-        };
         // Accelerators and slots are given out whole, so there is nothing to correct.
         let used = amount::Amount {
             accelerators: 0,
             slots: 0,
             ..amount::Amount::from(used)
         };
+        if let Some(&worker) = self.strays.get(run) {
+            self.report_stray_use(worker, run, &used);
+            return;
+        }
+        let Some(key) = self.current_run(run) else {
+            return;
+        };
+        let record = self
+            .jobs
+            .record(key)
+            .filter(lifecycle::TaskRecord::is_active);
+        let Some(worker_key) = record.and_then(|record| record.worker()) else {
+            return;
+        };
         let Some(entry) = self.workers[worker_key].run_mut(key) else {
             return;
         };
@@ -73,6 +81,15 @@
         }
     }
 
+    fn report_stray_use(&mut self, key: WorkerKey, run: &task::RunId, used: &amount::Amount) {
+        self.note_overcommitment(key);
+        let strays = self.workers[key].strays.iter_mut();
+        for stray in strays.filter(|stray| stray.run == *run) {
+            stray.booked = stray.need.max_each(used);
+        }
+        self.refresh(key);
+    }
+
     fn learn_use(&mut self, key: TaskKey, attempt: u32, used: &amount::Amount) {
         let run = (u64::from(key.job) << 32) ^ (u64::from(key.position) << 8) ^ u64::from(attempt);
         let family = self.jobs[key.job].family;
@@ -102,18 +119,11 @@
         let job = &self.jobs[key];
         let learned = self.families.size(job.family);
         let need = job.need.max_each(&learned);
-        if need != job.need && self.some_worker_holds(&need) {
+        if need != job.need && self.could_hold(key, &need) {
             self.jobs[key].need = need;
         }
     }
 
-    fn some_worker_holds(&self, need: &amount::Amount) -> bool {
-        let skip = self.skips_accelerator_hosts(need);
-        self.workers.iter().any(|(_, worker)| {
-            need.fits_in(&worker.capacity) && !(skip && worker.is_accelerator_host())
-        })
-    }
-
     /// Brings a worker back under its capacity, or lets go of runs that were throttled.
     pub(super) fn relieve(&mut self, now_ms: time::TimeMs, key: WorkerKey) {
         let Some(worker) = self.workers.get_mut(key) else {
@@ -218,13 +228,9 @@
 
     fn grow_need(&mut self, key: JobKey, peak: &amount::Amount) {
         let need = self.jobs[key].need.max_each(peak);
-        if need != self.jobs[key].need && self.some_worker_holds(&need) {
+        if need != self.jobs[key].need && self.could_hold(key, &need) {
             self.jobs[key].need = need;
             self.requeue(key);
         }
     }
 }
-
-fn lifecycle_is_active(record: &super::lifecycle::TaskRecord) -> bool {
-    record.is_active()
-}
--- a/crates/mangotrestle-core/src/scheduler/health.rs
+++ b/crates/mangotrestle-core/src/scheduler/health.rs
@@ -34,12 +34,19 @@
 
 impl Scheduler {
     pub(super) fn record_success(&mut self, now_ms: time::TimeMs, key: WorkerKey, job: JobKey) {
-        let _ = now_ms;
         if let Some(worker) = self.workers.get_mut(key) {
             worker.failed_jobs.clear();
             worker.failures_in_row = 0;
         }
-        self.jobs[job].has_succeeded = true;
+        if std::mem::replace(&mut self.jobs[job].has_succeeded, true) {
+            return;
+        }
+        // The success puts the blame for earlier failures on the workers.
+        for failed_on in self.jobs[job].failed_on.clone() {
+            if self.workers.get(failed_on).is_some() && self.is_black_hole(failed_on) {
+                self.quarantine(now_ms, failed_on);
+            }
+        }
     }
 
     pub(super) fn record_failure(&mut self, now_ms: time::TimeMs, key: WorkerKey, job: JobKey) {
--- a/crates/mangotrestle-core/src/scheduler/intake.rs
+++ b/crates/mangotrestle-core/src/scheduler/intake.rs
@@ -170,6 +170,8 @@
             return;
         }
         self.unpark(key.job);
+        let at_ms = now_ms + CHECK_FITS_AFTER_MS;
+        self.timers.set(at_ms, timer::Timer::CheckFits(key.job));
         let Some(record) = self.jobs.record(key) else {
             return;
         };
@@ -202,22 +204,32 @@
         let Some(job) = self.jobs.get(key) else {
             return;
         };
-        if job.queued.is_none() || job.is_finished() {
+        if job.cancelled || job.is_finished() {
             return;
         }
-        if self.workers.len() > 0 && !self.could_fit(key) {
-            self.park(key, result_code::ResultCode::NeverFits);
-            return;
+        if job.queued.is_some() && self.workers.len() > 0 {
+            self.check_need(key);
         }
         let at_ms = now_ms + CHECK_FITS_AFTER_MS;
         self.timers.set(at_ms, timer::Timer::CheckFits(key));
     }
 
-    /// Whether the pool's workers could hold a job if they were empty.
-    pub(super) fn could_fit(&self, key: JobKey) -> bool {
+    /// Parks a job whose declared need fits nowhere, and takes back a correction of it that does
+    /// not fit any more.
+    fn check_need(&mut self, key: JobKey) {
+        let declared = amount::Amount::from(&self.jobs[key].spec.need);
+        if !self.could_hold(key, &declared) {
+            self.park(key, result_code::ResultCode::NeverFits);
+        } else if !self.could_hold(key, &self.jobs[key].need) {
+            self.jobs[key].need = declared;
+            self.requeue(key);
+        }
+    }
+
+    /// Whether the pool's workers could hold a job's tasks of this size if they were empty.
+    pub(super) fn could_hold(&self, key: JobKey, need: &amount::Amount) -> bool {
         let job = &self.jobs[key];
-        let need = amount::Amount::from(&job.spec.need);
-        let skip = self.skips_accelerator_hosts(&need);
+        let skip = self.skips_accelerator_hosts(need);
         let wanted = if job.is_gang() { job.counts.waiting } else { 1 };
         let mut fitting = 0_u32;
         self.workers.iter().any(|(_, worker)| {
@@ -237,7 +249,8 @@
             .map(|(key, _)| key)
             .collect();
         for key in parked {
-            if self.could_fit(key) {
+            let declared = amount::Amount::from(&self.jobs[key].spec.need);
+            if self.could_hold(key, &declared) {
                 self.unpark(key);
             }
         }
--- a/crates/mangotrestle-core/src/scheduler/invariants.rs
+++ b/crates/mangotrestle-core/src/scheduler/invariants.rs
@@ -186,7 +186,7 @@
     }
     for stray in &worker.strays {
         declared = declared.plus(&stray.need);
-        booked = booked.plus(&stray.need);
+        booked = booked.plus(&stray.booked);
     }
     let held = worker
         .holds
--- a/crates/mangotrestle-core/src/scheduler/naive.rs
+++ b/crates/mangotrestle-core/src/scheduler/naive.rs
@@ -100,12 +100,41 @@
         &self.workers
     }
 
-    /// Whether one task with this need fits on some worker.
+    /// Whether so many tasks with this need fit at once.
     #[must_use]
-    pub fn fits_somewhere(&self, need: &resources::Resources) -> bool {
-        self.workers
-            .iter()
-            .any(|worker| need.fits_in(&worker.free()))
+    pub fn fits(&self, need: &resources::Resources, count: u32) -> bool {
+        let mut trial = self.clone();
+        (0..count).all(|_| {
+            let Some(worker) = trial.first_fit(need) else {
+                return false;
+            };
+            let taken = trial.workers[worker].free() - *need;
+            let worker = &mut trial.workers[worker];
+            worker.capacity = taken;
+            worker.runs.clear();
+            true
+        })
+    }
+
+    /// Books a run that something else placed. Returns whether there was room.
+    pub fn book(
+        &mut self,
+        run: &task::RunId,
+        need: &resources::Resources,
+        worker: &id::WorkerId,
+    ) -> bool {
+        let mut workers = self.workers.iter_mut();
+        let Some(worker) = workers.find(|entry| entry.id == *worker) else {
+            return false;
+        };
+        if !need.fits_in(&worker.free()) {
+            return false;
+        }
+        worker.runs.push(NaiveRun {
+            run: run.clone(),
+            need: *need,
+        });
+        true
     }
 
     /// Starts up to `max_starts` of what fits, by urgency and age, each on the first worker with
--- a/crates/mangotrestle-core/src/scheduler/placing.rs
+++ b/crates/mangotrestle-core/src/scheduler/placing.rs
@@ -22,6 +22,12 @@
 /// Workers that are taken from one bucket of the index.
 const CANDIDATES_PER_BUCKET: usize = 3;
 
+/// Workers whose scores are compared for a replica that should stand on a rack of its own.
+const SPREAD_CANDIDATES: u32 = 96;
+
+/// Workers that are taken from one bucket of the index for such a replica.
+const SPREAD_CANDIDATES_PER_BUCKET: usize = 32;
+
 /// Whole of a worker, in the unit of scores.
 const SCORE_SCALE: i64 = 1_024;
 
@@ -150,7 +156,11 @@
         };
         let bounds = SearchScope {
             order,
-            per_bucket: CANDIDATES_PER_BUCKET,
+            per_bucket: if spread {
+                SPREAD_CANDIDATES_PER_BUCKET
+            } else {
+                CANDIDATES_PER_BUCKET
+            },
             offset,
             skip_accelerator_hosts: self.skips_accelerator_hosts(&head.shape.need),
         };
@@ -167,9 +177,8 @@
                     candidates,
                 });
             }
-            // A worker on which the job failed is the last resort, so the search goes on.
-            let acceptable = best.is_some_and(|best| best.score > -FAILED_HERE_PENALTY / 2);
-            if candidates >= CANDIDATES && acceptable {
+            let enough = best.is_some_and(|best| self.is_good_enough(head, &best, spread));
+            if candidates >= CANDIDATES && (enough || candidates >= SPREAD_CANDIDATES) {
                 ControlFlow::Break(())
             } else {
                 ControlFlow::Continue(())
@@ -178,6 +187,13 @@
         best.map(|best| Choice { candidates, ..best })
     }
 
+    /// Whether the search may end with this choice.
+    fn is_good_enough(&self, head: &queue::Head, best: &Choice, spread: bool) -> bool {
+        let job = &self.jobs[head.job];
+        let new_rack = !spread || job.replicas_on(self.workers[best.worker].rack) == 0;
+        new_rack && !job.failed_on.contains(&best.worker)
+    }
+
     /// A worker that is reserved for a gang and is free again before the gang can start.
     fn choose_reserved(
         &self,
@@ -335,6 +351,10 @@
             return;
         }
         self.release_hold(now_ms, task);
+        if self.jobs[task.job].need != need {
+            // Back in the queue, the job was corrected to a size that the room was not made for.
+            return;
+        }
         let choice = Choice {
             worker: key,
             path: decision::PlacementPath::Preemption,
--- a/crates/mangotrestle-core/src/scheduler/preemption.rs
+++ b/crates/mangotrestle-core/src/scheduler/preemption.rs
@@ -145,8 +145,13 @@
             victims: SmallVec::new(),
             lost_ms: 0,
         };
-        // Sums are exact here: free amounts that were cut at zero would hide an overcommitment.
-        let mut booked = worker.booked.plus(&worker.held);
+        // What already stops makes room for the holds that it was stopped for.
+        let staying = worker.runs.iter().filter(|run| run.stop.is_none());
+        let staying = staying.map(|run| &run.booked);
+        let strays = worker.strays.iter().map(|stray| &stray.booked);
+        let mut booked = staying
+            .chain(strays)
+            .fold(worker.held, |sum, amount| sum.plus(amount));
         for run in candidates {
             if booked.plus(need).fits_in(&worker.capacity) {
                 break;
--- a/crates/mangotrestle-core/src/scheduler/recovery.rs
+++ b/crates/mangotrestle-core/src/scheduler/recovery.rs
@@ -103,6 +103,7 @@
         let here = record.worker() == Some(key) && record.attempt() == listed.run.attempt;
         if here && record.is_active() {
             self.run_started(now_ms, &listed.run);
+            self.correct_booking(key, task, &amount::Amount::from(&listed.need));
         } else if let Some(unknown) = record.unknown().filter(|_| here) {
             self.set_task(now_ms, task, unknown.found().into_record());
             self.workers[key].awaited.retain(|awaited| *awaited != task);
@@ -114,6 +115,24 @@
         }
     }
 
+    /// Books a run with what its worker says that it occupies. A former leader may have started it
+    /// with a corrected size that the records do not have.
+    fn correct_booking(&mut self, key: WorkerKey, task: TaskKey, need: &amount::Amount) {
+        let Some(run) = self.workers[key].run_mut(task) else {
+            return;
+        };
+        let former = std::mem::replace(&mut run.need, *need);
+        if former == *need {
+            return;
+        }
+        run.booked = need.max_each(&run.booked);
+        let team = self.jobs[task.job].team;
+        self.queue.add_use(team, need);
+        self.queue.subtract_use(team, &former);
+        self.note_overcommitment(key);
+        self.refresh(key);
+    }
+
     fn can_adopt(&self, task: TaskKey, attempt: u32) -> bool {
         let Some(record) = self.jobs.record(task) else {
             return false;
@@ -205,9 +224,11 @@
     /// if nothing is known of the job, which may be restored later.
     fn add_stray(&mut self, key: WorkerKey, listed: &ListedRun) {
         let stopping = self.jobs.key(&listed.run.task.job).is_some();
+        let need = amount::Amount::from(&listed.need);
         self.workers[key].strays.push(worker::Stray {
             run: listed.run.clone(),
-            need: amount::Amount::from(&listed.need),
+            need,
+            booked: need,
             stopping,
         });
         self.strays.insert(listed.run.clone(), key);
--- a/crates/mangotrestle-core/src/scheduler/run_ends.rs
+++ b/crates/mangotrestle-core/src/scheduler/run_ends.rs
@@ -115,6 +115,10 @@
     ) {
         let worker = active.into_record().worker();
         let ended = self.detach(key);
+        // Comes first: a job that turns out to fail everywhere is parked with its tasks waiting.
+        if let Some((worker, ended)) = worker.zip(ended.as_ref()) {
+            self.judge_worker(now_ms, worker, key, ended, outcome);
+        }
         match outcome {
             task::RunOutcome::Succeeded => self.end_succeeded(now_ms, key, active, ended.as_ref()),
             task::RunOutcome::Failed => self.end_failed(now_ms, key, active),
@@ -122,9 +126,6 @@
             task::RunOutcome::Stopped => self.end_stopped(now_ms, key, active, ended.as_ref()),
             task::RunOutcome::Lost => self.end_lost(now_ms, key, active),
         }
-        if let Some((worker, ended)) = worker.zip(ended) {
-            self.judge_worker(now_ms, worker, key, &ended, outcome);
-        }
         if outcome != task::RunOutcome::Succeeded {
             self.break_gang(now_ms, key);
         }
@@ -187,7 +188,8 @@
             return;
         }
         let exhausted = active.into_record().failures() >= self.config.max_task_failures;
-        if !job.spec.idempotent || (exhausted && !job.is_service()) {
+        let exhausted = exhausted && !job.is_service() && job.parked.is_none();
+        if !job.spec.idempotent || exhausted {
             self.set_task(now_ms, key, active.fail().into_record());
             return;
         }
--- a/crates/mangotrestle-core/src/scheduler/worker.rs
+++ b/crates/mangotrestle-core/src/scheduler/worker.rs
@@ -39,6 +39,8 @@
 pub(super) struct Stray {
     pub(super) run: task::RunId,
     pub(super) need: amount::Amount,
+    /// The need or the measured use, whichever is greater.
+    pub(super) booked: amount::Amount,
     pub(super) stopping: bool,
 }
 
@@ -142,7 +144,7 @@
     /// drift from them.
     pub(super) fn recompute(&mut self) {
         let runs = self.runs.iter().map(|run| &run.booked);
-        let strays = self.strays.iter().map(|stray| &stray.need);
+        let strays = self.strays.iter().map(|stray| &stray.booked);
         self.booked = sum(runs.chain(strays));
         self.held = sum(self.holds.iter().map(|hold| &hold.need));
         if self.booked.fits_in(&self.capacity) {
--- /dev/null
+++ b/crates/mangotrestle-core/tests/scheduler/faults.rs
@@ -0,0 +1,41 @@
+//! Random faults against a model of the workers, in virtual time.
+//!
+//! By hand: `SCHEDULER_SEED=17 SCHEDULER_SEEDS=1 SCHEDULER_EVENTS=5000` in the environment choose
+//! the first seed, the number of seeds and the events of each.
+
+use super::world::{Faults, World};
+
+fn from_environment(name: &str, default: u64) -> u64 {
+    std::env::var(name)
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(default)
+}
+
+/// Runs one seed and returns how many events the scheduler was told.
+fn run_seed(seed: u64, events: u64) -> u64 {
+    let faults = Faults {
+        percent: [0, 5, 20, 40][usize::try_from(seed % 4).expect("a small number")],
+        workers: 4 + u32::try_from(seed % 9).expect("a small number"),
+    };
+    let mut world = World::new(seed, faults);
+    while world.events < events {
+        world.step();
+    }
+    world.drain_all();
+    world.events
+}
+
+#[test]
+fn random_faults_breach_nothing() {
+    let first = from_environment("SCHEDULER_SEED", 1);
+    let seeds = from_environment("SCHEDULER_SEEDS", 24);
+    let events = from_environment("SCHEDULER_EVENTS", 1_500);
+
+    let total: u64 = (first..first + seeds)
+        .map(|seed| run_seed(seed, events))
+        .sum();
+
+    println!("{total} events over {seeds} seeds from {first}");
+    assert!(total >= seeds * events);
+}
--- /dev/null
+++ b/crates/mangotrestle-core/tests/scheduler/fixture.rs
@@ -0,0 +1,158 @@
+//! Jobs, workers and events for tests, and views of decisions.
+
+use std::sync::Arc;
+
+use mangotrestle_core::{id, job, resources, scheduler, task, time};
+
+pub fn job_id(text: &str) -> id::JobId {
+    id::JobId::new(text).expect("valid job identifier")
+}
+
+pub fn team_id(text: &str) -> id::TeamId {
+    id::TeamId::new(text).expect("valid team identifier")
+}
+
+pub fn worker_id(text: &str) -> id::WorkerId {
+    id::WorkerId::new(text).expect("valid worker identifier")
+}
+
+pub fn amount(cores: u64, gib: u64, accelerators: u32) -> resources::Resources {
+    resources::Resources {
+        cpu_millicores: cores * 1_000,
+        memory_mib: gib * 1_024,
+        accelerators,
+        slots: 1,
+    }
+}
+
+pub fn capacity(cores: u64, gib: u64, accelerators: u32) -> resources::Resources {
+    resources::Resources {
+        slots: 8,
+        ..amount(cores, gib, accelerators)
+    }
+}
+
+/// A batch job of one core and one gibibyte a task, for tests to change.
+pub fn batch(name: &str, tasks: u32) -> job::JobSpec {
+    job::JobSpec {
+        id: job_id(name),
+        team: team_id("team-0"),
+        pool: id::PoolId::new("pool-1").expect("valid pool identifier"),
+        kind: job::JobKind::Batch,
+        urgency: job::Urgency::Normal,
+        tasks,
+        need: amount(1, 1, 0),
+        run_time_ms: Some(time::SpanMs::from_secs(60)),
+        idempotent: true,
+        preemptible: false,
+        lost_worker: job::LostWorkerPolicy::RestartAfterLapse,
+    }
+}
+
+/// A gang of one core and one gibibyte a task.
+pub fn gang(name: &str, tasks: u32) -> job::JobSpec {
+    job::JobSpec {
+        kind: job::JobKind::Gang,
+        ..batch(name, tasks)
+    }
+}
+
+/// A service of one core and one gibibyte a replica.
+pub fn service(name: &str, replicas: u32) -> job::JobSpec {
+    job::JobSpec {
+        kind: job::JobKind::Service,
+        run_time_ms: None,
+        ..batch(name, replicas)
+    }
+}
+
+pub fn accepted(spec: job::JobSpec, accepted_wall_ms: u64) -> scheduler::SchedulerEvent {
+    scheduler::SchedulerEvent::JobAccepted {
+        spec: Arc::new(spec),
+        accepted_wall_ms: time::WallTimeMs(accepted_wall_ms),
+    }
+}
+
+pub fn listing(
+    name: &str,
+    rack: &str,
+    capacity: resources::Resources,
+    running: Vec<scheduler::ListedRun>,
+) -> scheduler::SchedulerEvent {
+    scheduler::SchedulerEvent::WorkerAvailable(scheduler::WorkerListing {
+        worker: worker_id(name),
+        rack: id::RackId::new(rack).expect("valid rack identifier"),
+        availability_zone: id::AvailabilityZoneId::new("zone-1").expect("valid zone identifier"),
+        capacity,
+        running,
+        leaving: false,
+    })
+}
+
+/// A start that a round decided on.
+#[derive(Clone, Debug)]
+pub struct Started {
+    pub run: task::RunId,
+    pub worker: String,
+    pub path: scheduler::PlacementPath,
+}
+
+pub fn starts(decisions: &[scheduler::Decision]) -> Vec<Started> {
+    decisions
+        .iter()
+        .filter_map(|decision| match decision {
+            scheduler::Decision::Start {
+                run,
+                worker,
+                reason,
+                ..
+            } => Some(Started {
+                run: run.clone(),
+                worker: worker.to_string(),
+                path: reason.path,
+            }),
+            _ => None,
+        })
+        .collect()
+}
+
+/// A stop that a round decided on.
+#[derive(Clone, Debug)]
+pub struct StopSent {
+    pub run: task::RunId,
+    pub checkpoint: bool,
+    pub reason: scheduler::StopReason,
+}
+
+pub fn stops(decisions: &[scheduler::Decision]) -> Vec<StopSent> {
+    decisions
+        .iter()
+        .filter_map(|decision| match decision {
+            scheduler::Decision::Stop {
+                run,
+                checkpoint,
+                reason,
+                ..
+            } => Some(StopSent {
+                run: run.clone(),
+                checkpoint: *checkpoint,
+                reason: *reason,
+            }),
+            _ => None,
+        })
+        .collect()
+}
+
+/// Everything that the scheduler decides at one time.
+pub fn decide_all(scheduler: &mut scheduler::Scheduler, now_ms: u64) -> Vec<scheduler::Decision> {
+    let mut decisions = Vec::new();
+    while scheduler.decide(time::TimeMs(now_ms), 64, &mut decisions) {}
+    decisions
+}
+
+pub fn ended(run: &task::RunId, outcome: task::RunOutcome) -> scheduler::SchedulerEvent {
+    scheduler::SchedulerEvent::RunEnded {
+        run: run.clone(),
+        outcome,
+    }
+}
--- /dev/null
+++ b/crates/mangotrestle-core/tests/scheduler/world.rs
@@ -0,0 +1,818 @@
+//! A small model of workers that breaks in every way that the scheduler has to bear: the workers as
+//! they really are, the messages under way, and the checks of each decision.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use mangotrestle_core::{id, job, resources, result_code, scheduler, task, time};
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+use super::fixture::{self, amount, capacity, job_id, team_id, worker_id};
+
+/// How much goes wrong.
+#[derive(Clone, Copy, Debug)]
+pub struct Faults {
+    /// Chance of each kind of fault, in percent.
+    pub percent: u32,
+    /// Workers of the pool.
+    pub workers: u32,
+}
+
+/// A run as it really is.
+#[derive(Clone, Debug)]
+struct RealRun {
+    need: resources::Resources,
+    reported: resources::Resources,
+    uses: resources::Resources,
+    ends_at_ms: Option<u64>,
+    outcome: task::RunOutcome,
+}
+
+/// A worker as it really is.
+#[derive(Clone, Debug)]
+struct RealWorker {
+    rack: String,
+    capacity: resources::Resources,
+    runs: BTreeMap<task::RunId, RealRun>,
+    /// Ends that the scheduler has not been told of.
+    unreported: Vec<scheduler::SchedulerEvent>,
+    /// Whether it answers, and what the scheduler was told about that.
+    reachable: bool,
+    leaving: bool,
+    black_hole: bool,
+}
+
+/// A start message on its way.
+#[derive(Clone, Debug)]
+struct StartMessage {
+    run: task::RunId,
+    worker: String,
+    need: resources::Resources,
+}
+
+pub struct World {
+    pub scheduler: scheduler::Scheduler,
+    pub now_ms: u64,
+    pub events: u64,
+    rng: SmallRng,
+    faults: Faults,
+    config: scheduler::SchedulerConfig,
+    seed: u64,
+    workers: BTreeMap<String, RealWorker>,
+    specs: BTreeMap<id::JobId, Arc<job::JobSpec>>,
+    bad_jobs: BTreeSet<id::JobId>,
+    cancelled: BTreeSet<id::JobId>,
+    starts_under_way: Vec<StartMessage>,
+    /// Events that arrive later, perhaps twice and in another order.
+    delayed: Vec<scheduler::SchedulerEvent>,
+    attempts: BTreeMap<task::TaskId, u32>,
+    /// Tasks that must not run again, because a run may have had an effect.
+    spent: BTreeSet<task::TaskId>,
+    next_job: u64,
+    attempt_floor: u32,
+    recovering: BTreeSet<String>,
+}
+
+const QUOTA_TEAM: &str = "team-1";
+
+fn quota() -> resources::Resources {
+    resources::Resources {
+        slots: 12,
+        ..amount(24, 96, 8)
+    }
+}
+
+impl World {
+    pub fn new(seed: u64, faults: Faults) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let limited = scheduler::TeamQuota {
+            limit: Some(quota()),
+            weight: 2,
+        };
+        let config = scheduler::SchedulerConfig::builder()
+            .packing_weight(rng.random_range(0..4))
+            .spread_weight(rng.random_range(0..4))
+            .keep_accelerator_hosts(rng.random_bool(0.3))
+            .max_reservations(rng.random_range(0..3))
+            .quota(team_id(QUOTA_TEAM), limited)
+            .build();
+        let mut world = Self {
+            scheduler: scheduler::Scheduler::new(config.clone(), seed),
+            now_ms: 0,
+            events: 0,
+            rng,
+            faults,
+            config,
+            seed,
+            workers: BTreeMap::new(),
+            specs: BTreeMap::new(),
+            bad_jobs: BTreeSet::new(),
+            cancelled: BTreeSet::new(),
+            starts_under_way: Vec::new(),
+            delayed: Vec::new(),
+            attempts: BTreeMap::new(),
+            spent: BTreeSet::new(),
+            next_job: 0,
+            attempt_floor: 1,
+            recovering: BTreeSet::new(),
+        };
+        for number in 0..faults.workers {
+            world.add_worker(number);
+        }
+        world
+    }
+
+    fn add_worker(&mut self, number: u32) {
+        let name = format!("worker-{number}");
+        let with_accelerators = number.is_multiple_of(3);
+        let worker = RealWorker {
+            rack: format!("rack-{}", number / 3),
+            capacity: if with_accelerators {
+                capacity(32, 128, 8)
+            } else {
+                capacity(16, 64, 0)
+            },
+            runs: BTreeMap::new(),
+            unreported: Vec::new(),
+            reachable: true,
+            leaving: false,
+            black_hole: number == 1 && self.faults.percent > 0,
+        };
+        self.workers.insert(name.clone(), worker);
+        self.list(&name);
+    }
+
+    fn chance(&mut self) -> bool {
+        self.rng.random_range(0..100) < self.faults.percent
+    }
+
+    /// Hands an event to the scheduler and checks everything.
+    fn tell(&mut self, event: scheduler::SchedulerEvent) {
+        self.events += 1;
+        let described = format!("{event:?}");
+        self.scheduler.handle(time::TimeMs(self.now_ms), event);
+        self.check(&described);
+    }
+
+    fn check(&self, after: &str) {
+        if let Err(breach) = self.scheduler.check_invariants() {
+            panic!(
+                "seed {}, at {} ms: {breach} after {after}",
+                self.seed, self.now_ms
+            );
+        }
+    }
+
+    /// Hands an event over now, or later, or twice.
+    fn tell_unreliably(&mut self, event: scheduler::SchedulerEvent) {
+        if self.chance() {
+            self.delayed.push(event.clone());
+        }
+        if self.chance() {
+            self.delayed.push(event);
+        } else {
+            self.tell(event);
+        }
+    }
+
+    /// Lists a worker, after the ends that it has not reported.
+    fn list(&mut self, name: &str) {
+        // A listing follows a claim, which fences off whatever was sent before.
+        self.starts_under_way.retain(|start| start.worker != name);
+        let worker = self.workers.get_mut(name).expect("a known worker");
+        worker.reachable = true;
+        for event in std::mem::take(&mut worker.unreported) {
+            self.tell(event);
+        }
+        let worker = &self.workers[name];
+        let running = worker.runs.iter().map(|(run, real)| scheduler::ListedRun {
+            run: run.clone(),
+            need: real.need,
+        });
+        let listing = scheduler::WorkerListing {
+            worker: worker_id(name),
+            rack: id::RackId::new(&worker.rack).expect("valid rack identifier"),
+            availability_zone: id::AvailabilityZoneId::new("zone-1").expect("valid zone"),
+            capacity: worker.capacity,
+            running: running.collect(),
+            leaving: worker.leaving,
+        };
+        for real in self
+            .workers
+            .get_mut(name)
+            .into_iter()
+            .flat_map(|w| w.runs.values_mut())
+        {
+            real.reported = resources::Resources::ZERO;
+        }
+        self.tell(scheduler::SchedulerEvent::WorkerAvailable(listing));
+        self.settle_recovery(name);
+    }
+
+    fn settle_recovery(&mut self, name: &str) {
+        if self.recovering.remove(name) && self.recovering.is_empty() {
+            self.tell(scheduler::SchedulerEvent::RecoveryComplete);
+        }
+    }
+
+    /// One random thing happens.
+    pub fn step(&mut self) {
+        self.now_ms += self.rng.random_range(0..200);
+        match self.rng.random_range(0..100) {
+            0..20 => self.submit(),
+            20..45 => self.deliver_start(),
+            45..70 => self.end_some_run(),
+            70..76 => self.report_some_use(),
+            76..80 => self.deliver_delayed(),
+            80..83 => self.cancel_some(),
+            83..86 => self.checkpoint_some(),
+            86..93 => self.disturb_some_worker(),
+            93..94 => self.retry_some_unknown(),
+            94..95 => self.take_over(),
+            95..96 => self.change_replicas(),
+            _ => self.now_ms += self.rng.random_range(0..10_000),
+        }
+        self.forget_finished();
+        if self.rng.random_bool(0.7) {
+            self.decide();
+        }
+    }
+
+    fn random_spec(&mut self) -> job::JobSpec {
+        let number = self.next_job;
+        self.next_job += 1;
+        let kind = match self.rng.random_range(0..10) {
+            0..2 => job::JobKind::Service,
+            2..4 => job::JobKind::Gang,
+            _ => job::JobKind::Batch,
+        };
+        let urgency = match self.rng.random_range(0..10) {
+            0..2 => job::Urgency::Urgent,
+            2..8 => job::Urgency::Normal,
+            _ => job::Urgency::Background,
+        };
+        let accelerators = if self.rng.random_bool(0.2) {
+            self.rng.random_range(1..=8)
+        } else {
+            0
+        };
+        let impossible = self.rng.random_bool(0.02);
+        let cores = if impossible {
+            999
+        } else {
+            self.rng.random_range(1..=12)
+        };
+        let service = kind == job::JobKind::Service;
+        job::JobSpec {
+            id: job_id(&format!("job-{}-{number}", number % 7)),
+            team: team_id(&format!("team-{}", self.rng.random_range(0..4))),
+            pool: id::PoolId::new("pool-1").expect("valid pool identifier"),
+            kind,
+            urgency,
+            tasks: self.rng.random_range(1..=6),
+            need: amount(cores, self.rng.random_range(1..=32), accelerators),
+            run_time_ms: (!service).then_some(time::SpanMs(self.rng.random_range(500..60_000))),
+            idempotent: service || self.rng.random_bool(0.7),
+            preemptible: kind == job::JobKind::Batch && self.rng.random_bool(0.6),
+            lost_worker: if self.rng.random_bool(0.2) {
+                job::LostWorkerPolicy::WaitForWorker
+            } else {
+                job::LostWorkerPolicy::RestartAfterLapse
+            },
+        }
+    }
+
+    fn submit(&mut self) {
+        if self.specs.len() > 30 {
+            return;
+        }
+        let spec = Arc::new(self.random_spec());
+        if self.chance() && self.rng.random_bool(0.3) {
+            self.bad_jobs.insert(spec.id.clone());
+        }
+        self.specs.insert(spec.id.clone(), Arc::clone(&spec));
+        let event = scheduler::SchedulerEvent::JobAccepted {
+            spec,
+            accepted_wall_ms: time::WallTimeMs(self.now_ms),
+        };
+        if self.chance() {
+            self.delayed.push(event.clone());
+        }
+        self.tell(event);
+    }
+
+    fn decide(&mut self) {
+        let limit = self.rng.random_range(1..40);
+        let mut decisions = Vec::new();
+        self.scheduler
+            .decide(time::TimeMs(self.now_ms), limit, &mut decisions);
+        self.check("a decision round");
+        for decision in decisions {
+            self.carry_out(decision);
+        }
+    }
+
+    fn carry_out(&mut self, decision: scheduler::Decision) {
+        match decision {
+            scheduler::Decision::Start {
+                run, worker, need, ..
+            } => self.begin_start(run, worker.as_str(), need),
+            scheduler::Decision::Stop { run, worker, .. } => self.stop(&run, worker.as_str()),
+            _ => {}
+        }
+    }
+
+    fn begin_start(&mut self, run: task::RunId, worker: &str, need: resources::Resources) {
+        self.check_start(&run, worker, &need);
+        self.attempts.insert(run.task.clone(), run.attempt);
+        self.starts_under_way.push(StartMessage {
+            run,
+            worker: worker.to_owned(),
+            need,
+        });
+    }
+
+    /// Checks a start against what really runs, whatever the scheduler believes.
+    fn check_start(&self, run: &task::RunId, name: &str, need: &resources::Resources) {
+        let context = format!(
+            "seed {}, at {} ms, start of {run} on {name}",
+            self.seed, self.now_ms
+        );
+        let last = self.attempts.get(&run.task).copied().unwrap_or(0);
+        assert!(
+            run.attempt > last,
+            "{context}: attempt {last} was used before"
+        );
+        assert!(
+            !self.cancelled.contains(&run.task.job),
+            "{context}: the job is cancelled"
+        );
+        assert!(
+            !self.spent.contains(&run.task),
+            "{context}: the task must not run again"
+        );
+        let same = |other: &task::RunId| other.task == run.task;
+        for (other, real) in &self.workers {
+            assert!(
+                !real.runs.keys().any(same),
+                "{context}: it runs on {other} already"
+            );
+        }
+        let mut under_way = self.starts_under_way.iter();
+        assert!(
+            !under_way.any(|start| same(&start.run)),
+            "{context}: it is being started"
+        );
+        let worker = &self.workers[name];
+        assert!(
+            worker.reachable && !worker.leaving,
+            "{context}: the worker takes no work"
+        );
+        let under_way = self
+            .starts_under_way
+            .iter()
+            .filter(|start| start.worker == name);
+        let under_way = under_way.fold(*need, |sum, start| sum + start.need);
+        let declared = worker
+            .runs
+            .values()
+            .fold(under_way, |sum, real| sum + real.need);
+        assert!(
+            declared.fits_in(&worker.capacity),
+            "{context}: over its declared capacity"
+        );
+        let measured = worker
+            .runs
+            .values()
+            .fold(under_way, |sum, real| sum + real.need.max(&real.reported));
+        assert!(
+            measured.fits_in(&worker.capacity),
+            "{context}: over its measured capacity"
+        );
+        self.check_quota(run, need, &context);
+    }
+
+    fn check_quota(&self, run: &task::RunId, need: &resources::Resources, context: &str) {
+        let limited = |run: &task::RunId| {
+            let spec = self.specs.get(&run.task.job);
+            spec.is_some_and(|spec| spec.team.as_str() == QUOTA_TEAM)
+        };
+        // After a take-over, runs without a record count once their workers have listed them.
+        if !limited(run) || !self.recovering.is_empty() {
+            return;
+        }
+        let running = self.workers.values().flat_map(|worker| &worker.runs);
+        let running = running
+            .filter(|(run, _)| limited(run))
+            .map(|(_, real)| real.need);
+        let under_way = self.starts_under_way.iter();
+        let under_way = under_way
+            .filter(|start| limited(&start.run))
+            .map(|start| start.need);
+        let used = running.chain(under_way).fold(*need, |sum, need| sum + need);
+        assert!(used.fits_in(&quota()), "{context}: over the team's quota");
+    }
+
+    fn deliver_start(&mut self) {
+        if self.starts_under_way.is_empty() {
+            return;
+        }
+        let position = self.rng.random_range(0..self.starts_under_way.len());
+        let start = self.starts_under_way[position].clone();
+        let worker = &self.workers[&start.worker];
+        if !worker.reachable {
+            // No answer: it may or may not arrive, until the worker is listed or lost.
+            self.tell(scheduler::SchedulerEvent::StartUnknown { run: start.run });
+            return;
+        }
+        self.starts_under_way.swap_remove(position);
+        if self.chance() {
+            let code = if self.rng.random_bool(0.5) {
+                result_code::ResultCode::NoCapacity
+            } else {
+                result_code::ResultCode::Internal
+            };
+            let run = start.run;
+            self.tell_unreliably(scheduler::SchedulerEvent::StartRefused { run, code });
+            return;
+        }
+        self.start_for_real(&start);
+        let run = start.run.clone();
+        if self.chance() {
+            self.tell(scheduler::SchedulerEvent::StartUnknown { run });
+        } else {
+            self.tell_unreliably(scheduler::SchedulerEvent::RunStarted { run });
+        }
+    }
+
+    fn start_for_real(&mut self, start: &StartMessage) {
+        let spec = Arc::clone(&self.specs[&start.run.task.job]);
+        if !spec.idempotent {
+            self.spent.insert(start.run.task.clone());
+        }
+        let factor = self.rng.random_range(2..20);
+        let scale = |value: u64| value * factor / 10;
+        let fails = self.bad_jobs.contains(&spec.id) || self.workers[&start.worker].black_hole;
+        let run_time_ms = spec.run_time_ms.map(|span| span.0 * factor / 10);
+        let real = RealRun {
+            need: start.need,
+            reported: resources::Resources::ZERO,
+            uses: resources::Resources {
+                cpu_millicores: scale(start.need.cpu_millicores),
+                memory_mib: scale(start.need.memory_mib),
+                ..start.need
+            },
+            ends_at_ms: if fails {
+                Some(self.now_ms)
+            } else {
+                run_time_ms.map(|span| self.now_ms + span)
+            },
+            outcome: if fails {
+                task::RunOutcome::Failed
+            } else {
+                task::RunOutcome::Succeeded
+            },
+        };
+        let worker = self.workers.get_mut(&start.worker).expect("a known worker");
+        worker.runs.insert(start.run.clone(), real);
+    }
+
+    /// Some real run, as (worker, run).
+    fn pick_run(&mut self, due_only: bool) -> Option<(String, task::RunId)> {
+        let now_ms = self.now_ms;
+        let due = |real: &RealRun| !due_only || real.ends_at_ms.is_some_and(|end| end <= now_ms);
+        let mut runs = Vec::new();
+        for (name, worker) in &self.workers {
+            let matching = worker.runs.iter().filter(|(_, real)| due(real));
+            runs.extend(matching.map(|(run, _)| (name.clone(), run.clone())));
+        }
+        if runs.is_empty() {
+            return None;
+        }
+        let position = self.rng.random_range(0..runs.len());
+        Some(runs.swap_remove(position))
+    }
+
+    fn end_some_run(&mut self) {
+        let Some((name, run)) = self.pick_run(true) else {
+            return;
+        };
+        let worker = self.workers.get_mut(&name).expect("a known worker");
+        let real = worker.runs.remove(&run).expect("a real run");
+        self.report_end(&name, &run, real.outcome);
+    }
+
+    fn report_end(&mut self, name: &str, run: &task::RunId, outcome: task::RunOutcome) {
+        let event = scheduler::SchedulerEvent::RunEnded {
+            run: run.clone(),
+            outcome,
+        };
+        let worker = self.workers.get_mut(name).expect("a known worker");
+        if worker.reachable {
+            self.tell_unreliably(event);
+        } else {
+            worker.unreported.push(event);
+        }
+    }
+
+    fn stop(&mut self, run: &task::RunId, name: &str) {
+        if self.chance() {
+            return;
+        }
+        let Some(worker) = self.workers.get_mut(name) else {
+            return;
+        };
+        if !worker.reachable {
+            return;
+        }
+        let was_running = worker.runs.remove(run).is_some();
+        let position = self
+            .starts_under_way
+            .iter()
+            .position(|start| start.run == *run);
+        if let Some(position) = position {
+            // Stop overtook start; the worker remembers it and refuses the start.
+            self.starts_under_way.swap_remove(position);
+        }
+        if was_running || position.is_some() {
+            let outcome = if was_running {
+                task::RunOutcome::Stopped
+            } else {
+                task::RunOutcome::NotRun
+            };
+            self.report_end(name, run, outcome);
+        }
+    }
+
+    fn report_some_use(&mut self) {
+        let Some((name, run)) = self.pick_run(false) else {
+            return;
+        };
+        let worker = self.workers.get_mut(&name).expect("a known worker");
+        if !worker.reachable {
+            return;
+        }
+        let real = worker.runs.get_mut(&run).expect("a real run");
+        real.reported = real.uses;
+        let used = real.uses;
+        self.tell(scheduler::SchedulerEvent::Usage { run, used });
+    }
+
+    fn deliver_delayed(&mut self) {
+        if self.delayed.is_empty() {
+            return;
+        }
+        let position = self.rng.random_range(0..self.delayed.len());
+        let event = self.delayed.swap_remove(position);
+        self.tell(event);
+    }
+
+    fn cancel_some(&mut self) {
+        let wave = if self.rng.random_bool(0.1) { 10 } else { 1 };
+        for _ in 0..wave {
+            if self.specs.is_empty() {
+                return;
+            }
+            let position = self.rng.random_range(0..self.specs.len());
+            let job = self.specs.keys().nth(position).cloned().expect("a job");
+            self.cancelled.insert(job.clone());
+            self.tell_unreliably_cancel(job);
+        }
+    }
+
+    fn tell_unreliably_cancel(&mut self, job: id::JobId) {
+        let event = scheduler::SchedulerEvent::JobCancelled { job };
+        if self.chance() {
+            self.delayed.push(event.clone());
+        }
+        self.tell(event);
+    }
+
+    fn checkpoint_some(&mut self) {
+        if let Some((_, run)) = self.pick_run(false) {
+            self.tell_unreliably(scheduler::SchedulerEvent::Checkpointed { run });
+        }
+    }
+
+    fn disturb_some_worker(&mut self) {
+        if !self.chance() {
+            return;
+        }
+        let position = self.rng.random_range(0..self.workers.len());
+        let name = self
+            .workers
+            .keys()
+            .nth(position)
+            .cloned()
+            .expect("a worker");
+        match self.rng.random_range(0..4) {
+            0 => self.cut_off(&name),
+            1 => self.lose(&name),
+            2 => self.list(&name),
+            _ => self.toggle_leaving(&name),
+        }
+    }
+
+    fn cut_off(&mut self, name: &str) {
+        let worker = self.workers.get_mut(name).expect("a known worker");
+        worker.reachable = false;
+        let worker = worker_id(name);
+        self.tell(scheduler::SchedulerEvent::WorkerUnreachable { worker });
+    }
+
+    /// The worker's runs surely end; then the scheduler is told, and later the worker is back.
+    fn lose(&mut self, name: &str) {
+        self.starts_under_way.retain(|start| start.worker != name);
+        let worker = self.workers.get_mut(name).expect("a known worker");
+        worker.runs.clear();
+        worker.reachable = false;
+        let lost = worker_id(name);
+        self.tell(scheduler::SchedulerEvent::WorkerLost { worker: lost });
+        self.settle_recovery(name);
+    }
+
+    fn toggle_leaving(&mut self, name: &str) {
+        let worker = self.workers.get_mut(name).expect("a known worker");
+        worker.leaving = !worker.leaving;
+        let leaving = worker.leaving;
+        let worker = worker_id(name);
+        self.tell(scheduler::SchedulerEvent::WorkerLeaving { worker, leaving });
+    }
+
+    fn retry_some_unknown(&mut self) {
+        let unknown: Vec<task::TaskId> = self
+            .scheduler
+            .jobs()
+            .flat_map(|job| {
+                let tasks = self.scheduler.tasks(&job.spec.id);
+                let job = job.spec.id.clone();
+                tasks.into_iter().map(move |task| (job.clone(), task))
+            })
+            .filter(|(_, task)| task.state == scheduler::TaskState::Unknown)
+            .map(|(job, task)| task::TaskId {
+                job,
+                index: task.index,
+            })
+            .collect();
+        let Some(task) = unknown.into_iter().next() else {
+            return;
+        };
+        // The operator makes sure first that nothing runs any more.
+        let runs_somewhere = self
+            .workers
+            .values()
+            .any(|worker| worker.runs.keys().any(|run| run.task == task));
+        if runs_somewhere {
+            return;
+        }
+        self.spent.remove(&task);
+        self.tell(scheduler::SchedulerEvent::OperatorRetry { task });
+    }
+
+    /// Another entry host takes over from records, of which the latest of repeatable work may be
+    /// missing, and from what the workers list.
+    fn take_over(&mut self) {
+        let mut snapshots: Vec<scheduler::JobSnapshot> = self.scheduler.snapshot().collect();
+        for snapshot in &mut snapshots {
+            if snapshot.spec.idempotent && self.chance() {
+                let recorded = |task: &scheduler::TaskSnapshot| {
+                    !matches!(task.state, scheduler::TaskSnapshotState::Started { .. })
+                };
+                snapshot.started.retain(recorded);
+            }
+        }
+        self.attempt_floor += 1_000;
+        self.scheduler = scheduler::Scheduler::new(self.config.clone(), self.seed);
+        self.scheduler.set_attempt_floor(self.attempt_floor);
+        self.starts_under_way.clear();
+        self.delayed.clear();
+        for snapshot in &snapshots {
+            self.scheduler.restore(time::TimeMs(self.now_ms), snapshot);
+        }
+        self.check("a restore");
+        let names: Vec<String> = self.workers.keys().cloned().collect();
+        self.recovering = names.iter().cloned().collect();
+        for name in names {
+            if self.workers[&name].reachable {
+                self.list(&name);
+            }
+        }
+    }
+
+    fn change_replicas(&mut self) {
+        let count = self.rng.random_range(0..4);
+        let mut spec = fixture::service("guest", 2);
+        spec.need = amount(1, 2, 0);
+        let spec = Arc::new(spec);
+        self.specs
+            .entry(spec.id.clone())
+            .or_insert_with(|| Arc::clone(&spec));
+        if self.cancelled.contains(&spec.id) {
+            return;
+        }
+        self.tell(scheduler::SchedulerEvent::ExtraReplicas {
+            spec,
+            first_index: 100_000,
+            count,
+        });
+    }
+
+    /// Forgets jobs of which nothing runs, waits or is unknown.
+    fn forget_finished(&mut self) {
+        let finished: Vec<id::JobId> = self
+            .scheduler
+            .jobs()
+            .filter(|job| job.counts.waiting + job.counts.running + job.counts.unknown == 0)
+            .map(|job| job.spec.id.clone())
+            .collect();
+        for job in finished {
+            let stray = |run: &task::RunId| run.task.job == job;
+            let runs = self
+                .workers
+                .values()
+                .any(|worker| worker.runs.keys().any(stray));
+            let guest = job.as_str() == "guest";
+            if runs || guest || self.rng.random_bool(0.5) {
+                continue;
+            }
+            // Its delayed messages die out before a job is forgotten.
+            self.delayed.retain(|event| !mentions(event, &job));
+            self.specs.remove(&job);
+            self.tell(scheduler::SchedulerEvent::JobForgotten { job });
+        }
+    }
+
+    /// Ends all faults and runs until nothing can change, then checks that all work was done.
+    pub fn drain_all(&mut self) {
+        self.faults.percent = 0;
+        let names: Vec<String> = self.workers.keys().cloned().collect();
+        for name in &names {
+            self.workers.get_mut(name).expect("a worker").leaving = false;
+            self.workers.get_mut(name).expect("a worker").black_hole = false;
+            self.list(name);
+        }
+        while !self.delayed.is_empty() {
+            self.deliver_delayed();
+        }
+        for job in self.services() {
+            self.cancelled.insert(job.clone());
+            self.tell(scheduler::SchedulerEvent::JobCancelled { job });
+        }
+        for _ in 0..3_000 {
+            self.now_ms += 1_000;
+            self.decide();
+            while !self.starts_under_way.is_empty() {
+                self.deliver_start();
+            }
+            while self.pick_run(true).is_some() {
+                self.end_some_run();
+            }
+        }
+        self.check_drained();
+    }
+
+    fn services(&self) -> Vec<id::JobId> {
+        let jobs = self.scheduler.jobs();
+        jobs.filter(|job| job.spec.kind == job::JobKind::Service)
+            .map(|job| job.spec.id.clone())
+            .collect()
+    }
+
+    fn check_drained(&self) {
+        for job in self.scheduler.jobs() {
+            let stuck = job.counts.waiting + job.counts.running;
+            let reasons = self
+                .scheduler
+                .explain_waiting(time::TimeMs(self.now_ms), &job.spec.id);
+            let over_quota = job.spec.kind == job::JobKind::Gang
+                && reasons.contains(&scheduler::WaitingReason::Quota);
+            assert!(
+                stuck == 0 || job.parked.is_some() || over_quota,
+                "seed {}: {stuck} tasks of {} never ended: {reasons:?} {:?}",
+                self.seed,
+                job.spec.id,
+                self.scheduler.tasks(&job.spec.id),
+            );
+        }
+        for (name, worker) in &self.workers {
+            assert!(
+                worker.runs.is_empty(),
+                "seed {}: {name} still runs work",
+                self.seed
+            );
+        }
+    }
+}
+
+fn mentions(event: &scheduler::SchedulerEvent, job: &id::JobId) -> bool {
+    match event {
+        scheduler::SchedulerEvent::JobAccepted { spec, .. } => spec.id == *job,
+        scheduler::SchedulerEvent::JobCancelled { job: other } => other == job,
+        scheduler::SchedulerEvent::StartRefused { run, .. }
+        | scheduler::SchedulerEvent::RunStarted { run }
+        | scheduler::SchedulerEvent::RunEnded { run, .. }
+        | scheduler::SchedulerEvent::Checkpointed { run } => run.task.job == *job,
+        _ => false,
+    }
+}
