--- a/crates/mangotrestle-dev/src/stand_in/object_store.rs
+++ b/crates/mangotrestle-dev/src/stand_in/object_store.rs
@@ -55,6 +55,11 @@
         object.content = content;
     }
 
+    /// Loses an object.
+    pub fn remove(&self, name: &str) {
+        self.lock().remove(name);
+    }
+
     fn put(&self, name: &str, request: &http::Request<Bytes>) -> http::Response<Bytes> {
         let content = request.body().clone();
         let checksum = checksum(&content);
--- a/crates/mangotrestle-platform/src/pool_store/journal_sink.rs
+++ b/crates/mangotrestle-platform/src/pool_store/journal_sink.rs
@@ -17,13 +17,15 @@
     pub records: Vec<journal::Record>,
     /// Rows to write in the same transaction, without conditions of their own.
     pub rows: Vec<table::Put>,
+    /// Rows to delete in the same transaction, such as a command's row in the inbox.
+    pub deletes: Vec<String>,
 }
 
 impl From<journal::Record> for JournalItem {
     fn from(record: journal::Record) -> Self {
         Self {
             records: vec![record],
-            rows: Vec::new(),
+            ..Self::default()
         }
     }
 }
@@ -90,14 +92,12 @@
             .flat_map(|item| &item.records)
             .cloned()
             .collect();
-        let rows: Vec<_> = batch.iter().flat_map(|item| &item.rows).cloned().collect();
-        append(
-            &self.pool,
-            &self.writer,
-            self.folded.tail(),
-            &records,
-            &rows,
-        )
+        let mut append = append(&self.pool, &self.writer, self.folded.tail(), &records);
+        for item in batch {
+            append.puts.extend_from_slice(&item.rows);
+            append.deletes.extend_from_slice(&item.deletes);
+        }
+        append
     }
 
     fn fold(
@@ -142,7 +142,6 @@
     writer: &schema::Writer,
     tail: Tail,
     records: &[journal::Record],
-    rows: &[table::Put],
 ) -> table::Transaction {
     let row = schema::JournalRow {
         writer: writer.clone(),
@@ -155,9 +154,7 @@
         // The first batch of all: a late one must not pass when the rows were folded and deleted.
         None => transaction.absent(schema::snapshot_key(pool)),
     };
-    transaction = transaction.put_json(key, &row);
-    transaction.puts.extend_from_slice(rows);
-    transaction
+    transaction.put_json(key, &row)
 }
 
 /// The tail after a batch was appended.
--- a/crates/mangotrestle-platform/src/pool_store/mod.rs
+++ b/crates/mangotrestle-platform/src/pool_store/mod.rs
@@ -167,7 +167,7 @@
     /// and nothing can be appended by anybody.
     pub async fn fence(&self, loaded: &mut Loaded) -> Result<(), AppendError> {
         loop {
-            let append = journal_sink::append(&self.pool, &self.writer, loaded.tail, &[], &[]);
+            let append = journal_sink::append(&self.pool, &self.writer, loaded.tail, &[]);
             match self.table.transact(&append).await {
                 Ok(committed) => {
                     loaded.tail = journal_sink::next(loaded.tail, committed);
