--- a/crates/mangotrestle-operator/src/auth.rs
+++ b/crates/mangotrestle-operator/src/auth.rs
@@ -26,6 +26,14 @@
 #[derive(Clone)]
 pub struct Token(String);
 
+impl PartialEq for Token {
+    fn eq(&self, other: &Self) -> bool {
+        self.0.as_bytes().ct_eq(other.0.as_bytes()).into()
+    }
+}
+
+impl Eq for Token {}
+
 impl Token {
     /// Checks the text and makes a token of it.
     ///
@@ -124,7 +132,7 @@
 }
 
 /// A token and whose it is.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Credential {
     /// The secret.
     pub token: Token,
@@ -133,7 +141,7 @@
 }
 
 /// Which requests are accepted.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Authentication {
     /// Every request, with the operator's name that it carries. Only for loopback and tests.
     Open,
--- a/crates/mangotrestle-operator/src/server.rs
+++ b/crates/mangotrestle-operator/src/server.rs
@@ -54,10 +54,12 @@
         shutdown: watch::Receiver<bool>,
     ) -> Result<(), transport::Error> {
         let incoming = wrappers::TcpListenerStream::new(listener);
+        let (_keep, authentication) = watch::channel(authentication);
         Self::serve_incoming(incoming, backend, authentication, shutdown).await
     }
 
-    /// Serves on connections that something else accepts, such as a TLS acceptor.
+    /// Serves on connections that something else accepts, such as a TLS acceptor, with tokens that
+    /// may change while it runs.
     ///
     /// # Errors
     ///
@@ -65,7 +67,7 @@
     pub async fn serve_incoming<B, C>(
         incoming: impl tokio_stream::Stream<Item = io::Result<C>>,
         backend: Arc<B>,
-        authentication: auth::Authentication,
+        authentication: watch::Receiver<auth::Authentication>,
         shutdown: watch::Receiver<bool>,
     ) -> Result<(), transport::Error>
     where
@@ -79,8 +81,7 @@
         let service = operator_server::OperatorServer::new(calls)
             .max_decoding_message_size(message::MAX_MESSAGE_BYTES)
             .max_encoding_message_size(message::MAX_MESSAGE_BYTES);
-        let gate = Gate(Arc::new(authentication));
-        let service = interceptor::InterceptedService::new(service, gate);
+        let service = interceptor::InterceptedService::new(service, Gate(authentication));
         transport::Server::builder()
             .max_concurrent_streams(MAX_CONCURRENT_CALLS)
             .add_service(service)
@@ -96,7 +97,7 @@
 
 /// Lets requests with a known token pass, and notes their owner.
 #[derive(Clone)]
-struct Gate(Arc<auth::Authentication>);
+struct Gate(watch::Receiver<auth::Authentication>);
 
 impl tonic::service::Interceptor for Gate {
     fn call(
@@ -105,7 +106,7 @@
     ) -> Result<tonic::Request<()>, tonic::Status> {
         let header = request.metadata().get("authorization");
         let presented = header.map(metadata::MetadataValue::as_bytes);
-        let Some(principal) = self.0.authenticate(presented) else {
+        let Some(principal) = self.0.borrow().authenticate(presented) else {
             let problem = "the token is missing or not known";
             return Err(refusal_status(&message::Refusal::new(
                 ResultCode::Unauthorized,
--- a/crates/mangotrestle/src/command/serve.rs
+++ b/crates/mangotrestle/src/command/serve.rs
@@ -5,6 +5,7 @@
 use tokio::sync::watch;
 
 use super::exit_code::ExitCode;
+use crate::access;
 use crate::daemon;
 use crate::logging;
 use crate::settings;
@@ -25,6 +26,10 @@
             return ExitCode::Usage;
         }
     };
+    if let Err(error) = access::Access::load(&settings) {
+        eprintln!("mangotrestle: {}: {error}", ResultCode::InvalidSettings);
+        return ExitCode::Usage;
+    }
     if arguments.print_settings {
         return ExitCode::Ok;
     }
--- a/crates/mangotrestle/src/lib.rs
+++ b/crates/mangotrestle/src/lib.rs
@@ -1,6 +1,7 @@
 //! Parts of the `mangotrestle` binary, as a library so that tests and developers' tools can run
 //! them in their own process.
 
+pub mod access;
 pub mod command;
 pub mod daemon;
 pub mod job_file;
--- a/crates/mangotrestle/src/settings/mod.rs
+++ b/crates/mangotrestle/src/settings/mod.rs
@@ -170,6 +170,8 @@
     Missing,
     /// By a program, through the builder.
     Builder,
+    /// The setting itself may be right; the file that it names is not.
+    Content,
 }
 
 impl fmt::Display for Source {
@@ -180,6 +182,7 @@
             Self::Default => "default",
             Self::Missing => "missing",
             Self::Builder => "builder",
+            Self::Content => "its content",
         })
     }
 }
--- a/crates/mangotrestle/src/tokens/mod.rs
+++ b/crates/mangotrestle/src/tokens/mod.rs
@@ -20,6 +20,7 @@
 use std::path::Path;
 
 use displaydoc::Display;
+use mangotrestle_core::collections::FastSet;
 use mangotrestle_core::id;
 use mangotrestle_operator::auth;
 use serde::Deserialize;
@@ -82,6 +83,15 @@
 ///
 /// [`TokenFileError`] with the line at fault.
 pub fn load(path: &Path) -> Result<auth::Authentication, TokenFileError> {
+    parse(&read(path)?)
+}
+
+/// Reads the text of a file of tokens.
+///
+/// # Errors
+///
+/// [`TokenFileError`] if it cannot be read or is too large.
+pub fn read(path: &Path) -> Result<String, TokenFileError> {
     let explain = |error: std::io::Error| TokenFileError::Read(error.to_string());
     let file = fs::File::open(path).map_err(explain)?;
     let mut text = String::new();
@@ -91,7 +101,7 @@
     if text.len() as u64 > MAX_FILE_BYTES {
         return Err(TokenFileError::TooLarge);
     }
-    parse(&text)
+    Ok(text)
 }
 
 /// Reads tokens from text.
@@ -106,13 +116,13 @@
     if file.token.is_empty() {
         return Err(TokenFileError::Empty);
     }
-    let mut credentials: Vec<auth::Credential> = Vec::new();
+    let mut credentials = Vec::new();
+    let mut seen = FastSet::default();
     for entry in file.token {
         let line = position::line_at(text, entry.span().start);
         let credential = credential(&entry.into_inner())
             .map_err(|problem| TokenFileError::Entry { line, problem })?;
-        let known = |other: &auth::Credential| other.token.expose() == credential.token.expose();
-        if credentials.iter().any(known) {
+        if !seen.insert(credential.token.expose().to_owned()) {
             return Err(TokenFileError::Duplicate { line });
         }
         credentials.push(credential);
