--- a/crates/mangotrestle/src/command/session.rs
+++ b/crates/mangotrestle/src/command/session.rs
@@ -165,7 +165,7 @@
         table: impl FnOnce(&T) -> String,
     ) -> Result<ExitCode, Failure> {
         let text = match self.output {
-            Output::Table => table(value),
+            Output::Table => printable(&table(value)),
             Output::Json => to_json(value)? + "\n",
         };
         io::stdout().write_all(text.as_bytes())?;
@@ -206,10 +206,15 @@
                 .to_string()
             }
         };
-        eprintln!("{text}");
+        eprintln!("{}", printable(&text));
     }
 }
 
+/// Text that cannot drive the terminal, whoever wrote parts of it.
+fn printable(text: &str) -> String {
+    text.replace(|c: char| c.is_control() && c != '\n', " ")
+}
+
 /// The value as one line of JSON.
 pub(super) fn to_json<T: Serialize>(value: &T) -> Result<String, Failure> {
     serde_json::to_string(value).map_err(|error| Failure {
@@ -228,6 +233,8 @@
     } = outcome;
     let hint = retry_after_ms.map(|span| format!(", try again after {span} ms"));
     let hint = hint.unwrap_or_default();
+    // Lines of the message never look like lines of this program.
+    let message = message.replace('\n', "\n    ");
     format!("{code}: {message} (revision {revision}){hint}\n")
 }
 
