--- a/crates/mangotrestle/tests/cli_serve.rs
+++ b/crates/mangotrestle/tests/cli_serve.rs
@@ -82,7 +82,7 @@
     let seed = finished
         .stdout
         .lines()
-        .find(|line| line.starts_with("seed"));
+        .find(|line| line.starts_with("seed "));
     assert_eq!(
         seed.unwrap().split_whitespace().collect::<Vec<_>>(),
         ["seed", "7", "flag"]
