--- a/crates/mangotrestle-core/src/pool/command.rs
+++ b/crates/mangotrestle-core/src/pool/command.rs
@@ -24,14 +24,11 @@
         records: Vec<journal::Record>,
         /// Whether to write at once instead of waiting for a fuller batch.
         urgent: bool,
+        /// Ticket of inbox rows to delete in the same transaction.
+        inbox: Option<u64>,
     },
     /// Forget journal entries that are not written yet: this host no longer leads.
     DropJournal,
-    /// Delete the inbox rows of a ticket; the journal holds them.
-    ClearInbox {
-        /// The ticket.
-        ticket: u64,
-    },
     /// Send starts to a worker.
     Start {
         /// Reported back with the worker's answer.
--- a/crates/mangotrestle-core/src/pool/event.rs
+++ b/crates/mangotrestle-core/src/pool/event.rs
@@ -26,8 +26,8 @@
     /// The pool's snapshot and journal were read, after
     /// [`LoadState`](super::PoolCommand::LoadState).
     StateLoaded(Box<journal::PoolState>),
-    /// Commands were accepted that wait in the inbox. They may come again until
-    /// [`ClearInbox`](super::PoolCommand::ClearInbox) names their ticket.
+    /// Commands were accepted that wait in the inbox. Their rows
+    /// go in the transaction that journals them, see [`Journal`](super::PoolCommand::Journal).
     Accepted {
         /// Number by which the caller knows the inbox rows.
         ticket: u64,
--- a/crates/mangotrestle-core/src/pool/mod.rs
+++ b/crates/mangotrestle-core/src/pool/mod.rs
@@ -11,7 +11,7 @@
 //!
 //! - A run that must not run twice is started only after the journal holds its start.
 //! - A worker may forget an ended run only after the journal holds its end.
-//! - An accepted command leaves the inbox only after the journal holds its record.
+//! - An accepted command leaves the inbox in the transaction that journals its record.
 //!
 //! Whatever is dropped when a leader loses its majority is therefore found again by the next one:
 //! in the journal, in the inbox, or in the workers' lists.
@@ -413,7 +413,7 @@
         commands.push(PoolCommand::Notice(PoolNotice::StateLoaded { jobs }));
     }
 
-    /// Folds accepted commands in. Their inbox rows go once the journal holds the records.
+    /// Folds accepted commands in. Their inbox rows go in the transaction that journals them.
     fn accepted(
         &mut self,
         now: Now,
@@ -428,9 +428,13 @@
         for record in &accepted {
             self.apply(now, record);
         }
-        let token = self.journal(accepted, urgent, commands);
-        self.tenure
-            .after(token, tenure::AfterCommit::ClearInbox { ticket });
+        let token = self.tenure.next_token();
+        commands.push(PoolCommand::Journal {
+            token,
+            records: accepted,
+            urgent,
+            inbox: Some(ticket),
+        });
     }
 
     /// Folds records of decisions in that come from inside, such as an operator's word on a run.
@@ -531,6 +535,7 @@
             token,
             records,
             urgent,
+            inbox: None,
         });
         token
     }
@@ -544,9 +549,6 @@
                         self.tenure.unacknowledged.remove(&(worker.clone(), run));
                     }
                 }
-                tenure::AfterCommit::ClearInbox { ticket } => {
-                    commands.push(PoolCommand::ClearInbox { ticket });
-                }
                 tenure::AfterCommit::SendStart { worker, run } => {
                     self.send_starts(now, &worker, vec![run], commands);
                 }
--- a/crates/mangotrestle-core/src/pool/tenure.rs
+++ b/crates/mangotrestle-core/src/pool/tenure.rs
@@ -21,8 +21,6 @@
         worker: id::WorkerId,
         runs: Vec<task::RunId>,
     },
-    /// The inbox rows may go.
-    ClearInbox { ticket: u64 },
     /// The start is recorded and may be sent.
     SendStart {
         worker: id::WorkerId,
--- /dev/null
+++ b/crates/mangotrestle-dev/src/cell.rs
@@ -0,0 +1,355 @@
+//! A whole cell in one process: platform stand-ins, workers and entry hosts on loopback.
+//!
+//! `demo` and `up` run on it, and so do the tests of the whole path. Each entry host is the real
+//! daemon with its own control thread; only what is outside the system is a stand-in.
+
+use std::net::SocketAddr;
+
+use mangotrestle::daemon;
+use mangotrestle::settings;
+use mangotrestle_core::id;
+use mangotrestle_core::time;
+use mangotrestle_operator::client;
+use mangotrestle_platform::host_list;
+use tokio::sync::watch;
+use tokio::task;
+
+use crate::profile;
+use crate::stand_in::host_list as host_list_stand_in;
+use crate::stand_in::object_store;
+use crate::stand_in::table;
+use crate::stand_in::worker;
+
+/// Options of a [`Cell`].
+#[derive(Clone, Debug)]
+pub struct CellBuilder {
+    profile: profile::Profile,
+    worker_share_percent: u32,
+    entry_hosts: u32,
+    lease_term: time::SpanMs,
+    seed: u64,
+    log: slog::Logger,
+}
+
+impl CellBuilder {
+    /// Share of the profile's workers that run, at least one of each group in each zone.
+    /// Default: 100 percent.
+    #[must_use]
+    pub const fn worker_share_percent(mut self, percent: u32) -> Self {
+        self.worker_share_percent = percent;
+        self
+    }
+
+    /// Number of entry hosts, dealt over the zones. Default: the profile's.
+    #[must_use]
+    pub const fn entry_hosts(mut self, count: u32) -> Self {
+        self.entry_hosts = count;
+        self
+    }
+
+    /// Term of worker leases. Default: 3 s.
+    #[must_use]
+    pub const fn lease_term(mut self, term: time::SpanMs) -> Self {
+        self.lease_term = term;
+        self
+    }
+
+    /// Seed of everything random. Default: 1.
+    #[must_use]
+    pub const fn seed(mut self, seed: u64) -> Self {
+        self.seed = seed;
+        self
+    }
+
+    /// Where the entry hosts log. Default: nowhere.
+    #[must_use]
+    pub fn log(mut self, log: slog::Logger) -> Self {
+        self.log = log;
+        self
+    }
+
+    /// Starts everything.
+    ///
+    /// # Errors
+    ///
+    /// If a port cannot be bound or the settings are wrong, in words.
+    pub async fn start(self) -> Result<Cell, String> {
+        let platform = Platform::start().await.map_err(|error| error.to_string())?;
+        let workers = self.start_workers(&platform).await?;
+        let mut cell = Cell {
+            options: self,
+            platform,
+            workers,
+            entry_hosts: Vec::new(),
+        };
+        let zones: Vec<&'static str> = cell.options.profile.entry_host_zones().collect();
+        for index in 0..cell.options.entry_hosts as usize {
+            let zone = zones[index % zones.len()];
+            cell.start_entry_host(&format!("{zone}-entry-{index}"), zone)
+                .await?;
+        }
+        Ok(cell)
+    }
+
+    async fn start_workers(&self, platform: &Platform) -> Result<worker::WorkerFleet, String> {
+        let plans = self.worker_plans();
+        let mut fleet = worker::WorkerFleet::builder()
+            .term(self.lease_term)
+            .request_slots(self.profile.request_slots_per_worker as usize)
+            .connections(self.profile.connections_per_worker as usize);
+        for plan in &plans {
+            fleet = fleet.worker(worker::WorkerSpec {
+                id: worker_id(&plan.id),
+                rack: rack_id(&plan.rack),
+                capacity: plan.capacity,
+            });
+        }
+        let fleet = fleet.start().await.map_err(|error| error.to_string())?;
+        for plan in &plans {
+            let address = fleet.lease_address(&worker_id(&plan.id));
+            platform.hosts.service().put(host_list::Host {
+                id: plan.id.clone(),
+                role: host_list::Role::Worker,
+                availability_zone: zone_id(plan.availability_zone),
+                rack: rack_id(&plan.rack),
+                address: address.ok_or("a worker has no address")?,
+                state: host_list::HostState::Live,
+            });
+        }
+        Ok(fleet)
+    }
+
+    /// The profile's workers, thinned out evenly.
+    fn worker_plans(&self) -> Vec<profile::WorkerPlan> {
+        let percent = self.worker_share_percent as usize;
+        let zones = self.profile.availability_zones.len();
+        let mut plans = Vec::new();
+        for group in self.profile.groups {
+            let of_group: Vec<_> = self.profile.plans_of(group).collect();
+            let wanted = (of_group.len() * percent / 100)
+                .max(zones)
+                .min(of_group.len());
+            plans.extend(of_group.into_iter().take(wanted));
+        }
+        plans
+    }
+}
+
+/// The platform's stand-ins with their addresses.
+pub struct Platform {
+    /// The table service.
+    pub table: table::TableStandIn,
+    /// The object store.
+    pub objects: object_store::ObjectStoreStandIn,
+    /// The host list.
+    pub hosts: host_list_stand_in::HostListStandIn,
+    /// Where the table service listens.
+    pub table_address: SocketAddr,
+    /// Where the object store listens.
+    pub objects_address: SocketAddr,
+    /// Where the host list listens.
+    pub hosts_address: SocketAddr,
+}
+
+impl Platform {
+    /// Starts the three services.
+    ///
+    /// # Errors
+    ///
+    /// If no port can be bound.
+    pub async fn start() -> std::io::Result<Self> {
+        let table = table::new();
+        let objects = object_store::new();
+        let hosts = host_list_stand_in::new();
+        Ok(Self {
+            table_address: table.listen().await?,
+            objects_address: objects.listen().await?,
+            hosts_address: hosts.listen().await?,
+            table,
+            objects,
+            hosts,
+        })
+    }
+}
+
+/// An entry host that runs in this process.
+pub struct EntryHost {
+    /// Its name.
+    pub id: String,
+    /// Its availability zone.
+    pub availability_zone: &'static str,
+    /// Where it listens.
+    pub addresses: daemon::Addresses,
+    stop: watch::Sender<bool>,
+    task: task::JoinHandle<Result<(), daemon::DaemonError>>,
+}
+
+/// A running cell; everything in it ends when it is dropped.
+pub struct Cell {
+    options: CellBuilder,
+    /// The platform.
+    pub platform: Platform,
+    /// The workers.
+    pub workers: worker::WorkerFleet,
+    /// The entry hosts.
+    pub entry_hosts: Vec<EntryHost>,
+}
+
+impl Cell {
+    /// Starts from the defaults.
+    #[must_use]
+    pub fn builder(profile: &profile::Profile) -> CellBuilder {
+        CellBuilder {
+            profile: *profile,
+            worker_share_percent: 100,
+            entry_hosts: profile.entry_hosts,
+            lease_term: time::SpanMs::from_secs(3),
+            seed: 1,
+            log: slog::Logger::root(slog::Discard, slog::o!()),
+        }
+    }
+
+    /// The deployment that the cell stands for.
+    #[must_use]
+    pub const fn profile(&self) -> &profile::Profile {
+        &self.options.profile
+    }
+
+    /// Starts an entry host and puts it on the host list.
+    ///
+    /// # Errors
+    ///
+    /// If its settings are wrong or a port cannot be bound, in words.
+    pub async fn start_entry_host(&mut self, name: &str, zone: &'static str) -> Result<(), String> {
+        let settings = self.entry_host_settings(name, zone)?;
+        let listeners = daemon::Listeners::bind(&settings)
+            .await
+            .map_err(|e| e.to_string())?;
+        let addresses = listeners.addresses().map_err(|error| error.to_string())?;
+        let (stop, shutdown) = watch::channel(false);
+        let log = self.options.log.clone();
+        let task = tokio::spawn(daemon::run_on(listeners, settings, log, shutdown));
+        self.platform.hosts.service().put(host_list::Host {
+            id: name.to_owned(),
+            role: host_list::Role::Entry,
+            availability_zone: zone_id(zone),
+            rack: rack_id("entry"),
+            address: addresses.peers,
+            state: host_list::HostState::Live,
+        });
+        let id = name.to_owned();
+        self.entry_hosts.push(EntryHost {
+            id,
+            availability_zone: zone,
+            addresses,
+            stop,
+            task,
+        });
+        Ok(())
+    }
+
+    fn entry_host_settings(
+        &self,
+        name: &str,
+        zone: &'static str,
+    ) -> Result<settings::Settings, String> {
+        let any_port: SocketAddr = ([127, 0, 0, 1], 0).into();
+        let seed = self
+            .options
+            .seed
+            .wrapping_add(self.entry_hosts.len() as u64);
+        let term = self.options.lease_term;
+        settings::Settings::builder()
+            .entry_host(id::EntryHostId::new(name).map_err(|error| error.to_string())?)
+            .availability_zone(zone_id(zone))
+            .operator_listen(any_port)
+            .caller_listen(any_port)
+            .peer_listen(any_port)
+            .health_listen(any_port)
+            .table_address(self.platform.table_address)
+            .object_store_address(self.platform.objects_address)
+            .host_list_address(self.platform.hosts_address)
+            .lease_term_ms(term)
+            .lease_renew_interval_ms(time::SpanMs(term.0 / 4))
+            .heartbeat_interval_ms(time::SpanMs(500))
+            .config_poll_interval_ms(time::SpanMs(1_000))
+            .host_list_poll_interval_ms(time::SpanMs(500))
+            .seed(seed.max(1))
+            .build()
+            .map_err(|error| error.to_string())
+    }
+
+    /// A client that tries all entry hosts.
+    ///
+    /// # Errors
+    ///
+    /// If there is no entry host.
+    pub fn operator(&self) -> Result<client::OperatorClient, client::ClientError> {
+        let mut builder = client::OperatorClient::builder();
+        for host in &self.entry_hosts {
+            builder = builder.endpoint(host.addresses.operators);
+        }
+        builder.build()
+    }
+
+    /// Ends an entry host at once: its tasks stop in the middle of whatever they do, and nothing
+    /// is handed over. Returns its name, `None` if there is none with that index.
+    pub fn kill_entry_host(&mut self, index: usize) -> Option<String> {
+        if index >= self.entry_hosts.len() {
+            return None;
+        }
+        let host = self.entry_hosts.remove(index);
+        host.task.abort();
+        self.platform.hosts.service().remove(&host.id);
+        Some(host.id)
+    }
+
+    /// Tells an entry host to stop and waits until it has.
+    ///
+    /// # Errors
+    ///
+    /// If it failed, in words.
+    pub async fn stop_entry_host(&mut self, index: usize) -> Result<(), String> {
+        if index >= self.entry_hosts.len() {
+            return Err("no such entry host".to_owned());
+        }
+        let host = self.entry_hosts.remove(index);
+        self.platform.hosts.service().set_leaving(&host.id);
+        let _ = host.stop.send(true);
+        let ended = host.task.await.map_err(|error| error.to_string())?;
+        self.platform.hosts.service().remove(&host.id);
+        ended.map_err(|error| error.to_string())
+    }
+
+    /// Stops all entry hosts, in turn.
+    ///
+    /// # Errors
+    ///
+    /// The first failure, in words.
+    pub async fn stop(mut self) -> Result<(), String> {
+        while !self.entry_hosts.is_empty() {
+            self.stop_entry_host(0).await?;
+        }
+        Ok(())
+    }
+}
+
+impl Drop for Cell {
+    fn drop(&mut self) {
+        for host in &self.entry_hosts {
+            host.task.abort();
+        }
+    }
+}
+
+fn zone_id(name: &str) -> id::AvailabilityZoneId {
+    id::AvailabilityZoneId::new(name).expect("names of profiles are identifiers")
+}
+
+fn worker_id(name: &str) -> id::WorkerId {
+    id::WorkerId::new(name).expect("names of profiles are identifiers")
+}
+
+fn rack_id(name: &str) -> id::RackId {
+    id::RackId::new(name).expect("names of profiles are identifiers")
+}
--- a/crates/mangotrestle-dev/src/lib.rs
+++ b/crates/mangotrestle-dev/src/lib.rs
@@ -1,6 +1,8 @@
 //! Stand-ins, demonstration and measurements for developers; never shipped.
 
+pub mod cell;
 pub mod demo;
+pub mod load;
 pub mod measure;
 pub mod profile;
 pub mod stand_in;
--- a/crates/mangotrestle-dev/src/main.rs
+++ b/crates/mangotrestle-dev/src/main.rs
@@ -1,2 +1,29 @@
-//! Placeholder.
-fn main() {}
+//! The `mangotrestle-dev` program: a demonstration, a cell to try things on, and measurements.
+
+use std::process;
+
+use argh::FromArgs;
+use mangotrestle_dev::demo;
+use mangotrestle_dev::up;
+
+/// Tools for developers of mangotrestle.
+#[derive(FromArgs)]
+struct Arguments {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Demo(demo::DemoArguments),
+    Up(up::UpArguments),
+}
+
+fn main() -> process::ExitCode {
+    let arguments: Arguments = argh::from_env();
+    match arguments.command {
+        Command::Demo(arguments) => demo::run(&arguments),
+        Command::Up(arguments) => up::run(&arguments),
+    }
+}
--- a/crates/mangotrestle-dev/src/profile.rs
+++ b/crates/mangotrestle-dev/src/profile.rs
@@ -142,20 +142,20 @@
             .collect()
     }
 
-    fn plans_of(&self, group: &WorkerGroup) -> Vec<WorkerPlan> {
+    /// The workers of one group.
+    pub fn plans_of(&self, group: &WorkerGroup) -> impl Iterator<Item = WorkerPlan> + use<> {
         let zones = self.availability_zones;
-        (0..group.workers as usize)
-            .map(|index| {
-                let zone = zones[index % zones.len()];
-                let rack = index / zones.len() / group.workers_per_rack as usize;
-                WorkerPlan {
-                    id: format!("{zone}-{}-{index}", group.name),
-                    availability_zone: zone,
-                    rack: format!("{zone}-{}-rack-{rack}", group.name),
-                    capacity: group.capacity,
-                }
-            })
-            .collect()
+        let group = *group;
+        (0..group.workers as usize).map(move |index| {
+            let zone = zones[index % zones.len()];
+            let rack = index / zones.len() / group.workers_per_rack as usize;
+            WorkerPlan {
+                id: format!("{zone}-{}-{index}", group.name),
+                availability_zone: zone,
+                rack: format!("{zone}-{}-rack-{rack}", group.name),
+                capacity: group.capacity,
+            }
+        })
     }
 
     /// Availability zone of each entry host, dealt in turn.
--- a/crates/mangotrestle-dev/tests/platform_pool_store.rs
+++ b/crates/mangotrestle-dev/tests/platform_pool_store.rs
@@ -379,7 +379,7 @@
         .unwrap();
     let recovered = platform.store("other").load().await.unwrap();
 
-    assert_eq!(compacted.forgotten, [finished.id.clone()]);
+    assert_eq!(compacted.forgotten, std::slice::from_ref(&finished.id));
     assert_eq!(recovered.state.job_count(), 0);
     assert!(
         platform
--- a/crates/mangotrestle/src/daemon/clock.rs
+++ b/crates/mangotrestle/src/daemon/clock.rs
@@ -36,6 +36,10 @@
 
     /// The wall clock.
     #[must_use]
+    #[allow(
+        clippy::unused_self,
+        reason = "callers read both clocks in the same way"
+    )]
     pub fn wall(&self) -> time::WallTimeMs {
         let elapsed = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
         let elapsed_ms = elapsed.map_or(0, |elapsed| elapsed.as_millis());
--- a/crates/mangotrestle/src/daemon/control/journal_writer.rs
+++ b/crates/mangotrestle/src/daemon/control/journal_writer.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 
-use mangotrestle_core::journal;
 use mangotrestle_platform::budget;
 use mangotrestle_platform::group_commit;
 use mangotrestle_platform::pool_store;
@@ -50,17 +49,13 @@
         &self.folded
     }
 
-    /// Hands in records. Returns whether they were taken.
-    pub(crate) fn append(&self, token: u64, records: Vec<journal::Record>, urgent: bool) -> bool {
+    /// Hands in an entry. Returns whether they were taken.
+    pub(crate) fn append(&self, token: u64, item: pool_store::JournalItem, urgent: bool) -> bool {
         let priority = if urgent {
             budget::Priority::Urgent
         } else {
             budget::Priority::Normal
         };
-        let item = pool_store::JournalItem {
-            records,
-            rows: Vec::new(),
-        };
         match self.commit.submit(item, priority) {
             Ok(pending) => self.in_flight.send(InFlight { token, pending }).is_ok(),
             Err(_) => false,
--- a/crates/mangotrestle/src/daemon/control/mod.rs
+++ b/crates/mangotrestle/src/daemon/control/mod.rs
@@ -375,7 +375,7 @@
             let context = Arc::clone(&self.context);
             let pool = due.request.pool.clone();
             let Some(address) = due.leader.address else {
-                self.ask_self(now, due.request);
+                self.ask_self(now, &due.request);
                 continue;
             };
             let peer = self.heartbeats.client(address);
@@ -390,11 +390,11 @@
     }
 
     /// A host that leads a pool gets its routes like every other host.
-    fn ask_self(&mut self, now: pool::Now, request: message::RoutesRequest) {
+    fn ask_self(&mut self, now: pool::Now, request: &message::RoutesRequest) {
         let (reply, answer) = oneshot::channel();
         let context = Arc::clone(&self.context);
         let pool = request.pool.clone();
-        self.routes_asked(now, &request, reply);
+        self.routes_asked(now, request, reply);
         tokio::spawn(async move {
             let answer = answer.await.ok().flatten();
             context.report(event::ControlEvent::PeerRoutes { pool, answer });
--- a/crates/mangotrestle/src/daemon/control/pool_runner.rs
+++ b/crates/mangotrestle/src/daemon/control/pool_runner.rs
@@ -10,6 +10,7 @@
 use mangotrestle_core::scheduler;
 use mangotrestle_core::time;
 use mangotrestle_peer::message;
+use mangotrestle_platform::pool_store;
 use tokio::sync::oneshot;
 use tokio::task;
 
@@ -136,11 +137,17 @@
                 token,
                 records,
                 urgent,
+                inbox,
             } => {
-                self.append(token, records, urgent);
+                let deletes = inbox.map_or_else(Vec::new, |ticket| self.taken_up(ticket));
+                let item = pool_store::JournalItem {
+                    records,
+                    deletes,
+                    ..Default::default()
+                };
+                self.append(token, item, urgent);
             }
             pool::PoolCommand::DropJournal => self.end_tenure(),
-            pool::PoolCommand::ClearInbox { ticket } => self.clear_inbox(ticket),
             pool::PoolCommand::Start {
                 batch,
                 worker,
@@ -195,17 +202,10 @@
         self.workers.disconnect();
     }
 
-    fn append(
-        &mut self,
-        token: u64,
-        records: Vec<mangotrestle_core::journal::Record>,
-        urgent: bool,
-    ) {
-        let taken = self
-            .journal
-            .as_ref()
-            .is_some_and(|journal| journal.append(token, records, urgent));
-        if !taken {
+    fn append(&mut self, token: u64, item: pool_store::JournalItem, urgent: bool) {
+        let journal = self.journal.as_ref();
+        let appended = journal.is_some_and(|journal| journal.append(token, item, urgent));
+        if !appended {
             self.report_journal_lost();
         }
     }
@@ -311,15 +311,14 @@
         }
     }
 
-    /// Deletes journalled inbox rows. A read that is under way may still show them; folding them in
-    /// again changes nothing.
-    fn clear_inbox(&mut self, ticket: u64) {
-        if let Some(keys) = self.inbox.tickets.remove(&ticket) {
-            for key in &keys {
-                self.inbox.keys.remove(key);
-            }
-            self.store.clear_inbox(keys);
+    /// Keys of the inbox rows of a ticket, to be deleted with the entry that journals them. A read
+    /// that is under way may still show them; folding them in again changes nothing.
+    fn taken_up(&mut self, ticket: u64) -> Vec<String> {
+        let keys = self.inbox.tickets.remove(&ticket).unwrap_or_default();
+        for key in &keys {
+            self.inbox.keys.remove(key);
         }
+        keys
     }
 
     /// Tells the runner where the pool's workers are.
--- a/crates/mangotrestle/src/daemon/control/store_tasks.rs
+++ b/crates/mangotrestle/src/daemon/control/store_tasks.rs
@@ -162,19 +162,6 @@
         }
     }
 
-    /// Deletes inbox rows that the journal holds. Rows that stay are found and deleted again.
-    pub(super) fn clear_inbox(&self, keys: Vec<String>) {
-        let tasks = self.clone();
-        tokio::spawn(async move {
-            let mut transaction = table::Transaction::new();
-            transaction.deletes = keys;
-            let writes = &tasks.context.platform.writes;
-            let _ = writes
-                .commit(transaction, mangotrestle_platform::budget::Priority::Normal)
-                .await;
-        });
-    }
-
     /// Folds the journal into a snapshot if it has grown enough.
     pub(super) fn compact(&self, folded: &pool_store::Folded) {
         let tasks = self.clone();
--- a/crates/mangotrestle/src/daemon/mod.rs
+++ b/crates/mangotrestle/src/daemon/mod.rs
@@ -41,6 +41,7 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
+use tokio::task;
 
 use crate::settings;
 use crate::telemetry;
@@ -208,17 +209,24 @@
         listeners,
         authentication,
     };
-    let serving = tokio::spawn(servers.run(front.clone(), recorder, ready.clone(), closing));
-    let readying = tokio::spawn(follow_readiness(front, ready));
+    // Whatever runs for this daemon ends with it, also when this future is dropped.
+    let mut tasks = task::JoinSet::new();
+    tasks.spawn(follow_readiness(front.clone(), ready.clone()));
+    let (served, mut ended) = oneshot::channel();
+    tasks.spawn(async move {
+        let _ = served.send(servers.run(front, recorder, ready, closing).await);
+    });
 
-    let _ = shutdown.wait_for(|stop| *stop).await;
+    tokio::select! {
+        _ = shutdown.wait_for(|stop| *stop) => {}
+        failed = &mut ended => return failed.unwrap_or(Ok(())),
+    }
     slog::info!(log, "daemon.stopping");
     let _ = readiness.send(telemetry::Readiness::Stopping);
     hand_over(&context).await;
     let _ = close.send(true);
     let bound = context.settings.shutdown_bound_ms.as_duration();
-    let served = tokio::time::timeout(bound, serving).await;
-    readying.abort();
+    let served = tokio::time::timeout(bound, ended).await;
     if served.is_err() {
         slog::warn!(log, "daemon.stop_bound_reached"; "bound_ms" => bound.as_millis());
     }
@@ -364,10 +372,9 @@
         ready: watch::Receiver<telemetry::Readiness>,
         closing: watch::Receiver<bool>,
     ) -> Result<(), DaemonError> {
-        let settings = &self.context.settings;
+
         let operators = serve_operators(
             self.listeners.operators,
-            settings,
             Arc::new(operator_backend::Backend::new(Arc::clone(&self.context))),
             self.authentication,
             closing.clone(),
@@ -392,12 +399,10 @@
 
 async fn serve_operators(
     listener: net::TcpListener,
-    settings: &settings::Settings,
     backend: Arc<operator_backend::Backend>,
     authentication: auth::Authentication,
     closing: watch::Receiver<bool>,
 ) -> Result<(), DaemonError> {
-    let _ = settings;
     server::OperatorServer::serve(listener, backend, authentication, closing)
         .await
         .map_err(|error| DaemonError::Serve(error.to_string()))
