--- a/crates/mangotrestle-dev/src/cell.rs
+++ b/crates/mangotrestle-dev/src/cell.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 
 use mangotrestle::daemon;
+use mangotrestle::logging;
 use mangotrestle::settings;
 use mangotrestle_core::id;
 use mangotrestle_core::time;
@@ -20,6 +21,17 @@
 use crate::stand_in::table;
 use crate::stand_in::worker;
 
+/// A log to stderr, or one that goes nowhere. Lines are written until the guard is dropped.
+#[must_use]
+pub fn logger(verbose: bool) -> (slog::Logger, Option<slog_async::AsyncGuard>) {
+    if !verbose {
+        return (slog::Logger::root(slog::Discard, slog::o!()), None);
+    }
+    let level = settings::LogLevel(slog::Level::Info);
+    let (log, guard) = logging::start(level, settings::LogOutput::Stderr);
+    (log, Some(guard))
+}
+
 /// Options of a [`Cell`].
 #[derive(Clone, Debug)]
 pub struct CellBuilder {
--- a/crates/mangotrestle-dev/src/demo.rs
+++ b/crates/mangotrestle-dev/src/demo.rs
@@ -37,6 +37,9 @@
     /// seed of everything random (default: 1)
     #[argh(option, default = "1")]
     pub seed: u64,
+    /// write the entry hosts' log to stderr
+    #[argh(switch)]
+    pub verbose: bool,
 }
 
 /// Runs the demonstration.
@@ -56,7 +59,9 @@
             return process::ExitCode::FAILURE;
         }
     };
-    match runtime.block_on(show(profile, arguments.seed)) {
+    let (log, _guard) = cell::logger(arguments.verbose);
+    let builder = cell::Cell::builder(profile).seed(arguments.seed).log(log);
+    match runtime.block_on(show(profile, builder)) {
         Ok(0) => process::ExitCode::SUCCESS,
         Ok(breaches) => {
             eprintln!("{breaches} breaches");
@@ -70,10 +75,10 @@
 }
 
 /// Shows the whole path; returns the number of breaches.
-async fn show(profile: &profile::Profile, seed: u64) -> Result<u64, String> {
+async fn show(profile: &profile::Profile, builder: cell::CellBuilder) -> Result<u64, String> {
     let began = Instant::now();
     println!("{}: starting the cell", profile.title);
-    let mut cell = cell::Cell::builder(profile).seed(seed).start().await?;
+    let mut cell = builder.start().await?;
     let mut operator = cell.operator().map_err(|error| error.to_string())?;
     let pools = pools_of(profile);
     wait_for_leaders(&mut operator, &pools).await?;
--- a/crates/mangotrestle-dev/src/up.rs
+++ b/crates/mangotrestle-dev/src/up.rs
@@ -20,6 +20,9 @@
     /// seed of everything random (default: 1)
     #[argh(option, default = "1")]
     pub seed: u64,
+    /// write the entry hosts' log to stderr
+    #[argh(switch)]
+    pub verbose: bool,
 }
 
 /// Runs a cell until the process is interrupted.
@@ -46,7 +49,9 @@
 
 async fn keep_up(profile: &profile::Profile, arguments: &UpArguments) -> Result<(), String> {
     let entry_hosts = arguments.entry_hosts.unwrap_or(profile.entry_hosts);
+    let (log, _guard) = cell::logger(arguments.verbose);
     let cell = cell::Cell::builder(profile)
+        .log(log)
         .entry_hosts(entry_hosts)
         .seed(arguments.seed)
         .start()
