Explore the lease protocol breadth first, and mend what it found

The exploration runs the real grantors and leaderships, three workers and two leaders. With one fault it found two copies of a task: a leader dropped a worker from the roster by a row that reached the table when another leader already ran a task there; that leader then finished the change it found, and a third tenure no longer asked the worker. A change now keeps every former member that may still run something, whoever began the change.

--- a/crates/mangotrestle-core/src/lease/leadership/roster_change.rs
+++ b/crates/mangotrestle-core/src/lease/leadership/roster_change.rs
@@ -240,26 +240,25 @@
         let Some(counted) = &self.rosters.counted else {
             return;
         };
-        let members = if counted.former.is_empty() {
-            self.wanted_members(counted)
+        let members = self.wanted_members(counted);
+        let unchanged = members == counted.members;
+        if unchanged && counted.former.is_empty() {
+            return;
+        }
+        let former = if unchanged {
+            BTreeSet::new()
         } else {
             counted.members.clone()
         };
-        let former = if counted.former.is_empty() {
-            counted.members.clone()
-        } else {
-            BTreeSet::new()
-        };
-        if members == former {
-            return;
-        }
         self.write_roster(members, former);
     }
 
     /// The members that the roster should have: whoever is held, and whoever may still run tasks.
+    /// The latter includes former members: another leader may have started runs there before it
+    /// heard of the change that leaves them out.
     fn wanted_members(&self, counted: &roster::Roster) -> BTreeSet<roster::Member> {
         let mut wanted: BTreeSet<roster::Member> = self.held_members().collect();
-        let kept = counted.members.iter().filter(|member| {
+        let kept = counted.everyone().filter(|member| {
             let slot = self.workers.get(&member.worker);
             let lapsed = slot.is_some_and(|slot| slot.lapsed && slot.hold.is_none());
             !lapsed && !self.rosters.gone.contains(member)
