--- a/crates/mangotrestle-core/src/scheduler/naive.rs
+++ b/crates/mangotrestle-core/src/scheduler/naive.rs
@@ -87,6 +87,11 @@
         });
     }
 
+    /// Takes a job's waiting tasks out. Its runs go on until they end.
+    pub fn remove_job(&mut self, job: &id::JobId) {
+        self.jobs.retain(|entry| entry.spec.id != *job);
+    }
+
     /// Takes a run off its worker.
     pub fn end_run(&mut self, run: &task::RunId) {
         for worker in &mut self.workers {
