--- a/crates/mangotrestle-core/src/routing/latency.rs
+++ b/crates/mangotrestle-core/src/routing/latency.rs
@@ -1,7 +1,9 @@
 //! A running estimate of a latency: smoothed mean and mean deviation.
 //!
 //! The weights are those that TCP uses for its retransmission timer: one eighth for the mean and
-//! one quarter for the deviation. An observation costs O(1) and the state is three words.
+//! one quarter for the deviation. Until there are that many observations the mean is the plain
+//! average, so that the first one does not weigh more than the rest. An observation costs O(1) and
+//! the state is three words.
 //!
 //! ```
 //! use mangotrestle_core::routing::latency::Latency;
@@ -30,8 +32,9 @@
             self.deviation_us = sample_us / 2;
         } else {
             let difference = sample_us.abs_diff(self.mean_us);
-            self.deviation_us = blend(self.deviation_us, difference, 4);
-            self.mean_us = blend(self.mean_us, sample_us, 8);
+            let count = u64::from(self.samples) + 1;
+            self.deviation_us = blend(self.deviation_us, difference, count.min(4));
+            self.mean_us = blend(self.mean_us, sample_us, count.min(8));
         }
         self.samples = self.samples.saturating_add(1);
     }
--- a/crates/mangotrestle-core/src/routing/limit.rs
+++ b/crates/mangotrestle-core/src/routing/limit.rs
@@ -19,7 +19,6 @@
 //! assert!(limit.current(8) < 8);
 //! ```
 
-use crate::routing::latency::Latency;
 use crate::routing::snapshot;
 use crate::routing::token_bucket::TokenBucket;
 use crate::time;
@@ -30,6 +29,8 @@
 const TOLERATED_BASELINES: u64 = 3;
 /// The limit falls by one part in this many on each slow answer.
 const DECREASE_DIVISOR: u32 = 16;
+/// Weight of an answer in the smoothed latency: one part in this many.
+const SMOOTHING_DIVISOR: u64 = 32;
 /// The baseline rises by one part in this many of the difference on each answer.
 const BASELINE_RISE_DIVISOR: u64 = 4_096;
 
@@ -37,7 +38,9 @@
 #[derive(Clone, Debug)]
 pub struct AdaptiveLimit {
     limit_parts: u32,
-    smoothed: Latency,
+    /// Answers taken in, up to [`SMOOTHING_DIVISOR`].
+    samples: u64,
+    smoothed_us: u64,
     baseline_us: u64,
 }
 
@@ -47,7 +50,8 @@
     pub fn new(initial: u32) -> Self {
         Self {
             limit_parts: initial.max(1).saturating_mul(PARTS),
-            smoothed: Latency::default(),
+            samples: 0,
+            smoothed_us: 0,
             baseline_us: 0,
         }
     }
@@ -55,10 +59,9 @@
     /// Takes in an answer's latency, with the number of requests that were in flight at the target
     /// and the greatest limit of use.
     pub fn observe(&mut self, latency_us: u64, in_flight: u32, max: u32) {
-        self.smoothed.observe_us(latency_us);
-        let smoothed_us = self.smoothed.mean_us().unwrap_or(latency_us);
-        self.move_baseline(smoothed_us);
-        if smoothed_us > self.baseline_us.saturating_mul(TOLERATED_BASELINES) {
+        self.smooth(latency_us);
+        self.move_baseline();
+        if self.smoothed_us > self.baseline_us.saturating_mul(TOLERATED_BASELINES) {
             self.limit_parts -= self.limit_parts / DECREASE_DIVISOR;
         } else if in_flight.saturating_mul(2) >= self.limit_parts / PARTS {
             let step = PARTS * PARTS / self.limit_parts.max(PARTS);
@@ -71,16 +74,27 @@
     /// The limit, at most `max` and at least one.
     #[must_use]
     pub fn current(&self, max: u32) -> u32 {
-        (self.limit_parts / PARTS).clamp(1, max.max(1))
+        self.limit_parts.div_ceil(PARTS).clamp(1, max.max(1))
+    }
+
+    /// The plain average of the first answers, and a moving one from then on.
+    fn smooth(&mut self, latency_us: u64) {
+        self.samples = (self.samples + 1).min(SMOOTHING_DIVISOR);
+        if latency_us >= self.smoothed_us {
+            self.smoothed_us += (latency_us - self.smoothed_us) / self.samples;
+        } else {
+            self.smoothed_us -= (self.smoothed_us - latency_us) / self.samples;
+        }
     }
 
     /// The baseline follows the latency down at once and up slowly, so that a change of the
     /// workload is learned and a short overload is not.
-    fn move_baseline(&mut self, smoothed_us: u64) {
-        if self.baseline_us == 0 || smoothed_us < self.baseline_us {
-            self.baseline_us = smoothed_us.max(1);
+    fn move_baseline(&mut self) {
+        let settled = self.samples == SMOOTHING_DIVISOR;
+        if self.baseline_us == 0 || !settled || self.smoothed_us < self.baseline_us {
+            self.baseline_us = self.smoothed_us.max(1);
         } else {
-            self.baseline_us += (smoothed_us - self.baseline_us) / BASELINE_RISE_DIVISOR;
+            self.baseline_us += (self.smoothed_us - self.baseline_us) / BASELINE_RISE_DIVISOR;
         }
     }
 }
--- a/crates/mangotrestle-core/src/routing/outlier.rs
+++ b/crates/mangotrestle-core/src/routing/outlier.rs
@@ -49,7 +49,7 @@
         Self {
             failures_to_eject: 4,
             slow_ratio: 3,
-            min_samples: 3,
+            min_samples: 5,
             base_ejection: time::SpanMs::from_secs(2),
             max_ejection: time::SpanMs::from_secs(60),
             floor_percent: 50,
--- a/crates/mangotrestle-core/src/routing/retry.rs
+++ b/crates/mangotrestle-core/src/routing/retry.rs
@@ -81,6 +81,12 @@
         }
     }
 
+    /// Whether the request may run more than once.
+    #[must_use]
+    pub const fn is_idempotent(&self) -> bool {
+        self.idempotent
+    }
+
     /// Number of attempts that ended.
     #[must_use]
     pub const fn made(&self) -> u32 {
--- a/crates/mangotrestle-core/src/routing/router/dispatch.rs
+++ b/crates/mangotrestle-core/src/routing/router/dispatch.rs
@@ -272,7 +272,7 @@
         } else {
             warm_give_up_at(now, ask, service, &self.settings)?
         };
-        if service.queue.len() >= self.settings.max_waiting {
+        if service.queue.len_of(ask.urgency) >= self.settings.max_waiting {
             return Err(Refusal {
                 code: ResultCode::Overloaded,
                 retry_after: DEFAULT_RETRY_AFTER,
@@ -284,7 +284,7 @@
             tried: ask.tried.into(),
             cold,
         };
-        let ticket = service.queue.push(ask.urgency, give_up_at, waiting);
+        let ticket = service.queue.push(now, ask.urgency, give_up_at, waiting);
         Ok(Wait { ticket, give_up_at })
     }
 
@@ -559,7 +559,13 @@
             retry_after: service.expected_turnover(),
         });
     }
-    let give_up_at = latest_start.min(now + settings.max_wait);
+    let standing = service.queue.standing_for(now) >= settings.standing_after;
+    let longest_wait = if standing {
+        settings.standing_wait
+    } else {
+        settings.max_wait
+    };
+    let give_up_at = latest_start.min(now + longest_wait);
     let ahead = service.queue.ahead_of(ask.urgency);
     let service_us = service.latency.mean_us().unwrap_or(0);
     let wait = wait_queue::estimate_wait(ahead, service.in_use, service_us);
--- a/crates/mangotrestle-core/src/routing/router/mod.rs
+++ b/crates/mangotrestle-core/src/routing/router/mod.rs
@@ -84,11 +84,15 @@
 /// Settings of a [`Router`]. The fields are public; start from [`Settings::default`].
 #[derive(Clone, Copy, Debug)]
 pub struct Settings {
-    /// Longest wait for a slot when the service has ready targets.
+    /// Longest wait for a slot while the queue is a burst that empties soon.
     pub max_wait: time::SpanMs,
+    /// Longest wait for a slot once the queue has been standing.
+    pub standing_wait: time::SpanMs,
+    /// A queue that was not empty for this long is standing.
+    pub standing_after: time::SpanMs,
     /// Longest wait for a service without a ready target to start.
     pub max_cold_wait: time::SpanMs,
-    /// Requests of one service that may wait at the same time.
+    /// Requests of one service and one class that may wait at the same time.
     pub max_waiting: usize,
     /// Time over which a new target's load rises to its full share.
     pub slow_start: time::SpanMs,
@@ -109,6 +113,8 @@
     fn default() -> Self {
         Self {
             max_wait: time::SpanMs::from_secs(1),
+            standing_wait: time::SpanMs(100),
+            standing_after: time::SpanMs(500),
             max_cold_wait: time::SpanMs::from_secs(30),
             max_waiting: 1_024,
             slow_start: time::SpanMs::from_secs(5),
--- a/crates/mangotrestle-core/src/routing/wait_queue.rs
+++ b/crates/mangotrestle-core/src/routing/wait_queue.rs
@@ -12,8 +12,8 @@
 //! use mangotrestle_core::time::TimeMs;
 //!
 //! let mut queue = WaitQueue::new();
-//! let background = queue.push(Urgency::Background, TimeMs(50), "report");
-//! let urgent = queue.push(Urgency::Urgent, TimeMs(50), "payment");
+//! let background = queue.push(TimeMs(0), Urgency::Background, TimeMs(50), "report");
+//! let urgent = queue.push(TimeMs(0), Urgency::Urgent, TimeMs(50), "payment");
 //! assert_eq!(queue.first(), Some((urgent, &"payment")));
 //! assert_eq!(queue.remove(urgent), Some("payment"));
 //! assert_eq!(queue.first().map(|(ticket, _)| ticket), Some(background));
@@ -44,6 +44,8 @@
     /// Entries of each class, by urgency.
     counts: [usize; 3],
     next_number: u64,
+    /// Since when something waits.
+    standing_since: Option<time::TimeMs>,
 }
 
 impl<T> Default for WaitQueue<T> {
@@ -60,6 +62,7 @@
             entries: BTreeMap::new(),
             counts: [0; 3],
             next_number: 0,
+            standing_since: None,
         }
     }
 
@@ -81,8 +84,29 @@
         self.counts[..=urgency as usize].iter().sum()
     }
 
+    /// Entries of one class.
+    #[must_use]
+    pub const fn len_of(&self, urgency: job::Urgency) -> usize {
+        self.counts[urgency as usize]
+    }
+
+    /// How long the queue has not been empty. A short queue that never empties adds its wait to
+    /// every request and serves none the sooner.
+    #[must_use]
+    pub fn standing_for(&self, now: time::TimeMs) -> time::SpanMs {
+        self.standing_since
+            .map_or(time::SpanMs(0), |since| now.since(since))
+    }
+
     /// Adds an entry that is given up at the given time.
-    pub fn push(&mut self, urgency: job::Urgency, give_up_at: time::TimeMs, item: T) -> Ticket {
+    pub fn push(
+        &mut self,
+        now: time::TimeMs,
+        urgency: job::Urgency,
+        give_up_at: time::TimeMs,
+        item: T,
+    ) -> Ticket {
+        self.standing_since.get_or_insert(now);
         let ticket = Ticket {
             urgency,
             number: self.next_number,
@@ -110,6 +134,9 @@
     pub fn remove(&mut self, ticket: Ticket) -> Option<T> {
         let entry = self.entries.remove(&ticket)?;
         self.counts[ticket.urgency as usize] -= 1;
+        if self.entries.is_empty() {
+            self.standing_since = None;
+        }
         Some(entry.item)
     }
 
--- /dev/null
+++ b/crates/mangotrestle-dev/src/measure/route/model.rs
@@ -0,0 +1,664 @@
+//! A small queueing model of targets under virtual time, and the two routers that are compared.
+//!
+//! Each target serves a few requests at the same time and queues the rest. A target does not
+//! notice that a caller has given up: late work is wasted, as in a service that does not look at
+//! deadlines.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, VecDeque};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+
+use hdrhistogram::Histogram;
+use mangotrestle_core::collections::FastMap;
+use mangotrestle_core::id;
+use mangotrestle_core::job;
+use mangotrestle_core::routing::{retry, router, snapshot, wait_queue};
+use mangotrestle_core::time;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+/// Requests that a target serves at the same time.
+pub const SLOTS: u32 = 8;
+/// Least time of a request at a target.
+const BASE_SERVICE_US: u64 = 5_000;
+/// Mean of the exponentially distributed rest.
+const MEAN_EXTRA_US: f64 = 15_000.0;
+/// Time on the way, each way.
+const ONE_WAY_US: u64 = 250;
+/// Time until a fault is answered.
+const FAULT_US: u64 = 1_000;
+/// Interval of the router's own timer.
+const TICK_US: u64 = 20_000;
+/// Start of the virtual clock, after the slow start of all targets.
+const START_US: u64 = 60_000_000;
+/// Time before counting begins.
+const WARM_UP_US: u64 = 2_000_000;
+/// Greatest latency that is told apart.
+const LONGEST_US: u64 = 600_000_000;
+/// Attempts of one request.
+const MAX_ATTEMPTS: u32 = 3;
+const BACKOFF: retry::Backoff = retry::Backoff {
+    base: time::SpanMs(5),
+    max: time::SpanMs(250),
+};
+
+/// What is wrong with a target.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Fault {
+    /// Nothing.
+    None,
+    /// Everything takes this many times as long.
+    Slow(u64),
+    /// Answers everything with a fault.
+    FailsAll,
+    /// Refuses connections.
+    Down,
+}
+
+/// Which router is measured.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Kind {
+    /// The product's.
+    Routed,
+    /// Round robin, without limits, with retries of whatever failed.
+    Naive,
+}
+
+/// One experiment.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Seed of arrivals, service times and choices.
+    pub seed: u64,
+    /// Which router.
+    pub kind: Kind,
+    /// The targets' faults.
+    pub faults: Vec<Fault>,
+    /// Entry hosts, which share each target's slots evenly.
+    pub entry_hosts: usize,
+    /// Requests a second in all.
+    pub rate_per_s: f64,
+    /// Time that is counted.
+    pub counted_us: u64,
+    /// Time that each caller gives its request.
+    pub deadline_us: u64,
+    /// Attempts in a thousand that a healthy target answers with a fault.
+    pub fault_per_mille: u32,
+    /// Requests in a hundred that may be repeated.
+    pub idempotent_percent: u32,
+}
+
+impl Plan {
+    /// What healthy targets can do.
+    pub fn capacity_per_s(&self) -> f64 {
+        #[allow(clippy::cast_precision_loss, reason = "small whole numbers")]
+        let servers = (self.faults.len() as u64 * u64::from(SLOTS)) as f64;
+        #[allow(clippy::cast_precision_loss, reason = "small whole numbers")]
+        let mean_us = BASE_SERVICE_US as f64 + MEAN_EXTRA_US;
+        servers * 1e6 / mean_us
+    }
+}
+
+/// What callers saw.
+#[derive(Clone, Debug)]
+pub struct Observed {
+    /// Requests that arrived.
+    pub arrived: u64,
+    /// Requests answered without fault in time.
+    pub good: u64,
+    /// Urgent requests that arrived.
+    pub urgent_arrived: u64,
+    /// Urgent requests answered without fault in time.
+    pub urgent_good: u64,
+    /// Requests answered with a fault, or not at all in time, after they were sent.
+    pub failed: u64,
+    /// Requests refused as "not run".
+    pub refused: u64,
+    /// Attempts made.
+    pub attempts: u64,
+    /// Times that a target was left out.
+    pub ejections: u64,
+    /// Latency of requests that were sent to a target; given up ones count as past the deadline.
+    pub admitted_us: Histogram<u64>,
+    /// Time until a refusal.
+    pub refused_us: Histogram<u64>,
+}
+
+impl Observed {
+    fn new() -> Self {
+        let histogram =
+            || Histogram::new_with_bounds(1, LONGEST_US, 3).expect("the bounds are in order");
+        Self {
+            arrived: 0,
+            good: 0,
+            urgent_arrived: 0,
+            urgent_good: 0,
+            failed: 0,
+            refused: 0,
+            attempts: 0,
+            ejections: 0,
+            admitted_us: histogram(),
+            refused_us: histogram(),
+        }
+    }
+
+    /// Share of requests that failed or were refused.
+    #[allow(clippy::cast_precision_loss, reason = "counts far below 2^52")]
+    pub fn error_ratio(&self) -> f64 {
+        (self.failed + self.refused) as f64 / self.arrived.max(1) as f64
+    }
+
+    /// Useful answers a second.
+    #[allow(clippy::cast_precision_loss, reason = "counts far below 2^52")]
+    pub fn goodput_per_s(&self, plan: &Plan) -> f64 {
+        self.good as f64 * 1e6 / plan.counted_us as f64
+    }
+
+    /// A percentile of the admitted requests' latency.
+    #[allow(clippy::cast_precision_loss, reason = "latencies far below 2^52")]
+    pub fn admitted_ms(&self, quantile: f64) -> f64 {
+        self.admitted_us.value_at_quantile(quantile) as f64 / 1_000.0
+    }
+}
+
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Event {
+    Arrive,
+    AtTarget {
+        request: usize,
+        attempt: u32,
+    },
+    Served {
+        target: usize,
+        request: usize,
+        attempt: u32,
+        fault: bool,
+    },
+    Answer {
+        request: usize,
+        attempt: u32,
+        fault: bool,
+    },
+    NotSent {
+        request: usize,
+        attempt: u32,
+    },
+    Deadline {
+        request: usize,
+    },
+    GiveUpWait {
+        host: usize,
+    },
+    Retry {
+        request: usize,
+    },
+    Tick {
+        host: usize,
+    },
+}
+
+struct Request {
+    host: usize,
+    urgency: job::Urgency,
+    arrived_us: u64,
+    deadline_us: u64,
+    counted: bool,
+    attempts: retry::Attempts,
+    tried: Vec<u32>,
+    /// Number of the attempt that is under way.
+    attempt: u32,
+    target: usize,
+    sent_us: u64,
+    ever_sent: bool,
+    assignment: Option<router::Assignment>,
+    ticket: Option<wait_queue::Ticket>,
+    over: bool,
+}
+
+struct TargetModel {
+    fault: Fault,
+    busy: u32,
+    queue: VecDeque<(usize, u32)>,
+}
+
+/// A run of a [`Plan`].
+pub struct Model<'a> {
+    plan: &'a Plan,
+    now_us: u64,
+    next_order: u64,
+    events: BinaryHeap<Reverse<(u64, u64, Event)>>,
+    rng: SmallRng,
+    requests: Vec<Request>,
+    targets: Vec<TargetModel>,
+    routers: Vec<router::Router>,
+    waiting: Vec<FastMap<wait_queue::Ticket, usize>>,
+    next_target: usize,
+    job: id::JobId,
+    team: id::TeamId,
+    observed: Observed,
+}
+
+impl<'a> Model<'a> {
+    /// Runs a plan.
+    pub fn run(plan: &'a Plan) -> Observed {
+        let mut model = Self::new(plan);
+        let end_us = START_US + WARM_UP_US + plan.counted_us;
+        model.schedule(START_US, Event::Arrive);
+        for host in 0..plan.entry_hosts {
+            model.schedule(START_US, Event::Tick { host });
+        }
+        while let Some(Reverse((at_us, _, event))) = model.events.pop() {
+            model.now_us = at_us;
+            model.handle(event, end_us);
+        }
+        let ejections = |router: &router::Router| router.counts().ejections;
+        model.observed.ejections = model.routers.iter().map(ejections).sum();
+        model.observed
+    }
+
+    fn new(plan: &'a Plan) -> Self {
+        let mut rng = SmallRng::seed_from_u64(plan.seed);
+        let job = id::JobId::new("booking").expect("a valid name");
+        let team = id::TeamId::new("web").expect("a valid name");
+        let snapshot = Arc::new(routes(plan, &job, &team));
+        let install = |_| {
+            let mut router = router::Router::new(router::Settings::default());
+            router.install(
+                time::TimeMs(START_US / 1_000),
+                Arc::clone(&snapshot),
+                &mut rng,
+            );
+            router
+        };
+        let routers: Vec<router::Router> = (0..plan.entry_hosts).map(install).collect();
+        let target = |&fault| TargetModel {
+            fault,
+            busy: 0,
+            queue: VecDeque::new(),
+        };
+        Self {
+            plan,
+            now_us: START_US,
+            next_order: 0,
+            events: BinaryHeap::new(),
+            requests: Vec::new(),
+            targets: plan.faults.iter().map(target).collect(),
+            waiting: routers.iter().map(|_| FastMap::default()).collect(),
+            routers,
+            next_target: 0,
+            job,
+            team,
+            observed: Observed::new(),
+            rng,
+        }
+    }
+
+    fn schedule(&mut self, at_us: u64, event: Event) {
+        self.next_order += 1;
+        self.events.push(Reverse((at_us, self.next_order, event)));
+    }
+
+    fn now(&self) -> time::TimeMs {
+        time::TimeMs(self.now_us / 1_000)
+    }
+
+    fn handle(&mut self, event: Event, end_us: u64) {
+        match event {
+            Event::Arrive => self.arrive(end_us),
+            Event::AtTarget { request, attempt } => self.at_target(request, attempt),
+            Event::Served {
+                target,
+                request,
+                attempt,
+                fault,
+            } => self.served(target, request, attempt, fault),
+            Event::Answer {
+                request,
+                attempt,
+                fault,
+            } => self.answered(request, attempt, fault),
+            Event::NotSent { request, attempt } => {
+                if self.requests[request].attempt == attempt {
+                    self.attempt_over(request, router::End::Failed, retry::AttemptEnd::NotSent);
+                }
+            }
+            Event::Deadline { request } => self.deadline(request),
+            Event::Retry { request } => self.offer(request),
+            Event::GiveUpWait { host } => self.tick(host),
+            Event::Tick { host } => {
+                self.tick(host);
+                if self.now_us < end_us + 2 * self.plan.deadline_us {
+                    self.schedule(self.now_us + TICK_US, Event::Tick { host });
+                }
+            }
+        }
+    }
+
+    fn arrive(&mut self, end_us: u64) {
+        let uniform: f64 = self.rng.random();
+        let gap_us = -(1.0 - uniform).ln() * 1e6 / self.plan.rate_per_s;
+        let next_us = self.now_us + whole_us(gap_us);
+        if next_us < end_us {
+            self.schedule(next_us, Event::Arrive);
+        }
+        let urgency = match self.rng.random_range(0..10) {
+            0 => job::Urgency::Urgent,
+            1 => job::Urgency::Background,
+            _ => job::Urgency::Normal,
+        };
+        let idempotent = self.rng.random_range(0..100) < self.plan.idempotent_percent;
+        let counted = self.now_us >= START_US + WARM_UP_US;
+        let host = self.requests.len() % self.plan.entry_hosts;
+        let deadline_us = self.now_us + self.plan.deadline_us;
+        let request = self.requests.len();
+        self.requests.push(Request {
+            host,
+            urgency,
+            arrived_us: self.now_us,
+            deadline_us,
+            counted,
+            attempts: retry::Attempts::new(idempotent, MAX_ATTEMPTS),
+            tried: Vec::new(),
+            attempt: 0,
+            target: 0,
+            sent_us: 0,
+            ever_sent: false,
+            assignment: None,
+            ticket: None,
+            over: false,
+        });
+        if counted {
+            self.observed.arrived += 1;
+            self.observed.urgent_arrived += u64::from(urgency == job::Urgency::Urgent);
+        }
+        self.schedule(deadline_us, Event::Deadline { request });
+        self.offer(request);
+    }
+
+    fn offer(&mut self, number: usize) {
+        if self.requests[number].over {
+            return;
+        }
+        if self.plan.kind == Kind::Naive {
+            self.next_target = (self.next_target + 1) % self.targets.len();
+            self.send(number, self.next_target, None);
+            return;
+        }
+        let now = self.now();
+        let request = &mut self.requests[number];
+        let host = request.host;
+        let ask = router::Ask {
+            job: &self.job,
+            team: &self.team,
+            urgency: request.urgency,
+            idempotent: request.attempts.is_idempotent(),
+            deadline: time::TimeMs(request.deadline_us / 1_000),
+            tried: &request.tried,
+        };
+        match self.routers[host].offer(now, &ask, &mut self.rng) {
+            router::Offer::Send(assignment) => self.send_assigned(number, assignment),
+            router::Offer::Refuse(_) => self.refused(number),
+            router::Offer::Wait(wait) => {
+                request.ticket = Some(wait.ticket);
+                self.waiting[host].insert(wait.ticket, number);
+                let at_us = wait.give_up_at.0 * 1_000;
+                self.schedule(at_us.max(self.now_us), Event::GiveUpWait { host });
+            }
+        }
+    }
+
+    fn send_assigned(&mut self, number: usize, assignment: router::Assignment) {
+        let target = assignment.index as usize;
+        self.requests[number].tried.push(assignment.index);
+        self.send(number, target, Some(assignment));
+    }
+
+    fn send(&mut self, number: usize, target: usize, assignment: Option<router::Assignment>) {
+        let request = &mut self.requests[number];
+        request.attempt += 1;
+        request.target = target;
+        request.sent_us = self.now_us;
+        request.ever_sent = true;
+        request.assignment = assignment;
+        let attempt = request.attempt;
+        if request.counted {
+            self.observed.attempts += 1;
+        }
+        let event = match self.targets[target].fault {
+            Fault::Down => Event::NotSent {
+                request: number,
+                attempt,
+            },
+            _ => Event::AtTarget {
+                request: number,
+                attempt,
+            },
+        };
+        self.schedule(self.now_us + ONE_WAY_US, event);
+    }
+
+    fn at_target(&mut self, request: usize, attempt: u32) {
+        let target = self.requests[request].target;
+        if self.targets[target].fault == Fault::FailsAll {
+            let at_us = self.now_us + FAULT_US;
+            let fault = true;
+            self.schedule(
+                at_us,
+                Event::Answer {
+                    request,
+                    attempt,
+                    fault,
+                },
+            );
+        } else if self.targets[target].busy < SLOTS {
+            self.serve(target, request, attempt);
+        } else {
+            self.targets[target].queue.push_back((request, attempt));
+        }
+    }
+
+    fn serve(&mut self, target: usize, request: usize, attempt: u32) {
+        self.targets[target].busy += 1;
+        let uniform: f64 = self.rng.random();
+        let mut service_us = BASE_SERVICE_US + whole_us(-(1.0 - uniform).ln() * MEAN_EXTRA_US);
+        if let Fault::Slow(factor) = self.targets[target].fault {
+            service_us *= factor;
+        }
+        let fault = self.rng.random_range(0..1_000) < self.plan.fault_per_mille;
+        self.schedule(
+            self.now_us + service_us,
+            Event::Served {
+                target,
+                request,
+                attempt,
+                fault,
+            },
+        );
+    }
+
+    fn served(&mut self, target: usize, request: usize, attempt: u32, fault: bool) {
+        self.targets[target].busy -= 1;
+        if let Some((next, next_attempt)) = self.targets[target].queue.pop_front() {
+            self.serve(target, next, next_attempt);
+        }
+        let at_us = self.now_us + ONE_WAY_US;
+        self.schedule(
+            at_us,
+            Event::Answer {
+                request,
+                attempt,
+                fault,
+            },
+        );
+    }
+
+    fn answered(&mut self, number: usize, attempt: u32, fault: bool) {
+        let request = &self.requests[number];
+        if request.over || request.attempt != attempt {
+            return;
+        }
+        if fault {
+            self.attempt_over(
+                number,
+                router::End::Failed,
+                retry::AttemptEnd::AnsweredFault,
+            );
+            return;
+        }
+        let latency_us = self.now_us - request.sent_us;
+        let total_us = self.now_us - request.arrived_us;
+        let counted = request.counted;
+        let urgent = request.urgency == job::Urgency::Urgent;
+        self.requests[number].over = true;
+        self.finish(number, router::End::Answered { latency_us });
+        if counted {
+            self.observed.good += 1;
+            self.observed.urgent_good += u64::from(urgent);
+            self.observed.admitted_us.saturating_record(total_us);
+        }
+    }
+
+    /// An attempt ended without an answer that could be passed on as good.
+    fn attempt_over(&mut self, number: usize, end: router::End, attempt: retry::AttemptEnd) {
+        if self.requests[number].over {
+            return;
+        }
+        self.finish(number, end);
+        let next = self.requests[number].attempts.ended(attempt);
+        let may_retry = match self.plan.kind {
+            Kind::Naive => self.requests[number].attempts.made() < MAX_ATTEMPTS,
+            Kind::Routed => next == retry::Next::MayRetry && self.try_retry(number),
+        };
+        if !may_retry {
+            self.failed(number);
+            return;
+        }
+        let retry_number = self.requests[number].attempts.made() - 1;
+        let delay = match self.plan.kind {
+            Kind::Naive => time::SpanMs(0),
+            Kind::Routed => BACKOFF.delay(retry_number, &mut self.rng),
+        };
+        let at_us = self.now_us + delay.0 * 1_000;
+        self.schedule(at_us, Event::Retry { request: number });
+    }
+
+    fn try_retry(&mut self, number: usize) -> bool {
+        let now = self.now();
+        let host = self.requests[number].host;
+        self.routers[host].try_retry(now, &self.job, &self.team)
+    }
+
+    fn finish(&mut self, number: usize, end: router::End) {
+        let request = &mut self.requests[number];
+        let Some(assignment) = request.assignment.take() else {
+            return;
+        };
+        let host = request.host;
+        let now = self.now();
+        let resumed = self.routers[host].finish(now, &assignment, end, &mut self.rng);
+        self.resume(host, resumed);
+    }
+
+    fn tick(&mut self, host: usize) {
+        let now = self.now();
+        let resumed = self.routers[host].tick(now, &mut self.rng);
+        self.resume(host, resumed);
+    }
+
+    fn resume(&mut self, host: usize, resumed: Vec<router::Resumed>) {
+        for one in resumed {
+            let Some(number) = self.waiting[host].remove(&one.ticket) else {
+                continue;
+            };
+            self.requests[number].ticket = None;
+            match one.result {
+                Ok(assignment) => self.send_assigned(number, assignment),
+                Err(_) => self.refused(number),
+            }
+        }
+    }
+
+    fn deadline(&mut self, number: usize) {
+        if self.requests[number].over {
+            return;
+        }
+        let request = &self.requests[number];
+        let host = request.host;
+        if let Some(ticket) = request.ticket {
+            self.routers[host].withdraw(&self.job, ticket);
+            self.waiting[host].remove(&ticket);
+            self.refused(number);
+            return;
+        }
+        let waited_us = self.now_us - request.sent_us;
+        self.requests[number].over = true;
+        self.finish(number, router::End::TimedOut { waited_us });
+        if self.requests[number].counted {
+            self.observed.failed += 1;
+            let past_us = self.plan.deadline_us + 1_000;
+            self.observed.admitted_us.saturating_record(past_us);
+        }
+    }
+
+    fn failed(&mut self, number: usize) {
+        let request = &mut self.requests[number];
+        request.over = true;
+        let total_us = self.now_us - request.arrived_us;
+        if request.counted {
+            self.observed.failed += 1;
+            self.observed.admitted_us.saturating_record(total_us);
+        }
+    }
+
+    fn refused(&mut self, number: usize) {
+        let request = &mut self.requests[number];
+        request.over = true;
+        let total_us = self.now_us - request.arrived_us;
+        if !request.counted {
+            return;
+        }
+        if request.ever_sent {
+            self.observed.failed += 1;
+        } else {
+            self.observed.refused += 1;
+            self.observed.refused_us.saturating_record(total_us);
+        }
+    }
+}
+
+fn routes(plan: &Plan, job: &id::JobId, team: &id::TeamId) -> snapshot::RouteSnapshot {
+    let zone = id::AvailabilityZoneId::new("marousi").expect("a valid name");
+    let mut routes = snapshot::RouteSnapshot::empty(zone.clone());
+    let mut service = snapshot::ServiceRoutes::new(job.clone(), team.clone());
+    let hosts = u32::try_from(plan.entry_hosts).unwrap_or(1);
+    for index in 0..plan.faults.len() {
+        let worker = id::WorkerId::new(&format!("w-{index}")).expect("a valid name");
+        let index = u32::try_from(index).expect("a few targets");
+        service.targets.push(snapshot::Target {
+            index,
+            worker: worker.clone(),
+            availability_zone: zone.clone(),
+            address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
+            state: snapshot::TargetState::Ready {
+                since: time::TimeMs(0),
+            },
+        });
+        let share = snapshot::WorkerShare {
+            slots: SLOTS / hosts,
+            connections: 64 / hosts,
+            expires_at: time::TimeMs(u64::MAX),
+        };
+        routes.shares.insert(worker, share);
+    }
+    routes.add_service(service);
+    routes
+}
+
+#[allow(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "spans are positive and far below 2^52"
+)]
+fn whole_us(span_us: f64) -> u64 {
+    span_us as u64
+}
