--- a/crates/mangotrestle-caller/tests/support/mod.rs
+++ b/crates/mangotrestle-caller/tests/support/mod.rs
@@ -23,6 +23,7 @@
 use mangotrestle_core::time;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
+use tokio::runtime::Runtime;
 use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
 
@@ -226,7 +227,17 @@
     pub snapshots: Arc<SnapshotCell>,
     pub front: Front,
     stop: Option<oneshot::Sender<()>>,
-    serving: JoinHandle<std::io::Result<Stopped>>,
+    serving: Option<JoinHandle<std::io::Result<Stopped>>>,
+    /// The entry host's own, so that it can be ended with all its tasks.
+    runtime: Option<Runtime>,
+}
+
+impl Drop for EntryHost {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
 }
 
 impl EntryHost {
@@ -235,13 +246,13 @@
         self.stop.take().unwrap().send(()).unwrap();
     }
 
-    pub async fn stopped(self) -> Stopped {
-        self.serving.await.unwrap().unwrap()
+    pub async fn stopped(mut self) -> Stopped {
+        self.serving.take().unwrap().await.unwrap().unwrap()
     }
 
     /// Ends the process without any order.
     pub fn kill(self) {
-        self.serving.abort();
+        drop(self);
     }
 }
 
@@ -259,8 +270,14 @@
     records: Arc<dyn StartedRecords>,
     set_up: impl FnOnce(Builder) -> Builder,
 ) -> EntryHost {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.set_nonblocking(true).unwrap();
     let address = listener.local_addr().unwrap();
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(1)
+        .enable_all()
+        .build()
+        .unwrap();
     let snapshots = Arc::new(SnapshotCell::new(routes));
     let name = id::EntryHostId::new("e-1").unwrap();
     let builder = Front::builder(name, Arc::clone(&snapshots))
@@ -269,7 +286,8 @@
     let front = set_up(builder).build();
     let (stop, stopping) = oneshot::channel();
     let server = front.clone();
-    let serving = tokio::spawn(async move {
+    let serving = runtime.spawn(async move {
+        let listener = TcpListener::from_std(listener).unwrap();
         let shutdown = async {
             let _ = stopping.await;
         };
@@ -280,7 +298,8 @@
         snapshots,
         front,
         stop: Some(stop),
-        serving,
+        serving: Some(serving),
+        runtime: Some(runtime),
     }
 }
 
--- /dev/null
+++ b/crates/mangotrestle-core/tests/routing_slot_share.rs
@@ -0,0 +1,233 @@
+//! Shares of a worker's slots never add up to more than the worker has, whatever happens to the
+//! messages, the entry hosts and the leader.
+
+use mangotrestle_core::id;
+use mangotrestle_core::routing::slot_share::{
+    Capacity, Demand, Holder, Ledger, ShareGrant, ShareRequest, Terms,
+};
+use mangotrestle_core::time::{SpanMs, TimeMs};
+use quickcheck::quickcheck;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+const SLOTS: u32 = 8;
+const TERMS: Terms = Terms {
+    term: SpanMs(1_000),
+    longest_request: SpanMs(300),
+    drift_margin: SpanMs(10),
+};
+
+fn worker() -> id::WorkerId {
+    id::WorkerId::new("w-1").unwrap()
+}
+
+fn holder(number: usize) -> Holder {
+    let name = id::EntryHostId::new(&format!("e-{number}")).unwrap();
+    Holder::new(name, id::Incarnation(1))
+}
+
+fn with_worker(mut ledger: Ledger) -> Ledger {
+    let capacity = Capacity {
+        slots: SLOTS,
+        connections: 64,
+    };
+    ledger.set_worker(&worker(), capacity);
+    ledger
+}
+
+/// An entry host with the requests that it has in flight.
+struct Host {
+    holder: Holder,
+    /// When each request in flight ends.
+    ends_at: Vec<TimeMs>,
+}
+
+impl Host {
+    fn in_flight(&mut self, now: TimeMs) -> u32 {
+        self.ends_at.retain(|&at| at > now);
+        u32::try_from(self.ends_at.len()).unwrap()
+    }
+
+    /// Begins as many requests as the share allows, each as long as one may be.
+    fn fill(&mut self, now: TimeMs) {
+        let slots = self.holder.slots(&worker(), now);
+        while self.in_flight(now) < slots {
+            self.ends_at.push(now + TERMS.longest_request);
+        }
+    }
+
+    fn ask(&mut self, now: TimeMs, wanted: u32) -> ShareRequest {
+        let demand = Demand {
+            worker: worker(),
+            in_use: self.in_flight(now),
+            wanted,
+        };
+        self.holder.request(now, &[demand])
+    }
+}
+
+struct World {
+    now: TimeMs,
+    ledger: Ledger,
+    hosts: Vec<Host>,
+    requests: Vec<ShareRequest>,
+    grants: Vec<(usize, ShareGrant)>,
+}
+
+impl World {
+    fn new() -> Self {
+        let host = |number| Host {
+            holder: holder(number),
+            ends_at: Vec::new(),
+        };
+        Self {
+            now: TimeMs(10_000),
+            ledger: with_worker(Ledger::new(TERMS)),
+            hosts: (0..3).map(host).collect(),
+            requests: Vec::new(),
+            grants: Vec::new(),
+        }
+    }
+
+    /// One step. Any request or grant that was ever sent may arrive at any time, and again.
+    fn step(&mut self, action: u8, pick: u8, wanted: u8) {
+        let number = usize::from(pick);
+        let host = number % self.hosts.len();
+        match action % 8 {
+            0 | 1 => self.exchange(host, u32::from(wanted % 12)),
+            2 => {
+                let request = self.hosts[host].ask(self.now, u32::from(wanted % 12));
+                self.requests.push(request);
+            }
+            3 if !self.requests.is_empty() => {
+                let request = self.requests[number % self.requests.len()].clone();
+                self.answer(&request);
+            }
+            4 if !self.grants.is_empty() => {
+                let (host, grant) = self.grants[number % self.grants.len()].clone();
+                self.hosts[host].holder.install(&grant);
+            }
+            5 => self.now = self.now + SpanMs(u64::from(wanted) * 4),
+            6 if wanted > 230 => {
+                self.ledger = with_worker(Ledger::taking_over(TERMS, self.now));
+            }
+            _ => self.hosts[host].fill(self.now),
+        }
+    }
+
+    /// A request for shares that is answered without delay.
+    fn exchange(&mut self, host: usize, wanted: u32) {
+        let request = self.hosts[host].ask(self.now, wanted);
+        self.answer(&request);
+        let (_, grant) = self.grants.last().unwrap().clone();
+        self.hosts[host].holder.install(&grant);
+    }
+
+    fn answer(&mut self, request: &ShareRequest) {
+        let name = request.entry_host.as_str();
+        let host = name.trim_start_matches("e-").parse().unwrap();
+        let grant = self.ledger.handle(self.now, request);
+        self.grants.push((host, grant));
+    }
+
+    fn in_flight(&mut self) -> u32 {
+        let now = self.now;
+        self.hosts.iter_mut().map(|host| host.in_flight(now)).sum()
+    }
+
+    fn slots(&self, host: usize) -> u32 {
+        self.hosts[host].holder.slots(&worker(), self.now)
+    }
+}
+
+quickcheck! {
+    fn slots_are_never_exceeded(steps: Vec<(u8, u8, u8)>) -> bool {
+        let mut world = World::new();
+        steps.iter().all(|&(action, pick, wanted)| {
+            world.step(action, pick, wanted);
+            world.in_flight() <= SLOTS
+        })
+    }
+}
+
+/// Long runs reach states that the short ones above do not.
+#[test]
+fn slots_are_never_exceeded_in_long_runs() {
+    for seed in 0..200 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut world = World::new();
+        for _ in 0..2_000 {
+            world.step(rng.random(), rng.random(), rng.random());
+            assert!(world.in_flight() <= SLOTS, "seed {seed}");
+        }
+    }
+}
+
+#[test]
+fn slots_move_to_where_the_demand_is() {
+    let mut world = World::new();
+    world.exchange(0, 8);
+    let now = world.now;
+    world.hosts[0].fill(now);
+
+    world.exchange(1, 4);
+    let at_first = world.slots(1);
+    world.exchange(0, 8);
+    world.now = world.now + TERMS.longest_request;
+    world.exchange(0, 8);
+    world.exchange(1, 4);
+
+    assert_eq!(at_first, 0, "all are taken");
+    assert_eq!(world.slots(0), 4);
+    assert_eq!(world.slots(1), 4);
+}
+
+#[test]
+fn what_a_silent_entry_host_held_is_free_only_when_nothing_can_run_under_it() {
+    let mut world = World::new();
+    world.exchange(0, 8);
+    let granted_at = world.now;
+
+    world.now = granted_at + TERMS.until_surely_free() - SpanMs(1);
+    world.exchange(1, 8);
+    let before = world.slots(1);
+    world.now = granted_at + TERMS.until_surely_free();
+    world.exchange(1, 8);
+    let after = world.slots(1);
+
+    assert_eq!(before, 0);
+    assert_eq!(after, SLOTS);
+}
+
+#[test]
+fn a_cut_off_entry_host_keeps_no_more_than_its_unexpired_share() {
+    let mut world = World::new();
+    world.exchange(0, 8);
+
+    world.now = world.now + TERMS.term;
+    let at_the_end = world.slots(0);
+    world.now = world.now + SpanMs(1);
+    let after = world.slots(0);
+
+    assert_eq!(at_the_end, SLOTS);
+    assert_eq!(after, 0);
+}
+
+#[test]
+fn a_new_leader_renews_what_is_held_and_gives_nothing_new_at_first() {
+    let mut world = World::new();
+    world.exchange(0, 3);
+    world.exchange(1, 3);
+    world.exchange(0, 3);
+    let held = world.slots(0);
+
+    world.ledger = with_worker(Ledger::taking_over(TERMS, world.now));
+    world.exchange(0, 8);
+    let renewed = world.slots(0);
+    world.exchange(2, 8);
+    let new_at_first = world.slots(2);
+
+    assert!(held > 0);
+    assert_eq!(renewed, held);
+    assert_eq!(new_at_first, 0);
+}
