--- a/crates/mangotrestle-caller/tests/capacity.rs
+++ b/crates/mangotrestle-caller/tests/capacity.rs
@@ -14,7 +14,7 @@
 #[tokio::test]
 async fn never_uses_more_than_its_share_of_a_worker() {
     let target = support::target(Behaviour::Slow(Duration::from_millis(5))).await;
-    let entry_host = support::entry_host(support::routes(&[target.address], 2)).await;
+    let entry_host = support::entry_host(support::routes(&[target.address], 2));
 
     let asking = (0..40).map(|_| {
         let request = support::request(&entry_host, "GET", "x", &[], "");
@@ -36,8 +36,7 @@
     share.expires_at = time::TimeMs(0);
     let entry_host = support::entry_host_with(routes, support::memory_records(), |builder| {
         builder.epoch(tokio::time::Instant::now() - Duration::from_secs(1))
-    })
-    .await;
+    });
 
     let told = support::get(&entry_host, &[("x-deadline-ms", "50")]).await;
 
@@ -50,7 +49,7 @@
     let leaving = support::target(Behaviour::Leaving).await;
     let staying = support::target(Behaviour::Echo).await;
     let addresses = [leaving.address, staying.address];
-    let entry_host = support::entry_host(support::routes(&addresses, 8)).await;
+    let entry_host = support::entry_host(support::routes(&addresses, 8));
 
     for number in 0..30 {
         let told = support::pay(&entry_host, &format!("k-{number}"), &[]).await;
@@ -69,7 +68,7 @@
     let mut service = (*routes.services[&support::job()]).clone();
     service.targets[0].state = snapshot::TargetState::Leaving;
     routes.add_service(service);
-    let entry_host = support::entry_host(routes).await;
+    let entry_host = support::entry_host(routes);
 
     for _ in 0..20 {
         support::get(&entry_host, &[]).await;
@@ -82,7 +81,7 @@
 #[tokio::test]
 async fn a_request_waits_for_a_cold_service_to_start() {
     let target = support::target(Behaviour::Echo).await;
-    let entry_host = support::entry_host(support::routes(&[], 8)).await;
+    let entry_host = support::entry_host(support::routes(&[], 8));
     let request = support::request(&entry_host, "GET", "x", &[], "");
 
     let asking = tokio::spawn(support::send(request));
@@ -101,7 +100,7 @@
     let mut service = (*routes.services[&support::job()]).clone();
     service.next_ready_at = Some(time::TimeMs(0) + support::LONG);
     routes.add_service(service);
-    let entry_host = support::entry_host(routes).await;
+    let entry_host = support::entry_host(routes);
 
     let told = support::get(&entry_host, &[("x-deadline-ms", "60000")]).await;
 
@@ -112,7 +111,7 @@
 
 #[tokio::test]
 async fn an_unknown_service_is_not_found() {
-    let entry_host = support::entry_host(snapshot::RouteSnapshot::empty(support::zone())).await;
+    let entry_host = support::entry_host(snapshot::RouteSnapshot::empty(support::zone()));
 
     let told = support::get(&entry_host, &[]).await;
 
@@ -123,7 +122,7 @@
 #[tokio::test]
 async fn a_planned_stop_finishes_what_is_in_flight() {
     let target = support::target(Behaviour::Slow(Duration::from_millis(150))).await;
-    let mut entry_host = support::entry_host(support::routes(&[target.address], 8)).await;
+    let mut entry_host = support::entry_host(support::routes(&[target.address], 8));
     let requests = (0..4).map(|_| support::request(&entry_host, "GET", "x", &[], ""));
     let asking: Vec<_> = requests
         .map(|request| tokio::spawn(support::send(request)))
@@ -147,8 +146,7 @@
     let routes = support::routes(&[target.address], 8);
     let mut entry_host = support::entry_host_with(routes, support::memory_records(), |builder| {
         builder.stop_within(Duration::from_millis(50))
-    })
-    .await;
+    });
     let request = support::request(&entry_host, "GET", "x", &[], "");
     let _asking = tokio::spawn(support::send(request));
     while target.seen.runs() < 1 {
@@ -166,8 +164,7 @@
     let routes = support::routes(&[], 8);
     let mut entry_host = support::entry_host_with(routes, support::memory_records(), |builder| {
         builder.unready_for(Duration::from_secs(30))
-    })
-    .await;
+    });
 
     let before = support::ready(entry_host.address).await;
     entry_host.stop();
@@ -183,7 +180,7 @@
 #[tokio::test]
 async fn a_front_that_is_not_ready_runs_nothing() {
     let target = support::target(Behaviour::Echo).await;
-    let entry_host = support::entry_host(support::routes(&[target.address], 8)).await;
+    let entry_host = support::entry_host(support::routes(&[target.address], 8));
 
     entry_host.front.set_ready(false);
     let told = support::get(&entry_host, &[]).await;
@@ -202,7 +199,7 @@
         burst: 2,
     };
     routes.teams.insert(id::TeamId::new("lab").unwrap(), limit);
-    let entry_host = support::entry_host(routes).await;
+    let entry_host = support::entry_host(routes);
 
     let mut told = Vec::new();
     for _ in 0..3 {
@@ -221,8 +218,7 @@
     let routes = support::routes(&[target.address], 8);
     let entry_host = support::entry_host_with(routes, support::memory_records(), |builder| {
         builder.max_body_bytes(10)
-    })
-    .await;
+    });
 
     let request = support::request(&entry_host, "PUT", "x", &[], "eleven bytes");
     let told = support::send(request).await.unwrap();
@@ -234,7 +230,7 @@
 
 #[tokio::test]
 async fn a_malformed_header_is_named() {
-    let entry_host = support::entry_host(support::routes(&[], 8)).await;
+    let entry_host = support::entry_host(support::routes(&[], 8));
 
     let told = support::get(&entry_host, &[("x-deadline-ms", "soon")]).await;
 
--- a/crates/mangotrestle-caller/tests/outcomes.rs
+++ b/crates/mangotrestle-caller/tests/outcomes.rs
@@ -21,7 +21,7 @@
 #[tokio::test]
 async fn passes_the_whole_answer_on_with_its_request_id() {
     let target = support::target(Behaviour::Echo).await;
-    let entry_host = support::entry_host(support::routes(&[target.address], 8)).await;
+    let entry_host = support::entry_host(support::routes(&[target.address], 8));
 
     let told = support::get(&entry_host, &[("x-request-id", "r-7")]).await;
 
@@ -36,7 +36,7 @@
     let quick = support::target(Behaviour::Echo).await;
     let slow = support::target(Behaviour::Slow(Duration::from_millis(30))).await;
     let addresses = [quick.address, slow.address];
-    let entry_host = support::entry_host(support::routes(&addresses, 8)).await;
+    let entry_host = support::entry_host(support::routes(&addresses, 8));
 
     let asking = (0..60).map(|number| {
         let id = format!("r-{number}");
@@ -54,7 +54,7 @@
 #[tokio::test]
 async fn streams_a_long_answer_whole() {
     let target = support::target(Behaviour::Echo).await;
-    let entry_host = support::entry_host(support::routes(&[target.address], 8)).await;
+    let entry_host = support::entry_host(support::routes(&[target.address], 8));
     let long = "certificate ".repeat(100_000);
 
     let request = support::request(&entry_host, "PUT", "x", &[], &long);
@@ -66,7 +66,7 @@
 #[tokio::test]
 async fn an_answer_that_names_another_request_reaches_nobody() {
     let target = support::target(Behaviour::OtherRequest).await;
-    let entry_host = support::entry_host(support::routes(&[target.address], 8)).await;
+    let entry_host = support::entry_host(support::routes(&[target.address], 8));
 
     let told = support::pay(&entry_host, "k", &[]).await;
 
@@ -77,7 +77,7 @@
 #[tokio::test]
 async fn a_short_answer_that_was_cut_off_is_unknown() {
     let target = support::raw_target(TRUNCATED).await;
-    let entry_host = support::entry_host(support::routes(&[target.address], 8)).await;
+    let entry_host = support::entry_host(support::routes(&[target.address], 8));
 
     let told = support::pay(&entry_host, "k", &[]).await;
 
@@ -91,7 +91,7 @@
     let cutting = support::raw_target(TRUNCATED).await;
     let whole = support::target(Behaviour::Echo).await;
     let addresses = [cutting.address, whole.address];
-    let entry_host = support::entry_host(support::routes(&addresses, 8)).await;
+    let entry_host = support::entry_host(support::routes(&addresses, 8));
 
     for _ in 0..6 {
         let told = support::get(&entry_host, &[("x-request-id", "r")]).await;
@@ -102,7 +102,7 @@
 #[tokio::test]
 async fn a_streamed_answer_that_was_cut_off_never_looks_whole() {
     let target = support::raw_target(TRUNCATED_CHUNKED).await;
-    let entry_host = support::entry_host(support::routes(&[target.address], 8)).await;
+    let entry_host = support::entry_host(support::routes(&[target.address], 8));
 
     let request = support::request(&entry_host, "GET", "x", &[], "");
     let told = support::send(request).await;
@@ -113,7 +113,7 @@
 #[tokio::test]
 async fn an_answer_without_an_end_mark_is_not_passed_on() {
     let target = support::raw_target(CLOSE_DELIMITED).await;
-    let entry_host = support::entry_host(support::routes(&[target.address], 8)).await;
+    let entry_host = support::entry_host(support::routes(&[target.address], 8));
 
     let told = support::pay(&entry_host, "k", &[]).await;
 
@@ -125,7 +125,7 @@
 async fn retries_elsewhere_what_provably_did_not_run() {
     let closed = support::closed_address().await;
     let target = support::target(Behaviour::Echo).await;
-    let entry_host = support::entry_host(support::routes(&[closed, target.address], 8)).await;
+    let entry_host = support::entry_host(support::routes(&[closed, target.address], 8));
 
     for number in 0..6 {
         let told = support::pay(&entry_host, &format!("k-{number}"), &[]).await;
@@ -138,7 +138,7 @@
 async fn says_not_run_when_nothing_ran_and_frees_the_key() {
     let closed = support::closed_address().await;
     let target = support::target(Behaviour::Echo).await;
-    let entry_host = support::entry_host(support::routes(&[closed], 8)).await;
+    let entry_host = support::entry_host(support::routes(&[closed], 8));
 
     let refused = support::pay(&entry_host, "k", &[]).await;
     entry_host
@@ -160,8 +160,8 @@
     let records = support::memory_records();
     let first = support::routes(&[breaking.address], 8);
     let second = support::routes(&[whole.address], 8);
-    let first = support::entry_host_with(first, Arc::clone(&records), |builder| builder).await;
-    let second = support::entry_host_with(second, records, |builder| builder).await;
+    let first = support::entry_host_with(first, Arc::clone(&records), |builder| builder);
+    let second = support::entry_host_with(second, records, |builder| builder);
 
     let lost = support::pay(&first, "k", &[]).await;
     let resent = support::pay(&second, "k", &[("x-resend", "true")]).await;
@@ -178,9 +178,8 @@
     let target = support::target(Behaviour::Echo).await;
     let records = support::memory_records();
     let routes = support::routes(&[target.address], 8);
-    let first =
-        support::entry_host_with(routes.clone(), Arc::clone(&records), |builder| builder).await;
-    let second = support::entry_host_with(routes, records, |builder| builder).await;
+    let first = support::entry_host_with(routes.clone(), Arc::clone(&records), |builder| builder);
+    let second = support::entry_host_with(routes, records, |builder| builder);
 
     let told = support::pay(&first, "k", &[]).await;
     let again = support::pay(&second, "k", &[]).await;
@@ -197,9 +196,8 @@
     let target = support::target(Behaviour::Slow(Duration::from_millis(100))).await;
     let records = support::memory_records();
     let routes = support::routes(&[target.address], 8);
-    let first =
-        support::entry_host_with(routes.clone(), Arc::clone(&records), |builder| builder).await;
-    let second = support::entry_host_with(routes, records, |builder| builder).await;
+    let first = support::entry_host_with(routes.clone(), Arc::clone(&records), |builder| builder);
+    let second = support::entry_host_with(routes, records, |builder| builder);
     let request = support::request(&first, "POST", "pay", &[("idempotency-key", "k")], "12");
 
     let paying = tokio::spawn(support::send(request));
@@ -217,7 +215,7 @@
     let faulty = support::target(Behaviour::Fault).await;
     let whole = support::target(Behaviour::Echo).await;
     let addresses = [faulty.address, whole.address];
-    let entry_host = support::entry_host(support::routes(&addresses, 8)).await;
+    let entry_host = support::entry_host(support::routes(&addresses, 8));
 
     for number in 0..10 {
         support::pay(&entry_host, &format!("k-{number}"), &[]).await;
@@ -229,7 +227,7 @@
 #[tokio::test]
 async fn a_deadline_that_passes_at_the_target_is_unknown() {
     let target = support::target(Behaviour::Slow(Duration::from_secs(30))).await;
-    let entry_host = support::entry_host(support::routes(&[target.address], 8)).await;
+    let entry_host = support::entry_host(support::routes(&[target.address], 8));
 
     let told = support::get(&entry_host, &[("x-deadline-ms", "80")]).await;
 
@@ -272,7 +270,7 @@
 async fn without_the_store_nothing_that_must_not_run_twice_is_sent() {
     let target = support::target(Behaviour::Echo).await;
     let routes = support::routes(&[target.address], 8);
-    let entry_host = support::entry_host_with(routes, Arc::new(NoStore), |builder| builder).await;
+    let entry_host = support::entry_host_with(routes, Arc::new(NoStore), |builder| builder);
 
     let refused = support::pay(&entry_host, "k", &[]).await;
     let resent = support::pay(&entry_host, "k", &[("x-resend", "true")]).await;
@@ -289,7 +287,7 @@
 #[tokio::test]
 async fn a_caller_that_goes_away_cancels_its_request() {
     let target = support::target(Behaviour::Slow(Duration::from_secs(30))).await;
-    let entry_host = support::entry_host(support::routes(&[target.address], 8)).await;
+    let entry_host = support::entry_host(support::routes(&[target.address], 8));
     let request = support::request(&entry_host, "GET", "x", &[], "");
 
     let asking = tokio::spawn(support::send(request));
--- a/crates/mangotrestle-caller/tests/support/mod.rs
+++ b/crates/mangotrestle-caller/tests/support/mod.rs
@@ -257,15 +257,15 @@
 }
 
 /// Starts an entry host with records of its own.
-pub async fn entry_host(routes: snapshot::RouteSnapshot) -> EntryHost {
-    entry_host_with(routes, memory_records(), |builder| builder).await
+pub fn entry_host(routes: snapshot::RouteSnapshot) -> EntryHost {
+    entry_host_with(routes, memory_records(), |builder| builder)
 }
 
 pub fn memory_records() -> Arc<dyn StartedRecords> {
     Arc::new(MemoryRecords::new(LONG))
 }
 
-pub async fn entry_host_with(
+pub fn entry_host_with(
     routes: snapshot::RouteSnapshot,
     records: Arc<dyn StartedRecords>,
     set_up: impl FnOnce(Builder) -> Builder,
