Ask a target again after it said that it is not there

A worker refuses requests for a task that it does not run (yet): routes may be published a moment before the task has started. Such a word is kept for a second, a target's word that it is leaving for two minutes or until it becomes ready anew.

--- a/crates/mangotrestle-caller/src/exchange.rs
+++ b/crates/mangotrestle-caller/src/exchange.rs
@@ -161,7 +161,8 @@
 ) -> Option<(router::End, Exchanged)> {
     if let Some(code) = headers::target_refusal(answer.status(), answer.headers()) {
         let end = match code {
-            ResultCode::Leaving => router::End::Leaving,
+            ResultCode::Leaving | ResultCode::NotReady => router::End::Leaving,
+            ResultCode::TargetRefused | ResultCode::NoReadyTarget => router::End::Gone,
             _ => router::End::Full,
         };
         let refused = retry::AttemptEnd::RefusedByTarget;
--- a/crates/mangotrestle-core/src/routing/router/dispatch.rs
+++ b/crates/mangotrestle-core/src/routing/router/dispatch.rs
@@ -152,7 +152,7 @@
     ) -> bool {
         let target = &service.routes.targets[position];
         let track = &service.tracks[position];
-        if !service.is_ready(position) || is_barred(service, target.index, need.tried) {
+        if !service.is_ready(now, position) || is_barred(service, target.index, need.tried) {
             return false;
         }
         let Some(worker) = self.workers.get(&target.worker) else {
@@ -189,7 +189,7 @@
                 .workers
                 .get(&target.worker)
                 .map_or(0, |worker| worker.slots(now));
-            service.is_ready(position) && standing == outlier::Standing::In && slots > 0
+            service.is_ready(now, position) && standing == outlier::Standing::In && slots > 0
         };
         let in_service: u32 = own
             .members
@@ -266,7 +266,7 @@
             .services
             .get_mut(ask.job)
             .expect("the caller looked the service up");
-        let cold = service.in_use == 0 && !service.has_ready();
+        let cold = service.in_use == 0 && !service.has_ready(now);
         let give_up_at = if cold {
             cold_give_up_at(now, ask, service, &self.settings)?
         } else {
@@ -435,7 +435,8 @@
                 service.learn_answer(now, position, latency_us, max, &policy);
             }
             End::Failed => service.learn_failure(now, position, &policy),
-            End::Leaving => service.tracks[position].said_leaving_at = Some(now),
+            End::Leaving => service.learn_absence(now, position, self.settings.leaving_memory),
+            End::Gone => service.learn_absence(now, position, self.settings.gone_memory),
             End::TimedOut { waited_us } => {
                 service.learn_timeout(now, position, waited_us, &policy);
             }
@@ -513,6 +514,13 @@
         }
     }
 
+    fn learn_absence(&mut self, now: time::TimeMs, position: usize, memory: time::SpanMs) {
+        self.tracks[position].absence = Some(track::Absence {
+            said_at: now,
+            until: now + memory,
+        });
+    }
+
     /// A time-out speaks against the target only if others would have answered by then.
     fn learn_timeout(
         &mut self,
--- a/crates/mangotrestle-core/src/routing/router/mod.rs
+++ b/crates/mangotrestle-core/src/routing/router/mod.rs
@@ -99,6 +99,12 @@
     /// How long a slot stays taken after a request was abandoned, since the target may need a
     /// moment to notice.
     pub abandoned_hold: time::SpanMs,
+    /// How long a target that said it is leaving is left alone, unless it becomes ready anew. It
+    /// outlasts the lag of the host list.
+    pub leaving_memory: time::SpanMs,
+    /// How long a target is left alone whose worker said that it is not there; it may be about to
+    /// start.
+    pub gone_memory: time::SpanMs,
     /// How long a worker that said it is full is left alone.
     pub full_worker_pause: time::SpanMs,
     /// Extra time assumed for another availability zone until it has been measured.
@@ -119,6 +125,8 @@
             max_waiting: 1_024,
             slow_start: time::SpanMs::from_secs(5),
             abandoned_hold: time::SpanMs(250),
+            leaving_memory: time::SpanMs::from_secs(120),
+            gone_memory: time::SpanMs::from_secs(1),
             full_worker_pause: time::SpanMs(50),
             assumed_zone_extra_us: 3_000,
             outlier: outlier::Policy::default(),
@@ -235,6 +243,8 @@
     Failed,
     /// The target said that it is leaving.
     Leaving,
+    /// The target's worker said that the target is not there.
+    Gone,
     /// The target or its worker said that it has no room.
     Full,
     /// No answer came in time.
@@ -488,7 +498,7 @@
                     index: target.index,
                     answered: track.answered,
                     failed: track.failed,
-                    said_leaving: track.said_leaving_at.is_some(),
+                    said_leaving: track.is_absent(now),
                     ejected: track.outlier.standing(now) != outlier::Standing::In,
                 });
             }
--- a/crates/mangotrestle-core/src/routing/router/track.rs
+++ b/crates/mangotrestle-core/src/routing/router/track.rs
@@ -62,13 +62,21 @@
     }
 }
 
+/// A target's own word that it takes nothing.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Absence {
+    pub said_at: time::TimeMs,
+    /// When it may be asked again, in case the word was about a passing state.
+    pub until: time::TimeMs,
+}
+
 /// One target.
 #[derive(Debug)]
 pub(super) struct TargetTrack {
     pub in_use: u32,
     pub limit: limit::AdaptiveLimit,
     pub outlier: outlier::Tracker,
-    pub said_leaving_at: Option<time::TimeMs>,
+    pub absence: Option<Absence>,
     pub answered: u64,
     pub failed: u64,
 }
@@ -79,11 +87,16 @@
             in_use: 0,
             limit: limit::AdaptiveLimit::new(INITIAL_LIMIT),
             outlier: outlier::Tracker::default(),
-            said_leaving_at: None,
+            absence: None,
             answered: 0,
             failed: 0,
         }
     }
+
+    /// Whether the target said that it takes nothing, and was not given time to change its mind.
+    pub fn is_absent(&self, now: time::TimeMs) -> bool {
+        self.absence.is_some_and(|absence| now < absence.until)
+    }
 }
 
 /// The targets of a service in one availability zone.
@@ -179,15 +192,15 @@
     }
 
     /// Targets that are ready, whether or not they have room.
-    pub fn has_ready(&self) -> bool {
-        (0..self.tracks.len()).any(|position| self.is_ready(position))
+    pub fn has_ready(&self, now: time::TimeMs) -> bool {
+        (0..self.tracks.len()).any(|position| self.is_ready(now, position))
     }
 
     /// Whether a target takes requests at all.
-    pub fn is_ready(&self, position: usize) -> bool {
+    pub fn is_ready(&self, now: time::TimeMs, position: usize) -> bool {
         let target = &self.routes.targets[position];
         let ready = matches!(target.state, snapshot::TargetState::Ready { .. });
-        ready && self.tracks[position].said_leaving_at.is_none()
+        ready && !self.tracks[position].is_absent(now)
     }
 
     /// Requests that the target may have in flight now, given the slots of its worker.
@@ -242,7 +255,7 @@
         let mut ejected = 0;
         let mut ready = 0;
         for position in 0..self.tracks.len() {
-            if !self.is_ready(position) {
+            if !self.is_ready(now, position) {
                 continue;
             }
             ready += 1;
@@ -312,7 +325,7 @@
     let snapshot::TargetState::Ready { since } = target.state else {
         return;
     };
-    if track.said_leaving_at.is_some_and(|at| at < since) {
-        track.said_leaving_at = None;
+    if track.absence.is_some_and(|absence| absence.said_at < since) {
+        track.absence = None;
     }
 }
--- a/crates/mangotrestle-core/tests/routing_router.rs
+++ b/crates/mangotrestle-core/tests/routing_router.rs
@@ -351,6 +351,21 @@
     assert!(after_restart[leaving] > 0);
 }
 
+#[test]
+fn a_target_that_is_not_there_is_asked_again_after_a_moment() {
+    let mut host = Host::new(routes(&[OWN, OWN], 8));
+    let first = host.send(WARM);
+    let gone = first.index as usize;
+    let later = WARM + Settings::default().gone_memory;
+
+    host.finish(WARM, &first, End::Gone);
+    let during = host.serve(WARM, 50, |_| good());
+    let after = host.serve(later, 50, |_| good());
+
+    assert_eq!(during[gone], 0);
+    assert!(after[gone] > 0);
+}
+
 #[test]
 fn a_leaving_target_of_the_snapshot_gets_nothing_new_and_keeps_its_slot_count() {
     let mut host = Host::new(routes(&[OWN], 1));
