--- a/crates/mangotrestle-dev/tests/platform_table.rs
+++ b/crates/mangotrestle-dev/tests/platform_table.rs
@@ -155,6 +155,7 @@
     let started = Instant::now();
     while started.elapsed() < Duration::from_mins(10) {
         let _ = client.get("count").await;
+        tokio::time::sleep(Duration::from_millis(50)).await;
     }
     let probes = stand_in.faults().requests();
     let open = client.circuit().open_since();
@@ -170,6 +171,23 @@
     assert!(client.circuit().open_since().is_none());
 }
 
+#[tokio::test(start_paused = true)]
+async fn request_in_a_known_outage_is_refused_at_once_with_retry_advice() {
+    let stand_in = stand_in::new();
+    let client = client(&stand_in);
+    stand_in.faults().set_outage(Outage::Silent);
+    let _ = client.get("count").await;
+    let asked = Instant::now();
+
+    let error = client.transact(&increment(None)).await.unwrap_err();
+
+    assert!(
+        matches!(error, table::TableError::Unavailable { .. }),
+        "{error:?}"
+    );
+    assert_eq!(asked.elapsed(), Duration::ZERO);
+}
+
 #[tokio::test(start_paused = true)]
 async fn write_budget_bounds_the_peak() {
     let stand_in = stand_in::new();
--- a/crates/mangotrestle-platform/src/table/client.rs
+++ b/crates/mangotrestle-platform/src/table/client.rs
@@ -144,6 +144,7 @@
         transaction: &Transaction,
         priority: budget::Priority,
     ) -> Result<Committed, TableError> {
+        self.fail_fast()?;
         let deadline = Instant::now() + self.shared.settings.deadline;
         let body = encode(&recorded(transaction))?;
         let mut may_have_acted = false;
@@ -268,11 +269,22 @@
         }
     }
 
+    /// In an outage nobody but the probe waits: who would be refused anyway is told at once when to
+    /// come back.
+    fn fail_fast(&self) -> Result<(), TableError> {
+        if self.shared.circuit.retry_after().is_zero() {
+            Ok(())
+        } else {
+            Err(self.unavailable())
+        }
+    }
+
     async fn read<Q: Serialize, A: DeserializeOwned>(
         &self,
         path: &str,
         request: &Q,
     ) -> Result<A, TableError> {
+        self.fail_fast()?;
         let deadline = Instant::now() + self.shared.settings.deadline;
         let body = encode(request)?;
         let mut backoff = retry_backoff();
--- a/crates/mangotrestle/src/daemon/control/journal_writer.rs
+++ b/crates/mangotrestle/src/daemon/control/journal_writer.rs
@@ -59,7 +59,7 @@
         };
         let item = pool_store::JournalItem {
             records,
-            rows: Vec::new(),
+            ..pool_store::JournalItem::default()
         };
         match self.commit.submit(item, priority) {
             Ok(pending) => self.in_flight.send(InFlight { token, pending }).is_ok(),
