--- a/crates/mangotrestle-core/src/membership/view.rs
+++ b/crates/mangotrestle-core/src/membership/view.rs
@@ -271,8 +271,15 @@
         let watched = self.watched(now, pools);
         let near_ms = self.settings.near_interval_ms;
         let far_ms = self.settings.far_interval_ms;
+        let overdue: Vec<_> = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| peer.near && self.state_of(peer, now) != PeerState::Alive)
+            .map(|(host, _)| host.clone())
+            .collect();
         for (host, peer) in &mut self.peers {
-            let near = watched.contains(host);
+            // Expecting less of a host that is overdue would make it look alive again.
+            let near = watched.contains(host) || overdue.contains(host);
             if near == peer.near {
                 continue;
             }
