--- a/crates/mangotrestle-dev/src/measure/mod.rs
+++ b/crates/mangotrestle-dev/src/measure/mod.rs
@@ -1,5 +1,6 @@
 //! Experiments, each of which gives figures beside their targets and a naive version's figures.
 
+pub mod command;
 pub mod control;
 pub mod place;
 pub mod recover;
--- a/crates/mangotrestle-dev/src/measure/report.rs
+++ b/crates/mangotrestle-dev/src/measure/report.rs
@@ -2,6 +2,15 @@
 
 use serde::Serialize;
 
+pub mod html;
+pub mod number;
+pub mod plot;
+pub mod text;
+pub mod write;
+
+#[cfg(test)]
+mod tests;
+
 /// Which side of a target is good.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
