--- a/crates/mangotrestle/src/command/exit_code.rs
+++ b/crates/mangotrestle/src/command/exit_code.rs
@@ -60,7 +60,9 @@
             ResultCode::Unauthorized => Self::Unauthorized,
             ResultCode::NotFound => Self::NotFound,
             ResultCode::AlreadyExists | ResultCode::RevisionConflict => Self::Conflict,
-            ResultCode::QuotaExceeded | ResultCode::NeverFits => Self::Refused,
+            ResultCode::QuotaExceeded | ResultCode::NeverFits | ResultCode::FailsEverywhere => {
+                Self::Refused
+            }
             ResultCode::OutcomeUnknown
             | ResultCode::EarlierOutcomeUnknown
             | ResultCode::AnswerTruncated => Self::Unknown,
