Keep as many idle connections as a worker has slots

The exploration of slot shares now delivers recent messages late, not any ever sent: old ones are ignored by their number, so it never reached the states in which a late grant matters.

--- a/crates/mangotrestle-caller/src/exchange.rs
+++ b/crates/mangotrestle-caller/src/exchange.rs
@@ -18,8 +18,9 @@
 /// Time for a connection to a target. A target that cannot be reached is told from one that is
 /// slow, since nothing was sent.
 const CONNECT_TIMEOUT: std::time::Duration = std::time::Duration::from_secs(1);
-/// Connections to one address that are kept while nothing uses them.
-const MAX_IDLE_CONNECTIONS: usize = 4;
+/// Connections to one address that are kept while nothing uses them: as many as a worker has slots,
+/// so that steady traffic opens none.
+const MAX_IDLE_CONNECTIONS: usize = 8;
 /// How long an unused connection is kept.
 const IDLE_TIMEOUT: std::time::Duration = std::time::Duration::from_secs(20);
 
--- a/crates/mangotrestle-caller/src/front.rs
+++ b/crates/mangotrestle-caller/src/front.rs
@@ -291,6 +291,7 @@
         ));
         shutdown.await;
         self.shared.stopping.store(true, Ordering::Relaxed);
+        slog::info!(settings.log, "stopping"; "in_flight" => self.shared.dispatcher.busy());
         tokio::time::sleep(settings.unready_for).await;
         let _ = stop.send(true);
         // Its own clone of the sender goes with it.
@@ -300,6 +301,7 @@
             Ok(_) => 0,
             Err(_) => self.shared.dispatcher.busy(),
         };
+        slog::info!(settings.log, "stopped serving callers"; "cut_off" => cut_off);
         Stopped { cut_off }
     }
 
--- a/crates/mangotrestle-core/tests/routing_slot_share.rs
+++ b/crates/mangotrestle-core/tests/routing_slot_share.rs
@@ -11,6 +11,8 @@
 use rand::{RngExt, SeedableRng};
 
 const SLOTS: u32 = 8;
+/// Messages that may still be on their way.
+const RECENT: usize = 6;
 const TERMS: Terms = Terms {
     term: SpanMs(1_000),
     longest_request: SpanMs(300),
@@ -66,6 +68,12 @@
     }
 }
 
+/// One of the last few messages.
+fn recent<T>(messages: &[T], number: usize) -> &T {
+    let among = messages.len().min(RECENT);
+    &messages[messages.len() - 1 - number % among]
+}
+
 struct World {
     now: TimeMs,
     ledger: Ledger,
@@ -89,7 +97,7 @@
         }
     }
 
-    /// One step. Any request or grant that was ever sent may arrive at any time, and again.
+    /// One step. Any of the last few requests and grants may arrive at any time, and again.
     fn step(&mut self, action: u8, pick: u8, wanted: u8) {
         let number = usize::from(pick);
         let host = number % self.hosts.len();
@@ -100,11 +108,11 @@
                 self.requests.push(request);
             }
             3 if !self.requests.is_empty() => {
-                let request = self.requests[number % self.requests.len()].clone();
+                let request = recent(&self.requests, number).clone();
                 self.answer(&request);
             }
             4 if !self.grants.is_empty() => {
-                let (host, grant) = self.grants[number % self.grants.len()].clone();
+                let (host, grant) = recent(&self.grants, number).clone();
                 self.hosts[host].holder.install(&grant);
             }
             5 => self.now = self.now + SpanMs(u64::from(wanted) * 4),
--- a/crates/mangotrestle-dev/src/measure/route/path.rs
+++ b/crates/mangotrestle-dev/src/measure/route/path.rs
@@ -17,13 +17,15 @@
 use crate::measure::report::Figure;
 use crate::measure::route::loopback::{self, Caller, JOB, Server};
 
-const TARGETS: usize = 4;
+const TARGETS: usize = 8;
+/// Slots of each target's worker.
+const SLOTS: u32 = 8;
 /// Requests one after the other, for latency.
 const LATENCY_REQUESTS: u32 = 4_000;
 /// Requests before counting, to open connections.
 const WARM_UP_REQUESTS: u32 = 400;
 /// Requests at the same time, for throughput.
-const CONCURRENCY: usize = 64;
+const CONCURRENCY: usize = 48;
 /// Time for which throughput is counted.
 const THROUGHPUT_TIME: Duration = Duration::from_secs(3);
 
@@ -129,8 +131,7 @@
     let targets: Vec<Server> = (0..TARGETS).map(|_| target()).collect();
     let addresses: Vec<SocketAddr> = targets.iter().map(|target| target.address).collect();
     let records = Arc::new(MemoryRecords::new(time::SpanMs::from_secs(60)));
-    let slots = u32::try_from(CONCURRENCY).expect("a small number");
-    let routed = loopback::entry_host(1, loopback::routes(&addresses, slots), records);
+    let routed = loopback::entry_host(1, loopback::routes(&addresses, SLOTS), records);
     let naive = naive_proxy(addresses.clone());
     let direct = latency_us(addresses[0]).await;
     let through = latency_us(routed.address).await;
