--- a/crates/mangotrestle-core/src/journal/coalesce.rs
+++ b/crates/mangotrestle-core/src/journal/coalesce.rs
@@ -6,7 +6,7 @@
 //! the jobs and the running tasks, and not with everything that ran meanwhile.
 
 use super::index_set::{IndexRange, IndexSet};
-use super::record::Record;
+use super::record::{Record, WorkerTasks};
 use crate::collections::FastMap;
 use crate::id;
 use crate::task;
@@ -52,10 +52,14 @@
             Record::RunsStarted {
                 job,
                 attempt,
-                worker,
-                tasks,
+                on,
                 wall_ms,
-            } => self.start(Attempt { job, attempt }, worker, tasks.ranges(), wall_ms),
+            } => {
+                let attempt = Attempt { job, attempt };
+                for WorkerTasks { worker, tasks } in on {
+                    self.start(attempt.clone(), worker, tasks.ranges(), wall_ms);
+                }
+            }
             Record::RunEnded {
                 run,
                 outcome,
@@ -98,38 +102,124 @@
     }
 
     fn into_records(self) -> Vec<Record> {
-        let mut ends: FastMap<Attempt, Vec<IndexRange>> = FastMap::default();
-        let mut ended = Vec::new();
-        for ((attempt, outcome), group) in self.ended {
-            let all = ends.entry(attempt.clone()).or_default();
-            all.extend_from_slice(&group.ranges);
-            let tasks = IndexSet::from_ranges(group.ranges);
-            ended.push((
-                attempt.clone(),
-                ended_record(attempt, outcome, tasks, group.wall_ms),
-            ));
+        let ended = ended_groups(self.ended);
+        let started = started_groups(self.started, &ends(&ended));
+        let mut records = self.other;
+        records.extend(started.into_iter().map(StartedGroup::into_record));
+        records.extend(ended.into_iter().map(EndedGroup::into_record));
+        records
+    }
+}
+
+/// Runs of one attempt that started, by worker.
+struct StartedGroup {
+    attempt: Attempt,
+    on: Vec<WorkerTasks>,
+    wall_ms: time::WallTimeMs,
+}
+
+/// Runs of one attempt that ended alike.
+struct EndedGroup {
+    attempt: Attempt,
+    outcome: task::RunOutcome,
+    tasks: IndexSet,
+    wall_ms: time::WallTimeMs,
+}
+
+fn ended_groups(gathered: FastMap<(Attempt, task::RunOutcome), Gathered>) -> Vec<EndedGroup> {
+    let mut groups: Vec<_> = gathered
+        .into_iter()
+        .map(|((attempt, outcome), gathered)| EndedGroup {
+            attempt,
+            outcome,
+            tasks: IndexSet::from_ranges(gathered.ranges),
+            wall_ms: gathered.wall_ms,
+        })
+        .collect();
+    groups.sort_by(|a, b| a.attempt.cmp(&b.attempt));
+    groups
+}
+
+/// Everything that ended, however it ended.
+fn ends(ended: &[EndedGroup]) -> FastMap<Attempt, IndexSet> {
+    let mut ranges: FastMap<Attempt, Vec<IndexRange>> = FastMap::default();
+    for group in ended {
+        let all = ranges.entry(group.attempt.clone()).or_default();
+        all.extend_from_slice(group.tasks.ranges());
+    }
+    ranges
+        .into_iter()
+        .map(|(attempt, ranges)| (attempt, IndexSet::from_ranges(ranges)))
+        .collect()
+}
+
+fn started_groups(
+    gathered: FastMap<(Attempt, id::WorkerId), Gathered>,
+    ends: &FastMap<Attempt, IndexSet>,
+) -> Vec<StartedGroup> {
+    let mut gathered: Vec<_> = gathered.into_iter().collect();
+    gathered.sort_by(|a, b| a.0.cmp(&b.0));
+    let mut groups: Vec<StartedGroup> = Vec::new();
+    for ((attempt, worker), gathered) in gathered {
+        let mut tasks = IndexSet::from_ranges(gathered.ranges);
+        if let Some(ended) = ends.get(&attempt) {
+            tasks = tasks.difference(ended);
         }
-        let ends: FastMap<_, _> = ends
-            .into_iter()
-            .map(|(attempt, ranges)| (attempt, IndexSet::from_ranges(ranges)))
-            .collect();
-        let mut started = Vec::new();
-        for ((attempt, worker), group) in self.started {
-            let mut tasks = IndexSet::from_ranges(group.ranges);
-            if let Some(ended) = ends.get(&attempt) {
-                tasks = tasks.difference(ended);
-            }
-            if !tasks.is_empty() {
-                let key = (attempt.clone(), worker.clone());
-                started.push((key, started_record(attempt, worker, tasks, group.wall_ms)));
+        if tasks.is_empty() {
+            continue;
+        }
+        let on = WorkerTasks { worker, tasks };
+        match groups.last_mut() {
+            Some(group) if group.attempt == attempt => {
+                group.on.push(on);
+                group.wall_ms = group.wall_ms.max(gathered.wall_ms);
             }
+            _ => groups.push(StartedGroup {
+                attempt,
+                on: vec![on],
+                wall_ms: gathered.wall_ms,
+            }),
+        }
+    }
+    groups
+}
+
+impl StartedGroup {
+    fn into_record(self) -> Record {
+        if let [on] = self.on.as_slice()
+            && let Some(index) = on.tasks.single()
+        {
+            return Record::RunStarted {
+                run: join(self.attempt, index),
+                worker: on.worker.clone(),
+                wall_ms: self.wall_ms,
+            };
+        }
+        Record::RunsStarted {
+            job: self.attempt.job,
+            attempt: self.attempt.attempt,
+            on: self.on,
+            wall_ms: self.wall_ms,
+        }
+    }
+}
+
+impl EndedGroup {
+    fn into_record(self) -> Record {
+        if let Some(index) = self.tasks.single() {
+            return Record::RunEnded {
+                run: join(self.attempt, index),
+                outcome: self.outcome,
+                wall_ms: self.wall_ms,
+            };
+        }
+        Record::RunsEnded {
+            job: self.attempt.job,
+            attempt: self.attempt.attempt,
+            outcome: self.outcome,
+            tasks: self.tasks,
+            wall_ms: self.wall_ms,
         }
-        started.sort_by(|a, b| a.0.cmp(&b.0));
-        ended.sort_by(|a, b| a.0.cmp(&b.0));
-        let mut records = self.other;
-        records.extend(started.into_iter().map(|(_, record)| record));
-        records.extend(ended.into_iter().map(|(_, record)| record));
-        records
     }
 }
 
@@ -151,52 +241,6 @@
     }
 }
 
-fn started_record(
-    attempt: Attempt,
-    worker: id::WorkerId,
-    tasks: IndexSet,
-    wall_ms: time::WallTimeMs,
-) -> Record {
-    if let Some(index) = tasks.single() {
-        let run = join(attempt, index);
-        return Record::RunStarted {
-            run,
-            worker,
-            wall_ms,
-        };
-    }
-    Record::RunsStarted {
-        job: attempt.job,
-        attempt: attempt.attempt,
-        worker,
-        tasks,
-        wall_ms,
-    }
-}
-
-fn ended_record(
-    attempt: Attempt,
-    outcome: task::RunOutcome,
-    tasks: IndexSet,
-    wall_ms: time::WallTimeMs,
-) -> Record {
-    if let Some(index) = tasks.single() {
-        let run = join(attempt, index);
-        return Record::RunEnded {
-            run,
-            outcome,
-            wall_ms,
-        };
-    }
-    Record::RunsEnded {
-        job: attempt.job,
-        attempt: attempt.attempt,
-        outcome,
-        tasks,
-        wall_ms,
-    }
-}
-
 /// Makes fewer records that fold into the same state, but for two things: runs that were recorded
 /// together get the time of the latest of them, and of a run that both started and ended the
 /// worker is left out.
@@ -216,10 +260,10 @@
 /// A measure of how much room records take: one for each record and each range.
 #[must_use]
 pub fn weight(records: &[Record]) -> usize {
+    let of_worker = |on: &WorkerTasks| 1 + on.tasks.ranges().len();
     let of = |record: &Record| match record {
-        Record::RunsStarted { tasks, .. } | Record::RunsEnded { tasks, .. } => {
-            1 + tasks.ranges().len()
-        }
+        Record::RunsStarted { on, .. } => on.iter().map(of_worker).sum(),
+        Record::RunsEnded { tasks, .. } => 1 + tasks.ranges().len(),
         _ => 1,
     };
     records.iter().map(of).sum()
--- a/crates/mangotrestle-core/src/journal/mod.rs
+++ b/crates/mangotrestle-core/src/journal/mod.rs
@@ -36,5 +36,5 @@
 
 pub use coalesce::{coalesce, weight};
 pub use index_set::{IndexRange, IndexSet};
-pub use record::{Record, Resolution};
+pub use record::{Record, Resolution, WorkerTasks};
 pub use state::{JobState, Parked, Phase, PoolState, TaskState};
--- a/crates/mangotrestle-core/src/journal/record.rs
+++ b/crates/mangotrestle-core/src/journal/record.rs
@@ -1,6 +1,6 @@
 //! What a journal holds.
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
 use super::index_set::IndexSet;
 use crate::id;
@@ -68,16 +68,14 @@
         /// When.
         wall_ms: time::WallTimeMs,
     },
-    /// Runs of one job were started on one worker.
+    /// Runs of one job were started.
     RunsStarted {
         /// The job.
         job: id::JobId,
         /// Number of each of the runs.
         attempt: u32,
-        /// Where.
-        worker: id::WorkerId,
-        /// Indices of the tasks.
-        tasks: IndexSet,
+        /// Which tasks on which worker.
+        on: Vec<WorkerTasks>,
         /// When the last of them was started.
         wall_ms: time::WallTimeMs,
     },
@@ -121,6 +119,28 @@
     },
 }
 
+/// Tasks of one job on one worker; written as a pair.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct WorkerTasks {
+    /// The worker.
+    pub worker: id::WorkerId,
+    /// Indices of the tasks.
+    pub tasks: IndexSet,
+}
+
+impl Serialize for WorkerTasks {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        (&self.worker, &self.tasks).serialize(serializer)
+    }
+}
+
+impl<'de> Deserialize<'de> for WorkerTasks {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let (worker, tasks) = Deserialize::deserialize(deserializer)?;
+        Ok(Self { worker, tasks })
+    }
+}
+
 /// What an operator says about a run whose end is unknown.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/mangotrestle-core/src/journal/state.rs
+++ b/crates/mangotrestle-core/src/journal/state.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{IndexSet, Record, Resolution};
+use super::{IndexSet, Record, Resolution, WorkerTasks};
 use crate::id;
 use crate::job;
 use crate::result_code;
@@ -245,10 +245,14 @@
             Record::RunsStarted {
                 job,
                 attempt,
-                worker,
-                tasks,
+                on,
                 wall_ms,
-            } => self.runs(job, *attempt, tasks, Some(worker), Phase::Started, *wall_ms),
+            } => {
+                for WorkerTasks { worker, tasks } in on {
+                    let phase = Phase::Started;
+                    self.runs(job, *attempt, tasks, Some(worker), phase, *wall_ms);
+                }
+            }
             Record::RunsEnded {
                 job,
                 attempt,
--- a/crates/mangotrestle-core/src/membership/failure_detector.rs
+++ b/crates/mangotrestle-core/src/membership/failure_detector.rs
@@ -14,7 +14,7 @@
 /// Weight of one distance in the mean.
 const DISTANCE_WEIGHT: f64 = 1.0 / 16.0;
 /// Least standard deviation, as a part of the mean.
-const DEVIATION_FLOOR: f64 = 0.4;
+const DEVIATION_FLOOR: f64 = 0.35;
 /// Highest level that is told apart.
 const MAX_LEVEL: f64 = 30.0;
 
--- a/crates/mangotrestle-core/src/membership/view.rs
+++ b/crates/mangotrestle-core/src/membership/view.rs
@@ -10,6 +10,8 @@
 const WATCHERS: usize = 2;
 /// Near intervals within which a newly listed peer has to be heard.
 const INTRODUCTION_INTERVALS: u64 = 4;
+/// Hosts of other zones that share one far interval.
+const FAR_HOSTS_PER_INTERVAL: usize = 10;
 
 /// What a heartbeat says about its sender.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -83,14 +85,15 @@
 }
 
 impl MembershipBuilder {
-    /// Distance of heartbeats to hosts that this one stands by to replace. Default: 500 ms.
+    /// Distance of heartbeats to hosts that this one stands by to replace. Default: 600 ms.
     #[must_use]
     pub const fn near_interval_ms(mut self, interval: time::SpanMs) -> Self {
         self.near_interval_ms = interval;
         self
     }
 
-    /// Distance of heartbeats to all other hosts. Default: 5 s.
+    /// Distance of heartbeats to all other hosts; it grows with every ten hosts in other zones, for
+    /// those. Default: 5 s.
     #[must_use]
     pub const fn far_interval_ms(mut self, interval: time::SpanMs) -> Self {
         self.far_interval_ms = interval;
@@ -166,11 +169,31 @@
     }
 }
 
+/// Distances of heartbeats that depend on the number of hosts.
+#[derive(Clone, Copy, Debug)]
+struct Intervals {
+    other_zones_ms: time::SpanMs,
+}
+
+impl Intervals {
+    fn of(self, settings: &MembershipBuilder, peer: &Peer) -> time::SpanMs {
+        if peer.near {
+            settings.near_interval_ms
+        } else if peer.availability_zone == settings.availability_zone {
+            settings.far_interval_ms
+        } else {
+            self.other_zones_ms
+        }
+    }
+}
+
 /// The entry hosts as one of them sees them.
 ///
 /// The local host is always part of the view. Heartbeats go often to the few hosts that this one
-/// stands by to replace as a pool's leader, and rarely to all others, so the cost of a host does
-/// not grow with the product of hosts and heartbeats.
+/// stands by to replace as a pool's leader, and rarely to all others. An exchange serves both of
+/// its sides, and the distance of heartbeats to other zones grows with the hosts there, so the cost
+/// of a host hardly grows with the number of hosts. What must not wait is sent at once, by
+/// [`announce`](Self::announce).
 #[derive(Clone, Debug)]
 pub struct Membership {
     settings: MembershipBuilder,
@@ -188,7 +211,7 @@
         MembershipBuilder {
             host,
             availability_zone,
-            near_interval_ms: time::SpanMs(500),
+            near_interval_ms: time::SpanMs(600),
             far_interval_ms: time::SpanMs(5_000),
             suspect_level: 3.0,
             dead_level: 8.0,
@@ -207,8 +230,7 @@
         if heard.host == self.settings.host {
             return false;
         }
-        let near_ms = self.settings.near_interval_ms;
-        let far_ms = self.settings.far_interval_ms;
+        let intervals = self.intervals();
         let peer = self
             .peers
             .entry(heard.host.clone())
@@ -222,8 +244,10 @@
             peer.config_version = 0;
             peer.detector = None;
         }
-        let expected = if peer.near { near_ms } else { far_ms };
         peer.availability_zone = heard.availability_zone.clone();
+        let expected = intervals.of(&self.settings, peer);
+        // The exchange served both sides; the next one is due an interval later.
+        peer.next_heartbeat_ms = peer.next_heartbeat_ms.max(now + expected);
         peer.said_leaving |= heard.leaving;
         peer.config_version = peer.config_version.max(heard.config_version);
         match &mut peer.detector {
@@ -269,24 +293,37 @@
         pools: impl IntoIterator<Item = &'a id::PoolId>,
     ) {
         let watched = self.watched(now, pools);
-        let near_ms = self.settings.near_interval_ms;
-        let far_ms = self.settings.far_interval_ms;
+        let intervals = self.intervals();
         for (host, peer) in &mut self.peers {
-            let near = watched.contains(host);
-            if near == peer.near {
-                continue;
-            }
-            peer.near = near;
-            let interval = if near { near_ms } else { far_ms };
+            let was_near = std::mem::replace(&mut peer.near, watched.contains(host));
+            let interval = intervals.of(&self.settings, peer);
             if let Some(detector) = &mut peer.detector {
                 detector.expect(now, interval);
             }
-            if near {
+            if peer.near && !was_near {
                 peer.next_heartbeat_ms = now;
             }
         }
     }
 
+    fn intervals(&self) -> Intervals {
+        let local_zone = &self.settings.availability_zone;
+        let is_far = |peer: &&Peer| peer.availability_zone != *local_zone;
+        let far_hosts = self.peers.values().filter(is_far).count();
+        let steps = far_hosts.div_ceil(FAR_HOSTS_PER_INTERVAL).max(1) as u64;
+        Intervals {
+            other_zones_ms: time::SpanMs(self.settings.far_interval_ms.0.saturating_mul(steps)),
+        }
+    }
+
+    /// Makes a heartbeat due to every peer, for news that should not wait: this host leads another
+    /// pool now, or it leaves.
+    pub fn announce(&mut self, now: time::TimeMs) {
+        for peer in self.peers.values_mut() {
+            peer.next_heartbeat_ms = now;
+        }
+    }
+
     /// First candidates of pools for which the local host is among the next ones.
     fn watched<'a>(
         &self,
@@ -310,15 +347,13 @@
 
     /// Peers to which a heartbeat is due; each is due again after its interval.
     pub fn due_heartbeats(&mut self, now: time::TimeMs) -> Vec<id::EntryHostId> {
-        let near_ms = self.settings.near_interval_ms;
-        let far_ms = self.settings.far_interval_ms;
+        let intervals = self.intervals();
         let mut due = Vec::new();
         for (host, peer) in &mut self.peers {
             if peer.next_heartbeat_ms > now {
                 continue;
             }
-            let interval = if peer.near { near_ms } else { far_ms };
-            peer.next_heartbeat_ms = now + interval;
+            peer.next_heartbeat_ms = now + intervals.of(&self.settings, peer);
             due.push(host.clone());
         }
         due
--- /dev/null
+++ b/crates/mangotrestle-dev/src/measure/control/heartbeat.rs
@@ -0,0 +1,165 @@
+//! What a heartbeat costs over the real protocol.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Instant;
+
+use mangotrestle_core::result_code;
+use mangotrestle_peer::{PeerBackend, PeerClient, PeerServer, message};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::measure::report::{Figure, Target};
+
+/// Heartbeats of one run.
+const ROUNDS: u32 = 2_000;
+struct Echo;
+
+impl PeerBackend for Echo {
+    async fn heartbeat(
+        &self,
+        heartbeat: message::Heartbeat,
+    ) -> Result<message::Heartbeat, result_code::ResultCode> {
+        Ok(heartbeat)
+    }
+
+    async fn config(
+        &self,
+        _request: message::ConfigRequest,
+    ) -> Result<message::ConfigAnswer, result_code::ResultCode> {
+        Err(result_code::ResultCode::NotFound)
+    }
+
+    async fn routes(
+        &self,
+        _request: message::RoutesRequest,
+    ) -> Result<message::RoutesAnswer, result_code::ResultCode> {
+        Err(result_code::ResultCode::NotLeader)
+    }
+
+    async fn inbox_changed(
+        &self,
+        _notice: message::InboxNotice,
+    ) -> Result<(), result_code::ResultCode> {
+        Err(result_code::ResultCode::NotLeader)
+    }
+
+    async fn query(
+        &self,
+        _question: serde_json::Value,
+    ) -> Result<serde_json::Value, result_code::ResultCode> {
+        Err(result_code::ResultCode::NotFound)
+    }
+}
+
+/// Costs of the exchanges of one entry host, of which there are so many a second.
+pub(super) fn measure(exchanges_per_s: f64, figures: &mut Vec<Figure>) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("the loopback interface is there");
+    let cost = runtime.block_on(run());
+    figures.push(Figure::new(
+        "heartbeat and its answer, both ends",
+        cost.ns,
+        "ns",
+    ));
+    figures.push(Figure::new("heartbeat and its answer", cost.bytes, "B"));
+    let per_s = cost.bytes * exchanges_per_s;
+    figures.push(
+        Figure::new("heartbeats of an entry host among 72", per_s / 1e3, "KB/s")
+            .target(Target::AtMost(9.0)),
+    );
+    // Half of the time is the other end's.
+    let core_percent = cost.ns / 2.0 * exchanges_per_s / 1e9 * 100.0;
+    figures.push(
+        Figure::new(
+            "heartbeats of an entry host among 72",
+            core_percent,
+            "% of a core",
+        )
+        .target(Target::AtMost(3.5)),
+    );
+}
+
+struct Cost {
+    ns: f64,
+    bytes: f64,
+}
+
+async fn run() -> Cost {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("a bound port");
+    tokio::spawn(PeerServer::serve(
+        listener,
+        Arc::new(Echo),
+        std::future::pending(),
+    ));
+    let ns = time_heartbeats(address).await;
+    let counted = Arc::new(AtomicU64::new(0));
+    let counting = forward(address, Arc::clone(&counted)).await;
+    let client = PeerClient::new(counting).expect("a valid address");
+    for _ in 0..100 {
+        client.heartbeat(heartbeat()).await.expect("the peer is up");
+    }
+    let bytes = counted.load(Ordering::Relaxed);
+    let bytes = f64::from(u32::try_from(bytes).unwrap_or(u32::MAX)) / 100.0;
+    Cost { ns, bytes }
+}
+
+async fn time_heartbeats(address: SocketAddr) -> f64 {
+    let client = PeerClient::new(address).expect("a valid address");
+    client.heartbeat(heartbeat()).await.expect("the peer is up");
+    let started = Instant::now();
+    for _ in 0..ROUNDS {
+        client.heartbeat(heartbeat()).await.expect("the peer is up");
+    }
+    started.elapsed().as_secs_f64() * 1e9 / f64::from(ROUNDS)
+}
+
+/// Passes connections on and counts the bytes in both directions.
+async fn forward(to: SocketAddr, counted: Arc<AtomicU64>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("a bound port");
+    tokio::spawn(async move {
+        while let Ok((client, _)) = listener.accept().await {
+            let Ok(server) = TcpStream::connect(to).await else {
+                return;
+            };
+            let (from_client, to_client) = client.into_split();
+            let (from_server, to_server) = server.into_split();
+            tokio::spawn(copy(from_client, to_server, Arc::clone(&counted)));
+            tokio::spawn(copy(from_server, to_client, Arc::clone(&counted)));
+        }
+    });
+    address
+}
+
+async fn copy(
+    mut from: impl AsyncReadExt + Unpin,
+    mut to: impl AsyncWriteExt + Unpin,
+    counted: Arc<AtomicU64>,
+) {
+    let mut buffer = vec![0; 4_096];
+    while let Ok(length) = from.read(&mut buffer).await {
+        if length == 0 || to.write_all(&buffer[..length]).await.is_err() {
+            return;
+        }
+        counted.fetch_add(length as u64, Ordering::Relaxed);
+    }
+}
+
+fn heartbeat() -> message::Heartbeat {
+    let value = serde_json::json!({
+        "protocol": message::PROTOCOL,
+        "host": "entry-marousi-03",
+        "incarnation": 1_700_000_000_000_u64,
+        "availability_zone": "marousi",
+        "config_version": 12_345,
+        "config_in_force_wall_ms": 1_700_000_000_000_u64,
+        "wall_ms": 1_700_000_000_000_u64,
+        "leads": [{"pool": "marousi-2", "epoch": 42, "routes_version": 99}],
+    });
+    serde_json::from_value(value).expect("a valid heartbeat")
+}
--- /dev/null
+++ b/crates/mangotrestle-dev/src/measure/control/membership.rs
@@ -0,0 +1,185 @@
+//! What the view of the entry hosts costs, and how much a configuration change sends.
+
+use std::time::Instant;
+
+use mangotrestle_core::{configuration, id, membership, resources, time};
+use mangotrestle_platform::configuration_store;
+
+use crate::measure::report::{Figure, Target};
+
+/// Teams of the planned size.
+const TEAMS: u32 = 570;
+/// Configuration changes a second of the planned size.
+const CHANGES_PER_S: f64 = 22_000.0 / 86_400.0;
+/// Entry hosts of the planned size: 8 in each of 9 zones, with as many pools a zone.
+const ZONES: u32 = 9;
+/// Entry hosts of a zone.
+const ZONE_HOSTS: u32 = 8;
+/// Time for which exchanges are counted, in steps of 100 ms.
+const COUNTED_STEPS: u64 = 3_000;
+/// Turns of one run.
+const TURNS: u32 = 2_000;
+
+pub(super) fn measure(figures: &mut Vec<Figure>) {
+    let (few, many) = (turn_ns(18), turn_ns(72));
+    figures.push(Figure::new("membership turn, 72 hosts", many, "ns"));
+    figures.push(Figure::new(
+        "membership turn, for each peer",
+        (many - few) / 54.0,
+        "ns",
+    ));
+}
+
+/// Counts the exchanges of an entry host in which it takes part on either side, over the real
+/// membership of all hosts.
+pub(super) fn measure_exchanges(figures: &mut Vec<Figure>) -> f64 {
+    let mut cell = Cell::new();
+    let exchanges: u32 = (0..COUNTED_STEPS).map(|step| cell.step(step)).sum();
+    let seconds = f64::from(u32::try_from(COUNTED_STEPS).unwrap_or(u32::MAX)) / 10.0;
+    // Each exchange has two sides.
+    let per_host_per_s = 2.0 * f64::from(exchanges) / f64::from(ZONES * ZONE_HOSTS) / seconds;
+    figures.push(Figure::new(
+        "exchanges of an entry host among 72",
+        per_host_per_s,
+        "1/s",
+    ));
+    per_host_per_s
+}
+
+struct Cell {
+    views: Vec<membership::Membership>,
+}
+
+impl Cell {
+    fn new() -> Self {
+        let hosts = ZONES * ZONE_HOSTS;
+        let listed: Vec<_> = (0..hosts)
+            .map(|number| membership::ListedHost {
+                host: host_name(number),
+                availability_zone: zone_name(number / ZONE_HOSTS),
+                address: String::new(),
+                state: membership::ListedState::Live,
+            })
+            .collect();
+        let view = |number: u32| {
+            let zone = zone_name(number / ZONE_HOSTS);
+            let mut view = membership::Membership::builder(host_name(number), zone).build();
+            view.listed(time::TimeMs(0), &listed);
+            view
+        };
+        Self {
+            views: (0..hosts).map(view).collect(),
+        }
+    }
+
+    /// Returns the number of exchanges in this step.
+    fn step(&mut self, step: u64) -> u32 {
+        let now = time::TimeMs(step * 100);
+        let mut exchanges = 0;
+        for (number, index) in (0..ZONES * ZONE_HOSTS).zip(0..) {
+            let zone = number / ZONE_HOSTS;
+            let pools: Vec<_> = (0..ZONE_HOSTS)
+                .map(|pool| pool_name(zone * ZONE_HOSTS + pool))
+                .collect();
+            self.views[index].watch_pools(now, &pools);
+            for due in self.views[index].due_heartbeats(now) {
+                let other = due.as_str().trim_start_matches("entry-").parse();
+                let other: u32 = other.expect("names are made below");
+                self.views[other as usize].heard(now, &heard(number));
+                self.views[index].heard(now, &heard(other));
+                exchanges += 1;
+            }
+        }
+        exchanges
+    }
+}
+
+fn heard(number: u32) -> membership::Heard {
+    membership::Heard {
+        host: host_name(number),
+        incarnation: id::Incarnation(1),
+        availability_zone: zone_name(number / ZONE_HOSTS),
+        leaving: false,
+        config_version: 1,
+    }
+}
+
+/// One turn: whom to watch, what is due, what changed, and a heartbeat taken in.
+fn turn_ns(hosts: u32) -> f64 {
+    let listed: Vec<_> = (1..hosts)
+        .map(|number| membership::ListedHost {
+            host: host_name(number),
+            availability_zone: zone_name(number / ZONE_HOSTS),
+            address: String::new(),
+            state: membership::ListedState::Live,
+        })
+        .collect();
+    let pools: Vec<id::PoolId> = (0..ZONE_HOSTS).map(pool_name).collect();
+    let mut view = membership::Membership::builder(host_name(0), zone_name(0)).build();
+    view.listed(time::TimeMs(0), &listed);
+    let heard: Vec<_> = (1..hosts).map(heard).collect();
+    let started = Instant::now();
+    for turn in 0..TURNS {
+        let now = time::TimeMs(u64::from(turn) * 100);
+        let index = turn as usize % heard.len();
+        view.heard(now, &heard[index]);
+        view.watch_pools(now, &pools);
+        std::hint::black_box(view.due_heartbeats(now));
+        std::hint::black_box(view.changes(now));
+    }
+    started.elapsed().as_secs_f64() * 1e9 / f64::from(TURNS)
+}
+
+pub(super) fn measure_configuration(figures: &mut Vec<Figure>) {
+    let before = document(TEAMS);
+    let mut after = before.clone();
+    if let Some(team) = after.teams.values_mut().next() {
+        team.weight += 1;
+    }
+    let value = |document| serde_json::to_value(document).expect("plain JSON");
+    let patch = configuration_store::make_patch(&value(&before), &value(&after));
+    let length = |value: &serde_json::Value| {
+        f64::from(u32::try_from(value.to_string().len()).unwrap_or(u32::MAX))
+    };
+    let (change, whole) = (length(&patch), length(&value(&after)));
+    figures.push(Figure::new("configuration change, body, 570 teams", change, "B").naive(whole));
+    figures.push(
+        Figure::new(
+            "configuration changes, bodies, 22,000 a day",
+            change * CHANGES_PER_S / 1e3,
+            "KB/s",
+        )
+        .target(Target::AtMost(9.0))
+        .naive(whole * CHANGES_PER_S / 1e3),
+    );
+}
+
+fn document(teams: u32) -> configuration::Document {
+    let policy = configuration::TeamPolicy {
+        quota: Some(resources::Resources {
+            cpu_millicores: 64_000,
+            memory_mib: 262_144,
+            accelerators: 8,
+            slots: 64,
+        }),
+        ..configuration::TeamPolicy::default()
+    };
+    let mut document = configuration::Document::default();
+    for number in 0..teams {
+        let name = format!("team-{number}").parse().expect("a valid name");
+        document.teams.insert(name, policy.clone());
+    }
+    document
+}
+
+fn host_name(number: u32) -> id::EntryHostId {
+    format!("entry-{number}").parse().expect("a valid name")
+}
+
+fn pool_name(number: u32) -> id::PoolId {
+    format!("pool-{number}").parse().expect("a valid name")
+}
+
+fn zone_name(number: u32) -> id::AvailabilityZoneId {
+    format!("zone-{number}").parse().expect("a valid name")
+}
--- a/crates/mangotrestle-dev/tests/platform_commands.rs
+++ b/crates/mangotrestle-dev/tests/platform_commands.rs
@@ -55,6 +55,7 @@
             operator: "athens".to_owned(),
             what: name.to_owned(),
             from_revision: 0,
+            command: name.parse().unwrap(),
         },
     }
 }
