--- a/crates/mangotrestle-core/src/membership/view.rs
+++ b/crates/mangotrestle-core/src/membership/view.rs
@@ -293,14 +293,26 @@
         pools: impl IntoIterator<Item = &'a id::PoolId>,
     ) {
         let watched = self.watched(now, pools);
+        let overdue: Vec<_> = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| self.state_of(peer, now) != PeerState::Alive)
+            .map(|(host, _)| host.clone())
+            .collect();
         let intervals = self.intervals();
         for (host, peer) in &mut self.peers {
-            let was_near = std::mem::replace(&mut peer.near, watched.contains(host));
+            // Expecting less of a host that is overdue would make it look alive again.
+            let is_overdue = overdue.contains(host);
+            let near = watched.contains(host) || (peer.near && is_overdue);
+            let was_near = std::mem::replace(&mut peer.near, near);
+            let newly_near = near && !was_near;
             let interval = intervals.of(&self.settings, peer);
-            if let Some(detector) = &mut peer.detector {
+            if let Some(detector) = &mut peer.detector
+                && (newly_near || !is_overdue)
+            {
                 detector.expect(now, interval);
             }
-            if peer.near && !was_near {
+            if newly_near {
                 peer.next_heartbeat_ms = now;
             }
         }
--- a/crates/mangotrestle-core/src/routing/router/mod.rs
+++ b/crates/mangotrestle-core/src/routing/router/mod.rs
@@ -84,17 +84,27 @@
 /// Settings of a [`Router`]. The fields are public; start from [`Settings::default`].
 #[derive(Clone, Copy, Debug)]
 pub struct Settings {
-    /// Longest wait for a slot when the service has ready targets.
+    /// Longest wait for a slot while the queue is a burst that empties soon.
     pub max_wait: time::SpanMs,
+    /// Longest wait for a slot once the queue has been standing.
+    pub standing_wait: time::SpanMs,
+    /// A queue that was not empty for this long is standing.
+    pub standing_after: time::SpanMs,
     /// Longest wait for a service without a ready target to start.
     pub max_cold_wait: time::SpanMs,
-    /// Requests of one service that may wait at the same time.
+    /// Requests of one service and one class that may wait at the same time.
     pub max_waiting: usize,
     /// Time over which a new target's load rises to its full share.
     pub slow_start: time::SpanMs,
     /// How long a slot stays taken after a request was abandoned, since the target may need a
     /// moment to notice.
     pub abandoned_hold: time::SpanMs,
+    /// How long a target that said it is leaving is left alone, unless it becomes ready anew. It
+    /// outlasts the lag of the host list.
+    pub leaving_memory: time::SpanMs,
+    /// How long a target is left alone whose worker said that it is not there; it may be about to
+    /// start.
+    pub gone_memory: time::SpanMs,
     /// How long a worker that said it is full is left alone.
     pub full_worker_pause: time::SpanMs,
     /// Extra time assumed for another availability zone until it has been measured.
@@ -109,10 +119,14 @@
     fn default() -> Self {
         Self {
             max_wait: time::SpanMs::from_secs(1),
+            standing_wait: time::SpanMs(100),
+            standing_after: time::SpanMs(500),
             max_cold_wait: time::SpanMs::from_secs(30),
             max_waiting: 1_024,
             slow_start: time::SpanMs::from_secs(5),
             abandoned_hold: time::SpanMs(250),
+            leaving_memory: time::SpanMs::from_secs(120),
+            gone_memory: time::SpanMs::from_secs(1),
             full_worker_pause: time::SpanMs(50),
             assumed_zone_extra_us: 3_000,
             outlier: outlier::Policy::default(),
@@ -229,6 +243,8 @@
     Failed,
     /// The target said that it is leaving.
     Leaving,
+    /// The target's worker said that the target is not there.
+    Gone,
     /// The target or its worker said that it has no room.
     Full,
     /// No answer came in time.
@@ -482,7 +498,7 @@
                     index: target.index,
                     answered: track.answered,
                     failed: track.failed,
-                    said_leaving: track.said_leaving_at.is_some(),
+                    said_leaving: track.is_absent(now),
                     ejected: track.outlier.standing(now) != outlier::Standing::In,
                 });
             }
--- a/crates/mangotrestle-core/tests/membership_view.rs
+++ b/crates/mangotrestle-core/tests/membership_view.rs
@@ -240,6 +240,28 @@
     assert!(many < few + 16.0 / 5.0 + 4.0, "{few} and {many}");
 }
 
+#[test]
+fn dead_host_stays_dead_when_the_intervals_change() {
+    let mut view = view();
+    let mut far = heard(1, 1);
+    far.availability_zone = "piraeus".parse().unwrap();
+    view.heard(at(0), &far);
+    let before = view.state(&host(1), at(200_000));
+    for number in 2..40 {
+        let mut other = heard(number, 1);
+        other.availability_zone = "piraeus".parse().unwrap();
+        view.heard(at(200_000), &other);
+    }
+
+    view.watch_pools(at(200_000), &[pool(1)]);
+
+    assert_eq!(before, membership::PeerState::Dead);
+    assert_eq!(
+        view.state(&host(1), at(200_000)),
+        membership::PeerState::Dead
+    );
+}
+
 #[test]
 fn changes_are_told_once() {
     let mut view = view();
@@ -253,3 +275,35 @@
     assert_eq!(again, []);
     assert_eq!(dead[0].to, membership::PeerState::Dead);
 }
+
+#[test]
+fn watched_host_that_died_stays_dead() {
+    let hosts = [host(0), host(1)];
+    let watched = (0..)
+        .map(pool)
+        .find(|pool| rendezvous::owner(pool.as_str(), &hosts) == Some(&host(1)))
+        .unwrap();
+    let mut view = view();
+    view.listed(at(0), &[listed(1)]);
+    for now_ms in (0..10_000).step_by(100) {
+        if now_ms % 500 == 0 {
+            view.heard(at(now_ms), &heard(1, 1));
+        }
+        view.watch_pools(at(now_ms), [&watched]);
+    }
+
+    let taken_over: Vec<u64> = (10_000..60_000)
+        .step_by(100)
+        .filter(|&now_ms| {
+            view.watch_pools(at(now_ms), [&watched]);
+            view.should_lead(&watched, at(now_ms))
+        })
+        .collect();
+
+    let first = *taken_over.first().unwrap();
+    assert!(
+        first < 13_000,
+        "a pool is led again within 3 s, not from {first} ms"
+    );
+    assert_eq!(taken_over.len() as u64, (60_000 - first) / 100);
+}
