--- a/crates/mangotrestle-dev/src/measure/command.rs
+++ b/crates/mangotrestle-dev/src/measure/command.rs
@@ -8,9 +8,13 @@
 
 use argh::FromArgs;
 
+use super::control;
+use super::node;
+use super::recover;
 use super::report::Report;
 use super::report::text;
 use super::report::write;
+use super::route;
 
 /// Name that stands for every experiment.
 const ALL: &str = "all";
@@ -44,7 +48,28 @@
 }
 
 /// Every experiment, in the order of `measure all`.
-pub const EXPERIMENTS: &[Experiment] = &[];
+pub const EXPERIMENTS: &[Experiment] = &[
+    Experiment {
+        name: "route",
+        about: "requests: overload, bad targets, retries, slot shares, at most once",
+        run: |seed| Ok(route::run(seed)),
+    },
+    Experiment {
+        name: "recover",
+        about: "store outages, recovery of a pool's state, configuration in force",
+        run: |seed| Ok(recover::run(seed)),
+    },
+    Experiment {
+        name: "control",
+        about: "cost of heartbeats, membership, configuration and journal, part by part",
+        run: |seed| Ok(control::run(seed)),
+    },
+    Experiment {
+        name: "node",
+        about: "standing cost of a whole entry host that leads a pool",
+        run: node::run,
+    },
+];
 
 /// Runs the command with the experiments of this program.
 #[must_use]
--- a/crates/mangotrestle-dev/src/measure/mod.rs
+++ b/crates/mangotrestle-dev/src/measure/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod command;
 pub mod control;
+pub mod node;
 pub mod place;
 pub mod recover;
 pub mod report;
