--- a/crates/mangotrestle-core/src/scheduler/gangs.rs
+++ b/crates/mangotrestle-core/src/scheduler/gangs.rs
@@ -86,7 +86,7 @@
         if !self.queue.within_quota(team, &head.shape.need, tasks) {
             return Placement::OverQuota;
         }
-        if let Some(portions) = self.gang_portions(head, tasks) {
+        if let Some(portions) = self.gang_portions(now_ms, head, tasks) {
             self.start_gang(now_ms, head.job, &portions, decisions);
             return Placement::Started;
         }
@@ -94,7 +94,12 @@
         Placement::NoRoom
     }
 
-    fn gang_portions(&self, head: &queue::Head, tasks: u32) -> Option<Vec<Portion>> {
+    fn gang_portions(
+        &self,
+        now_ms: time::TimeMs,
+        head: &queue::Head,
+        tasks: u32,
+    ) -> Option<Vec<Portion>> {
         let need = &head.shape.need;
         let scope = SearchScope {
             order: SearchOrder::Tight,
@@ -109,8 +114,12 @@
         };
         let urgent = head.shape.urgency == job::Urgency::Urgent;
         let own = |worker: WorkerKey| self.workers[worker].reserved_by == Some(head.job);
+        let end_ms = self.expected_run_time(head.job).map(|span| now_ms + span);
+        let ends_before = |worker: WorkerKey| {
+            end_ms.is_some_and(|end_ms| Some(end_ms) <= self.reservation_start(worker))
+        };
         self.reserved.search(need, scope, |worker, free| {
-            if urgent || own(worker) {
+            if urgent || own(worker) || ends_before(worker) {
                 collector.take(worker, free)
             } else {
                 ControlFlow::Continue(())
