--- a/crates/mangotrestle-core/src/pool/mod.rs
+++ b/crates/mangotrestle-core/src/pool/mod.rs
@@ -11,7 +11,7 @@
 //!
 //! - A run that must not run twice is started only after the journal holds its start.
 //! - A worker may forget an ended run only after the journal holds its end.
-//! - An accepted command leaves the inbox only after the journal holds its record.
+//! - An accepted command leaves the inbox in the transaction that journals its record.
 //!
 //! Whatever is dropped when a leader loses its majority is therefore found again by the next one:
 //! in the journal, in the inbox, or in the workers' lists.
@@ -190,6 +190,12 @@
         self.tenure.routes.all()
     }
 
+    /// Targets of one service, while this entry host leads; `None` if it has none.
+    #[must_use]
+    pub fn targets_of_service(&self, job: &id::JobId) -> Option<&ServiceTargets> {
+        self.tenure.routes.of(job)
+    }
+
     fn lead(
         &mut self,
         now: Now,
@@ -407,7 +413,7 @@
         commands.push(PoolCommand::Notice(PoolNotice::StateLoaded { jobs }));
     }
 
-    /// Folds accepted commands in. Their inbox rows go once the journal holds the records.
+    /// Folds accepted commands in. Their inbox rows go in the transaction that journals them.
     fn accepted(
         &mut self,
         now: Now,
@@ -422,9 +428,13 @@
         for record in &accepted {
             self.apply(now, record);
         }
-        let token = self.journal(accepted, urgent, commands);
-        self.tenure
-            .after(token, tenure::AfterCommit::ClearInbox { ticket });
+        let token = self.tenure.next_token();
+        commands.push(PoolCommand::Journal {
+            token,
+            records: accepted,
+            urgent,
+            inbox: Some(ticket),
+        });
     }
 
     /// Folds records of decisions in that come from inside, such as an operator's word on a run.
@@ -525,6 +535,7 @@
             token,
             records,
             urgent,
+            inbox: None,
         });
         token
     }
@@ -538,9 +549,6 @@
                         self.tenure.unacknowledged.remove(&(worker.clone(), run));
                     }
                 }
-                tenure::AfterCommit::ClearInbox { ticket } => {
-                    commands.push(PoolCommand::ClearInbox { ticket });
-                }
                 tenure::AfterCommit::SendStart { worker, run } => {
                     self.send_starts(now, &worker, vec![run], commands);
                 }
--- /dev/null
+++ b/crates/mangotrestle/src/daemon/control/notices.rs
@@ -0,0 +1,225 @@
+//! Log lines and operators' events from the notices of pools.
+
+use std::collections::VecDeque;
+use std::fmt;
+
+use mangotrestle_core::id;
+use mangotrestle_core::pool;
+use mangotrestle_core::time;
+use mangotrestle_operator::message;
+
+/// Events that are kept for operators who follow them.
+const KEPT_EVENTS: usize = 4_096;
+
+/// Logs notices and keeps the last of them.
+pub(super) struct Notices {
+    log: slog::Logger,
+    last_sequence: u64,
+    kept: VecDeque<message::Event>,
+}
+
+impl Notices {
+    pub(super) const fn new(log: slog::Logger) -> Self {
+        Self {
+            log,
+            last_sequence: 0,
+            kept: VecDeque::new(),
+        }
+    }
+
+    /// Kept events after a sequence number; without one, only what comes next.
+    pub(super) fn after(&self, sequence: Option<u64>) -> Vec<message::Event> {
+        let from = sequence.unwrap_or(self.last_sequence);
+        let later = self.kept.iter().filter(|event| event.sequence > from);
+        later.cloned().collect()
+    }
+
+    /// Number of the last event.
+    pub(super) const fn last_sequence(&self) -> u64 {
+        self.last_sequence
+    }
+
+    /// Logs a pool's notice and keeps it for operators.
+    pub(super) fn pool(
+        &mut self,
+        wall_ms: time::WallTimeMs,
+        pool: &id::PoolId,
+        notice: &pool::PoolNotice,
+    ) {
+        let described = describe(notice);
+        let pairs = described.pairs.first("pool", pool);
+        self.tell(wall_ms, described.kind, &pairs);
+    }
+
+    /// Logs something that is about the whole host and keeps it for operators.
+    pub(super) fn host(&mut self, wall_ms: time::WallTimeMs, kind: &str, pairs: &Pairs) {
+        self.tell(wall_ms, kind, pairs);
+    }
+
+    fn tell(&mut self, wall_ms: time::WallTimeMs, kind: &str, pairs: &Pairs) {
+        slog::info!(self.log, "{}", kind; pairs.clone());
+        self.keep(wall_ms, kind, &pairs.to_string());
+    }
+
+    fn keep(&mut self, wall_ms: time::WallTimeMs, kind: &str, detail: &str) {
+        self.last_sequence += 1;
+        if self.kept.len() == KEPT_EVENTS {
+            self.kept.pop_front();
+        }
+        self.kept.push_back(message::Event {
+            sequence: self.last_sequence,
+            wall_ms,
+            kind: kind.to_owned(),
+            detail: detail.to_owned(),
+        });
+    }
+}
+
+/// Pairs of an event, in the order to show them.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Pairs(Vec<Pair>);
+
+#[derive(Clone, Debug)]
+struct Pair {
+    key: &'static str,
+    value: String,
+}
+
+impl Pairs {
+    /// Adds a pair at the end.
+    pub(super) fn with(mut self, key: &'static str, value: impl fmt::Display) -> Self {
+        self.0.push(Pair {
+            key,
+            value: value.to_string(),
+        });
+        self
+    }
+
+    fn first(mut self, key: &'static str, value: impl fmt::Display) -> Self {
+        self.0.insert(
+            0,
+            Pair {
+                key,
+                value: value.to_string(),
+            },
+        );
+        self
+    }
+}
+
+impl fmt::Display for Pairs {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, pair) in self.0.iter().enumerate() {
+            let separator = if index == 0 { "" } else { " " };
+            write!(f, "{separator}{}={}", pair.key, pair.value)?;
+        }
+        Ok(())
+    }
+}
+
+impl slog::KV for Pairs {
+    fn serialize(
+        &self,
+        _record: &slog::Record<'_>,
+        serializer: &mut dyn slog::Serializer,
+    ) -> slog::Result {
+        // Pairs are emitted last first, as slog's own lists of pairs are.
+        for pair in self.0.iter().rev() {
+            serializer.emit_str(pair.key, &pair.value)?;
+        }
+        Ok(())
+    }
+}
+
+struct Described {
+    kind: &'static str,
+    pairs: Pairs,
+}
+
+fn event(kind: &'static str) -> Described {
+    Described {
+        kind,
+        pairs: Pairs::default(),
+    }
+}
+
+impl Described {
+    fn with(mut self, key: &'static str, value: impl fmt::Display) -> Self {
+        self.pairs = self.pairs.with(key, value);
+        self
+    }
+
+    fn with_some(self, key: &'static str, value: Option<impl fmt::Display>) -> Self {
+        match value {
+            Some(value) => self.with(key, value),
+            None => self,
+        }
+    }
+}
+
+/// Kind of a notice and its pairs.
+fn describe(notice: &pool::PoolNotice) -> Described {
+    use pool::PoolNotice as Notice;
+    match notice {
+        Notice::BecameLeader => event("pool.lead"),
+        Notice::MayStart => event("pool.may_start"),
+        Notice::LostLead => event("pool.lead_lost"),
+        Notice::StateLoaded { jobs } => event("pool.loaded").with("jobs", jobs),
+        Notice::RecoveryComplete => event("pool.recovered"),
+        Notice::WorkerHeld {
+            worker,
+            epoch,
+            running,
+        } => event("worker.held")
+            .with("worker", worker)
+            .with("epoch", epoch.0)
+            .with("running", running),
+        Notice::WorkerLostHold { worker } => event("worker.unreachable").with("worker", worker),
+        Notice::WorkerLost { worker } => event("worker.lost").with("worker", worker),
+        Notice::Placed {
+            run,
+            worker,
+            reason,
+        } => event("task.placed")
+            .with("run", run)
+            .with("worker", worker)
+            .with("path", format_args!("{:?}", reason.path))
+            .with("score", reason.score)
+            .with("candidates", reason.candidates)
+            .with("waited_ms", reason.waited_ms),
+        Notice::StartRefused { run, worker, code } => event("task.start_refused")
+            .with("run", run)
+            .with("worker", worker)
+            .with("code", code),
+        Notice::Stopping {
+            run,
+            worker,
+            reason,
+        } => event("task.stopping")
+            .with("run", run)
+            .with("worker", worker)
+            .with("reason", format_args!("{reason:?}")),
+        Notice::Throttled {
+            run,
+            worker,
+            cpu_millicores,
+        } => event("task.throttled")
+            .with("run", run)
+            .with("worker", worker)
+            .with_some("cpu_millicores", *cpu_millicores),
+        Notice::JobStateChanged { job, state, code } => event("job.state")
+            .with("job", job)
+            .with("state", format_args!("{state:?}"))
+            .with_some("code", *code),
+        Notice::TaskUnknown { run } => event("task.unknown").with("run", run),
+        Notice::Quarantine {
+            worker,
+            probe_at_ms,
+        } => event("worker.quarantine")
+            .with("worker", worker)
+            .with_some("probe_at_ms", *probe_at_ms),
+        Notice::OrphanRun { run, worker } => {
+            event("task.orphan").with("run", run).with("worker", worker)
+        }
+    }
+}
