--- a/crates/mangotrestle-operator/src/convert.rs
+++ b/crates/mangotrestle-operator/src/convert.rs
@@ -16,6 +16,9 @@
 use crate::generated as wire;
 use crate::message;
 
+/// Greatest part of a wrong value that an error repeats, in bytes.
+const MAX_SHOWN_BYTES: usize = 64;
+
 /// A field of a message that cannot be used.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct InvalidField {
@@ -84,7 +87,10 @@
     name: &str,
     from_name: impl Fn(&str) -> Option<T>,
 ) -> Result<T, InvalidField> {
-    from_name(name).ok_or_else(|| InvalidField::new(field, format_args!("{name:?} is not known")))
+    from_name(name).ok_or_else(|| {
+        let shown = &name[..name.floor_char_boundary(MAX_SHOWN_BYTES)];
+        InvalidField::new(field, format_args!("{shown:?} is not known"))
+    })
 }
 
 fn id_text(id: Option<&impl ToString>) -> String {
