--- a/crates/mangotrestle-dev/src/demo.rs
+++ b/crates/mangotrestle-dev/src/demo.rs
@@ -14,6 +14,7 @@
 use mangotrestle_core::time;
 use mangotrestle_operator::client;
 use mangotrestle_operator::message;
+use mangotrestle_platform::table::wire;
 use tokio::time::Instant;
 
 use crate::cell;
@@ -37,6 +38,9 @@
     /// seed of everything random (default: 1)
     #[argh(option, default = "1")]
     pub seed: u64,
+    /// write the entry hosts' log to stderr
+    #[argh(switch)]
+    pub verbose: bool,
 }
 
 /// Runs the demonstration.
@@ -56,7 +60,9 @@
             return process::ExitCode::FAILURE;
         }
     };
-    match runtime.block_on(show(profile, arguments.seed)) {
+    let (log, _guard) = cell::logger(arguments.verbose);
+    let builder = cell::Cell::builder(profile).seed(arguments.seed).log(log);
+    match runtime.block_on(show(profile, builder)) {
         Ok(0) => process::ExitCode::SUCCESS,
         Ok(breaches) => {
             eprintln!("{breaches} breaches");
@@ -70,10 +76,10 @@
 }
 
 /// Shows the whole path; returns the number of breaches.
-async fn show(profile: &profile::Profile, seed: u64) -> Result<u64, String> {
+async fn show(profile: &profile::Profile, builder: cell::CellBuilder) -> Result<u64, String> {
     let began = Instant::now();
     println!("{}: starting the cell", profile.title);
-    let mut cell = cell::Cell::builder(profile).seed(seed).start().await?;
+    let mut cell = builder.start().await?;
     let mut operator = cell.operator().map_err(|error| error.to_string())?;
     let pools = pools_of(profile);
     wait_for_leaders(&mut operator, &pools).await?;
@@ -126,8 +132,8 @@
         cell.platform.table.service().transactions()
     );
     println!(
-        "table requests peak in 1 s {:>10}",
-        cell.platform.table.faults().peak_per_s()
+        "table writes, peak in 1 s  {:>10}",
+        cell.platform.table.faults().peak_per_s(wire::TRANSACT_PATH)
     );
     println!("breaches                   {:>10}", breaches.total());
     if breaches.total() > 0 {
