Let the callers' front serve on any listener, so that it can speak TLS

Front::serve keeps its listener without TLS, its pause after a failed accept and its option against delays; serve_on takes a listener that hands out connections after their handshake.

--- a/crates/mangotrestle-caller/src/connection.rs
+++ b/crates/mangotrestle-caller/src/connection.rs
@@ -1,14 +1,17 @@
 //! Accepts callers' connections, within limits, and lets them end in order at a planned stop.
 
 use std::convert::Infallible;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use axum::body::Body;
 use axum::response::Response;
+use axum::serve::Listener;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
 use tower::ServiceExt;
@@ -19,12 +22,39 @@
 const MAX_HEADERS: usize = 100;
 /// Time in which a request's head must be complete.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Pause after a failed accept, such as for want of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Hands out connections without TLS.
+pub struct PlainListener(pub TcpListener);
+
+impl Listener for PlainListener {
+    type Io = TcpStream;
+    type Addr = SocketAddr;
+
+    async fn accept(&mut self) -> (TcpStream, SocketAddr) {
+        loop {
+            let Ok((stream, address)) = self.0.accept().await else {
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            };
+            // Only delays small answers if it fails.
+            let _ = stream.set_nodelay(true);
+            return (stream, address);
+        }
+    }
+
+    fn local_addr(&self) -> std::io::Result<SocketAddr> {
+        self.0.local_addr()
+    }
+}
+
 /// Accepts connections until `stopping` turns true. Each connection holds a clone of `alive`.
-pub async fn accept(
-    listener: TcpListener,
+///
+/// The listener deals with failed accepts itself, as `axum` asks of listeners.
+pub async fn accept<L: Listener>(
+    mut listener: L,
     app: axum::Router,
     max_connections: usize,
     mut stopping: watch::Receiver<bool>,
@@ -36,10 +66,7 @@
             () = stopped(&mut stopping) => return,
             accepted = listener.accept() => accepted,
         };
-        let Ok((stream, _)) = accepted else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
+        let (stream, _) = accepted;
         let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
             metrics::counter!("mangotrestle_front_connections_refused").increment(1);
             continue;
@@ -56,13 +83,10 @@
 
 /// Serves one connection. Once `stopping` is true the request in flight is finished and the
 /// connection closed.
-async fn serve_connection(
-    stream: TcpStream,
-    app: axum::Router,
-    mut stopping: watch::Receiver<bool>,
-) {
-    // Only delays small answers if it fails.
-    let _ = stream.set_nodelay(true);
+async fn serve_connection<S>(stream: S, app: axum::Router, mut stopping: watch::Receiver<bool>)
+where
+    S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+{
     let service = hyper::service::service_fn(move |request: http::Request<Incoming>| {
         let app = app.clone();
         async move { answer(app, request.map(Body::new)).await }
--- a/crates/mangotrestle-caller/src/front.rs
+++ b/crates/mangotrestle-caller/src/front.rs
@@ -265,6 +265,21 @@
         &self,
         listener: TcpListener,
         shutdown: impl Future<Output = ()> + Send,
+    ) -> std::io::Result<Stopped> {
+        let listener = connection::PlainListener(listener);
+        self.serve_on(listener, shutdown).await
+    }
+
+    /// Serves callers on connections that a listener hands out, such as one that does the TLS
+    /// handshake, until `shutdown` completes; then finishes what is in flight.
+    ///
+    /// # Errors
+    ///
+    /// The listener's error.
+    pub async fn serve_on<L: axum::serve::Listener>(
+        &self,
+        listener: L,
+        shutdown: impl Future<Output = ()> + Send,
     ) -> std::io::Result<Stopped> {
         listener.local_addr()?;
         let serving = self.serve_connections(listener, shutdown);
@@ -274,9 +289,9 @@
         }
     }
 
-    async fn serve_connections(
+    async fn serve_connections<L: axum::serve::Listener>(
         &self,
-        listener: TcpListener,
+        listener: L,
         shutdown: impl Future<Output = ()> + Send,
     ) -> Stopped {
         let settings = &self.shared.settings;
--- a/crates/mangotrestle/src/tls/listener.rs
+++ b/crates/mangotrestle/src/tls/listener.rs
@@ -75,6 +75,8 @@
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
+        // Only delays small answers if it fails.
+        let _ = stream.set_nodelay(true);
         let acceptor = TlsAcceptor::from(certificates.current());
         let sender = sender.clone();
         tokio::spawn(async move {
