--- a/crates/mangotrestle-dev/src/measure/command.rs
+++ b/crates/mangotrestle-dev/src/measure/command.rs
@@ -10,6 +10,7 @@
 
 use super::control;
 use super::node;
+use super::place;
 use super::recover;
 use super::report::Report;
 use super::report::text;
@@ -49,6 +50,11 @@
 
 /// Every experiment, in the order of `measure all`.
 pub const EXPERIMENTS: &[Experiment] = &[
+    Experiment {
+        name: "place",
+        about: "placement: cost of a decision, urgent starts, waiting and packing, memory",
+        run: |seed| Ok(place::run(seed)),
+    },
     Experiment {
         name: "route",
         about: "requests: overload, bad targets, retries, slot shares, at most once",
