--- a/crates/mangotrestle-dev/src/measure/mod.rs
+++ b/crates/mangotrestle-dev/src/measure/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod command;
 pub mod control;
+pub mod lease;
 pub mod place;
 pub mod recover;
 pub mod report;
--- a/crates/mangotrestle-worker/src/lib.rs
+++ b/crates/mangotrestle-worker/src/lib.rs
@@ -18,3 +18,4 @@
 #[rustfmt::skip]
 pub mod generated;
 pub mod service;
+pub mod size;
--- /dev/null
+++ b/crates/mangotrestle-worker/tests/conversions.rs
@@ -0,0 +1,130 @@
+//! Whatever arrives is converted or refused with a clear error; nothing panics.
+
+use mangotrestle_core::id;
+use mangotrestle_core::lease::message;
+use mangotrestle_core::task;
+use mangotrestle_core::time;
+use mangotrestle_worker::convert::{InvalidMessage, MAX_RUNS};
+use mangotrestle_worker::generated;
+use prost::Message;
+use quickcheck::quickcheck;
+
+/// Decodes bytes as a message and converts it; the result does not matter, only that there is one.
+fn converts<G, C>(bytes: &[u8]) -> bool
+where
+    G: Message + Default,
+    C: TryFrom<G, Error = InvalidMessage>,
+{
+    match G::decode(bytes).map(C::try_from) {
+        Ok(Ok(_)) => true,
+        Ok(Err(fault)) => !fault.to_string().is_empty(),
+        Err(fault) => !fault.to_string().is_empty(),
+    }
+}
+
+fn converts_as_anything(bytes: &[u8]) -> bool {
+    converts::<generated::ClaimRequest, message::ClaimRequest>(bytes)
+        && converts::<generated::RenewRequest, message::RenewRequest>(bytes)
+        && converts::<generated::StartRequest, message::StartRequest>(bytes)
+        && converts::<generated::StopRequest, message::StopRequest>(bytes)
+        && converts::<generated::ClaimGranted, message::ClaimGranted>(bytes)
+        && converts::<generated::RenewGranted, message::RenewGranted>(bytes)
+        && converts::<generated::StartResults, message::StartAnswer>(bytes)
+        && converts::<generated::StopAccepted, message::StopAccepted>(bytes)
+        && converts::<generated::WatchEvent, message::WatchEvent>(bytes)
+        && converts::<generated::Refusal, message::Refusal>(bytes)
+}
+
+fn generated_run(job: String, index: u32, attempt: u32) -> generated::RunId {
+    generated::RunId {
+        job,
+        index,
+        attempt,
+    }
+}
+
+quickcheck! {
+    fn arbitrary_bytes_never_panic(bytes: Vec<u8>) -> bool {
+        converts_as_anything(&bytes)
+    }
+
+    fn damaged_messages_never_panic(job: String, outcome: i32, at: usize, value: u8) -> bool {
+        let event = generated::RenewGranted {
+            worker_time_ms: 7,
+            ended: vec![generated::EndedRun {
+                run: Some(generated_run(job, 1, 2)),
+                outcome,
+            }],
+            usage: vec![generated::TaskUsage { run: None, used: None }],
+            leaving: true,
+        };
+        let mut bytes = event.encode_to_vec();
+        let length = bytes.len();
+        bytes[at % length] = value;
+        converts_as_anything(&bytes)
+    }
+
+    fn runs_survive_both_ways(index: u32, attempt: u32) -> bool {
+        let job = id::JobId::new("plates").unwrap();
+        let run = task::RunId { task: task::TaskId { job, index }, attempt };
+        let there = generated::RunId::from(&run);
+        task::RunId::try_from(there) == Ok(run)
+    }
+
+    fn job_names_are_checked(job: String) -> bool {
+        let valid = id::JobId::new(&job).is_ok();
+        task::RunId::try_from(generated_run(job, 0, 1)).is_ok() == valid
+    }
+
+    fn unknown_codes_are_refused(code: u32) -> bool {
+        let refusal = generated::Refusal { code, worker_time_ms: 0 };
+        let known = u16::try_from(code)
+            .ok()
+            .and_then(mangotrestle_core::result_code::ResultCode::from_number);
+        message::Refusal::try_from(refusal).is_ok() == known.is_some()
+    }
+}
+
+#[test]
+fn missing_parts_are_named() {
+    let granted = generated::ClaimGranted {
+        rack: "rack".to_owned(),
+        ..generated::ClaimGranted::default()
+    };
+
+    let fault = message::ClaimGranted::try_from(granted).unwrap_err();
+
+    assert_eq!(fault.to_string(), "capacity: missing");
+}
+
+#[test]
+fn long_lists_are_refused_before_they_are_converted() {
+    let run = generated_run("not a name".to_owned(), 0, 0);
+    let request = generated::RenewRequest {
+        acknowledged: vec![run; MAX_RUNS + 1],
+        ..generated::RenewRequest::default()
+    };
+
+    let fault = message::RenewRequest::try_from(request).unwrap_err();
+
+    let expected = InvalidMessage::TooMany {
+        field: "acknowledged",
+        count: MAX_RUNS + 1,
+    };
+    assert_eq!(fault, expected);
+}
+
+#[test]
+fn renewals_survive_both_ways() {
+    let request = message::RenewRequest {
+        worker_incarnation: id::Incarnation(1),
+        epoch: message::Epoch(2),
+        roster_version: message::RosterVersion(3),
+        lease_expires_ms: time::WorkerTimeMs(4),
+        acknowledged: Vec::new(),
+    };
+
+    let there = generated::RenewRequest::from(&request);
+
+    assert_eq!(message::RenewRequest::try_from(there), Ok(request));
+}
--- a/crates/mangotrestle/src/daemon/mod.rs
+++ b/crates/mangotrestle/src/daemon/mod.rs
@@ -372,7 +372,6 @@
         ready: watch::Receiver<telemetry::Readiness>,
         closing: watch::Receiver<bool>,
     ) -> Result<(), DaemonError> {
-
         let operators = serve_operators(
             self.listeners.operators,
             Arc::new(operator_backend::Backend::new(Arc::clone(&self.context))),
