--- a/crates/mangotrestle-core/tests/scheduler/world.rs
+++ b/crates/mangotrestle-core/tests/scheduler/world.rs
@@ -1,6 +1,9 @@
 //! A small model of workers that breaks in every way that the scheduler has to bear: the workers as
 //! they really are, the messages under way, and the checks of each decision.
 
+mod checks;
+mod workload;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
@@ -8,7 +11,7 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
-use super::fixture::{self, amount, capacity, job_id, team_id, worker_id};
+use super::fixture::{self, amount, capacity, team_id, worker_id};
 
 /// How much goes wrong.
 #[derive(Clone, Copy, Debug)]
@@ -155,15 +158,6 @@
         self.check(&described);
     }
 
-    fn check(&self, after: &str) {
-        if let Err(breach) = self.scheduler.check_invariants() {
-            panic!(
-                "seed {}, at {} ms: {breach} after {after}",
-                self.seed, self.now_ms
-            );
-        }
-    }
-
     /// Hands an event over now, or later, or twice.
     fn tell_unreliably(&mut self, event: scheduler::SchedulerEvent) {
         if self.chance() {
@@ -239,50 +233,6 @@
         }
     }
 
-    fn random_spec(&mut self) -> job::JobSpec {
-        let number = self.next_job;
-        self.next_job += 1;
-        let kind = match self.rng.random_range(0..10) {
-            0..2 => job::JobKind::Service,
-            2..4 => job::JobKind::Gang,
-            _ => job::JobKind::Batch,
-        };
-        let urgency = match self.rng.random_range(0..10) {
-            0..2 => job::Urgency::Urgent,
-            2..8 => job::Urgency::Normal,
-            _ => job::Urgency::Background,
-        };
-        let accelerators = if self.rng.random_bool(0.2) {
-            self.rng.random_range(1..=8)
-        } else {
-            0
-        };
-        let impossible = self.rng.random_bool(0.02);
-        let cores = if impossible {
-            999
-        } else {
-            self.rng.random_range(1..=12)
-        };
-        let service = kind == job::JobKind::Service;
-        job::JobSpec {
-            id: job_id(&format!("job-{}-{number}", number % 7)),
-            team: team_id(&format!("team-{}", self.rng.random_range(0..4))),
-            pool: id::PoolId::new("pool-1").expect("valid pool identifier"),
-            kind,
-            urgency,
-            tasks: self.rng.random_range(1..=6),
-            need: amount(cores, self.rng.random_range(1..=32), accelerators),
-            run_time_ms: (!service).then_some(time::SpanMs(self.rng.random_range(500..60_000))),
-            idempotent: service || self.rng.random_bool(0.7),
-            preemptible: kind == job::JobKind::Batch && self.rng.random_bool(0.6),
-            lost_worker: if self.rng.random_bool(0.2) {
-                job::LostWorkerPolicy::WaitForWorker
-            } else {
-                job::LostWorkerPolicy::RestartAfterLapse
-            },
-        }
-    }
-
     fn submit(&mut self) {
         if self.specs.len() > 30 {
             return;
@@ -333,87 +283,6 @@
         });
     }
 
-    /// Checks a start against what really runs, whatever the scheduler believes.
-    fn check_start(&self, run: &task::RunId, name: &str, need: &resources::Resources) {
-        let context = format!(
-            "seed {}, at {} ms, start of {run} on {name}",
-            self.seed, self.now_ms
-        );
-        let last = self.attempts.get(&run.task).copied().unwrap_or(0);
-        assert!(
-            run.attempt > last,
-            "{context}: attempt {last} was used before"
-        );
-        assert!(
-            !self.cancelled.contains(&run.task.job),
-            "{context}: the job is cancelled"
-        );
-        assert!(
-            !self.spent.contains(&run.task),
-            "{context}: the task must not run again"
-        );
-        let same = |other: &task::RunId| other.task == run.task;
-        for (other, real) in &self.workers {
-            assert!(
-                !real.runs.keys().any(same),
-                "{context}: it runs on {other} already"
-            );
-        }
-        let mut under_way = self.starts_under_way.iter();
-        assert!(
-            !under_way.any(|start| same(&start.run)),
-            "{context}: it is being started"
-        );
-        let worker = &self.workers[name];
-        assert!(
-            worker.reachable && !worker.leaving,
-            "{context}: the worker takes no work"
-        );
-        let under_way = self
-            .starts_under_way
-            .iter()
-            .filter(|start| start.worker == name);
-        let under_way = under_way.fold(*need, |sum, start| sum + start.need);
-        let declared = worker
-            .runs
-            .values()
-            .fold(under_way, |sum, real| sum + real.need);
-        assert!(
-            declared.fits_in(&worker.capacity),
-            "{context}: over its declared capacity"
-        );
-        let measured = worker
-            .runs
-            .values()
-            .fold(under_way, |sum, real| sum + real.need.max(&real.reported));
-        assert!(
-            measured.fits_in(&worker.capacity),
-            "{context}: over its measured capacity"
-        );
-        self.check_quota(run, need, &context);
-    }
-
-    fn check_quota(&self, run: &task::RunId, need: &resources::Resources, context: &str) {
-        let limited = |run: &task::RunId| {
-            let spec = self.specs.get(&run.task.job);
-            spec.is_some_and(|spec| spec.team.as_str() == QUOTA_TEAM)
-        };
-        // After a take-over, runs without a record count once their workers have listed them.
-        if !limited(run) || !self.recovering.is_empty() {
-            return;
-        }
-        let running = self.workers.values().flat_map(|worker| &worker.runs);
-        let running = running
-            .filter(|(run, _)| limited(run))
-            .map(|(_, real)| real.need);
-        let under_way = self.starts_under_way.iter();
-        let under_way = under_way
-            .filter(|start| limited(&start.run))
-            .map(|start| start.need);
-        let used = running.chain(under_way).fold(*need, |sum, need| sum + need);
-        assert!(used.fits_in(&quota()), "{context}: over the team's quota");
-    }
-
     fn deliver_start(&mut self) {
         if self.starts_under_way.is_empty() {
             return;
@@ -778,31 +647,6 @@
             .map(|job| job.spec.id.clone())
             .collect()
     }
-
-    fn check_drained(&self) {
-        for job in self.scheduler.jobs() {
-            let stuck = job.counts.waiting + job.counts.running;
-            let reasons = self
-                .scheduler
-                .explain_waiting(time::TimeMs(self.now_ms), &job.spec.id);
-            let over_quota = job.spec.kind == job::JobKind::Gang
-                && reasons.contains(&scheduler::WaitingReason::Quota);
-            assert!(
-                stuck == 0 || job.parked.is_some() || over_quota,
-                "seed {}: {stuck} tasks of {} never ended: {reasons:?} {:?}",
-                self.seed,
-                job.spec.id,
-                self.scheduler.tasks(&job.spec.id),
-            );
-        }
-        for (name, worker) in &self.workers {
-            assert!(
-                worker.runs.is_empty(),
-                "seed {}: {name} still runs work",
-                self.seed
-            );
-        }
-    }
 }
 
 fn mentions(event: &scheduler::SchedulerEvent, job: &id::JobId) -> bool {
