Bound the retry budgets that callers' team names can make, and test late grants

A team's name comes from a header, so each made-up name took a budget. Beyond 1,024 at one service the rest shares the owner's.

The random exploration of slot shares did not notice a ledger that takes every request as an acknowledgement: the messages that it needs in order are too many for chance. A test now plays them.

--- a/crates/mangotrestle-core/src/routing/router/track.rs
+++ b/crates/mangotrestle-core/src/routing/router/track.rs
@@ -21,6 +21,9 @@
 /// Concurrency that a new target's adaptive limit starts from.
 const INITIAL_LIMIT: u32 = 64;
 
+/// Teams with a retry budget of their own at one service.
+const MAX_TEAM_BUDGETS: usize = 1_024;
+
 /// A slot that stays taken after its request was abandoned.
 #[derive(Debug)]
 pub(super) struct AbandonedSlot {
@@ -175,20 +178,23 @@
         self.positions.get(&index).copied()
     }
 
-    /// Retry budget of a team at this service.
+    /// Retry budget of a team at this service. Names of teams come from callers: beyond a bound
+    /// the rest shares the budget of the service's owner.
     pub fn budget(
         &mut self,
         team: &id::TeamId,
         settings: &Settings,
         now: time::TimeMs,
     ) -> &mut retry::Budget {
-        if !self.budgets.contains_key(team) {
-            let budget = settings.retry_budget.build(now);
-            self.budgets.insert(team.clone(), budget);
-        }
+        let known = self.budgets.contains_key(team);
+        let team = if known || self.budgets.len() < MAX_TEAM_BUDGETS {
+            team
+        } else {
+            &self.routes.team
+        };
         self.budgets
-            .get_mut(team)
-            .expect("the budget was inserted if it was missing")
+            .entry(team.clone())
+            .or_insert_with(|| settings.retry_budget.build(now))
     }
 
     /// Targets that are ready, whether or not they have room.
--- a/crates/mangotrestle-core/tests/routing_router.rs
+++ b/crates/mangotrestle-core/tests/routing_router.rs
@@ -561,6 +561,18 @@
     assert_eq!(host.router.counts().retries_denied, 1);
 }
 
+#[test]
+fn made_up_teams_share_one_retry_budget_in_the_end() {
+    let mut host = Host::new(routes(&[OWN], 8));
+    let made_up = |number: u32| id::TeamId::new(&format!("t-{number}")).unwrap();
+
+    for number in 0..2_000 {
+        host.router.try_retry(WARM, &job(), &made_up(number));
+    }
+
+    assert!(host.router.counts().retries_denied > 900);
+}
+
 #[test]
 fn a_team_limit_changes_without_forgetting_who_is_present() {
     let limit = TeamLimit {
--- a/crates/mangotrestle-core/tests/routing_slot_share.rs
+++ b/crates/mangotrestle-core/tests/routing_slot_share.rs
@@ -239,3 +239,21 @@
     assert_eq!(renewed, held);
     assert_eq!(new_at_first, 0);
 }
+
+#[test]
+fn a_larger_share_that_may_still_arrive_counts_in_full() {
+    let mut world = World::new();
+    let now = world.now;
+
+    let first = world.hosts[0].ask(now, 8);
+    world.answer(&first);
+    let (_, late_grant) = world.grants.last().unwrap().clone();
+    world.exchange(1, 4);
+    let second = world.hosts[0].ask(now, 4);
+    world.answer(&second);
+    world.exchange(1, 4);
+    world.hosts[0].holder.install(&late_grant);
+
+    assert_eq!(world.slots(0), 8);
+    assert_eq!(world.slots(1), 0);
+}
