--- a/crates/mangotrestle-dev/src/demo.rs
+++ b/crates/mangotrestle-dev/src/demo.rs
@@ -131,8 +131,11 @@
         cell.platform.table.service().transactions()
     );
     println!(
-        "table requests peak in 1 s {:>10}",
-        cell.platform.table.faults().peak_per_s()
+        "table writes, peak in 1 s  {:>10}",
+        cell.platform
+            .table
+            .faults()
+            .peak_per_s(mangotrestle_platform::table::wire::TRANSACT_PATH)
     );
     println!("breaches                   {:>10}", breaches.total());
     if breaches.total() > 0 {
