--- a/crates/mangotrestle-core/tests/membership_view.rs
+++ b/crates/mangotrestle-core/tests/membership_view.rs
@@ -279,7 +279,7 @@
 #[test]
 fn watched_host_that_died_stays_dead() {
     let hosts = [host(0), host(1)];
-    let watched = (0..)
+    let watched = (0..100)
         .map(pool)
         .find(|pool| rendezvous::owner(pool.as_str(), &hosts) == Some(&host(1)))
         .unwrap();
