--- a/crates/mangotrestle-platform/src/object_store.rs
+++ b/crates/mangotrestle-platform/src/object_store.rs
@@ -34,6 +34,8 @@
         /// Checksum of what came.
         found: u32,
     },
+    /// object {0} came without a checksum
+    NoChecksum(String),
     /// the object store refused the request for {name}: status {status}
     Refused {
         /// Name of the object.
@@ -160,7 +162,7 @@
     let expected = header
         .and_then(|value| value.to_str().ok())
         .and_then(|text| u32::from_str_radix(text, 16).ok())
-        .unwrap_or_default();
+        .ok_or_else(|| ObjectError::NoChecksum(name.to_owned()))?;
     let found = crc32fast::hash(response.body());
     if found == expected {
         return Ok(());
