--- a/crates/mangotrestle-dev/src/cell.rs
+++ b/crates/mangotrestle-dev/src/cell.rs
@@ -22,7 +22,6 @@
 use crate::stand_in::worker;
 
 /// A log to stderr, or one that goes nowhere. Lines are written until the guard is dropped.
-#[must_use]
 pub fn logger(verbose: bool) -> (slog::Logger, Option<slog_async::AsyncGuard>) {
     if !verbose {
         return (slog::Logger::root(slog::Discard, slog::o!()), None);
--- a/crates/mangotrestle-dev/src/measure/command.rs
+++ b/crates/mangotrestle-dev/src/measure/command.rs
@@ -9,6 +9,7 @@
 use argh::FromArgs;
 
 use super::control;
+use super::lease;
 use super::node;
 use super::place;
 use super::recover;
@@ -55,6 +56,11 @@
         about: "placement: cost of a decision, urgent starts, waiting and packing, memory",
         run: |seed| Ok(place::run(seed)),
     },
+    Experiment {
+        name: "lease",
+        about: "cost of renewing workers' leases",
+        run: |seed| Ok(lease::run(seed)),
+    },
     Experiment {
         name: "route",
         about: "requests: overload, bad targets, retries, slot shares, at most once",
--- a/crates/mangotrestle-dev/src/process.rs
+++ b/crates/mangotrestle-dev/src/process.rs
@@ -43,14 +43,16 @@
             .map_err(|error| error.to_string())?;
         let output = child.stdout.take().ok_or("the process has no output")?;
         let mut lines = io::BufReader::new(output).lines();
-        let addresses = lines
-            .by_ref()
-            .map_while(Result::ok)
-            .find_map(|line| parse(&line));
+        let mut last_line = String::new();
+        let addresses = lines.by_ref().map_while(Result::ok).find_map(|line| {
+            let addresses = parse(&line);
+            last_line = line;
+            addresses
+        });
         let Some(addresses) = addresses else {
             let _ = child.kill();
             let _ = child.wait();
-            return Err("the process ended before it listened".to_owned());
+            return Err(format!("the process ended before it listened: {last_line}"));
         };
         // Whoever does not read the log would block the process at last.
         thread::spawn(move || lines.map_while(Result::ok).for_each(drop));
--- a/crates/mangotrestle/src/daemon/control/pool_runner.rs
+++ b/crates/mangotrestle/src/daemon/control/pool_runner.rs
@@ -22,11 +22,18 @@
 use super::worker_calls;
 use crate::daemon::context;
 
+/// Longest time to wait for a worker's answer.
+const LONGEST_ANSWER: time::SpanMs = time::SpanMs(2_000);
 /// Interval between two looks at the inbox of a pool that is led here.
 const INBOX_INTERVAL: time::SpanMs = time::SpanMs(500);
 /// Interval between two looks at whether the journal should be compacted.
 const COMPACTION_INTERVAL: time::SpanMs = time::SpanMs::from_secs(30);
 
+/// Longest time to wait for a worker's answer. Short terms leave less.
+fn answer_timeout(term: time::SpanMs) -> time::SpanMs {
+    time::SpanMs(term.0 / 2).min(LONGEST_ANSWER)
+}
+
 /// Accepted commands on their way into the journal.
 #[derive(Default)]
 struct Inbox {
@@ -65,6 +72,7 @@
         let config = leadership::LeadershipConfig::builder()
             .term(settings.lease_term_ms)
             .renew_interval(settings.lease_renew_interval_ms)
+            .answer_timeout(answer_timeout(settings.lease_term_ms))
             .build()?;
         let identity = leadership::Identity {
             pool: id.clone(),
@@ -84,12 +92,13 @@
             context.incarnation,
             settings.availability_zone.clone(),
         );
+        let deadline = answer_timeout(settings.lease_term_ms);
         let leadership = leadership::Leadership::new(config, identity, seed);
         let scheduler_config = scheduler::SchedulerConfig::default();
         let pool = pool::Pool::new(pool_settings, leadership, scheduler_config);
         Ok(Self {
             pool,
-            workers: worker_calls::WorkerCalls::new(Arc::clone(&context), index),
+            workers: worker_calls::WorkerCalls::new(Arc::clone(&context), index, deadline),
             store: store_tasks::StoreTasks::new(Arc::clone(&context), index, id),
             context,
             journal: None,
--- a/crates/mangotrestle/src/daemon/control/worker_calls.rs
+++ b/crates/mangotrestle/src/daemon/control/worker_calls.rs
@@ -25,11 +25,15 @@
 }
 
 impl WorkerCalls {
-    pub(super) fn new(context: Arc<context::Context>, pool: event::PoolIndex) -> Self {
+    pub(super) fn new(
+        context: Arc<context::Context>,
+        pool: event::PoolIndex,
+        deadline: time::SpanMs,
+    ) -> Self {
         Self {
             context,
             pool,
-            options: client::ClientOptions::default(),
+            options: client::ClientOptions::default().deadline(deadline.as_duration()),
             addresses: collections::FastMap::default(),
             clients: collections::FastMap::default(),
         }
