--- a/crates/mangotrestle-dev/tests/platform_pool_store.rs
+++ b/crates/mangotrestle-dev/tests/platform_pool_store.rs
@@ -413,3 +413,38 @@
     let recovered = platform.store("other").load().await.unwrap();
     assert_eq!(recovered.state, leader.folded.state());
 }
+
+#[tokio::test(start_paused = true)]
+async fn batch_with_a_lost_answer_is_found_even_after_its_write_row_was_swept() {
+    let platform = Platform::new();
+    let mut leader = platform.lead("host").await;
+    let batch = vec![pool_store::JournalItem {
+        records: history(8, 3).concat(),
+        ..Default::default()
+    }];
+    platform.rows.faults().lose_next_answers(1);
+    let faults = platform.rows.faults().clone();
+    let outage = tokio::spawn(async move {
+        tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+        faults.set_outage(service::Outage::Silent);
+    });
+    let first = leader.sink.write(batch, budget::Priority::Normal).await;
+    let Written::Later(kept) = first else {
+        panic!("the answer was lost");
+    };
+    outage.await.unwrap();
+    platform.rows.faults().set_outage(service::Outage::None);
+    let written = platform.rows.service().keys(schema::WRITE_PREFIX);
+    let sweep = written
+        .into_iter()
+        .fold(table::Transaction::new(), table::Transaction::delete);
+    platform.table().transact(&sweep).await.unwrap();
+    tokio::time::sleep(std::time::Duration::from_secs(10)).await;
+
+    let second = leader.sink.write(kept, budget::Priority::Normal).await;
+
+    assert!(matches!(second, Written::Done(results) if results[0].is_ok()));
+    let recovered = platform.store("other").load().await.unwrap();
+    assert_eq!(recovered.state, leader.folded.state());
+    assert_eq!(recovered.tail, leader.folded.tail());
+}
--- a/crates/mangotrestle-platform/src/pool_store/journal_sink.rs
+++ b/crates/mangotrestle-platform/src/pool_store/journal_sink.rs
@@ -77,7 +77,11 @@
                 let sequence = self.fold(&records, &append, committed);
                 Written::Done(batch.iter().map(|_| Ok(sequence)).collect())
             }
-            Err(table::TableError::Conflict { .. }) => {
+            Err(table::TableError::Conflict { current, .. }) => {
+                if let Some(committed) = own_row(&append, &current) {
+                    let sequence = self.fold(&records, &append, committed);
+                    return Written::Done(batch.iter().map(|_| Ok(sequence)).collect());
+                }
                 self.deposed = true;
                 refuse(&batch, &AppendError::Deposed)
             }
@@ -115,6 +119,17 @@
     }
 }
 
+/// Finds the batch itself among the rows that stand against it. That happens when its answer was
+/// lost and its `write/` row was swept before it could be sent again, after a long outage. Nobody
+/// else writes in the name of this life of this host.
+fn own_row(append: &table::Transaction, current: &[table::Row]) -> Option<table::Committed> {
+    let batch = append.puts.first()?;
+    let row = current.iter().find(|row| row.key == batch.key)?;
+    (row.value == batch.value).then_some(table::Committed {
+        version: row.version,
+    })
+}
+
 fn coalesced(batch: &[JournalItem]) -> Vec<journal::Record> {
     let records = batch.iter().flat_map(|item| &item.records);
     journal::coalesce(records.cloned().collect())
