--- a/crates/mangotrestle-dev/src/measure/node.rs
+++ b/crates/mangotrestle-dev/src/measure/node.rs
@@ -7,7 +7,6 @@
 
 use std::fs;
 use std::path;
-use std::process;
 use std::time::Duration;
 
 use mangotrestle_core::id;
@@ -18,6 +17,7 @@
 
 use super::report::{Curve, Figure, Plot, Point, Report, Target};
 use crate::cell;
+use crate::process;
 use crate::stand_in::worker;
 
 /// Numbers of workers of the led pool. The first is an availability zone of today.
@@ -69,12 +69,12 @@
         .await
         .map_err(|error| error.to_string())?;
     let fleet = start_workers(&platform, workers).await?;
-    let node = Node::start(&platform, seed)?;
+    let node = start_node(&platform, seed)?;
     wait_until_led(&node, workers).await?;
     tokio::time::sleep(SETTLE).await;
-    let before = node.accounts()?;
+    let before = Accounts::read(node.id())?;
     tokio::time::sleep(OBSERVED).await;
-    let after = node.accounts()?;
+    let after = Accounts::read(node.id())?;
     drop(fleet);
     let seconds = OBSERVED.as_secs_f64();
     Ok(Cost {
@@ -120,10 +120,10 @@
     id::AvailabilityZoneId::new("measured").expect("the text is a valid identifier")
 }
 
-async fn wait_until_led(node: &Node, workers: u32) -> Result<(), String> {
+async fn wait_until_led(node: &process::EntryProcess, workers: u32) -> Result<(), String> {
     let deadline = Instant::now() + LEAD_BOUND;
     let mut operator = client::OperatorClient::builder()
-        .endpoint(node.operators)
+        .endpoint(node.addresses().operators)
         .build()
         .map_err(|error| error.to_string())?;
     while Instant::now() < deadline {
@@ -137,50 +137,24 @@
     Err(format!("a pool of {workers} workers was not led in time"))
 }
 
-/// The measured process; it is ended when this is dropped.
-struct Node {
-    child: process::Child,
-    operators: std::net::SocketAddr,
-}
-
 struct Accounts {
     cpu_s: f64,
     memory_bytes: f64,
     loopback_bytes: f64,
 }
 
-impl Node {
-    fn start(platform: &cell::Platform, seed: u64) -> Result<Self, String> {
-        let binary = binary()?;
-        let ports = free_ports()?;
-        let [operators, callers, peers, health] = ports;
-        let child = process::Command::new(binary)
-            .args([
-                "serve",
-                "--entry-host",
-                "node-1",
-                "--availability-zone",
-                "measured",
-            ])
-            .args(["--table-address", &platform.table_address.to_string()])
-            .args([
-                "--object-store-address",
-                &platform.objects_address.to_string(),
-            ])
-            .args(["--host-list-address", &platform.hosts_address.to_string()])
-            .args(["--operator-listen", &operators.to_string()])
-            .args(["--caller-listen", &callers.to_string()])
-            .args(["--peer-listen", &peers.to_string()])
-            .args(["--health-listen", &health.to_string()])
-            .args(["--log-level", "warning", "--seed", &seed.max(1).to_string()])
-            .stdout(process::Stdio::null())
-            .spawn()
-            .map_err(|error| error.to_string())?;
-        Ok(Self { child, operators })
-    }
+/// Starts the measured process.
+fn start_node(platform: &cell::Platform, seed: u64) -> Result<process::EntryProcess, String> {
+    process::EntryProcess::builder("node-1", "measured", platform)
+        .option("--log-level", "info")
+        .option("--seed", &seed.max(1).to_string())
+        .start(&binary()?)
+}
 
-    fn accounts(&self) -> Result<Accounts, String> {
-        let process = path::PathBuf::from(format!("/proc/{}", self.child.id()));
+impl Accounts {
+    /// Reads the system's accounts of a process.
+    fn read(id: u32) -> Result<Self, String> {
+        let process = path::PathBuf::from(format!("/proc/{id}"));
         let stat = read(&process.join("stat"))?;
         // The second field is the command's name in brackets and may hold spaces.
         let fields: Vec<&str> = stat
@@ -192,7 +166,7 @@
         let ticks = number(fields.get(11))? + number(fields.get(12))?;
         let statm = read(&process.join("statm"))?;
         let pages = number(statm.split_whitespace().nth(1).as_ref())?;
-        Ok(Accounts {
+        Ok(Self {
             cpu_s: ticks / TICKS_PER_S,
             memory_bytes: pages * PAGE_BYTES,
             loopback_bytes: loopback_bytes()?,
@@ -200,13 +174,6 @@
     }
 }
 
-impl Drop for Node {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
 /// The shipped binary, which is built beside this program.
 fn binary() -> Result<path::PathBuf, String> {
     let own = std::env::current_exe().map_err(|error| error.to_string())?;
@@ -220,21 +187,6 @@
     ))
 }
 
-/// Ports that were free a moment ago.
-fn free_ports() -> Result<[std::net::SocketAddr; 4], String> {
-    let bind = |_| std::net::TcpListener::bind(("127.0.0.1", 0));
-    let listeners: Result<Vec<_>, _> = (0..4).map(bind).collect();
-    let listeners = listeners.map_err(|error| error.to_string())?;
-    let addresses: Result<Vec<_>, _> = listeners
-        .iter()
-        .map(std::net::TcpListener::local_addr)
-        .collect();
-    let addresses = addresses.map_err(|error| error.to_string())?;
-    addresses
-        .try_into()
-        .map_err(|_| "there are not four ports".to_owned())
-}
-
 fn loopback_bytes() -> Result<f64, String> {
     let devices = read(path::Path::new("/proc/net/dev"))?;
     let line = devices
