--- a/crates/mangotrestle-dev/src/measure/lease.rs
+++ b/crates/mangotrestle-dev/src/measure/lease.rs
@@ -232,6 +232,7 @@
 }
 
 /// Cost of renewals over gRPC.
+#[allow(clippy::struct_field_names, reason = "the common part is the unit")]
 struct Calls {
     median_us: f64,
     p99_us: f64,
@@ -246,17 +247,17 @@
     let client = client::WorkerClient::new(address, &client::ClientOptions::default());
     let granted = claim(&client).await;
     start(&client, &granted, tasks).await;
-    let mut request = renew_request();
-    request.worker_incarnation = granted.worker_incarnation;
-    request.epoch = granted.epoch;
-    request.lease_expires_ms = granted.lease_expires_ms;
+    let mut renewal = renew_request();
+    renewal.worker_incarnation = granted.worker_incarnation;
+    renewal.epoch = granted.epoch;
+    renewal.lease_expires_ms = granted.lease_expires_ms;
     let mut spans_ns = hdrhistogram::Histogram::<u64>::new(3).expect("valid precision");
     let before_us = processor_us();
     for _ in 0..CALLS {
-        let started = Instant::now();
-        request.lease_expires_ms = request.lease_expires_ms + time::SpanMs(1);
-        client.renew(&request).await.expect("the lease is held");
-        let span_ns = u64::try_from(started.elapsed().as_nanos()).unwrap_or(u64::MAX);
+        let began = Instant::now();
+        renewal.lease_expires_ms = renewal.lease_expires_ms + time::SpanMs(1);
+        client.renew(&renewal).await.expect("the lease is held");
+        let span_ns = u64::try_from(began.elapsed().as_nanos()).unwrap_or(u64::MAX);
         spans_ns.saturating_record(span_ns);
     }
     Calls {
