--- a/crates/mangotrestle-dev/src/measure/lease.rs
+++ b/crates/mangotrestle-dev/src/measure/lease.rs
@@ -247,23 +247,23 @@
     let client = client::WorkerClient::new(address, &client::ClientOptions::default());
     let granted = claim(&client).await;
     start(&client, &granted, tasks).await;
-    let mut renewal = renew_request();
-    renewal.worker_incarnation = granted.worker_incarnation;
-    renewal.epoch = granted.epoch;
-    renewal.lease_expires_ms = granted.lease_expires_ms;
+    let mut renew = renew_request();
+    renew.worker_incarnation = granted.worker_incarnation;
+    renew.epoch = granted.epoch;
+    renew.lease_expires_ms = granted.lease_expires_ms;
     let mut spans_ns = hdrhistogram::Histogram::<u64>::new(3).expect("valid precision");
-    let before_us = processor_us();
+    let processor_start_us = processor_us();
     for _ in 0..CALLS {
-        let began = Instant::now();
-        renewal.lease_expires_ms = renewal.lease_expires_ms + time::SpanMs(1);
-        client.renew(&renewal).await.expect("the lease is held");
-        let span_ns = u64::try_from(began.elapsed().as_nanos()).unwrap_or(u64::MAX);
-        spans_ns.saturating_record(span_ns);
+        let sent_at = Instant::now();
+        renew.lease_expires_ms = renew.lease_expires_ms + time::SpanMs(1);
+        client.renew(&renew).await.expect("the lease is held");
+        let elapsed_ns = u64::try_from(sent_at.elapsed().as_nanos()).unwrap_or(u64::MAX);
+        spans_ns.saturating_record(elapsed_ns);
     }
     Calls {
         median_us: to_f64(spans_ns.value_at_quantile(0.5)) / 1e3,
         p99_us: to_f64(spans_ns.value_at_quantile(0.99)) / 1e3,
-        cpu_us: (processor_us() - before_us) / f64::from(CALLS),
+        cpu_us: (processor_us() - processor_start_us) / f64::from(CALLS),
     }
 }
 
