--- a/crates/mangotrestle-core/src/pool/tests.rs
+++ b/crates/mangotrestle-core/src/pool/tests.rs
@@ -6,6 +6,7 @@
 use crate::lease::grantor;
 use crate::lease::roster;
 use crate::resources;
+use crate::task;
 
 /// A pool with its workers. Messages are delivered at once; the journal commits on command.
 struct Cell {
--- a/crates/mangotrestle/src/tls/mod.rs
+++ b/crates/mangotrestle/src/tls/mod.rs
@@ -1,6 +1,6 @@
 //! TLS for callers and operators, with certificates that are renewed while the process runs.
 //!
-//! [`Certificates`] holds what is in force; [`watch`] looks at the files from time to time and
+//! [`Certificates`] holds what is in force; [`watch()`] looks at the files from time to time and
 //! takes renewed ones into use for new connections. A renewal that cannot be used keeps the old
 //! certificates and is logged. [`TlsListener`] does the handshakes beside the accept loop, so that
 //! a slow peer holds up nobody else.
--- a/crates/mangotrestle/src/tokens/mod.rs
+++ b/crates/mangotrestle/src/tokens/mod.rs
@@ -37,7 +37,7 @@
     Read(String),
     /// has more than 2097152 bytes
     TooLarge,
-    /// line {line}: expected [[token]] entries with operator, token and perhaps team, all text
+    /// line {line}: expected an array of tables named token with operator, token and perhaps team, all text
     Syntax {
         /// Number of the line, from one.
         line: usize,
