--- a/crates/mangotrestle/src/daemon/mod.rs
+++ b/crates/mangotrestle/src/daemon/mod.rs
@@ -165,6 +165,9 @@
     logger: slog::Logger,
     mut shutdown: watch::Receiver<bool>,
 ) -> Result<(), DaemonError> {
+    let addresses = listeners
+        .addresses()
+        .map_err(|error| DaemonError::Serve(error.to_string()))?;
     let authentication = authentication(&settings)?;
     let recorder = telemetry::recorder().map_err(DaemonError::Telemetry)?;
     let clock = clock::Clock::start();
@@ -200,7 +203,14 @@
     )
     .map_err(DaemonError::Lease)?;
     let control_thread = spawn_control(control, control_events)?;
-    slog::info!(log, "daemon.started"; "incarnation" => incarnation.0);
+    slog::info!(
+        log, "daemon.started";
+        "incarnation" => incarnation.0,
+        "operators" => %addresses.operators,
+        "callers" => %addresses.callers,
+        "peers" => %addresses.peers,
+        "health" => %addresses.health,
+    );
 
     let (close, closing) = watch::channel(false);
     let front = build_front(&context, cell, seed);
