Send an unanswered start again only when the first copy can no longer be accepted

Cause: the resend went out with the next renewal, at 2.4 s with the shipped settings, while a start may be accepted for 3 s. A refused resend was then taken as proof that nothing ran, and the late first copy could still start: two copies. Now a resend waits 4 s. Ends of runs with the same number on another worker are acknowledged and change nothing.

--- a/crates/mangotrestle-core/src/pool/decisions.rs
+++ b/crates/mangotrestle-core/src/pool/decisions.rs
@@ -144,7 +144,10 @@
             self.starts_refused(now, runs, result_code::ResultCode::NoLeader, commands);
             return;
         };
-        let batch = self.tenure.starts.sent(worker, permit.epoch, &runs);
+        let batch = self
+            .tenure
+            .starts
+            .sent(now.monotonic, worker, permit.epoch, &runs);
         commands.push(PoolCommand::Start {
             batch,
             worker: worker.clone(),
@@ -163,18 +166,16 @@
         worker: &id::WorkerId,
         commands: &mut Vec<PoolCommand>,
     ) {
-        let runs = self.tenure.starts.take_unanswered(worker);
-        if runs.is_empty() {
-            return;
-        }
         if self
             .leadership
             .start_permit(worker, now.monotonic)
-            .is_some()
+            .is_none()
         {
+            return;
+        }
+        let runs = self.tenure.starts.take_unanswered(now.monotonic, worker);
+        if !runs.is_empty() {
             self.send_starts(now, worker, runs, commands);
-        } else {
-            self.tenure.starts.keep_unanswered(worker, runs);
         }
     }
 
--- a/crates/mangotrestle-core/src/pool/mod.rs
+++ b/crates/mangotrestle-core/src/pool/mod.rs
@@ -361,7 +361,9 @@
         }
         let mut fresh = Vec::new();
         for end in ended {
-            if self
+            if records::is_of_another_worker(&self.tenure.state, worker, &end.run) {
+                self.leadership.acknowledge(worker, end.run);
+            } else if self
                 .tenure
                 .unacknowledged
                 .insert((worker.clone(), end.run.clone()))
--- a/crates/mangotrestle-core/src/pool/records.rs
+++ b/crates/mangotrestle-core/src/pool/records.rs
@@ -67,6 +67,22 @@
     }
 }
 
+/// Whether a run of this number is known to be another worker's. Two leaders may have given the
+/// same number to runs on different workers; the end of the earlier one says nothing about the
+/// later.
+pub(super) fn is_of_another_worker(
+    state: &journal::PoolState,
+    worker: &id::WorkerId,
+    run: &task::RunId,
+) -> bool {
+    let job = state.job(&run.task.job);
+    let Some(known) = job.and_then(|job| job.task(run.task.index)) else {
+        return false;
+    };
+    let same_number = known.attempt == run.attempt;
+    same_number && known.worker.as_ref().is_some_and(|known| known != worker)
+}
+
 /// Tasks that an operator's release of a job puts back in the queue.
 pub(super) fn tasks_to_retry(
     state: &journal::PoolState,
--- a/crates/mangotrestle-core/src/pool/starts.rs
+++ b/crates/mangotrestle-core/src/pool/starts.rs
@@ -8,6 +8,7 @@
 use crate::journal;
 use crate::lease::message;
 use crate::task;
+use crate::time;
 
 /// Starts that are about to be sent, collected in one round of decisions.
 #[derive(Debug, Default)]
@@ -46,6 +47,17 @@
     }
 }
 
+/// Time after which a start can no longer be accepted: its start-before lies closer than this.
+const SETTLED_AFTER: time::SpanMs = time::SpanMs::from_secs(4);
+
+/// A start whose answer was lost.
+#[derive(Debug)]
+struct Unanswered {
+    start: message::StartRun,
+    /// When the last copy was sent.
+    sent_at: time::TimeMs,
+}
+
 /// A batch of starts that was sent.
 #[derive(Debug)]
 pub(super) struct SentBatch {
@@ -55,6 +67,7 @@
     pub(super) runs: Vec<message::StartRun>,
     /// Epoch under which the batch was sent.
     pub(super) epoch: message::Epoch,
+    sent_at: time::TimeMs,
 }
 
 /// Batches without an answer, and runs whose answer was lost.
@@ -62,13 +75,14 @@
 pub(super) struct Starts {
     last_batch: u64,
     sent: collections::FastMap<u64, SentBatch>,
-    unanswered: ByWorker<Vec<message::StartRun>>,
+    unanswered: ByWorker<Vec<Unanswered>>,
 }
 
 impl Starts {
     /// Keeps a batch until it is answered; returns its number.
     pub(super) fn sent(
         &mut self,
+        now: time::TimeMs,
         worker: &id::WorkerId,
         epoch: message::Epoch,
         runs: &[message::StartRun],
@@ -78,6 +92,7 @@
             worker: worker.clone(),
             runs: runs.to_vec(),
             epoch,
+            sent_at: now,
         };
         self.sent.insert(self.last_batch, batch);
         self.last_batch
@@ -94,21 +109,27 @@
             return Vec::new();
         };
         let runs = sent.runs.iter().map(|start| start.run.clone()).collect();
-        self.keep_unanswered(&sent.worker, sent.runs);
+        let sent_at = sent.sent_at;
+        let kept = sent
+            .runs
+            .into_iter()
+            .map(|start| Unanswered { start, sent_at });
+        self.unanswered.entry(sent.worker).or_default().extend(kept);
         runs
     }
 
-    /// Keeps runs to send them again.
-    pub(super) fn keep_unanswered(&mut self, worker: &id::WorkerId, runs: Vec<message::StartRun>) {
-        self.unanswered
-            .entry(worker.clone())
-            .or_default()
-            .extend(runs);
-    }
-
-    /// Takes the runs to send to a worker again.
-    pub(super) fn take_unanswered(&mut self, worker: &id::WorkerId) -> Vec<message::StartRun> {
-        self.unanswered.remove(worker).unwrap_or_default()
+    /// Takes the runs to send to a worker again. A copy that may still be accepted has to be waited
+    /// for: only then does a refusal of the next copy mean that nothing runs.
+    pub(super) fn take_unanswered(
+        &mut self,
+        now: time::TimeMs,
+        worker: &id::WorkerId,
+    ) -> Vec<message::StartRun> {
+        let Some(runs) = self.unanswered.get_mut(worker) else {
+            return Vec::new();
+        };
+        let settled = runs.extract_if(.., |run| now >= run.sent_at + SETTLED_AFTER);
+        settled.map(|run| run.start).collect()
     }
 
     /// Drops what is kept for a worker that was claimed anew or is lost: its list is the truth.
@@ -119,7 +140,7 @@
     /// Drops a run whose end is known.
     pub(super) fn forget_run(&mut self, worker: &id::WorkerId, run: &task::RunId) {
         if let Some(runs) = self.unanswered.get_mut(worker) {
-            runs.retain(|start| start.run != *run);
+            runs.retain(|kept| kept.start.run != *run);
         }
     }
 }
--- a/crates/mangotrestle-core/src/pool/tests.rs
+++ b/crates/mangotrestle-core/src/pool/tests.rs
@@ -18,11 +18,19 @@
     uncommitted: Vec<Entry>,
     commit_at_once: bool,
     lose_start_answers: bool,
+    hold_starts_back: bool,
+    held_back: Vec<HeldBack>,
     launched: Vec<task::RunId>,
     cleared: Vec<u64>,
     unknown: Vec<task::RunId>,
 }
 
+/// A start that the network delivers late.
+struct HeldBack {
+    worker: id::WorkerId,
+    request: message::StartRequest,
+}
+
 struct Entry {
     token: u64,
     records: Vec<journal::Record>,
@@ -114,6 +122,8 @@
             uncommitted: Vec::new(),
             commit_at_once: true,
             lose_start_answers: false,
+            hold_starts_back: false,
+            held_back: Vec::new(),
             launched: Vec::new(),
             cleared: Vec::new(),
             unknown: Vec::new(),
@@ -236,6 +246,13 @@
         worker: &id::WorkerId,
         request: &message::StartRequest,
     ) -> Vec<PoolEvent> {
+        if self.hold_starts_back {
+            self.held_back.push(HeldBack {
+                worker: worker.clone(),
+                request: request.clone(),
+            });
+            return vec![PoolEvent::StartUnanswered { batch }];
+        }
         let now = self.worker_now();
         let grantor = self.workers.get_mut(worker).unwrap();
         let result = grantor.start(now, request).map(|started| {
@@ -413,7 +430,7 @@
     cell.lose_start_answers = true;
 
     cell.accept(1, job("payment", 2, false));
-    cell.pass(4_000);
+    cell.pass(6_000);
     cell.lose_start_answers = false;
     cell.pass(10_000);
 
@@ -521,3 +538,52 @@
     assert!(!cell.pool.is_leader(time::TimeMs(cell.now_ms)));
     assert!(cell.launched.is_empty());
 }
+
+#[test]
+fn start_that_arrives_late_and_its_successor_never_run_both() {
+    let mut cell = Cell::leading();
+    cell.hold_starts_back = true;
+    cell.accept(1, job("screening", 1, true));
+    cell.hold_starts_back = false;
+    let late = cell.held_back.remove(0);
+
+    // The worker takes nothing new for a while, so a second copy of the start would be refused.
+    cell.workers
+        .get_mut(&late.worker)
+        .unwrap()
+        .set_leaving(true);
+    cell.pass(2_500);
+    cell.workers
+        .get_mut(&late.worker)
+        .unwrap()
+        .set_leaving(false);
+    let now = cell.worker_now();
+    let grantor = cell.workers.get_mut(&late.worker).unwrap();
+    let accepted = grantor.start(now, &late.request);
+    cell.pass(20_000);
+
+    assert!(accepted.is_ok(), "the late copy is still in time");
+    assert_eq!(cell.running().len(), 1);
+}
+
+#[test]
+fn end_of_a_run_with_the_same_number_on_another_worker_changes_nothing() {
+    let mut cell = Cell::leading();
+    cell.accept(1, job("screening", 1, true));
+    let run = cell.launched[0].clone();
+    let other = cell
+        .workers
+        .iter()
+        .find(|(_, grantor)| !grantor.is_running(&run));
+    let other = other.unwrap().0.clone();
+
+    let outcome = task::RunOutcome::Succeeded;
+    let ended = vec![message::EndedRun { run, outcome }];
+    cell.tell(PoolEvent::RunsEnded {
+        worker: other,
+        ended,
+    });
+
+    assert_eq!(cell.counts("screening").running, 1);
+    assert_eq!(cell.counts("screening").succeeded, 0);
+}
