--- a/crates/mangotrestle-core/src/pool/tests.rs
+++ b/crates/mangotrestle-core/src/pool/tests.rs
@@ -67,7 +67,10 @@
         entry_host: text(host),
         incarnation: id::Incarnation(1),
     };
-    let config = leadership::LeadershipConfig::builder().build().unwrap();
+    let config = leadership::LeadershipConfig::builder()
+        .renew_interval(time::SpanMs(1_000))
+        .build()
+        .unwrap();
     let settings = PoolSettings {
         pool: text("marousi"),
         availability_zone: text("marousi"),
@@ -547,18 +550,17 @@
     cell.hold_starts_back = false;
     let late = cell.held_back.remove(0);
 
-    // The worker takes nothing new for a while, so a second copy of the start would be refused.
-    cell.workers
-        .get_mut(&late.worker)
-        .unwrap()
-        .set_leaving(true);
+    // Something else fills the worker for a while, so a second copy of the start is refused.
+    let mut other = late.request.clone();
+    other.runs[0].run.task.job = text("other");
+    other.runs[0].need = capacity();
+    let now = cell.worker_now();
+    let grantor = cell.workers.get_mut(&late.worker).unwrap();
+    grantor.start(now, &other).unwrap();
     cell.pass(2_500);
-    cell.workers
-        .get_mut(&late.worker)
-        .unwrap()
-        .set_leaving(false);
     let now = cell.worker_now();
     let grantor = cell.workers.get_mut(&late.worker).unwrap();
+    grantor.run_ended(&other.runs[0].run, task::RunOutcome::Succeeded);
     let accepted = grantor.start(now, &late.request);
     cell.pass(20_000);
 
