--- a/crates/mangotrestle/src/tokens/tests.rs
+++ b/crates/mangotrestle/src/tokens/tests.rs
@@ -43,7 +43,7 @@
         "line 1: token: the token has 6 bytes, expected 16 to 256"
     );
     assert!(
-        messages[1].starts_with("line 4: expected [[token]]"),
+        messages[1].starts_with("line 4: expected an array of tables named token"),
         "{}",
         messages[1]
     );
