--- a/crates/mangotrestle-core/src/membership/view.rs
+++ b/crates/mangotrestle-core/src/membership/view.rs
@@ -259,6 +259,15 @@
         true
     }
 
+    /// Takes over an address that a peer gave for itself.
+    pub fn set_address(&mut self, host: &id::EntryHostId, address: &str) {
+        if let Some(peer) = self.peers.get_mut(host)
+            && peer.address.as_deref() != Some(address)
+        {
+            peer.address = Some(address.to_owned());
+        }
+    }
+
     /// Takes in the platform's list of entry hosts.
     ///
     /// A host that is missing from the list stays as long as it is heard: the list lags.
--- a/crates/mangotrestle-peer/src/message.rs
+++ b/crates/mangotrestle-peer/src/message.rs
@@ -26,6 +26,9 @@
     pub incarnation: id::Incarnation,
     /// Its availability zone.
     pub availability_zone: id::AvailabilityZoneId,
+    /// Where other entry hosts reach the sender; the platform's list lags.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub address: Option<std::net::SocketAddr>,
     /// Highest configuration version that it has in force.
     #[serde(default)]
     pub config_version: u64,
--- a/crates/mangotrestle/src/daemon/context.rs
+++ b/crates/mangotrestle/src/daemon/context.rs
@@ -1,5 +1,6 @@
 //! What every part of the daemon shares: settings, clock, log, clients and the way to control.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use mangotrestle_core::id;
@@ -21,13 +22,21 @@
 /// The process as its parts see it.
 pub(crate) struct Context {
     pub(crate) settings: settings::Settings,
-    pub(crate) incarnation: id::Incarnation,
+    pub(crate) identity: Identity,
     pub(crate) clock: clock::Clock,
     pub(crate) log: slog::Logger,
     pub(crate) platform: Platform,
     control: mpsc::UnboundedSender<event::ControlEvent>,
 }
 
+/// This life of the process, as others know it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Identity {
+    pub(crate) incarnation: id::Incarnation,
+    /// Where other entry hosts reach it.
+    pub(crate) advertised: SocketAddr,
+}
+
 /// Clients of the platform's services.
 pub(crate) struct Platform {
     pub(crate) table: table::TableClient,
@@ -42,7 +51,7 @@
     /// Puts the parts together.
     pub(crate) const fn new(
         settings: settings::Settings,
-        incarnation: id::Incarnation,
+        identity: Identity,
         clock: clock::Clock,
         log: slog::Logger,
         platform: Platform,
@@ -50,7 +59,7 @@
     ) -> Self {
         Self {
             settings,
-            incarnation,
+            identity,
             clock,
             log,
             platform,
@@ -67,7 +76,7 @@
     pub(crate) fn pool_store(&self, pool: &id::PoolId) -> pool_store::PoolStore {
         let writer = schema::Writer {
             host: self.settings.entry_host.clone(),
-            incarnation: self.incarnation,
+            incarnation: self.identity.incarnation,
         };
         let table = self.platform.table.clone();
         let objects = self.platform.objects.clone();
--- a/crates/mangotrestle/src/daemon/control/mod.rs
+++ b/crates/mangotrestle/src/daemon/control/mod.rs
@@ -80,6 +80,7 @@
     readiness: watch::Sender<telemetry::Readiness>,
     degraded: views::Degradations,
     last_config: collections::FastMap<id::EntryHostId, time::WallTimeMs>,
+    next_greeting: time::TimeMs,
     leaving: bool,
 }
 
@@ -111,7 +112,7 @@
         .build();
         let book = route_book::RouteBook::new(
             settings.entry_host.clone(),
-            context.incarnation,
+            context.identity.incarnation,
             settings.availability_zone.clone(),
             cell,
             collections::FastMap::default(),
@@ -128,6 +129,7 @@
             readiness,
             degraded: views::Degradations::default(),
             last_config: collections::FastMap::default(),
+            next_greeting: time::TimeMs(0),
             leaving: false,
             context,
         })
@@ -344,7 +346,9 @@
                     address: None,
                     epoch: claim.epoch,
                 };
-                self.book.set_leader(now.monotonic, &claim.pool, leader);
+                if self.book.set_leader(now.monotonic, &claim.pool, leader) {
+                    self.membership.announce(now.monotonic);
+                }
             }
         }
     }
@@ -411,6 +415,10 @@
         if counted {
             self.last_config
                 .insert(heartbeat.host.clone(), heartbeat.config_in_force_wall_ms);
+            if let Some(address) = heartbeat.address {
+                self.membership
+                    .set_address(&heartbeat.host, &address.to_string());
+            }
             self.take_claims(now, heartbeat);
             if heartbeat.config_version > 0 {
                 self.config_heard(now, heartbeat.config_version);
@@ -450,8 +458,9 @@
         message::Heartbeat {
             protocol: message::PROTOCOL,
             host: settings.entry_host.clone(),
-            incarnation: self.context.incarnation,
+            incarnation: self.context.identity.incarnation,
             availability_zone: settings.availability_zone.clone(),
+            address: Some(self.context.identity.advertised),
             config_version: self.applied.version(),
             config_in_force_wall_ms: self.applied.in_force_wall_ms(),
             wall_ms: now.wall,
@@ -466,6 +475,7 @@
     }
 
     fn send_heartbeats(&mut self, now: pool::Now) {
+        self.greet_seeds(now);
         let due = self.membership.due_heartbeats(now.monotonic);
         if due.is_empty() {
             return;
@@ -482,6 +492,21 @@
         }
     }
 
+    /// Asks the seeds of the settings until some peer is known; peers tell the rest.
+    fn greet_seeds(&mut self, now: pool::Now) {
+        let lonely = self.membership.peers(now.monotonic).next().is_none();
+        if !lonely || now.monotonic < self.next_greeting {
+            return;
+        }
+        self.next_greeting = now.monotonic + self.context.settings.heartbeat_interval_ms;
+        let heartbeat = self.own_heartbeat(now);
+        for seed in self.context.settings.seed_peers.clone() {
+            if seed != self.context.identity.advertised {
+                self.heartbeats.send(seed, heartbeat.clone());
+            }
+        }
+    }
+
     fn config_heard(&mut self, now: pool::Now, version: u64) {
         self.config_fetch.heard_from_any = true;
         if self.applied.heard_of(version) && self.config_fetch.retry_at.is_none() {
@@ -591,6 +616,7 @@
     fn poll_platform(&self) {
         tokio::spawn(super::configuration::poll(Arc::clone(&self.context)));
         tokio::spawn(super::hosts::poll(Arc::clone(&self.context)));
+        tokio::spawn(super::sweeping::run(Arc::clone(&self.context)));
     }
 }
 
--- a/crates/mangotrestle/src/daemon/control/pool_runner.rs
+++ b/crates/mangotrestle/src/daemon/control/pool_runner.rs
@@ -77,19 +77,19 @@
         let identity = leadership::Identity {
             pool: id.clone(),
             entry_host: settings.entry_host.clone(),
-            incarnation: context.incarnation,
+            incarnation: context.identity.incarnation,
         };
         let pool_settings = pool::PoolSettings {
             pool: id.clone(),
             availability_zone: settings.availability_zone.clone(),
             entry_host: settings.entry_host.clone(),
-            incarnation: context.incarnation,
+            incarnation: context.identity.incarnation,
             stop_grace_ms: settings.default_deadline_ms,
             seed,
         };
         let routes = published_routes::PublishedRoutes::new(
             settings.entry_host.clone(),
-            context.incarnation,
+            context.identity.incarnation,
             settings.availability_zone.clone(),
         );
         let deadline = answer_timeout(settings.lease_term_ms);
--- a/crates/mangotrestle/src/daemon/control/route_book.rs
+++ b/crates/mangotrestle/src/daemon/control/route_book.rs
@@ -88,7 +88,13 @@
     }
 
     /// Takes note of a claim to lead a pool; of two claims the one with the higher epoch holds.
-    pub(super) fn set_leader(&mut self, now: time::TimeMs, pool: &id::PoolId, leader: PoolLeader) {
+    /// Returns whether that changed what is known.
+    pub(super) fn set_leader(
+        &mut self,
+        now: time::TimeMs,
+        pool: &id::PoolId,
+        leader: PoolLeader,
+    ) -> bool {
         let routes = self.pool_mut(pool);
         let newer = routes.leader.as_ref().is_none_or(|known| {
             leader.epoch > known.epoch || (leader.host == known.host && *known != leader)
@@ -97,6 +103,7 @@
             routes.leader = Some(leader);
             routes.next_ask = now;
         }
+        newer
     }
 
     /// Has a pool's routes asked for at once, when its leader is known to have newer ones.
--- a/crates/mangotrestle/src/daemon/mod.rs
+++ b/crates/mangotrestle/src/daemon/mod.rs
@@ -13,6 +13,7 @@
 mod peer_backend;
 mod query;
 mod started_records;
+mod sweeping;
 
 use std::io;
 use std::net::SocketAddr;
@@ -25,8 +26,6 @@
 use mangotrestle_core::id;
 use mangotrestle_core::lease::leadership;
 use mangotrestle_core::routing::snapshot;
-use mangotrestle_operator::auth;
-use mangotrestle_operator::server;
 use mangotrestle_platform::budget;
 use mangotrestle_platform::command_log;
 use mangotrestle_platform::configuration_store;
@@ -43,10 +42,10 @@
 use tokio::sync::watch;
 use tokio::task;
 
+use crate::access;
 use crate::settings;
 use crate::telemetry;
 use crate::tls;
-use crate::tokens;
 
 /// Reports of the traffic threads that may wait for the control thread.
 const TRAFFIC_REPORTS: usize = 4;
@@ -64,9 +63,7 @@
     /// lease settings: {0}
     Lease(leadership::InvalidConfig),
     /// {0}
-    Tls(tls::TlsError),
-    /// {0}
-    Tokens(tokens::TokenFileError),
+    Access(settings::InvalidSettings),
     /// metrics: {0}
     Telemetry(telemetry::TelemetryError),
     /// {0}
@@ -168,8 +165,10 @@
     let addresses = listeners
         .addresses()
         .map_err(|error| DaemonError::Serve(error.to_string()))?;
-    let authentication = authentication(&settings)?;
+    let access = access::Access::load(&settings).map_err(DaemonError::Access)?;
+    let access = Arc::new(access);
     let recorder = telemetry::recorder().map_err(DaemonError::Telemetry)?;
+    let advertised = settings.peer_advertise.unwrap_or(addresses.peers);
     let clock = clock::Clock::start();
     let (control_sender, control_events) = mpsc::unbounded_channel();
     let seed = if settings.seed == 0 {
@@ -183,7 +182,10 @@
     let platform = platform(&settings);
     let context = Arc::new(context::Context::new(
         settings,
-        incarnation,
+        context::Identity {
+            incarnation,
+            advertised,
+        },
         clock,
         log.clone(),
         platform,
@@ -213,18 +215,21 @@
     );
 
     let (close, closing) = watch::channel(false);
+    let watching = closing.clone();
+    let watch_log = log.clone();
     let front = build_front(&context, cell, seed);
     let servers = Servers {
         context: Arc::clone(&context),
         listeners,
-        authentication,
+        access: Arc::clone(&access),
     };
     // Whatever runs for this daemon ends with it, also when this future is dropped.
     let mut tasks = task::JoinSet::new();
+    tasks.spawn(async move { access.watch(&watch_log, watching).await });
     tasks.spawn(follow_readiness(front.clone(), ready.clone()));
     let (served, mut ended) = oneshot::channel();
     tasks.spawn(async move {
-        let _ = served.send(servers.run(front, recorder, ready, closing).await);
+        let _ = served.send(Box::pin(servers.run(front, recorder, ready, closing)).await);
     });
 
     tokio::select! {
@@ -321,13 +326,6 @@
     }
 }
 
-fn authentication(settings: &settings::Settings) -> Result<auth::Authentication, DaemonError> {
-    match &settings.operator_token_file {
-        Some(path) => tokens::load(path).map_err(DaemonError::Tokens),
-        None => Ok(auth::Authentication::Open),
-    }
-}
-
 fn build_front(
     context: &Arc<context::Context>,
     cell: Arc<snapshot_cell::SnapshotCell>,
@@ -372,7 +370,7 @@
 struct Servers {
     context: Arc<context::Context>,
     listeners: Listeners,
-    authentication: auth::Authentication,
+    access: Arc<access::Access>,
 }
 
 impl Servers {
@@ -383,10 +381,9 @@
         ready: watch::Receiver<telemetry::Readiness>,
         closing: watch::Receiver<bool>,
     ) -> Result<(), DaemonError> {
-        let operators = serve_operators(
+        let operators = self.access.serve_operators(
             self.listeners.operators,
             Arc::new(operator_backend::Backend::new(Arc::clone(&self.context))),
-            self.authentication,
             closing.clone(),
         );
         let peers = mangotrestle_peer::PeerServer::serve(
@@ -394,28 +391,39 @@
             Arc::new(peer_backend::Backend::new(Arc::clone(&self.context))),
             closed(closing.clone()),
         );
-        let callers = front.serve(self.listeners.callers, closed(closing.clone()));
+        let callers = serve_callers(front, self.listeners.callers, &self.access, closing.clone());
         let health = telemetry::serve(self.listeners.health, recorder, ready, closing.clone());
         let problem = |error: io::Error| DaemonError::Serve(error.to_string());
         tokio::try_join!(
-            operators,
+            async {
+                operators
+                    .await
+                    .map_err(|error| DaemonError::Serve(error.to_string()))
+            },
             async { peers.await.map_err(problem) },
-            async { callers.await.map(drop).map_err(problem) },
+            async { callers.await.map_err(problem) },
             async { health.await.map_err(problem) },
         )?;
         Ok(())
     }
 }
 
-async fn serve_operators(
+/// Serves callers, with TLS if the settings name certificates.
+async fn serve_callers(
+    front: front::Front,
     listener: net::TcpListener,
-    backend: Arc<operator_backend::Backend>,
-    authentication: auth::Authentication,
+    access: &access::Access,
     closing: watch::Receiver<bool>,
-) -> Result<(), DaemonError> {
-    server::OperatorServer::serve(listener, backend, authentication, closing)
-        .await
-        .map_err(|error| DaemonError::Serve(error.to_string()))
+) -> io::Result<()> {
+    let stopped = match access.caller_certificates() {
+        Some(certificates) => {
+            let listener = tls::TlsListener::start(listener, certificates)?;
+            front.serve_on(listener, closed(closing)).await?
+        }
+        None => front.serve(listener, closed(closing)).await?,
+    };
+    metrics::counter!("mangotrestle_requests_cut_off_total").increment(stopped.cut_off);
+    Ok(())
 }
 
 async fn closed(mut closing: watch::Receiver<bool>) {
