--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -2,6 +2,9 @@
 //!
 //! `cargo run -p xtask -- generate` writes the Rust code of `proto/` into the packages that use
 //! it; with `--check` it only says whether the committed code is up to date.
+//! `cargo run -p xtask -- count` counts lines of code by purpose.
+
+mod count;
 
 use std::fs;
 use std::path;
@@ -20,8 +23,14 @@
 #[argh(subcommand)]
 enum Task {
     Generate(Generate),
+    Count(Count),
 }
 
+/// Counts lines of code by purpose.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "count")]
+struct Count {}
+
 /// Writes the code generated from proto/.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "generate")]
@@ -55,8 +64,11 @@
 
 fn main() -> process::ExitCode {
     let arguments: Arguments = argh::from_env();
-    let Task::Generate(generate) = arguments.task;
-    match run(generate.check) {
+    let result = match arguments.task {
+        Task::Generate(generate) => run(generate.check),
+        Task::Count(Count {}) => show_counts(),
+    };
+    match result {
         Ok(true) => process::ExitCode::SUCCESS,
         Ok(false) => process::ExitCode::FAILURE,
         Err(error) => {
@@ -66,6 +78,13 @@
     }
 }
 
+/// Prints the counts; true, since there is nothing to be out of date.
+fn show_counts() -> Result<bool, AnyError> {
+    let crates = path::Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
+    print!("{}", count::count(&crates)?.table());
+    Ok(true)
+}
+
 /// Generates every schema; returns whether the committed code is up to date.
 fn run(check: bool) -> Result<bool, AnyError> {
     let root = path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
