--- a/crates/mangotrestle-caller/src/forward.rs
+++ b/crates/mangotrestle-caller/src/forward.rs
@@ -124,7 +124,7 @@
     }
 
     fn refuse(&self, refusal: router::Refusal, message: &str) -> Refusal {
-        slog::info!(self.shared.settings.log, "refused request";
+        slog::info!(self.shared.settings.log, "request.refused";
             "request_id" => &*self.head.request_id,
             "job" => self.head.job.as_str(),
             "code" => refusal.code.number(),
@@ -178,7 +178,7 @@
         earlier: started::Earlier,
         kept_for: time::SpanMs,
     ) -> Result<Response, Refusal> {
-        slog::info!(self.shared.settings.log, "found earlier request";
+        slog::info!(self.shared.settings.log, "request.replayed";
             "request_id" => &*self.head.request_id,
             "job" => self.head.job.as_str(),
             "earlier_request_id" => &*earlier.request_id,
@@ -382,7 +382,7 @@
 
     fn log_choice(&self, slot: &SlotGuard, attempt: u32) {
         let assignment = slot.assignment();
-        slog::info!(self.shared.settings.log, "chose target";
+        slog::info!(self.shared.settings.log, "request.routed";
             "request_id" => &*self.head.request_id,
             "job" => assignment.job.as_str(),
             "target" => assignment.index,
--- a/crates/mangotrestle-caller/src/front.rs
+++ b/crates/mangotrestle-caller/src/front.rs
@@ -306,7 +306,7 @@
         ));
         shutdown.await;
         self.shared.stopping.store(true, Ordering::Relaxed);
-        slog::info!(settings.log, "stopping"; "in_flight" => self.shared.dispatcher.busy());
+        slog::info!(settings.log, "callers.stopping"; "in_flight" => self.shared.dispatcher.busy());
         tokio::time::sleep(settings.unready_for).await;
         let _ = stop.send(true);
         // Its own clone of the sender goes with it.
@@ -316,7 +316,7 @@
             Ok(_) => 0,
             Err(_) => self.shared.dispatcher.busy(),
         };
-        slog::info!(settings.log, "stopped serving callers"; "cut_off" => cut_off);
+        slog::info!(settings.log, "callers.stopped"; "cut_off" => cut_off);
         Stopped { cut_off }
     }
 
--- a/crates/mangotrestle-dev/src/measure/command.rs
+++ b/crates/mangotrestle-dev/src/measure/command.rs
@@ -76,11 +76,6 @@
         about: "cost of heartbeats, membership, configuration and journal, part by part",
         run: |seed| Ok(control::run(seed)),
     },
-    Experiment {
-        name: "lease",
-        about: "cost of a round of renewals, by workers and running tasks",
-        run: |seed| Ok(lease::run(seed)),
-    },
     Experiment {
         name: "node",
         about: "standing cost of a whole entry host that leads a pool",
