Never run a failed task that must not repeat again under a new leader

Cause: a run's end other than success was restored as waiting, whatever the job said; the scheduler's own rule (a failed run that must not repeat is final) was lost with the leader. The new test fails without the change: 2 launches after Failed. Found by reading the restore against the scheduler.

--- a/crates/mangotrestle-core/src/pool/event.rs
+++ b/crates/mangotrestle-core/src/pool/event.rs
@@ -71,6 +71,8 @@
     },
     /// Another leader wrote to the journal: this one's view is out of date.
     JournalConflict,
+    /// Finished jobs that the lasting state no longer holds.
+    JobsForgotten(Vec<id::JobId>),
     /// Whether the table can be written at the moment.
     StoreAvailable(bool),
     /// New settings of the scheduler are in force.
--- a/crates/mangotrestle-core/src/pool/mod.rs
+++ b/crates/mangotrestle-core/src/pool/mod.rs
@@ -45,6 +45,11 @@
 /// Decisions taken in one call, so that a long queue does not hold up lease renewals.
 const MAX_DECISIONS: usize = 512;
 
+/// Interval at which the scheduler is told the time of day.
+const TIME_OF_DAY_INTERVAL: time::SpanMs = time::SpanMs::from_secs(30);
+/// Length of a day.
+const DAY: time::SpanMs = time::SpanMs::from_secs(24 * 3_600);
+
 /// What a pool needs to know about its place.
 #[derive(Clone, Debug)]
 pub struct PoolSettings {
@@ -125,6 +130,7 @@
             PoolEvent::JournalConflict => {
                 self.lead(now, leadership::LeadershipEvent::Resign, commands);
             }
+            PoolEvent::JobsForgotten(jobs) => self.forget(now, &jobs),
             PoolEvent::StoreAvailable(available) => self.store_available = available,
             PoolEvent::ConfigChanged(config) => {
                 self.scheduler_config = (*config).clone();
@@ -429,12 +435,34 @@
         }
     }
 
+    /// Drops finished jobs, so that a long tenure does not keep every job that it ever ran.
+    fn forget(&mut self, now: Now, jobs: &[id::JobId]) {
+        self.tenure.state.forget(jobs);
+        for job in jobs {
+            let event = scheduler::SchedulerEvent::JobForgotten { job: job.clone() };
+            self.tenure.scheduler.handle(now.monotonic, event);
+            self.tenure.routes.mark_job(job);
+        }
+    }
+
+    /// Tells the scheduler the time of day now and then, for warm windows.
+    fn tell_time_of_day(&mut self, now: Now) {
+        if now.monotonic < self.tenure.next_time_of_day {
+            return;
+        }
+        self.tenure.next_time_of_day = now.monotonic + TIME_OF_DAY_INTERVAL;
+        let time_of_day_ms = time::SpanMs(now.wall.0 % DAY.0);
+        let event = scheduler::SchedulerEvent::TimeOfDay { time_of_day_ms };
+        self.tenure.scheduler.handle(now.monotonic, event);
+    }
+
     /// Lets the scheduler decide, if this entry host may start work.
     fn schedule(&mut self, now: Now, commands: &mut Vec<PoolCommand>) {
         if !self.tenure.is_loaded() || !self.is_leader(now.monotonic) {
             return;
         }
         self.complete_recovery(now, commands);
+        self.tell_time_of_day(now);
         if !self.tenure.is_scheduling() {
             return;
         }
--- a/crates/mangotrestle-core/src/pool/restore.rs
+++ b/crates/mangotrestle-core/src/pool/restore.rs
@@ -23,20 +23,24 @@
         tasks: spec.tasks,
         started: state
             .tasks()
-            .map(|(index, task)| task_snapshot(index, task))
+            .map(|(index, task)| task_snapshot(index, task, spec.idempotent))
             .collect(),
     })
 }
 
-fn task_snapshot(index: u32, task: &journal::TaskState) -> scheduler::TaskSnapshot {
+fn task_snapshot(
+    index: u32,
+    task: &journal::TaskState,
+    idempotent: bool,
+) -> scheduler::TaskSnapshot {
     scheduler::TaskSnapshot {
         index,
         attempt: task.attempt,
-        state: snapshot_state(task),
+        state: snapshot_state(task, idempotent),
     }
 }
 
-fn snapshot_state(task: &journal::TaskState) -> scheduler::TaskSnapshotState {
+fn snapshot_state(task: &journal::TaskState, idempotent: bool) -> scheduler::TaskSnapshotState {
     use journal::Phase;
     use scheduler::TaskSnapshotState as State;
     match task.phase {
@@ -50,6 +54,11 @@
         Phase::Ended(task::RunOutcome::Succeeded)
         | Phase::Resolved(journal::Resolution::Succeeded) => State::Succeeded,
         Phase::Resolved(journal::Resolution::Failed) => State::Failed,
+        // A run that must not repeat may have had an effect, however it ended.
+        Phase::Ended(task::RunOutcome::Failed) if !idempotent => State::Failed,
+        Phase::Ended(task::RunOutcome::Stopped | task::RunOutcome::Lost) if !idempotent => {
+            State::Unknown
+        }
         // Whether a failed task runs again is the scheduler's decision, which counts anew after a
         // change of leader.
         Phase::Ended(
--- a/crates/mangotrestle-core/src/pool/tenure.rs
+++ b/crates/mangotrestle-core/src/pool/tenure.rs
@@ -12,6 +12,7 @@
 use crate::resources;
 use crate::scheduler;
 use crate::task;
+use crate::time;
 
 /// What to do once the journal holds an entry.
 #[derive(Debug)]
@@ -78,6 +79,7 @@
     /// Ends that are on their way into the journal.
     pub(super) unacknowledged: collections::FastSet<(id::WorkerId, task::RunId)>,
     pub(super) more_decisions: bool,
+    pub(super) next_time_of_day: time::TimeMs,
     readiness: Readiness,
     last_token: u64,
     pending: VecDeque<Pending>,
@@ -95,6 +97,7 @@
             early_ended: Vec::new(),
             unacknowledged: collections::FastSet::default(),
             more_decisions: false,
+            next_time_of_day: time::TimeMs(0),
             readiness: Readiness::default(),
             last_token: 0,
             pending: VecDeque::new(),
--- a/crates/mangotrestle-core/src/pool/tests.rs
+++ b/crates/mangotrestle-core/src/pool/tests.rs
@@ -335,6 +335,15 @@
         self.pool.scheduler().job(&text(name)).unwrap().counts
     }
 
+    /// The worker that runs something.
+    fn holder_of(&self, run: &task::RunId) -> id::WorkerId {
+        let holder = self
+            .workers
+            .iter()
+            .find(|(_, grantor)| grantor.is_running(run));
+        holder.unwrap().0.clone()
+    }
+
     /// Takes a worker away with everything that runs on it.
     fn lose(&mut self, lost: &id::WorkerId) {
         self.workers.remove(lost);
@@ -486,11 +495,7 @@
     let mut cell = Cell::leading();
     cell.accept(1, job("payment", 1, false));
     let run = cell.launched[0].clone();
-    let holder = cell
-        .workers
-        .iter()
-        .find(|(_, grantor)| grantor.is_running(&run));
-    let lost = holder.unwrap().0.clone();
+    let lost = cell.holder_of(&run);
 
     cell.lose(&lost);
     cell.pass(90_000);
@@ -516,11 +521,7 @@
     let mut cell = Cell::leading();
     cell.accept(1, job("screening", 1, true));
     let run = cell.launched[0].clone();
-    let holder = cell
-        .workers
-        .iter()
-        .find(|(_, grantor)| grantor.is_running(&run));
-    let lost = holder.unwrap().0.clone();
+    let lost = cell.holder_of(&run);
 
     cell.lose(&lost);
     cell.pass(90_000);
@@ -589,3 +590,40 @@
     assert_eq!(cell.counts("screening").running, 1);
     assert_eq!(cell.counts("screening").succeeded, 0);
 }
+
+#[test]
+fn forgotten_job_leaves_the_pool_unless_it_still_runs() {
+    let mut cell = Cell::leading();
+    cell.accept(1, job("done", 1, true));
+    cell.end_all(task::RunOutcome::Succeeded);
+    cell.pass(10_000);
+    cell.accept(2, job("running", 1, true));
+
+    cell.tell(PoolEvent::JobsForgotten(vec![
+        text("done"),
+        text("running"),
+    ]));
+
+    assert!(cell.pool.scheduler().job(&text("done")).is_none());
+    assert!(cell.pool.state().job(&text("done")).is_none());
+    assert_eq!(cell.counts("running").running, 1);
+}
+
+#[test]
+fn ended_run_that_must_not_repeat_stays_ended_under_a_new_leader() {
+    for outcome in [
+        task::RunOutcome::Failed,
+        task::RunOutcome::Stopped,
+        task::RunOutcome::Lost,
+    ] {
+        let mut cell = Cell::leading();
+        cell.accept(1, job("payment", 1, false));
+        cell.end_all(outcome);
+        cell.pass(10_000);
+
+        cell.replace_leader();
+        cell.pass(10_000);
+
+        assert_eq!(cell.launched.len(), 1, "after {outcome:?}");
+    }
+}
--- a/crates/mangotrestle/src/daemon/control/store_tasks.rs
+++ b/crates/mangotrestle/src/daemon/control/store_tasks.rs
@@ -175,12 +175,19 @@
                 .await
             {
                 Ok(None) => {}
-                Ok(Some(done)) => slog::info!(
-                    tasks.context.log, "journal.compacted";
-                    "pool" => tasks.id.as_str(), "through" => done.through,
-                    "snapshot_bytes" => done.snapshot_bytes, "deleted_rows" => done.deleted_rows,
-                    "forgotten_jobs" => done.forgotten.len()
-                ),
+                Ok(Some(done)) => {
+                    slog::info!(
+                        tasks.context.log, "journal.compacted";
+                        "pool" => tasks.id.as_str(), "through" => done.through,
+                        "snapshot_bytes" => done.snapshot_bytes, "deleted_rows" => done.deleted_rows,
+                        "forgotten_jobs" => done.forgotten.len()
+                    );
+                    let event = pool::PoolEvent::JobsForgotten(done.forgotten);
+                    let pool = tasks.pool;
+                    tasks
+                        .context
+                        .report(event::ControlEvent::Pool { pool, event });
+                }
                 Err(error) => slog::warn!(
                     tasks.context.log, "journal.compaction_failed";
                     "pool" => tasks.id.as_str(), "error" => %error
