Record an operator's word on unsettled runs, so that it outlives the leader

Cause: a released job's tasks went back into the queue of the present leader only; the next one found them failed or unknown again. The release now journals a resolution for each such run in the same entry.

--- a/crates/mangotrestle-core/src/pool/mod.rs
+++ b/crates/mangotrestle-core/src/pool/mod.rs
@@ -302,13 +302,16 @@
             return;
         }
         let urgent = accepted.iter().any(records::is_urgent);
-        for record in &accepted {
-            self.apply(now, record);
+        let mut folded = Vec::with_capacity(accepted.len());
+        for record in accepted {
+            let consequences = self.apply(now, &record);
+            folded.push(record);
+            folded.extend(consequences);
         }
         let token = self.tenure.next_token();
         commands.push(PoolCommand::Journal {
             token,
-            records: accepted,
+            records: folded,
             urgent,
             inbox: Some(ticket),
         });
@@ -324,34 +327,45 @@
         if !self.tenure.is_loaded() || decided.is_empty() {
             return;
         }
-        for record in &decided {
-            self.apply(now, record);
+        let mut folded = Vec::with_capacity(decided.len());
+        for record in decided {
+            let consequences = self.apply(now, &record);
+            folded.push(record);
+            folded.extend(consequences);
         }
-        self.journal(decided, false, commands);
+        self.journal(folded, false, commands);
     }
 
-    /// Folds one accepted record into the state and tells the scheduler.
-    fn apply(&mut self, now: Now, record: &journal::Record) {
+    /// Folds one accepted record into the state and tells the scheduler. Returns the records that
+    /// follow from it.
+    fn apply(&mut self, now: Now, record: &journal::Record) -> Vec<journal::Record> {
         if records::is_known(&self.tenure.state, record) {
-            return;
+            return Vec::new();
         }
-        let retries = records::tasks_to_retry(&self.tenure.state, record);
+        let resolutions = records::resolutions(&self.tenure.state, record, now.wall);
         self.tenure.state.apply(record);
         if let Some(event) = records::scheduler_event(record) {
             self.tenure.scheduler.handle(now.monotonic, event);
         }
-        for task in retries {
-            let event = scheduler::SchedulerEvent::OperatorRetry { task };
-            self.tenure.scheduler.handle(now.monotonic, event);
+        for resolution in &resolutions {
+            self.resolve(now, resolution);
         }
         if let journal::Record::WorkerDraining { worker, .. } = record {
-            let said_leaving = self
-                .tenure
-                .held
-                .get(worker)
-                .is_some_and(|held| held.said_leaving);
+            let held = self.tenure.held.get(worker);
+            let said_leaving = held.is_some_and(|held| held.said_leaving);
             self.set_leaving(now, worker, said_leaving);
         }
+        resolutions
+    }
+
+    /// Folds an operator's word on a run in and puts its task back in the queue.
+    fn resolve(&mut self, now: Now, resolution: &journal::Record) {
+        self.tenure.state.apply(resolution);
+        if let journal::Record::UnknownResolved { run, .. } = resolution {
+            let task = run.task.clone();
+            let event = scheduler::SchedulerEvent::OperatorRetry { task };
+            self.tenure.scheduler.handle(now.monotonic, event);
+        }
     }
 
     fn runs_ended(
--- a/crates/mangotrestle-core/src/pool/records.rs
+++ b/crates/mangotrestle-core/src/pool/records.rs
@@ -83,34 +83,41 @@
     same_number && known.worker.as_ref().is_some_and(|known| known != worker)
 }
 
-/// Tasks that an operator's release of a job puts back in the queue.
-pub(super) fn tasks_to_retry(
+/// Records of an operator's word that the unsettled tasks of a released job may run again.
+pub(super) fn resolutions(
     state: &journal::PoolState,
     record: &journal::Record,
-) -> Vec<task::TaskId> {
+    wall_ms: time::WallTimeMs,
+) -> Vec<journal::Record> {
     let journal::Record::JobReleased { job, .. } = record else {
         return Vec::new();
     };
     let Some(known) = state.job(job) else {
         return Vec::new();
     };
-    let unsettled = |phase: journal::Phase| {
-        matches!(
-            phase,
-            journal::Phase::Unknown
-                | journal::Phase::Ended(
-                    task::RunOutcome::Failed | task::RunOutcome::NotRun | task::RunOutcome::Lost
-                )
-        )
-    };
-    known
-        .tasks()
-        .filter(|(_, state)| unsettled(state.phase))
-        .map(|(index, _)| task::TaskId {
-            job: job.clone(),
-            index,
-        })
-        .collect()
+    let unsettled = known.tasks().filter(|(_, state)| is_unsettled(state.phase));
+    let resolved = unsettled.map(|(index, state)| journal::Record::UnknownResolved {
+        run: task::RunId {
+            task: task::TaskId {
+                job: job.clone(),
+                index,
+            },
+            attempt: state.attempt,
+        },
+        resolution: journal::Resolution::RunAgain,
+        wall_ms,
+    });
+    resolved.collect()
+}
+
+const fn is_unsettled(phase: journal::Phase) -> bool {
+    matches!(
+        phase,
+        journal::Phase::Unknown
+            | journal::Phase::Ended(
+                task::RunOutcome::Failed | task::RunOutcome::NotRun | task::RunOutcome::Lost
+            )
+    )
 }
 
 /// What the scheduler has to hear of an accepted command.
--- a/crates/mangotrestle-core/src/pool/tests.rs
+++ b/crates/mangotrestle-core/src/pool/tests.rs
@@ -627,3 +627,28 @@
         assert_eq!(cell.launched.len(), 1, "after {outcome:?}");
     }
 }
+
+#[test]
+fn word_of_an_operator_on_an_unknown_run_outlives_the_leader() {
+    let mut cell = Cell::leading();
+    cell.accept(1, job("payment", 1, false));
+    cell.end_all(task::RunOutcome::Failed);
+    cell.pass(10_000);
+    cell.tell(PoolEvent::StoreAvailable(false));
+    let revision = cell.pool.state().job(&text("payment")).unwrap().revision + 1;
+    let release = journal::Record::JobReleased {
+        job: text("payment"),
+        revision,
+    };
+
+    cell.tell(PoolEvent::Accepted {
+        ticket: 2,
+        records: vec![release],
+    });
+    let launched_before = cell.launched.len();
+    cell.replace_leader();
+    cell.pass(10_000);
+
+    assert_eq!(launched_before, 1);
+    assert_eq!(cell.launched.len(), 2);
+}
