Take parked jobs up again on an operator's word

Cause: the leader gives a job revisions of its own when it parks it, so the release carried a revision that was taken already and was dropped as known. The release is renumbered, and it reaches the scheduler also for a job of which no task ever ran.

--- a/crates/mangotrestle-core/src/pool/mod.rs
+++ b/crates/mangotrestle-core/src/pool/mod.rs
@@ -40,6 +40,7 @@
 use crate::lease::leadership;
 use crate::lease::message;
 use crate::scheduler;
+use crate::task;
 use crate::time;
 
 /// Decisions taken in one call, so that a long queue does not hold up lease renewals.
@@ -304,6 +305,7 @@
         let urgent = accepted.iter().any(records::is_urgent);
         let mut folded = Vec::with_capacity(accepted.len());
         for record in accepted {
+            let record = records::renumbered(&self.tenure.state, record);
             let consequences = self.apply(now, &record);
             folded.push(record);
             folded.extend(consequences);
@@ -350,6 +352,9 @@
         for resolution in &resolutions {
             self.resolve(now, resolution);
         }
+        if let journal::Record::JobReleased { job, .. } = record {
+            self.release(now, job);
+        }
         if let journal::Record::WorkerDraining { worker, .. } = record {
             let held = self.tenure.held.get(worker);
             let said_leaving = held.is_some_and(|held| held.said_leaving);
@@ -358,6 +363,16 @@
         resolutions
     }
 
+    /// Takes a parked job up again, whether or not any task of it ever ran.
+    fn release(&mut self, now: Now, job: &id::JobId) {
+        let task = task::TaskId {
+            job: job.clone(),
+            index: 0,
+        };
+        let event = scheduler::SchedulerEvent::OperatorRetry { task };
+        self.tenure.scheduler.handle(now.monotonic, event);
+    }
+
     /// Folds an operator's word on a run in and puts its task back in the queue.
     fn resolve(&mut self, now: Now, resolution: &journal::Record) {
         self.tenure.state.apply(resolution);
--- a/crates/mangotrestle-core/src/pool/records.rs
+++ b/crates/mangotrestle-core/src/pool/records.rs
@@ -83,6 +83,17 @@
     same_number && known.worker.as_ref().is_some_and(|known| known != worker)
 }
 
+/// A release with a revision above all that the leader gave to the job by itself, such as when it
+/// parked it; those do not show in the row that the operator's command changed.
+pub(super) fn renumbered(state: &journal::PoolState, record: journal::Record) -> journal::Record {
+    let journal::Record::JobReleased { job, revision } = record else {
+        return record;
+    };
+    let known = state.job(&job).map_or(0, |known| known.revision);
+    let revision = revision.max(known + 1);
+    journal::Record::JobReleased { job, revision }
+}
+
 /// Records of an operator's word that the unsettled tasks of a released job may run again.
 pub(super) fn resolutions(
     state: &journal::PoolState,
--- a/crates/mangotrestle-core/src/pool/tests.rs
+++ b/crates/mangotrestle-core/src/pool/tests.rs
@@ -652,3 +652,28 @@
     assert_eq!(launched_before, 1);
     assert_eq!(cell.launched.len(), 2);
 }
+
+#[test]
+fn parked_job_is_taken_up_again_on_an_operators_word() {
+    let mut cell = Cell::leading();
+    let mut spec = job("furan", 1, true);
+    spec.need.accelerators = 4;
+    cell.accept(1, spec);
+    cell.pass(120_000);
+    let parked_before = cell.pool.state().job(&text("furan")).unwrap().parked();
+
+    let release = journal::Record::JobReleased {
+        job: text("furan"),
+        revision: 2,
+    };
+    cell.tell(PoolEvent::Accepted {
+        ticket: 2,
+        records: vec![release],
+    });
+
+    assert!(parked_before.is_some());
+    let known = cell.pool.state().job(&text("furan")).unwrap();
+    assert_eq!(known.parked(), None);
+    let view = cell.pool.scheduler().job(&text("furan")).unwrap();
+    assert_eq!(view.parked, None);
+}
