Wait in the demonstration until every entry host serves callers

Shares spread one interval after the other, about 7 s over 8 hosts, because the first host to ask is given every slot; after a take-over no new ones are given for 25.5 s.

--- a/crates/mangotrestle-dev/src/demo.rs
+++ b/crates/mangotrestle-dev/src/demo.rs
@@ -96,6 +96,14 @@
         .iter()
         .map(|host| host.addresses.callers)
         .collect();
+    // Shares of the targets reach the entry hosts one interval after the other.
+    if let Some(unserved) = load::first_unserved(&targets, &service).await {
+        return Err(format!("the entry host at {unserved} serves nobody"));
+    }
+    println!(
+        "{:>6} ms  every entry host serves callers",
+        began.elapsed().as_millis()
+    );
     let callers = tokio::spawn(
         load::Load::new(targets, &service)
             .callers(CALLERS)
@@ -268,13 +276,13 @@
 
 fn batch_job(pool: &id::PoolId) -> job::JobSpec {
     let mut spec = spec("certificates", pool, job::JobKind::Batch, 40);
-    spec.run_time_ms = Some(time::SpanMs(400));
+    spec.run_time_ms = Some(time::SpanMs(2_000));
     spec
 }
 
 fn gang_job(pool: &id::PoolId) -> job::JobSpec {
     let mut spec = spec("image-training", pool, job::JobKind::Gang, 4);
     spec.need.accelerators = 2;
-    spec.run_time_ms = Some(time::SpanMs(3_000));
+    spec.run_time_ms = Some(time::SpanMs(8_000));
     spec
 }
--- a/crates/mangotrestle-dev/src/load.rs
+++ b/crates/mangotrestle-dev/src/load.rs
@@ -22,6 +22,11 @@
 /// Time that a caller gives each request.
 const REQUEST_TIME_MS: &str = "2000";
 
+/// Length of one probe of an entry host.
+const PROBE: Duration = Duration::from_millis(50);
+/// Probes of an entry host before it counts as not serving.
+const MOST_PROBES: u32 = 200;
+
 type Client = legacy::Client<connect::HttpConnector, Full<Bytes>>;
 
 /// Callers of one service.
@@ -165,6 +170,27 @@
     }
 }
 
+/// Sends requests through each entry host in turn until it answers one. Returns the first entry
+/// host that answered none of so many probes; `None` if all serve.
+pub async fn first_unserved(entry_hosts: &[SocketAddr], service: &id::JobId) -> Option<SocketAddr> {
+    for &entry_host in entry_hosts {
+        if !serves(entry_host, service).await {
+            return Some(entry_host);
+        }
+    }
+    None
+}
+
+async fn serves(entry_host: SocketAddr, service: &id::JobId) -> bool {
+    for _ in 0..MOST_PROBES {
+        let probe = Load::new(vec![entry_host], service);
+        if probe.run_for(PROBE).await.answered > 0 {
+            return true;
+        }
+    }
+    false
+}
+
 async fn call(load: Arc<Load>, client: Client, number: usize, until: Instant) -> Answers {
     let mut answers = Answers::default();
     let mut turn = number;
--- a/crates/mangotrestle-dev/tests/planned_stop.rs
+++ b/crates/mangotrestle-dev/tests/planned_stop.rs
@@ -55,29 +55,15 @@
     panic!("the service does not run");
 }
 
-/// Waits until every entry host has shares of the targets.
-async fn wait_until_served(cell: &cell::Cell) {
-    for host in &cell.entry_hosts {
-        let mut served = false;
-        for _ in 0..MOST_LOOKS {
-            let probe = load::Load::new(vec![host.addresses.callers], &service().id);
-            served = probe.run_for(LOOK_INTERVAL).await.answered > 0;
-            if served {
-                break;
-            }
-        }
-        assert!(served, "{} serves nobody", host.id);
-    }
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn planned_stop_of_the_leader_cuts_off_no_request() {
     let builder = cell::Cell::builder(&profile::AUTHORITY);
     let mut cell = builder.worker_share_percent(10).start().await.unwrap();
     start_service(&cell).await;
-    wait_until_served(&cell).await;
     let callers = cell.entry_hosts.iter().map(|host| host.addresses.callers);
-    let load = load::Load::new(callers.collect(), &service().id).callers(6);
+    let callers: Vec<_> = callers.collect();
+    assert_eq!(load::first_unserved(&callers, &service().id).await, None);
+    let load = load::Load::new(callers, &service().id).callers(6);
 
     let answers = tokio::spawn(load.run_for(Duration::from_secs(4)));
     let of_zone = |host: &cell::EntryHost| host.availability_zone == "piraeus";
