--- a/crates/mangotrestle/src/daemon/control/pool_runner.rs
+++ b/crates/mangotrestle/src/daemon/control/pool_runner.rs
@@ -270,6 +270,9 @@
             event::JournalNews::Lost => {
                 let pairs = notices::Pairs::default().with("pool", self.pool.id());
                 notices.host(now.wall, "journal.lost", &pairs);
+                // The leadership gives up its preference when it resigns; it is told again if this
+                // host is still the candidate.
+                self.preferred = false;
                 pool::PoolEvent::JournalConflict
             }
         };
