--- a/crates/mangotrestle-core/src/pool/event.rs
+++ b/crates/mangotrestle-core/src/pool/event.rs
@@ -34,8 +34,6 @@
         /// What was accepted.
         records: Vec<journal::Record>,
     },
-    /// Records that need no inbox row, such as an operator's word on a run.
-    Decided(Vec<journal::Record>),
     /// A worker answered a start.
     StartAnswered {
         /// Batch of the start.
--- a/crates/mangotrestle-core/src/pool/mod.rs
+++ b/crates/mangotrestle-core/src/pool/mod.rs
@@ -105,7 +105,6 @@
             PoolEvent::Accepted { ticket, records } => {
                 self.accepted(now, ticket, records, commands);
             }
-            PoolEvent::Decided(records) => self.decided(now, records, commands),
             PoolEvent::StartAnswered { batch, result } => {
                 self.start_answered(now, batch, result, commands);
             }
@@ -192,11 +191,6 @@
         &self.tenure.state
     }
 
-    /// Targets of every service of the pool, while this entry host leads.
-    pub fn service_targets(&self) -> impl Iterator<Item = &ServiceTargets> {
-        self.tenure.routes.all()
-    }
-
     /// Targets of one service, while this entry host leads; `None` if it has none.
     #[must_use]
     pub fn targets_of_service(&self, job: &id::JobId) -> Option<&ServiceTargets> {
@@ -319,25 +313,6 @@
         });
     }
 
-    /// Folds records of decisions in that come from inside, such as an operator's word on a run.
-    fn decided(
-        &mut self,
-        now: Now,
-        decided: Vec<journal::Record>,
-        commands: &mut Vec<PoolCommand>,
-    ) {
-        if !self.tenure.is_loaded() || decided.is_empty() {
-            return;
-        }
-        let mut folded = Vec::with_capacity(decided.len());
-        for record in decided {
-            let consequences = self.apply(now, &record);
-            folded.push(record);
-            folded.extend(consequences);
-        }
-        self.journal(folded, false, commands);
-    }
-
     /// Folds one accepted record into the state and tells the scheduler. Returns the records that
     /// follow from it.
     fn apply(&mut self, now: Now, record: &journal::Record) -> Vec<journal::Record> {
--- a/crates/mangotrestle-core/src/pool/routes.rs
+++ b/crates/mangotrestle-core/src/pool/routes.rs
@@ -36,10 +36,6 @@
 }
 
 impl Routes {
-    pub(super) fn all(&self) -> impl Iterator<Item = &ServiceTargets> {
-        self.services.values()
-    }
-
     pub(super) fn of(&self, job: &id::JobId) -> Option<&ServiceTargets> {
         self.services.get(job)
     }
