--- a/crates/mangotrestle-core/src/lib.rs
+++ b/crates/mangotrestle-core/src/lib.rs
@@ -19,3 +19,4 @@
 pub mod scheduler;
 pub mod task;
 pub mod time;
+pub mod workflow;
--- /dev/null
+++ b/crates/mangotrestle-core/src/workflow/environment.rs
@@ -0,0 +1,69 @@
+//! What a host of the system is told about itself and about the platform it runs on.
+
+use std::net::SocketAddr;
+
+use crate::id;
+use crate::time::SpanMs;
+
+/// Rates and sizes that the platform's store allows.
+#[derive(Clone, Debug, PartialEq)]
+pub struct StoreLimits {
+    /// Writing calls a second of all hosts together.
+    pub writes_per_s: f64,
+    /// Reading calls a second of all hosts together.
+    pub reads_per_s: f64,
+    /// Greatest value of a row, in bytes before encoding.
+    pub row_bytes: usize,
+}
+
+/// Time bounds that the platform's users set.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Bounds {
+    /// Longest lease that a worker grants.
+    pub longest_hold: SpanMs,
+    /// Time in which a configuration has to be in force.
+    pub configuration: SpanMs,
+    /// Time after a planned stop begins until the process is ended.
+    pub grace: SpanMs,
+    /// Time for which a job's state is asked for after its end.
+    pub remember: SpanMs,
+    /// Time for which a task that serves may be over its bound beside fillers.
+    pub harm: SpanMs,
+    /// Time until a pace is in force.
+    pub pace: SpanMs,
+    /// Time in which a cancel has to be acknowledged.
+    pub acknowledge: SpanMs,
+    /// Time that an upkeep takes.
+    pub upkeep: SpanMs,
+    /// Time between holders of one machine's fence.
+    pub machine_lease: SpanMs,
+}
+
+/// Settings of a host on the users' platform.
+#[derive(Clone, Debug, PartialEq)]
+pub struct HostSettings {
+    /// Name of the host.
+    pub host: id::EntryHostId,
+    /// Its availability zone.
+    pub zone: String,
+    /// Where callers reach it.
+    pub front: SocketAddr,
+    /// Where the balancer asks whether it is ready.
+    pub readiness: SocketAddr,
+    /// Where peers reach it; the port is the same on all hosts.
+    pub peer: SocketAddr,
+    /// Where its metrics are read.
+    pub metrics: Option<SocketAddr>,
+    /// The platform's store.
+    pub store: SocketAddr,
+    /// What the store allows.
+    pub store_limits: StoreLimits,
+    /// The service that hands out tickets, if there is one.
+    pub advice: Option<SocketAddr>,
+    /// The service that moves machines and takes them down, if there is one.
+    pub machines: Option<SocketAddr>,
+    /// Time bounds.
+    pub bounds: Bounds,
+    /// Memory that the process may use, in mebibytes.
+    pub memory_mib: u64,
+}
--- /dev/null
+++ b/crates/mangotrestle-core/src/workflow/pool/queries.rs
@@ -0,0 +1,120 @@
+//! Answers questions about the pool.
+
+use std::collections::BTreeMap;
+
+use crate::id;
+use crate::resources::Resources;
+
+use super::super::record::JobState;
+use super::super::tenure::PoolSummary;
+use super::Pool;
+
+impl Pool {
+    /// State of a job as callers see it; `None` if this leader does not know the job.
+    #[must_use]
+    pub fn state(&self, id: &id::JobId) -> Option<JobState> {
+        if let Some(job) = self.jobs.get(id) {
+            return Some(job.state());
+        }
+        self.ended.get(id).map(|(state, _)| *state)
+    }
+
+    /// Number of jobs that the pool has not let go of.
+    #[must_use]
+    pub fn job_count(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// Number of units that wait for a worker.
+    #[must_use]
+    pub fn waiting_count(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Number of workers in the platform's list.
+    #[must_use]
+    pub fn worker_count(&self) -> usize {
+        let listed = |worker: &&super::super::worker::Worker| worker.missing_since.is_none();
+        self.workers.values().filter(listed).count()
+    }
+
+    /// What all hosts are told about the pool.
+    #[must_use]
+    pub fn summary(&self) -> PoolSummary {
+        PoolSummary {
+            pending: self.pending(),
+            wait_ms: self.wait_ms(),
+            shapes: self.shapes(),
+        }
+    }
+
+    fn pending(&self) -> BTreeMap<String, u32> {
+        let mut pending = BTreeMap::new();
+        let waiting = self
+            .jobs
+            .values()
+            .filter(|job| !job.begun && job.end.is_none() && job.record.schedule.is_none());
+        for job in waiting {
+            *pending.entry(job.record.policy.queue.clone()).or_default() += 1;
+        }
+        pending
+    }
+
+    /// Time that the waiting work of each priority and those before it keeps the pool's scarcest
+    /// resource.
+    fn wait_ms(&self) -> BTreeMap<u32, u64> {
+        let total = self
+            .workers
+            .values()
+            .filter(|worker| worker.missing_since.is_none() && !worker.entry.draining)
+            .fold(Resources::ZERO, |sum, worker| sum + worker.entry.capacity);
+        let mut own: BTreeMap<u32, [u64; 3]> = BTreeMap::new();
+        for (rank, key) in &self.waiting {
+            let Some(step) = self.step_spec(&key.step) else {
+                continue;
+            };
+            let need = step.counted_need();
+            let time_ms = step.estimate_ms * u64::from(step.unit_size());
+            let sums = own.entry(rank.priority).or_default();
+            sums[0] += need.cpu_millicores * time_ms;
+            sums[1] += need.memory_mib * time_ms;
+            sums[2] += u64::from(need.accelerators) * time_ms;
+        }
+        let mut before = [0_u64; 3];
+        let totals = [
+            total.cpu_millicores,
+            total.memory_mib,
+            u64::from(total.accelerators),
+        ];
+        let mut waits = BTreeMap::new();
+        for (priority, sums) in own {
+            for (sum, more) in before.iter_mut().zip(sums) {
+                *sum += more;
+            }
+            let wait = before
+                .iter()
+                .zip(totals)
+                .map(|(sum, total)| sum.checked_div(total).unwrap_or_default())
+                .max();
+            waits.insert(priority, wait.unwrap_or_default());
+        }
+        waits
+    }
+
+    /// The greatest worker for each set of labels.
+    fn shapes(&self) -> Vec<(Resources, Vec<String>)> {
+        let mut shapes: Vec<(Resources, Vec<String>)> = Vec::new();
+        for worker in self.workers.values() {
+            if worker.entry.address.is_empty() {
+                continue;
+            }
+            let labels = worker.entry.labels.clone();
+            match shapes.iter_mut().find(|(_, other)| *other == labels) {
+                Some((capacity, _)) => *capacity = capacity.max(&worker.entry.capacity),
+                None => shapes.push((worker.entry.capacity, labels)),
+            }
+        }
+        shapes.sort_by(|one, other| one.1.cmp(&other.1));
+        shapes
+    }
+}
--- /dev/null
+++ b/crates/mangotrestle-core/src/workflow/pool/release.rs
@@ -0,0 +1,282 @@
+//! Settles ends of runs and gives room back.
+
+use crate::id;
+use crate::time::TimeMs;
+
+use super::super::job::{MemberKey, Phase, StepKey, UnitKey};
+use super::super::message::{RunEnd, TaskName};
+use super::super::record::JobState;
+use super::{Note, Pool};
+
+impl Pool {
+    /// Takes the end of a run that a worker listed, or that follows from the worker's end.
+    pub(super) fn run_ended(
+        &mut self,
+        now: TimeMs,
+        worker: &id::WorkerId,
+        task: &TaskName,
+        run: u32,
+        end: RunEnd,
+        saved: &str,
+    ) {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let Some(key) = job.member_key(task) else {
+            return;
+        };
+        let Some(unit) = job.unit_mut(&key.unit) else {
+            return;
+        };
+        let current = unit.run == run;
+        let member = &unit.members[key.member as usize];
+        let here = current && member.worker.as_ref() == Some(worker);
+        if current && !saved.is_empty() {
+            saved.clone_into(&mut unit.saved);
+        }
+        if here || (end == RunEnd::Done && !unit.done) {
+            self.notes.push(Note::RunEnded {
+                task: task.clone(),
+                run,
+                worker: worker.clone(),
+                end,
+            });
+        }
+        match end {
+            RunEnd::Done => self.unit_done(now, &key, worker, here),
+            RunEnd::Failed => self.unit_failed(now, &key, worker, run),
+            RunEnd::Stopped | RunEnd::Lapsed | RunEnd::Broken | RunEnd::Alone => {}
+        }
+        if here {
+            self.release(now, &key);
+            if end != RunEnd::Done {
+                self.collapse(now, &key.unit);
+            }
+        }
+    }
+
+    fn unit_done(&mut self, now: TimeMs, key: &MemberKey, worker: &id::WorkerId, here: bool) {
+        if let Some(worker) = self.workers.get_mut(worker) {
+            worker.note_success();
+        }
+        let Some(job) = self.jobs.get_mut(&key.unit.step.job) else {
+            return;
+        };
+        let persistent = job.record.steps[key.unit.step.step as usize].persistent;
+        let Some(unit) = job.unit_mut(&key.unit) else {
+            return;
+        };
+        if unit.done || persistent {
+            return;
+        }
+        unit.done = true;
+        let rank = super::intake::rank(job);
+        self.waiting.remove(&(rank, key.unit.clone()));
+        self.mark_dirty(&key.unit.step.job);
+        if !here {
+            // A former run has finished the work, so the present one is of no use.
+            self.stop_unit(now, &key.unit);
+        }
+        self.step_advanced(now, &key.unit.step);
+    }
+
+    fn step_advanced(&mut self, now: TimeMs, key: &StepKey) {
+        let Some(job) = self.jobs.get_mut(&key.job) else {
+            return;
+        };
+        let Some(step) = job.step_mut(key) else {
+            return;
+        };
+        step.open = step.open.saturating_sub(1);
+        let step_done = step.open == 0;
+        let Some(occurrence) = job.occurrences.get_mut(&key.occurrence) else {
+            return;
+        };
+        occurrence.done = occurrence.steps.iter().all(|step| step.open == 0);
+        if !step_done {
+            self.note_ask_ahead(key);
+            return;
+        }
+        self.advance(&key.job, key.occurrence);
+        self.finish_if_done(now, &key.job);
+    }
+
+    fn unit_failed(&mut self, now: TimeMs, key: &MemberKey, worker: &id::WorkerId, run: u32) {
+        let id = &key.unit.step.job;
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let persistent = job.record.steps[key.unit.step.step as usize].persistent;
+        let most = job.record.policy.max_attempts.max(1);
+        let Some(unit) = job.unit_mut(&key.unit) else {
+            return;
+        };
+        if unit.failed_runs.contains(&run) {
+            return;
+        }
+        unit.failed_runs.push(run);
+        unit.avoid.push(worker.clone());
+        let exhausted = !persistent && !unit.done && unit.failed_runs.len() >= most as usize;
+        self.mark_dirty(id);
+        if let Some(state) = self.workers.get_mut(worker)
+            && state.note_failure(now, id)
+        {
+            self.notes.push(Note::WorkerQuarantined {
+                worker: worker.clone(),
+            });
+        }
+        if exhausted {
+            self.end_job(now, id, JobState::Failed);
+        }
+    }
+
+    /// Frees a member and its room; queues the unit once all of its members are free.
+    pub(super) fn release(&mut self, now: TimeMs, key: &MemberKey) {
+        let Some(job) = self.jobs.get_mut(&key.unit.step.job) else {
+            return;
+        };
+        let step = &job.record.steps[key.unit.step.step as usize];
+        let (serving, filling) = (step.persistent, step.fills);
+        let Some(unit) = job.unit_mut(&key.unit) else {
+            return;
+        };
+        let member = &mut unit.members[key.member as usize];
+        let Some(worker) = member.worker.take() else {
+            return;
+        };
+        member.phase = Phase::Free;
+        member.since = now;
+        member.unanswered = 0;
+        member.over_since = None;
+        if unit.is_free() {
+            unit.collapsing = false;
+        }
+        if let Some(worker) = self.workers.get_mut(&worker)
+            && let Some(need) = worker.tasks.remove(key)
+        {
+            worker.used -= need;
+            worker.serving -= u32::from(serving);
+            worker.filling -= u32::from(filling);
+        }
+        self.mark_dirty(&key.unit.step.job);
+        self.queue_unit(&key.unit);
+        self.placing_due = true;
+    }
+
+    /// Ends the present run of a gang of which one member has ended or was refused.
+    pub(super) fn collapse(&mut self, now: TimeMs, key: &UnitKey) {
+        let Some(job) = self.jobs.get_mut(&key.step.job) else {
+            return;
+        };
+        let Some(unit) = job.unit_mut(key) else {
+            return;
+        };
+        if unit.done || unit.collapsing || unit.is_free() {
+            return;
+        }
+        unit.collapsing = true;
+        self.stop_unit(now, key);
+    }
+
+    /// Stops all members of a unit; those for which no order was sent are free at once.
+    pub(super) fn stop_unit(&mut self, now: TimeMs, key: &UnitKey) {
+        let Some(unit) = self.jobs.get(&key.step.job).and_then(|job| job.unit(key)) else {
+            return;
+        };
+        let members: Vec<MemberKey> = (0..)
+            .zip(&unit.members)
+            .filter(|(_, member)| member.worker.is_some())
+            .map(|(member, _)| MemberKey {
+                unit: key.clone(),
+                member,
+            })
+            .collect();
+        for member in members {
+            self.stop_member(now, &member);
+        }
+    }
+
+    /// Stops whatever of a job is assigned.
+    pub(super) fn stop_assigned(&mut self, now: TimeMs, id: &id::JobId) {
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        for (key, _) in job.assigned() {
+            // Members of a gang that is done end by themselves.
+            let done = self
+                .jobs
+                .get(id)
+                .and_then(|job| job.unit(&key.unit))
+                .is_some_and(|unit| unit.done);
+            if !done {
+                self.stop_member(now, &key);
+            }
+        }
+    }
+
+    /// Settles the runs on workers whose leases have run out or whose life is over.
+    pub(super) fn settle_lapsed_workers(&mut self, now: TimeMs) {
+        let lapsed: Vec<id::WorkerId> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| !worker.tasks.is_empty())
+            .filter(|(_, worker)| {
+                worker.over || worker.is_silent() || worker.missing_since.is_some()
+            })
+            .filter(|(_, worker)| worker.has_lapsed(now))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in lapsed {
+            self.settle_worker(now, &id);
+        }
+    }
+
+    fn settle_worker(&mut self, now: TimeMs, id: &id::WorkerId) {
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
+        let tasks: Vec<MemberKey> = worker.tasks.keys().cloned().collect();
+        self.notes.push(Note::WorkerLapsed {
+            worker: id.clone(),
+            runs: tasks.len(),
+            over: worker.over,
+        });
+        for key in tasks {
+            let run = self
+                .jobs
+                .get(&key.unit.step.job)
+                .and_then(|job| job.unit(&key.unit))
+                .map_or(0, |unit| unit.run);
+            self.run_ended(now, id, &key.task_name(), run, RunEnd::Lapsed, "");
+        }
+    }
+
+    /// Moves lasting work off a worker that leaves.
+    pub(super) fn evacuate(&mut self, now: TimeMs, id: &id::WorkerId) {
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
+        let tasks: Vec<MemberKey> = worker.tasks.keys().cloned().collect();
+        for key in tasks {
+            let persistent = self
+                .jobs
+                .get(&key.unit.step.job)
+                .is_some_and(|job| job.record.steps[key.unit.step.step as usize].persistent);
+            if persistent {
+                self.stop_member(now, &key);
+            }
+        }
+    }
+
+    /// Forgets ends of jobs that no caller asks for any more.
+    pub(super) fn forget_old_ends(&mut self, now: TimeMs) {
+        while let Some((ended_at, _)) = self.ended_order.front() {
+            if now.since(*ended_at) < self.settings.remember {
+                return;
+            }
+            if let Some((_, id)) = self.ended_order.pop_front() {
+                self.ended.remove(&id);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/mangotrestle-core/src/workflow/record.rs
@@ -0,0 +1,101 @@
+//! Rows that last: the assignments of a job that is not finished, and the end of one that is.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::id;
+
+/// State of a job as callers see it.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Serialize, Deserialize)]
+pub enum JobState {
+    /// Accepted, no task has started.
+    #[serde(rename = "q")]
+    Queued,
+    /// A task has started.
+    #[serde(rename = "r")]
+    Running,
+    /// All tasks are done.
+    #[serde(rename = "c")]
+    Completed,
+    /// A task failed as often as its queue allows.
+    #[serde(rename = "f")]
+    Failed,
+    /// Cancelled by its caller.
+    #[serde(rename = "x")]
+    Cancelled,
+}
+
+impl JobState {
+    /// Whether the job will not change any more.
+    #[must_use]
+    pub const fn is_final(self) -> bool {
+        matches!(self, Self::Completed | Self::Failed | Self::Cancelled)
+    }
+}
+
+/// A unit's durable state: a task, or all tasks of a gang.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct UnitRow {
+    /// Whether the unit has ended as done.
+    #[serde(rename = "d", skip_serializing_if = "std::ops::Not::not")]
+    pub done: bool,
+    /// Highest run that was ever bound.
+    #[serde(rename = "r", skip_serializing_if = "is_zero")]
+    pub run: u32,
+    /// Runs that ended as failed.
+    #[serde(rename = "a", skip_serializing_if = "Vec::is_empty")]
+    pub failed_runs: Vec<u32>,
+    /// Last checkpoint; empty if there is none.
+    #[serde(rename = "s", skip_serializing_if = "String::is_empty")]
+    pub saved: String,
+    /// Worker of each member that may run; a member that cannot run any more has none.
+    #[serde(rename = "w", skip_serializing_if = "Vec::is_empty")]
+    pub workers: Vec<Option<id::WorkerId>>,
+}
+
+/// The steps of one occurrence.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct OccurrenceRow {
+    /// Whether all of its tasks are done; the steps are then left out.
+    #[serde(rename = "d", skip_serializing_if = "std::ops::Not::not")]
+    pub done: bool,
+    /// Units by step.
+    #[serde(rename = "s", skip_serializing_if = "Vec::is_empty")]
+    pub steps: Vec<Vec<UnitRow>>,
+}
+
+/// Assignments of a job, one row a job.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct AssignmentRow {
+    /// Occurrences that have begun, by number.
+    #[serde(rename = "o")]
+    pub occurrences: BTreeMap<u32, OccurrenceRow>,
+    /// Whether a task has started.
+    #[serde(rename = "b", skip_serializing_if = "std::ops::Not::not")]
+    pub begun: bool,
+    /// Final state, once nothing more of the job may start; members that are still assigned have
+    /// to be stopped.
+    #[serde(rename = "e", skip_serializing_if = "Option::is_none")]
+    pub end: Option<JobState>,
+}
+
+/// The end of a job, one row a job.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct EndRow {
+    /// The final state.
+    pub state: JobState,
+    /// When it ended, since the Unix epoch.
+    pub ended_ms: u64,
+}
+
+#[allow(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes a reference"
+)]
+const fn is_zero(value: &u32) -> bool {
+    *value == 0
+}
--- /dev/null
+++ b/crates/mangotrestle-core/src/workflow/tenure.rs
@@ -0,0 +1,131 @@
+//! Leadership of a pool: one row that every commit of the leader rewrites.
+//!
+//! The row is the fence and the heartbeat at once. A commit is conditional on the version that the
+//! commit before it left, so commits of one leader form a chain: a commit whose answer was lost and
+//! that is carried out late finds another version and does nothing. A rival takes the row by the
+//! same condition with a higher term, after which nothing of the former leader can be committed.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::id;
+use crate::time::{SpanMs, TimeMs};
+
+/// Longest time between two commits of a leader, empty ones included.
+pub const RENEWAL: SpanMs = SpanMs(500);
+/// Time without a commit, as seen by looks that were answered, after which a leader is replaced:
+/// three renewals and a slow answer of the store.
+pub const EXPIRY: SpanMs = SpanMs(1_900);
+/// Further time for each rank among the hosts, so that they do not claim together.
+pub const STAGGER: SpanMs = SpanMs(250);
+/// Longest time for which a leader extends leases of workers without a commit; after it and a
+/// lease, nothing that it started can still run on a worker which nobody else reaches.
+pub const UNCONFIRMED: SpanMs = SpanMs(12_000);
+
+/// What the leader tells all hosts about its pool.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct PoolSummary {
+    /// Jobs without a schedule of which no task has started, by queue.
+    pub pending: BTreeMap<String, u32>,
+    /// Time in milliseconds until work that arrives now is expected to start, by priority.
+    pub wait_ms: BTreeMap<u32, u64>,
+    /// The greatest workers of the pool: capacity and labels.
+    pub shapes: Vec<(crate::resources::Resources, Vec<String>)>,
+}
+
+/// The leadership row.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LeadRow {
+    /// The host that leads.
+    pub holder: id::EntryHostId,
+    /// Where its peers reach it, as `ip:port`.
+    pub address: String,
+    /// The life of the process that leads.
+    pub life: u64,
+    /// Fencing token of this leadership.
+    pub term: u64,
+    /// Number of the commit.
+    pub sequence: u64,
+    /// Whether the leader gave up and any host may claim at once.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub released: bool,
+}
+
+/// What a host sees of a pool's leadership.
+#[derive(Debug, Default)]
+pub struct Watch {
+    row: Option<LeadRow>,
+    version: u64,
+    looked_at: Option<TimeMs>,
+    changed_at: TimeMs,
+}
+
+impl Watch {
+    /// Takes what an answered look showed. Versions only grow; an older one is ignored.
+    pub fn observe(&mut self, now: TimeMs, row: LeadRow, version: u64) {
+        if version > self.version {
+            self.row = Some(row);
+            self.version = version;
+            self.changed_at = now;
+        }
+        self.observe_unchanged(now);
+    }
+
+    /// Notes that an answered look showed nothing new.
+    pub fn observe_unchanged(&mut self, now: TimeMs) {
+        if self.looked_at.is_none() {
+            self.changed_at = now;
+        }
+        self.looked_at = Some(now);
+    }
+
+    /// Starts the time of silence anew, after a span in which this host could not look.
+    pub fn restart(&mut self, now: TimeMs) {
+        if self.looked_at.is_some() {
+            self.changed_at = now;
+            self.looked_at = Some(now);
+        }
+    }
+
+    /// The row as last seen.
+    #[must_use]
+    pub const fn row(&self) -> Option<&LeadRow> {
+        self.row.as_ref()
+    }
+
+    /// Version of the row, zero if there is none.
+    #[must_use]
+    pub const fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Whether a host of this rank should claim the pool. Only time over which looks were answered
+    /// counts as silence.
+    #[must_use]
+    pub fn claim_due(&self, rank: u64) -> bool {
+        let Some(looked_at) = self.looked_at else {
+            return false;
+        };
+        let silence = looked_at.since(self.changed_at);
+        let patience = match &self.row {
+            Some(row) if !row.released => EXPIRY,
+            _ => SpanMs(0),
+        };
+        silence >= patience + SpanMs(STAGGER.0 * rank)
+    }
+
+    /// The row that a claim of this host writes.
+    #[must_use]
+    pub fn claim(&self, holder: &id::EntryHostId, address: &str, life: u64) -> LeadRow {
+        LeadRow {
+            holder: holder.clone(),
+            address: address.to_owned(),
+            life,
+            term: self.row.as_ref().map_or(0, |row| row.term) + 1,
+            sequence: 0,
+            released: false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/mangotrestle-peer/src/cell_rpc.rs
@@ -0,0 +1,27 @@
+//! Methods of the calls between hosts of a cell; [`crate::cell`] documents them.
+
+use jsonrpsee::core::RpcResult;
+use jsonrpsee::proc_macros::rpc;
+
+use crate::cell::{Advice, JobName, Knowledge, Question, Submitted};
+
+#[rpc(server, client, namespace = "cell")]
+pub(crate) trait CellRpc {
+    #[method(name = "submitted")]
+    async fn submitted(&self, message: Submitted) -> RpcResult<bool>;
+
+    #[method(name = "cancelled")]
+    async fn cancelled(&self, message: JobName) -> RpcResult<bool>;
+
+    #[method(name = "state")]
+    async fn state(&self, message: JobName) -> RpcResult<Knowledge>;
+
+    #[method(name = "ask")]
+    async fn ask(&self, message: Question) -> RpcResult<Option<Advice>>;
+
+    #[method(name = "relay")]
+    async fn relay(&self, message: serde_json::Value) -> RpcResult<serde_json::Value>;
+
+    #[method(name = "released")]
+    async fn released(&self, pool: String) -> RpcResult<()>;
+}
--- a/crates/mangotrestle-peer/src/lib.rs
+++ b/crates/mangotrestle-peer/src/lib.rs
@@ -12,6 +12,8 @@
 //! A daemon implements [`PeerBackend`], serves it by [`PeerServer::serve`] and calls others by
 //! [`PeerClient`].
 
+pub mod cell;
+mod cell_rpc;
 mod client;
 pub mod message;
 mod server;
--- a/crates/mangotrestle/src/command/arguments.rs
+++ b/crates/mangotrestle/src/command/arguments.rs
@@ -92,6 +92,8 @@
 pub enum Command {
     /// Runs the daemon.
     Serve(Box<settings::ServeArguments>),
+    /// Runs a host on the users' platform.
+    Host(Host),
     /// Jobs.
     Job(Job),
     /// Workers.
@@ -104,6 +106,19 @@
     Events(Events),
 }
 
+/// Runs a host on the users' platform until it is told to stop.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "host")]
+pub struct Host {
+    /// settings file; by default the one that the platform names
+    #[argh(option)]
+    pub settings_file: Option<String>,
+
+    /// least level of logged events: error, warning, info (default), debug or trace
+    #[argh(option)]
+    pub log_level: Option<settings::LogLevel>,
+}
+
 /// Submits, shows and changes jobs.
 #[derive(FromArgs, Debug)]
 #[argh(subcommand, name = "job")]
--- a/crates/mangotrestle/src/command/mod.rs
+++ b/crates/mangotrestle/src/command/mod.rs
@@ -11,6 +11,7 @@
 mod config;
 mod events;
 mod exit_code;
+mod host;
 mod job;
 mod serve;
 mod session;
@@ -36,6 +37,9 @@
     if let Command::Serve(serve) = &parsed.command {
         return serve::run(serve, environment);
     }
+    if let Command::Host(arguments) = &parsed.command {
+        return host::run(arguments, environment);
+    }
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build();
@@ -80,7 +84,8 @@
             Command::Config(config) => config::run(&mut session, &config.action).await,
             Command::Status(status) => status::run(&mut session, status).await,
             Command::Events(events) => events::run(&mut session, events).await,
-            Command::Serve(_) => future::pending().await,
+            // Both run in processes of their own and never come here.
+            Command::Serve(_) | Command::Host(_) => future::pending().await,
         }
     };
     command.await
--- /dev/null
+++ b/crates/mangotrestle/src/host/access.rs
@@ -0,0 +1,364 @@
+//! Calls to the store: directly, or through a peer while the direct way is closed.
+//!
+//! The store may turn single hosts away or be out of their reach while it serves others. After
+//! failures in a row the direct way counts as closed for a while, and a call is first passed on by
+//! a peer whose own way is open. A peer never passes a relayed call on again.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use mangotrestle_users_platform::store::{FeedError, Rows, Transaction, TransactionAnswer};
+use mangotrestle_users_platform::transport::CallError;
+use serde::{Deserialize, Serialize};
+
+use super::cell::Cell;
+
+/// Failures in a row that close the direct way.
+const CLOSING_FAILURES: u64 = 2;
+/// Time for which the direct way stays closed, in milliseconds; a peer's help costs little more.
+const CLOSED_MS: u64 = 1_000;
+/// Peers that are tried for one call.
+const MOST_RELAYS: usize = 2;
+/// Time for a relayed call beyond that of the call itself.
+const RELAY_MARGIN: Duration = Duration::from_millis(100);
+
+/// State of the direct way.
+#[derive(Debug, Default)]
+pub(super) struct DirectWay {
+    failures: AtomicU64,
+    closed_until_ms: AtomicU64,
+}
+
+/// A call that a peer passes on.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) enum RelayedCall {
+    /// A transaction.
+    Transact {
+        /// What to carry out.
+        transaction: Transaction,
+        /// Time for it.
+        within_ms: u64,
+    },
+    /// A range.
+    Range {
+        /// The table.
+        table: String,
+        /// The part.
+        part: String,
+        /// First key.
+        from: String,
+        /// Key after the last.
+        to: String,
+        /// Time for it.
+        within_ms: u64,
+    },
+    /// A feed.
+    Feed {
+        /// The table.
+        table: String,
+        /// The version.
+        after: u64,
+        /// How long to wait for a change.
+        wait_ms: u64,
+        /// Time for it.
+        within_ms: u64,
+    },
+}
+
+/// Answer to a relayed call.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) enum RelayedAnswer {
+    /// Of a transaction.
+    Transact(Result<TransactionAnswer, CallError>),
+    /// Of a range.
+    Range(Result<Rows, CallError>),
+    /// Of a feed.
+    Feed(Result<Rows, FeedError>),
+    /// The peer has no open way itself.
+    Closed,
+}
+
+impl Cell {
+    /// Whether the direct way to the store is open.
+    pub(super) fn store_is_open(&self) -> bool {
+        self.clock.now().0 >= self.direct.closed_until_ms.load(Ordering::Relaxed)
+    }
+
+    /// Whether the last call to the store succeeded, by whatever way.
+    pub(super) fn store_answers(&self) -> bool {
+        let failed_at = self.store_failed_at_ms.load(Ordering::Relaxed);
+        self.store_answered_at_ms.load(Ordering::Relaxed) >= failed_at
+    }
+
+    fn note_direct(&self, error: Option<&CallError>) {
+        let now = self.clock.now().0;
+        if error.is_none() {
+            self.direct.failures.store(0, Ordering::Relaxed);
+            self.note_answer();
+            return;
+        }
+        self.store_failed_at_ms.store(now, Ordering::Relaxed);
+        let failures = self.direct.failures.fetch_add(1, Ordering::Relaxed) + 1;
+        if failures >= CLOSING_FAILURES {
+            let was_open = self.store_is_open();
+            let until = now + CLOSED_MS;
+            self.direct.closed_until_ms.store(until, Ordering::Relaxed);
+            if was_open && failures == CLOSING_FAILURES {
+                let error = error.map(ToString::to_string).unwrap_or_default();
+                slog::warn!(self.log, "store.lost"; "failures" => failures, "error" => error);
+            }
+        }
+    }
+
+    fn note_answer(&self) {
+        let now = self.clock.now().0;
+        let answered = self.store_answered_at_ms.swap(now, Ordering::Relaxed);
+        let failed = self.store_failed_at_ms.load(Ordering::Relaxed);
+        if failed > answered {
+            slog::info!(self.log, "store.regained"; "away_ms" => now.saturating_sub(answered));
+        }
+    }
+
+    /// Carries out a transaction.
+    pub(super) async fn transact(
+        self: &Arc<Self>,
+        transaction: &Transaction,
+        within: Duration,
+    ) -> Result<TransactionAnswer, CallError> {
+        let open = self.store_is_open();
+        if open {
+            let result = self.store.transact(transaction, within).await;
+            self.note_direct(result.as_ref().err());
+            match result {
+                Err(error) if error.had_no_effect() => {}
+                other => return other,
+            }
+        }
+        let call = RelayedCall::Transact {
+            transaction: transaction.clone(),
+            within_ms: millis(within),
+        };
+        match self.relay(&call, within).await {
+            Some(RelayedAnswer::Transact(result)) => {
+                if result.is_ok() {
+                    self.note_answer();
+                }
+                result
+            }
+            Some(_) => Err(CallError::Unknown("a peer gave another answer".to_owned())),
+            None if open => Err(CallError::NotSent("no way to the store".to_owned())),
+            None => {
+                let result = self.store.transact(transaction, within).await;
+                self.note_direct(result.as_ref().err());
+                result
+            }
+        }
+    }
+
+    /// Reads rows.
+    pub(super) async fn range(
+        self: &Arc<Self>,
+        table: &str,
+        part: &str,
+        from: &str,
+        to: &str,
+        within: Duration,
+    ) -> Result<Rows, CallError> {
+        let open = self.store_is_open();
+        if open {
+            let result = self.store.range(table, part, from, to, within).await;
+            self.note_direct(result.as_ref().err());
+            if result.is_ok() {
+                return result;
+            }
+        }
+        let call = RelayedCall::Range {
+            table: table.to_owned(),
+            part: part.to_owned(),
+            from: from.to_owned(),
+            to: to.to_owned(),
+            within_ms: millis(within),
+        };
+        match self.relay(&call, within).await {
+            Some(RelayedAnswer::Range(result)) => {
+                if result.is_ok() {
+                    self.note_answer();
+                }
+                result
+            }
+            Some(_) => Err(CallError::Unknown("a peer gave another answer".to_owned())),
+            None if open => Err(CallError::NotSent("no way to the store".to_owned())),
+            None => {
+                let result = self.store.range(table, part, from, to, within).await;
+                self.note_direct(result.as_ref().err());
+                result
+            }
+        }
+    }
+
+    /// Reads all rows of a part, page by page, with the version of the first page.
+    pub(super) async fn whole_part(
+        self: &Arc<Self>,
+        table: &str,
+        part: &str,
+        within: Duration,
+    ) -> Result<Rows, CallError> {
+        let mut all = self.range(table, part, "", "", within).await?;
+        while all.truncated {
+            // The least key after the last one read.
+            let from = all
+                .rows
+                .last()
+                .map(|row| format!("{}\u{1}", row.name.key))
+                .unwrap_or_default();
+            let page = self.range(table, part, &from, "", within).await?;
+            all.truncated = page.truncated && !page.rows.is_empty();
+            all.rows.extend(page.rows);
+        }
+        Ok(all)
+    }
+
+    /// Waits for changes of a table.
+    pub(super) async fn feed(
+        self: &Arc<Self>,
+        table: &str,
+        after: u64,
+        wait: Duration,
+        within: Duration,
+    ) -> Result<Rows, FeedError> {
+        let open = self.store_is_open();
+        if open {
+            let result = self.store.feed(table, after, wait, within).await;
+            match &result {
+                Err(FeedError::Call(error)) => self.note_direct(Some(error)),
+                Ok(_) | Err(FeedError::HistoryLost) => {
+                    self.note_direct(None);
+                    return result;
+                }
+            }
+        }
+        let call = RelayedCall::Feed {
+            table: table.to_owned(),
+            after,
+            wait_ms: millis(wait),
+            within_ms: millis(within),
+        };
+        match self.relay(&call, within).await {
+            Some(RelayedAnswer::Feed(result)) => {
+                if result.is_ok() {
+                    self.note_answer();
+                }
+                result
+            }
+            Some(_) => Err(FeedError::Call(CallError::Unknown(
+                "a peer gave another answer".to_owned(),
+            ))),
+            None if open => Err(FeedError::Call(CallError::NotSent(
+                "no way to the store".to_owned(),
+            ))),
+            None => {
+                let result = self.store.feed(table, after, wait, within).await;
+                match &result {
+                    Err(FeedError::Call(error)) => self.note_direct(Some(error)),
+                    _ => self.note_direct(None),
+                }
+                result
+            }
+        }
+    }
+
+    /// Has a peer pass a call on; `None` if none has an open way. A peer that does not answer may
+    /// have passed the call on.
+    async fn relay(
+        self: &Arc<Self>,
+        call: &RelayedCall,
+        within: Duration,
+    ) -> Option<RelayedAnswer> {
+        let value = serde_json::to_value(call).ok()?;
+        for client in self.relay_peers(MOST_RELAYS) {
+            let wait = within + RELAY_MARGIN;
+            let answer = tokio::time::timeout(wait, client.1.relay(value.clone())).await;
+            match answer {
+                Ok(Ok(answer)) => match serde_json::from_value(answer) {
+                    Ok(RelayedAnswer::Closed) => {}
+                    Ok(answer) => return Some(answer),
+                    Err(error) => return Some(unknown(call, &error.to_string())),
+                },
+                Ok(Err(error)) => {
+                    self.note_peer_failure(&client.0);
+                    if matches!(call, RelayedCall::Transact { .. }) {
+                        return Some(unknown(call, &error.to_string()));
+                    }
+                }
+                Err(_) => {
+                    self.note_peer_failure(&client.0);
+                    if matches!(call, RelayedCall::Transact { .. }) {
+                        return Some(unknown(call, "the peer did not answer in time"));
+                    }
+                }
+            }
+        }
+        None
+    }
+
+    /// Carries out a call of a peer, directly or not at all.
+    pub(super) async fn carry_out(self: &Arc<Self>, call: RelayedCall) -> RelayedAnswer {
+        if !self.store_is_open() {
+            return RelayedAnswer::Closed;
+        }
+        match call {
+            RelayedCall::Transact {
+                transaction,
+                within_ms,
+            } => {
+                let within = Duration::from_millis(within_ms);
+                let result = self.store.transact(&transaction, within).await;
+                self.note_direct(result.as_ref().err());
+                RelayedAnswer::Transact(result)
+            }
+            RelayedCall::Range {
+                table,
+                part,
+                from,
+                to,
+                within_ms,
+            } => {
+                let within = Duration::from_millis(within_ms);
+                let result = self.store.range(&table, &part, &from, &to, within).await;
+                self.note_direct(result.as_ref().err());
+                RelayedAnswer::Range(result)
+            }
+            RelayedCall::Feed {
+                table,
+                after,
+                wait_ms,
+                within_ms,
+            } => {
+                let (wait, within) = (
+                    Duration::from_millis(wait_ms),
+                    Duration::from_millis(within_ms),
+                );
+                let result = self.store.feed(&table, after, wait, within).await;
+                match &result {
+                    Err(FeedError::Call(error)) => self.note_direct(Some(error)),
+                    _ => self.note_direct(None),
+                }
+                RelayedAnswer::Feed(result)
+            }
+        }
+    }
+}
+
+fn unknown(call: &RelayedCall, why: &str) -> RelayedAnswer {
+    let error = CallError::Unknown(why.to_owned());
+    match call {
+        RelayedCall::Transact { .. } => RelayedAnswer::Transact(Err(error)),
+        RelayedCall::Range { .. } => RelayedAnswer::Range(Err(error)),
+        RelayedCall::Feed { .. } => RelayedAnswer::Feed(Err(FeedError::Call(error))),
+    }
+}
+
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/mangotrestle/src/host/cell.rs
@@ -0,0 +1,377 @@
+//! What all parts of the process share.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use arc_swap::ArcSwapOption;
+use mangotrestle_core::collections::{FastMap, FastSet};
+use mangotrestle_core::id;
+use mangotrestle_core::membership::rendezvous;
+use mangotrestle_core::time::{SpanMs, TimeMs};
+use mangotrestle_core::workflow::catalog::Catalog;
+use mangotrestle_core::workflow::environment::HostSettings;
+use mangotrestle_core::workflow::tenure::{LeadRow, PoolSummary, Watch};
+use mangotrestle_core::workflow::upkeep::Wave;
+use mangotrestle_peer::cell::CellClient;
+use mangotrestle_users_platform::machines::Machines;
+use mangotrestle_users_platform::operator;
+use mangotrestle_users_platform::store::{Row, Store};
+use mangotrestle_users_platform::transport::Transport;
+use mangotrestle_users_platform::worker::Workers;
+use rand::RngExt;
+use serde::{Deserialize, Serialize};
+
+use super::acceptor::Acceptor;
+use super::access::DirectWay;
+use super::clock::Clock;
+use super::leader::Leader;
+
+/// Longest time for a call to a peer; callers set shorter ones.
+const PEER_TIMEOUT: Duration = Duration::from_secs(4);
+/// Time for which a peer is passed over that did not answer.
+const PEER_PASSED_OVER: SpanMs = SpanMs(1_500);
+
+/// A host's row.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(super) struct HostRow {
+    /// Where its peers reach it.
+    pub(super) address: SocketAddr,
+    /// Its availability zone.
+    pub(super) zone: String,
+    /// The life of its process.
+    pub(super) life: u64,
+}
+
+/// A host of the cell as this one sees it.
+#[derive(Debug)]
+pub(super) struct Peer {
+    row: HostRow,
+    client: CellClient,
+    passed_over_until: TimeMs,
+    /// Questions that it is asking on behalf of leaders here.
+    questions: usize,
+}
+
+/// What is known of a pool.
+#[derive(Debug, Default)]
+pub(super) struct PoolView {
+    /// Its leadership.
+    pub(super) watch: Watch,
+    /// What its leader tells.
+    pub(super) summary: Option<Arc<PoolSummary>>,
+}
+
+/// What all parts of the process share.
+pub(super) struct Cell {
+    /// Settings of the host.
+    pub(super) settings: HostSettings,
+    /// Where events are logged.
+    pub(super) log: slog::Logger,
+    /// Clocks.
+    pub(super) clock: Clock,
+    /// This life of the process.
+    pub(super) life: u64,
+    /// Calls to the store.
+    pub(super) store: Store,
+    /// Calls to workers.
+    pub(super) workers: Workers,
+    /// Calls to the machines' service.
+    pub(super) machines: Option<Machines>,
+    /// Connections for everything else.
+    pub(super) transport: Transport,
+    /// The direct way to the store.
+    pub(super) direct: DirectWay,
+    /// When the store last answered, by whatever way.
+    pub(super) store_answered_at_ms: AtomicU64,
+    /// When a direct call to the store last failed.
+    pub(super) store_failed_at_ms: AtomicU64,
+    /// The configuration in force.
+    pub(super) catalog: ArcSwapOption<Catalog>,
+    pools: Mutex<FastMap<String, PoolView>>,
+    peers: Mutex<BTreeMap<id::EntryHostId, Peer>>,
+    leaders: Mutex<FastMap<String, Arc<Leader>>>,
+    acceptors: Mutex<FastMap<String, Acceptor>>,
+    waves: Mutex<BTreeMap<String, Wave>>,
+    claiming: Mutex<FastSet<String>>,
+    stopping: AtomicBool,
+}
+
+impl Cell {
+    /// State of a process that begins.
+    pub(super) fn new(settings: HostSettings, log: slog::Logger) -> Self {
+        let transport = Transport::new();
+        Self {
+            store: Store::new(Transport::new(), settings.store),
+            workers: Workers::new(Transport::new()),
+            machines: settings
+                .machines
+                .map(|address| Machines::new(transport.clone(), address)),
+            transport,
+            settings,
+            log,
+            clock: Clock::start(),
+            life: rand::rng().random(),
+            direct: DirectWay::default(),
+            store_answered_at_ms: AtomicU64::new(0),
+            store_failed_at_ms: AtomicU64::new(0),
+            catalog: ArcSwapOption::empty(),
+            pools: Mutex::default(),
+            peers: Mutex::default(),
+            leaders: Mutex::default(),
+            acceptors: Mutex::default(),
+            waves: Mutex::default(),
+            claiming: Mutex::default(),
+            stopping: AtomicBool::new(false),
+        }
+    }
+
+    /// Whether a planned stop has begun.
+    pub(super) fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    /// Begins a planned stop.
+    pub(super) fn begin_stop(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether the balancer may send callers here.
+    pub(super) fn is_ready(&self) -> bool {
+        !self.is_stopping() && self.catalog.load().is_some() && self.store_answers()
+    }
+
+    /// This host's row.
+    pub(super) fn own_row(&self) -> HostRow {
+        HostRow {
+            address: self.settings.peer,
+            zone: self.settings.zone.clone(),
+            life: self.life,
+        }
+    }
+
+    /// Takes a host's row; `None` if the host is gone.
+    pub(super) fn learn_host(&self, host: &id::EntryHostId, row: Option<HostRow>) {
+        if *host == self.settings.host {
+            return;
+        }
+        let mut peers = lock(&self.peers);
+        let Some(row) = row else {
+            if peers.remove(host).is_some() {
+                slog::info!(self.log, "peer.gone"; "peer" => host.as_str());
+            }
+            return;
+        };
+        if peers
+            .get(host)
+            .is_some_and(|peer| peer.row.life == row.life)
+        {
+            return;
+        }
+        let client = match CellClient::new(row.address, PEER_TIMEOUT) {
+            Ok(client) => client,
+            Err(error) => {
+                slog::warn!(self.log, "peer.unusable"; "peer" => host.as_str(), "error" => %error);
+                return;
+            }
+        };
+        slog::info!(self.log, "peer.known"; "peer" => host.as_str(), "address" => %row.address,
+            "life" => row.life);
+        let peer = Peer {
+            row,
+            client,
+            passed_over_until: TimeMs(0),
+            questions: 0,
+        };
+        peers.insert(host.clone(), peer);
+    }
+
+    /// A client of a peer.
+    pub(super) fn peer(&self, host: &id::EntryHostId) -> Option<CellClient> {
+        lock(&self.peers).get(host).map(|peer| peer.client.clone())
+    }
+
+    /// Passes a peer over for a while.
+    pub(super) fn note_peer_failure(&self, host: &id::EntryHostId) {
+        let now = self.clock.now();
+        if let Some(peer) = lock(&self.peers).get_mut(host) {
+            if now >= peer.passed_over_until {
+                slog::info!(self.log, "peer.silent"; "peer" => host.as_str());
+            }
+            peer.passed_over_until = now + PEER_PASSED_OVER;
+        }
+    }
+
+    /// Peers to pass calls on, in random order.
+    pub(super) fn relay_peers(&self, most: usize) -> Vec<(id::EntryHostId, CellClient)> {
+        let now = self.clock.now();
+        let peers = lock(&self.peers);
+        let mut usable: Vec<_> = peers
+            .iter()
+            .filter(|(_, peer)| now >= peer.passed_over_until)
+            .map(|(host, peer)| (host.clone(), peer.client.clone()))
+            .collect();
+        let mut rng = rand::rng();
+        for index in (1..usable.len()).rev() {
+            usable.swap(index, rng.random_range(0..=index));
+        }
+        usable.truncate(most);
+        usable
+    }
+
+    /// Takes the peer that asks the fewest questions; `None` is this host itself.
+    pub(super) fn take_asker(&self, own_questions: usize) -> Option<(id::EntryHostId, CellClient)> {
+        let now = self.clock.now();
+        let mut peers = lock(&self.peers);
+        let (host, peer) = peers
+            .iter_mut()
+            .filter(|(_, peer)| now >= peer.passed_over_until)
+            .min_by_key(|(_, peer)| (peer.questions, peer.row.zone != self.settings.zone))?;
+        if peer.questions >= own_questions && own_questions == 0 {
+            return None;
+        }
+        peer.questions += 1;
+        Some((host.clone(), peer.client.clone()))
+    }
+
+    /// Gives back a peer that asked.
+    pub(super) fn give_asker_back(&self, host: &id::EntryHostId) {
+        if let Some(peer) = lock(&self.peers).get_mut(host) {
+            peer.questions = peer.questions.saturating_sub(1);
+        }
+    }
+
+    /// Number of hosts, this one included.
+    pub(super) fn host_count(&self) -> usize {
+        lock(&self.peers).len() + 1
+    }
+
+    /// This host's rank among all for a pool.
+    pub(super) fn rank(&self, pool: &str) -> u64 {
+        let peers = lock(&self.peers);
+        let hosts = peers.keys().chain(std::iter::once(&self.settings.host));
+        let ranked = rendezvous::ranked(pool, hosts, usize::MAX);
+        let position = ranked.iter().position(|host| **host == self.settings.host);
+        position
+            .and_then(|rank| u64::try_from(rank).ok())
+            .unwrap_or_default()
+    }
+
+    /// Hosts for a pool, best first, without this one.
+    pub(super) fn successors(&self, pool: &str) -> Vec<CellClient> {
+        let peers = lock(&self.peers);
+        let ranked = rendezvous::ranked(pool, peers.keys(), usize::MAX);
+        ranked
+            .into_iter()
+            .filter_map(|host| peers.get(host))
+            .map(|peer| peer.client.clone())
+            .collect()
+    }
+
+    /// Looks at or changes what is known of a pool.
+    pub(super) fn with_pool<T>(&self, pool: &str, use_view: impl FnOnce(&mut PoolView) -> T) -> T {
+        let mut pools = lock(&self.pools);
+        if !pools.contains_key(pool) {
+            pools.insert(pool.to_owned(), PoolView::default());
+        }
+        let view = pools.entry(pool.to_owned()).or_default();
+        use_view(view)
+    }
+
+    /// Names of all pools that are known.
+    pub(super) fn known_pools(&self) -> Vec<String> {
+        lock(&self.pools).keys().cloned().collect()
+    }
+
+    /// The leadership row of a pool.
+    pub(super) fn lead_row(&self, pool: &str) -> Option<LeadRow> {
+        self.with_pool(pool, |view| view.watch.row().cloned())
+    }
+
+    /// What a pool's leader tells.
+    pub(super) fn summary(&self, pool: &str) -> Option<Arc<PoolSummary>> {
+        if let Some(leader) = self.leader(pool) {
+            return Some(leader.summary());
+        }
+        self.with_pool(pool, |view| view.summary.clone())
+    }
+
+    /// The leader of a pool, if this host leads it.
+    pub(super) fn leader(&self, pool: &str) -> Option<Arc<Leader>> {
+        lock(&self.leaders).get(pool).cloned()
+    }
+
+    /// All pools that this host leads.
+    pub(super) fn all_leaders(&self) -> Vec<(String, Arc<Leader>)> {
+        let leaders = lock(&self.leaders);
+        let pairs = leaders.iter();
+        pairs
+            .map(|(pool, leader)| (pool.clone(), Arc::clone(leader)))
+            .collect()
+    }
+
+    /// Enters this host as the leader of a pool.
+    pub(super) fn enter_leader(&self, pool: &str, leader: Arc<Leader>) {
+        lock(&self.leaders).insert(pool.to_owned(), leader);
+    }
+
+    /// Removes this host as the leader of a pool.
+    pub(super) fn remove_leader(&self, pool: &str) {
+        lock(&self.leaders).remove(pool);
+    }
+
+    /// Notes that a claim of a pool begins; `false` if one is on its way.
+    pub(super) fn begin_claiming(&self, pool: &str) -> bool {
+        lock(&self.claiming).insert(pool.to_owned())
+    }
+
+    /// Notes that a claim of a pool has ended.
+    pub(super) fn end_claiming(&self, pool: &str) {
+        lock(&self.claiming).remove(pool);
+    }
+
+    /// Takes an operator's row that is not the configuration.
+    pub(super) fn take_wave_row(&self, row: &Row) {
+        if !row.name.key.starts_with(operator::WAVE_PREFIX) {
+            return;
+        }
+        let Some(value) = &row.value else {
+            slog::info!(self.log, "wave.removed"; "wave" => &row.name.key);
+            lock(&self.waves).remove(&row.name.key);
+            return;
+        };
+        match operator::decode_wave(&value.0) {
+            Some(wave) => {
+                slog::info!(self.log, "wave.seen"; "wave" => wave.number,
+                    "machines" => wave.machines.len(), "most_down" => wave.most_down,
+                    "duration_ms" => wave.duration_ms, "row_version" => row.version);
+                lock(&self.waves).insert(row.name.key.clone(), wave);
+            }
+            None => {
+                slog::warn!(self.log, "wave.malformed"; "wave" => &row.name.key,
+                    "row_version" => row.version);
+            }
+        }
+    }
+
+    /// Waves that the operator asks for.
+    pub(super) fn waves(&self) -> BTreeMap<String, Wave> {
+        lock(&self.waves).clone()
+    }
+
+    /// What makes jobs of a pool durable.
+    pub(super) fn acceptor(self: &Arc<Self>, pool: &str) -> Acceptor {
+        let mut acceptors = lock(&self.acceptors);
+        let acceptor = acceptors
+            .entry(pool.to_owned())
+            .or_insert_with(|| Acceptor::start(Arc::clone(self), pool));
+        acceptor.clone()
+    }
+}
+
+/// Locks; a thread that panicked while it held the lock leaves the state as it was.
+pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/mangotrestle/src/host/events.rs
@@ -0,0 +1,158 @@
+//! Log lines of a host: one for each decision that touches a job or changes what the process
+//! believes.
+
+use std::time::Duration;
+
+use mangotrestle_core::id;
+use mangotrestle_core::workflow::admission::Admission;
+use mangotrestle_core::workflow::catalog::Queue;
+use mangotrestle_core::workflow::environment::HostSettings;
+use mangotrestle_core::workflow::pool::Note;
+use mangotrestle_core::workflow::record::JobState;
+
+use super::acceptor::Acceptance;
+
+/// The process begins.
+pub(super) fn started(log: &slog::Logger, settings: &HostSettings) {
+    slog::info!(log, "host.started"; "zone" => &settings.zone, "front" => %settings.front,
+        "peer" => %settings.peer, "store" => %settings.store, "memory_mib" => settings.memory_mib);
+}
+
+/// A planned stop begins.
+pub(super) fn stopping(log: &slog::Logger) {
+    slog::info!(log, "host.stopping");
+}
+
+/// The process ends.
+pub(super) fn stopped(log: &slog::Logger, finished: bool) {
+    slog::info!(log, "host.stopped"; "all_answered" => finished);
+}
+
+/// A submitted body cannot be used.
+pub(super) fn job_malformed(log: &slog::Logger, job: &id::JobId, error: &str) {
+    metrics::counter!("mangotrestle_jobs_malformed_total").increment(1);
+    slog::info!(log, "job.malformed"; "job" => job.as_str(), "error" => error);
+}
+
+/// A job was refused by admission.
+pub(super) fn job_refused(
+    log: &slog::Logger,
+    job: &id::JobId,
+    queue: &Queue,
+    admission: &Admission,
+    version: u64,
+) {
+    metrics::counter!("mangotrestle_jobs_refused_total").increment(1);
+    slog::info!(log, "job.refused"; "job" => job.as_str(), "queue" => &queue.policy.queue,
+        "decision" => ?admission, "configuration" => version);
+}
+
+/// A submitted job was answered.
+pub(super) fn job_answered(
+    log: &slog::Logger,
+    job: &id::JobId,
+    queue: &Queue,
+    acceptance: &Acceptance,
+    version: u64,
+    took: Duration,
+) {
+    let outcome = match acceptance {
+        Acceptance::Accepted { .. } => "accepted",
+        Acceptance::Known => "known",
+        Acceptance::NotAccepted(_) => "not-accepted",
+        Acceptance::Unknown(_) => "unknown",
+    };
+    metrics::histogram!("mangotrestle_acceptance_seconds", "outcome" => outcome)
+        .record(took.as_secs_f64());
+    slog::info!(log, "job.answered"; "job" => job.as_str(), "queue" => &queue.policy.queue,
+        "outcome" => ?acceptance, "configuration" => version, "took_ms" => millis(took));
+}
+
+/// A caller could not be told about a job.
+pub(super) fn job_unknown(log: &slog::Logger, job: &id::JobId, queue: &Queue, why: &str) {
+    metrics::counter!("mangotrestle_jobs_unknown_total").increment(1);
+    slog::warn!(log, "job.unknown"; "job" => job.as_str(), "queue" => &queue.policy.queue,
+        "why" => why);
+}
+
+/// A caller was told a job's state.
+pub(super) fn job_shown(log: &slog::Logger, job: &id::JobId, state: Option<JobState>) {
+    slog::debug!(log, "job.shown"; "job" => job.as_str(), "state" => ?state);
+}
+
+/// A cancel was answered.
+pub(super) fn job_cancelled(
+    log: &slog::Logger,
+    job: &id::JobId,
+    queue: &Queue,
+    state: Option<JobState>,
+) {
+    slog::info!(log, "job.cancelled"; "job" => job.as_str(), "queue" => &queue.policy.queue,
+        "state" => ?state);
+}
+
+/// What a pool decided or learned.
+pub(super) fn note(log: &slog::Logger, pool: &str, term: u64, note: &Note) {
+    match note {
+        Note::Bound {
+            task,
+            run,
+            worker,
+            waited,
+        } => {
+            metrics::histogram!("mangotrestle_bound_seconds")
+                .record(waited.as_duration().as_secs_f64());
+            slog::info!(log, "run.bound"; "task" => %task, "run" => run,
+                "worker" => worker.as_str(), "waited_ms" => waited.0, "pool" => pool,
+                "term" => term);
+        }
+        Note::OrderFailed {
+            task,
+            run,
+            worker,
+            answer,
+        } => {
+            metrics::counter!("mangotrestle_orders_failed_total").increment(1);
+            slog::info!(log, "order.failed"; "task" => %task, "run" => run,
+                "worker" => worker.as_str(), "answer" => ?answer, "term" => term);
+        }
+        Note::RunEnded {
+            task,
+            run,
+            worker,
+            end,
+        } => {
+            metrics::counter!("mangotrestle_runs_ended_total").increment(1);
+            slog::info!(log, "run.ended"; "task" => %task, "run" => run,
+                "worker" => worker.as_str(), "end" => ?end);
+        }
+        Note::Stray { task, run, worker } => {
+            slog::warn!(log, "run.stray"; "task" => %task, "run" => run,
+                "worker" => worker.as_str(), "term" => term);
+        }
+        Note::JobEnded { job, state, after } => {
+            slog::info!(log, "job.ended"; "job" => job.as_str(), "state" => ?state,
+                "after_ms" => after.0, "pool" => pool, "term" => term);
+        }
+        Note::WorkerSilent { worker, runs } => {
+            slog::warn!(log, "worker.silent"; "worker" => worker.as_str(), "runs" => runs);
+        }
+        Note::WorkerLapsed { worker, runs, over } => {
+            slog::warn!(log, "worker.lapsed"; "worker" => worker.as_str(), "runs" => runs,
+                "over" => over);
+        }
+        Note::WorkerQuarantined { worker } => {
+            slog::warn!(log, "worker.quarantined"; "worker" => worker.as_str());
+        }
+        Note::WorkerGone { worker } => {
+            slog::info!(log, "worker.gone"; "worker" => worker.as_str());
+        }
+        Note::WorkerDraining { worker } => {
+            slog::info!(log, "worker.draining"; "worker" => worker.as_str());
+        }
+    }
+}
+
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/mangotrestle/src/host/feeds.rs
@@ -0,0 +1,259 @@
+//! Follows the operator's configuration and the cell's own rows.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use mangotrestle_core::id;
+use mangotrestle_core::workflow::tenure::{LeadRow, PoolSummary};
+use mangotrestle_users_platform::operator;
+use mangotrestle_users_platform::store::{
+    FeedError, OPERATOR_TABLE, Row, RowName, Rows, Transaction, Value,
+};
+
+use super::cell::{Cell, HostRow};
+use super::leader;
+use super::names;
+
+/// How long the store may hold the configuration's feed back: half of the time in which a
+/// configuration has to be in force, so that a connection that went silent is noticed in time.
+const CONFIGURATION_WAIT_PART: f64 = 0.45;
+/// Time for an answer beyond the wait asked for.
+const FEED_MARGIN: Duration = Duration::from_millis(450);
+/// Distance of looks at the cell's rows.
+const CELL_INTERVAL: Duration = Duration::from_millis(400);
+/// How long the store may hold the cell's feed back.
+const CELL_WAIT: Duration = Duration::from_millis(400);
+/// Pause after a call that failed.
+const PAUSE: Duration = Duration::from_millis(150);
+/// Time for a whole read.
+const READ: Duration = Duration::from_millis(1_500);
+/// Time without answered looks after which leaders get their full time again.
+const BLIND: Duration = Duration::from_millis(1_000);
+
+/// Follows the configuration until the process ends.
+pub(super) async fn follow_configuration(cell: Arc<Cell>) {
+    let wait = cell
+        .settings
+        .bounds
+        .configuration
+        .as_duration()
+        .mul_f64(CONFIGURATION_WAIT_PART);
+    let mut version = None;
+    loop {
+        let result = match version {
+            None => cell
+                .whole_part(OPERATOR_TABLE, "", READ)
+                .await
+                .map_err(FeedError::Call),
+            Some(after) => {
+                cell.feed(OPERATOR_TABLE, after, wait, wait + FEED_MARGIN)
+                    .await
+            }
+        };
+        match result {
+            Ok(rows) => {
+                version = Some(rows.version.max(version.unwrap_or_default()));
+                for row in &rows.rows {
+                    take_operator_row(&cell, row);
+                }
+            }
+            Err(FeedError::HistoryLost) => {
+                slog::info!(cell.log, "configuration.history_lost"; "after" => ?version);
+                version = None;
+            }
+            Err(FeedError::Call(error)) => {
+                slog::debug!(cell.log, "configuration.not_read"; "error" => %error);
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+fn take_operator_row(cell: &Cell, row: &Row) {
+    if row.name.key != operator::CONFIGURATION_KEY {
+        cell.take_wave_row(row);
+        return;
+    }
+    let Some(value) = &row.value else {
+        slog::warn!(cell.log, "configuration.removed"; "row_version" => row.version);
+        return;
+    };
+    let catalog = match operator::decode_configuration(&value.0) {
+        Ok(catalog) => catalog,
+        Err(error) => {
+            slog::warn!(cell.log, "configuration.malformed"; "error" => %error,
+                "row_version" => row.version);
+            return;
+        }
+    };
+    let present = cell.catalog.load().as_ref().map(|present| present.version);
+    if present.is_some_and(|present| present >= catalog.version) {
+        return;
+    }
+    slog::info!(cell.log, "configuration.in_force"; "version" => catalog.version,
+        "before" => ?present, "queues" => catalog.queues.len());
+    cell.catalog.store(Some(Arc::new(catalog)));
+}
+
+/// Follows hosts and leaderships until the process ends, and claims pools that have no leader.
+pub(super) async fn follow_cell(cell: Arc<Cell>) {
+    let mut version = None;
+    let mut answered_at = Instant::now();
+    let mut registered = false;
+    loop {
+        let began = Instant::now();
+        if !registered {
+            registered = register(&cell).await;
+        }
+        let result = match version {
+            None => read_cell(&cell).await.map_err(FeedError::Call),
+            Some(after) => {
+                cell.feed(names::CELL, after, CELL_WAIT, CELL_WAIT + FEED_MARGIN)
+                    .await
+            }
+        };
+        match result {
+            Ok(rows) => {
+                let blind = answered_at.elapsed() > BLIND;
+                answered_at = Instant::now();
+                version = Some(rows.version.max(version.unwrap_or_default()));
+                take_cell_rows(&cell, &rows, blind);
+                claim_due_pools(&cell);
+            }
+            Err(FeedError::HistoryLost) => version = None,
+            Err(FeedError::Call(error)) => {
+                slog::debug!(cell.log, "cell.not_read"; "error" => %error);
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+        tokio::time::sleep(CELL_INTERVAL.saturating_sub(began.elapsed())).await;
+    }
+}
+
+/// Writes this host's row; says whether it is durable.
+async fn register(cell: &Arc<Cell>) -> bool {
+    let key = format!("{}{}", names::HOST_PREFIX, cell.settings.host);
+    let Ok(row) = serde_json::to_vec(&cell.own_row()) else {
+        return false;
+    };
+    let transaction = Transaction {
+        set: vec![(RowName::new(names::CELL, "", &key), Value(row))],
+        ..Transaction::default()
+    };
+    cell.transact(&transaction, READ).await.is_ok()
+}
+
+/// Reads all of the cell's rows, with the version of the first read.
+async fn read_cell(
+    cell: &Arc<Cell>,
+) -> Result<Rows, mangotrestle_users_platform::transport::CallError> {
+    let mut all = cell.whole_part(names::CELL, "", READ).await?;
+    let mut pools: Vec<String> = cell.known_pools();
+    if let Some(catalog) = cell.catalog.load_full() {
+        pools.extend(catalog.pools.iter().map(|pool| pool.name.clone()));
+    }
+    pools.push(names::UPKEEP_POOL.to_owned());
+    pools.sort_unstable();
+    pools.dedup();
+    for pool in pools {
+        let rows = cell.whole_part(names::CELL, &pool, READ).await?;
+        all.rows.extend(rows.rows);
+    }
+    Ok(all)
+}
+
+fn take_cell_rows(cell: &Cell, rows: &Rows, blind: bool) {
+    let now = cell.clock.now();
+    for row in &rows.rows {
+        if row.name.part.is_empty() {
+            take_host_row(cell, row);
+        } else if row.name.key == names::LEAD_KEY {
+            take_lead_row(cell, row);
+        } else if row.name.key == names::VIEW_KEY {
+            take_view_row(cell, row);
+        }
+    }
+    let mut pools = cell.known_pools();
+    if let Some(catalog) = cell.catalog.load_full() {
+        pools.extend(catalog.pools.iter().map(|pool| pool.name.clone()));
+    }
+    for pool in pools {
+        cell.with_pool(&pool, |view| {
+            if blind {
+                view.watch.restart(now);
+            } else {
+                view.watch.observe_unchanged(now);
+            }
+        });
+    }
+}
+
+fn take_host_row(cell: &Cell, row: &Row) {
+    let name = row.name.key.strip_prefix(names::HOST_PREFIX);
+    let Some(host) = name.and_then(|name| id::EntryHostId::new(name).ok()) else {
+        return;
+    };
+    match &row.value {
+        None => cell.learn_host(&host, None),
+        Some(value) => match serde_json::from_slice::<HostRow>(&value.0) {
+            Ok(known) => cell.learn_host(&host, Some(known)),
+            Err(error) => {
+                slog::warn!(cell.log, "peer.malformed"; "peer" => host.as_str(),
+                    "error" => %error);
+            }
+        },
+    }
+}
+
+fn take_lead_row(cell: &Cell, row: &Row) {
+    let Some(value) = &row.value else {
+        return;
+    };
+    let lead: LeadRow = match serde_json::from_slice(&value.0) {
+        Ok(lead) => lead,
+        Err(error) => {
+            slog::warn!(cell.log, "leadership.malformed"; "pool" => &row.name.part,
+                "error" => %error);
+            return;
+        }
+    };
+    let now = cell.clock.now();
+    let before = cell.lead_row(&row.name.part);
+    if before.is_none_or(|before| before.term < lead.term) {
+        slog::info!(cell.log, "leadership.seen"; "pool" => &row.name.part, "term" => lead.term,
+            "holder" => lead.holder.as_str());
+    }
+    cell.with_pool(&row.name.part, |view| {
+        view.watch.observe(now, lead, row.version);
+    });
+}
+
+fn take_view_row(cell: &Cell, row: &Row) {
+    let Some(value) = &row.value else {
+        return;
+    };
+    match serde_json::from_slice::<PoolSummary>(&value.0) {
+        Ok(summary) => cell.with_pool(&row.name.part, |view| {
+            view.summary = Some(Arc::new(summary));
+        }),
+        Err(error) => {
+            slog::warn!(cell.log, "view.malformed"; "pool" => &row.name.part, "error" => %error);
+        }
+    }
+}
+
+fn claim_due_pools(cell: &Arc<Cell>) {
+    if cell.is_stopping() {
+        return;
+    }
+    let Some(catalog) = cell.catalog.load_full() else {
+        return;
+    };
+    for pool in &catalog.pools {
+        let rank = cell.rank(&pool.name);
+        let due = cell.with_pool(&pool.name, |view| view.watch.claim_due(rank));
+        if due && cell.leader(&pool.name).is_none() {
+            leader::begin_claim(cell, &pool.name);
+        }
+    }
+}
--- /dev/null
+++ b/crates/mangotrestle/src/host/leader.rs
@@ -0,0 +1,678 @@
+//! Leads a pool: claims its row, loads what is assigned, commits and orders.
+
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use mangotrestle_core::collections::FastMap;
+use mangotrestle_core::id;
+use mangotrestle_core::time::{SpanMs, TimeMs};
+use mangotrestle_core::workflow::pool::{Commit, Pool, PoolSettings, RowChange};
+use mangotrestle_core::workflow::record::{AssignmentRow, JobState};
+use mangotrestle_core::workflow::spec::JobRecord;
+use mangotrestle_core::workflow::tenure::{self, LeadRow, PoolSummary};
+use mangotrestle_users_platform::registry;
+use mangotrestle_users_platform::store::{
+    FeedError, Row, RowName, Rows, Transaction, TransactionAnswer, Value, WORKERS_TABLE,
+};
+use mangotrestle_users_platform::transport::CallError;
+use tokio::sync::Notify;
+
+use super::cell::{Cell, lock};
+use super::names;
+use super::orders;
+
+/// Time for one try of a commit; the store is slow at times and still answers within a second.
+const TRY: Duration = Duration::from_millis(1_200);
+/// Pause before a commit is tried again.
+const PAUSE: Duration = Duration::from_millis(50);
+/// Time for a whole read.
+const READ: Duration = Duration::from_millis(2_000);
+/// Tries to claim a pool whose answers are lost.
+const CLAIM_TRIES: u32 = 3;
+/// Tries to load a pool.
+const LOAD_TRIES: u32 = 4;
+/// Least distance of two commits with changes, in which more changes gather.
+const COMMIT_GAP: SpanMs = SpanMs(12);
+/// Most rows of changes in a commit; the leadership and the view come on top.
+const COMMIT_ROWS: usize = 88;
+/// Longest time between two rounds of the leader.
+const ROUND: Duration = Duration::from_millis(25);
+/// Least distance of two writes of the view.
+const VIEW_GAP: SpanMs = SpanMs(500);
+/// Distance of looks at the workers' entries.
+const WORKERS_INTERVAL: Duration = Duration::from_millis(400);
+/// Distance of looks at the inbox; hosts tell the leader of their jobs besides.
+const INBOX_INTERVAL: Duration = Duration::from_millis(350);
+/// How long the store may hold a feed back.
+const FEED_WAIT: Duration = Duration::from_millis(400);
+/// Time for a feed's answer beyond the wait asked for.
+const FEED_MARGIN: Duration = Duration::from_millis(450);
+/// How long a worker may hold a report back.
+const HOLD_WAIT: SpanMs = SpanMs(1_500);
+/// Pause between two looks at a worker, in which ends gather.
+const HOLD_GAP: SpanMs = SpanMs(40);
+/// Time without rounds after which the process counts as having been held up.
+const HELD_UP: SpanMs = SpanMs(1_000);
+
+/// Leadership of one pool by this process.
+pub(super) struct Leader {
+    /// Name of the pool.
+    pub(super) pool: String,
+    /// Fencing token.
+    pub(super) term: u64,
+    /// State of the pool.
+    pub(super) state: Mutex<Pool>,
+    /// Wakes the leader's rounds.
+    pub(super) wake: Notify,
+    /// Version of the leadership row.
+    version: AtomicU64,
+    sequence: AtomicU64,
+    /// Version as of which the inbox was loaded.
+    loaded_version: u64,
+    /// When the last commit was known to be durable.
+    confirmed_at_ms: AtomicU64,
+    /// Whether a worker has seen a higher term.
+    pub(super) fenced: AtomicBool,
+    releasing: AtomicBool,
+    over: AtomicBool,
+    view: ArcSwap<PoolSummary>,
+    /// Questions that this host asks itself.
+    pub(super) own_questions: AtomicUsize,
+}
+
+impl Leader {
+    /// Takes a job that is durably accepted as of a version.
+    pub(super) fn submitted(
+        &self,
+        cell: &Cell,
+        job: &id::JobId,
+        record: Arc<JobRecord>,
+        version: u64,
+    ) {
+        // A job of before may have ended meanwhile; the load has it if it has not.
+        if version <= self.loaded_version {
+            return;
+        }
+        lock(&self.state).accept(cell.clock.now(), job, record);
+        self.wake.notify_one();
+    }
+
+    /// Takes a cancel that is durably accepted.
+    pub(super) fn cancelled(&self, cell: &Cell, job: &id::JobId) {
+        lock(&self.state).cancel(cell.clock.now(), job);
+        self.wake.notify_one();
+    }
+
+    /// State of a job as callers see it.
+    pub(super) fn state(&self, job: &id::JobId) -> Option<JobState> {
+        lock(&self.state).state(job)
+    }
+
+    /// What all hosts are told.
+    pub(super) fn summary(&self) -> Arc<PoolSummary> {
+        self.view.load_full()
+    }
+
+    /// Whether this leadership has ended.
+    pub(super) fn is_over(&self) -> bool {
+        self.over.load(Ordering::Relaxed)
+    }
+
+    /// When the last commit was known to be durable.
+    pub(super) fn confirmed_at(&self) -> TimeMs {
+        TimeMs(self.confirmed_at_ms.load(Ordering::Relaxed))
+    }
+}
+
+/// Claims a pool that seems to have no leader.
+pub(super) fn begin_claim(cell: &Arc<Cell>, pool: &str) {
+    if !cell.begin_claiming(pool) {
+        return;
+    }
+    let cell = Arc::clone(cell);
+    let pool = pool.to_owned();
+    tokio::spawn(async move {
+        claim(&cell, &pool).await;
+        cell.end_claiming(&pool);
+    });
+}
+
+/// Claims a pool whose leader said that it gave it up.
+pub(super) async fn claim_released(cell: &Arc<Cell>, pool: &str) {
+    if cell.is_stopping() || cell.leader(pool).is_some() {
+        return;
+    }
+    let rows = cell.whole_part(names::CELL, pool, READ).await;
+    let Ok(rows) = rows else {
+        return;
+    };
+    observe_rows(cell, pool, &rows.rows);
+    if cell.with_pool(pool, |view| view.watch.claim_due(0)) {
+        begin_claim(cell, pool);
+    }
+}
+
+fn observe_rows(cell: &Cell, pool: &str, rows: &[Row]) {
+    let now = cell.clock.now();
+    for row in rows {
+        if row.name.key != names::LEAD_KEY {
+            continue;
+        }
+        let value = row.value.as_ref();
+        let lead = value.and_then(|value| serde_json::from_slice::<LeadRow>(&value.0).ok());
+        if let Some(lead) = lead {
+            cell.with_pool(pool, |view| view.watch.observe(now, lead, row.version));
+        }
+    }
+}
+
+async fn claim(cell: &Arc<Cell>, pool: &str) {
+    let (row, expected) = cell.with_pool(pool, |view| {
+        let address = cell.settings.peer.to_string();
+        let row = view.watch.claim(&cell.settings.host, &address, cell.life);
+        (row, view.watch.version())
+    });
+    slog::info!(cell.log, "leadership.claiming"; "pool" => pool, "term" => row.term,
+        "expected_version" => expected);
+    let Some(version) = take_row(cell, pool, &row, expected).await else {
+        return;
+    };
+    let now = cell.clock.now();
+    cell.with_pool(pool, |view| view.watch.observe(now, row.clone(), version));
+    slog::info!(cell.log, "leadership.taken"; "pool" => pool, "term" => row.term,
+        "version" => version);
+    metrics::counter!("mangotrestle_leaderships_total").increment(1);
+    for _ in 0..LOAD_TRIES {
+        match load(cell, pool, &row, version).await {
+            Ok((leader, feeds)) => {
+                let leader = Arc::new(leader);
+                cell.enter_leader(pool, Arc::clone(&leader));
+                tokio::spawn(follow_workers(
+                    Arc::clone(cell),
+                    Arc::clone(&leader),
+                    feeds.workers,
+                ));
+                tokio::spawn(follow_inbox(
+                    Arc::clone(cell),
+                    Arc::clone(&leader),
+                    feeds.inbox,
+                ));
+                tokio::spawn(lead(Arc::clone(cell), leader));
+                return;
+            }
+            Err(error) => {
+                slog::warn!(cell.log, "leadership.load_failed"; "pool" => pool,
+                    "error" => %error);
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Writes the claim; gives the row's version if the pool is this host's now.
+async fn take_row(cell: &Arc<Cell>, pool: &str, row: &LeadRow, expected: u64) -> Option<u64> {
+    let value = serde_json::to_vec(row).ok()?;
+    let transaction = Transaction {
+        expect: vec![(names::lead(pool), expected)],
+        set: vec![(names::lead(pool), Value(value))],
+        remove: Vec::new(),
+    };
+    for _ in 0..CLAIM_TRIES {
+        match cell.transact(&transaction, TRY).await {
+            Ok(TransactionAnswer::Done { version }) => return Some(version),
+            Ok(TransactionAnswer::Conflict(rows)) => {
+                observe_rows(cell, pool, &rows);
+                let own = rows.iter().find(|other| is_own(other, row));
+                if own.is_none() {
+                    slog::info!(cell.log, "leadership.lost_claim"; "pool" => pool,
+                        "term" => row.term);
+                }
+                return own.map(|own| own.version);
+            }
+            Err(error) => {
+                slog::info!(cell.log, "leadership.claim_failed"; "pool" => pool,
+                    "error" => %error);
+                if error.had_no_effect() {
+                    return None;
+                }
+            }
+        }
+    }
+    None
+}
+
+/// Whether a row as read was written by this leadership.
+fn is_own(found: &Row, row: &LeadRow) -> bool {
+    let value = found.value.as_ref();
+    let lead = value.and_then(|value| serde_json::from_slice::<LeadRow>(&value.0).ok());
+    lead.is_some_and(|lead| lead.life == row.life && lead.term == row.term)
+}
+
+/// Versions from which a leader follows its tables.
+struct FeedVersions {
+    workers: u64,
+    inbox: u64,
+}
+
+async fn load(
+    cell: &Arc<Cell>,
+    pool: &str,
+    row: &LeadRow,
+    version: u64,
+) -> Result<(Leader, FeedVersions), CallError> {
+    let (inbox, assign, workers) = tokio::try_join!(
+        cell.whole_part(names::INBOX, pool, READ),
+        cell.whole_part(names::ASSIGN, pool, READ),
+        cell.whole_part(WORKERS_TABLE, "", READ),
+    )?;
+    let now = cell.clock.now();
+    let mut state = Pool::new(now, pool_settings(cell), cell.clock.epoch_offset_ms());
+    take_worker_rows(cell, pool, &mut state, now, &workers.rows);
+    restore(cell, &mut state, now, &inbox, &assign);
+    slog::info!(cell.log, "leadership.loaded"; "pool" => pool, "term" => row.term,
+        "jobs" => state.job_count(), "workers" => state.worker_count(),
+        "inbox_version" => inbox.version);
+    let view = ArcSwap::from_pointee(state.summary());
+    let leader = Leader {
+        pool: pool.to_owned(),
+        term: row.term,
+        state: Mutex::new(state),
+        wake: Notify::new(),
+        version: AtomicU64::new(version),
+        sequence: AtomicU64::new(row.sequence),
+        loaded_version: inbox.version,
+        confirmed_at_ms: AtomicU64::new(now.0),
+        fenced: AtomicBool::new(false),
+        releasing: AtomicBool::new(false),
+        over: AtomicBool::new(false),
+        view,
+        own_questions: AtomicUsize::new(0),
+    };
+    let feeds = FeedVersions {
+        workers: workers.version,
+        inbox: inbox.version,
+    };
+    Ok((leader, feeds))
+}
+
+fn pool_settings(cell: &Cell) -> PoolSettings {
+    let bounds = &cell.settings.bounds;
+    PoolSettings {
+        longest_hold: bounds.longest_hold,
+        hold_wait: HOLD_WAIT,
+        hold_gap: HOLD_GAP,
+        questions: cell.host_count() + 1,
+        remember: bounds.remember,
+        harm: bounds.harm,
+        pace: bounds.pace,
+    }
+}
+
+fn restore(cell: &Cell, state: &mut Pool, now: TimeMs, inbox: &Rows, assign: &Rows) {
+    let mut assigned: FastMap<&str, AssignmentRow> = FastMap::default();
+    for row in &assign.rows {
+        let value = row.value.as_ref();
+        match value.map(|value| serde_json::from_slice(&value.0)) {
+            Some(Ok(known)) => {
+                assigned.insert(&row.name.key, known);
+            }
+            Some(Err(error)) => {
+                slog::error!(cell.log, "assignment.malformed"; "job" => &row.name.key,
+                    "error" => %error);
+            }
+            None => {}
+        }
+    }
+    let mut cancels = Vec::new();
+    for row in &inbox.rows {
+        let Some(value) = &row.value else {
+            continue;
+        };
+        match names::inbox_key(&row.name.key) {
+            Some(names::InboxKey::Cancel(job)) => cancels.push(job),
+            Some(names::InboxKey::Job(job)) => {
+                match serde_json::from_slice::<JobRecord>(&value.0) {
+                    Ok(record) => {
+                        let known = assigned.get(job.as_str());
+                        state.restore(now, &job, Arc::new(record), known);
+                    }
+                    Err(error) => {
+                        slog::error!(cell.log, "job.row_malformed"; "job" => job.as_str(),
+                            "error" => %error);
+                    }
+                }
+            }
+            None => {}
+        }
+    }
+    for job in cancels {
+        state.cancel(now, &job);
+    }
+}
+
+fn take_worker_rows(cell: &Cell, pool: &str, state: &mut Pool, now: TimeMs, rows: &[Row]) {
+    for row in rows {
+        let Some(value) = &row.value else {
+            if let Ok(worker) = id::WorkerId::new(&row.name.key) {
+                state.worker_gone(now, &worker);
+            }
+            continue;
+        };
+        match registry::decode(&row.name.key, &value.0) {
+            Some(entry) if entry.pool == pool => state.worker_listed(now, entry),
+            Some(_) => {}
+            None => {
+                slog::info!(cell.log, "worker.malformed"; "worker" => &row.name.key,
+                    "row_version" => row.version);
+            }
+        }
+    }
+}
+
+async fn follow_workers(cell: Arc<Cell>, leader: Arc<Leader>, from: u64) {
+    let mut version = Some(from);
+    let mut away = false;
+    while !leader.is_over() {
+        let began = tokio::time::Instant::now();
+        let result = match version {
+            Some(after) => {
+                cell.feed(WORKERS_TABLE, after, FEED_WAIT, FEED_WAIT + FEED_MARGIN)
+                    .await
+            }
+            None => cell
+                .whole_part(WORKERS_TABLE, "", READ)
+                .await
+                .map_err(FeedError::Call),
+        };
+        match result {
+            Ok(rows) => {
+                let now = cell.clock.now();
+                let whole = version.is_none();
+                version = Some(rows.version.max(version.unwrap_or_default()));
+                let mut state = lock(&leader.state);
+                if std::mem::take(&mut away) {
+                    state.store_returned(now);
+                }
+                take_worker_rows(&cell, &leader.pool, &mut state, now, &rows.rows);
+                if whole {
+                    let listed: Vec<&str> =
+                        rows.rows.iter().map(|row| row.name.key.as_str()).collect();
+                    state.workers_missing(now, &listed);
+                }
+            }
+            Err(FeedError::HistoryLost) => version = None,
+            Err(FeedError::Call(_)) => {
+                away = true;
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+        leader.wake.notify_one();
+        tokio::time::sleep(WORKERS_INTERVAL.saturating_sub(began.elapsed())).await;
+    }
+}
+
+async fn follow_inbox(cell: Arc<Cell>, leader: Arc<Leader>, from: u64) {
+    let mut version = Some(from);
+    while !leader.is_over() {
+        let began = tokio::time::Instant::now();
+        let result = match version {
+            Some(after) => {
+                cell.feed(names::INBOX, after, FEED_WAIT, FEED_WAIT + FEED_MARGIN)
+                    .await
+            }
+            None => cell
+                .whole_part(names::INBOX, &leader.pool, READ)
+                .await
+                .map_err(FeedError::Call),
+        };
+        match result {
+            Ok(rows) => {
+                version = Some(rows.version.max(version.unwrap_or_default()));
+                take_inbox_rows(&cell, &leader, &rows.rows);
+            }
+            Err(FeedError::HistoryLost) => version = None,
+            Err(FeedError::Call(_)) => tokio::time::sleep(PAUSE).await,
+        }
+        tokio::time::sleep(INBOX_INTERVAL.saturating_sub(began.elapsed())).await;
+    }
+}
+
+fn take_inbox_rows(cell: &Cell, leader: &Leader, rows: &[Row]) {
+    let own = rows.iter().filter(|row| row.name.part == leader.pool);
+    for row in own {
+        let Some(value) = &row.value else {
+            continue;
+        };
+        match names::inbox_key(&row.name.key) {
+            Some(names::InboxKey::Cancel(job)) => leader.cancelled(cell, &job),
+            Some(names::InboxKey::Job(job)) => {
+                match serde_json::from_slice::<JobRecord>(&value.0) {
+                    Ok(record) => leader.submitted(cell, &job, Arc::new(record), row.version),
+                    Err(error) => {
+                        slog::error!(cell.log, "job.row_malformed"; "job" => job.as_str(),
+                            "error" => %error);
+                    }
+                }
+            }
+            None => {}
+        }
+    }
+}
+
+/// What became of a commit.
+enum Committed {
+    /// It is durable.
+    Durable,
+    /// Another host has taken the pool.
+    Deposed,
+}
+
+/// Rounds of a leader, until another host leads the pool or this one gives it up.
+async fn lead(cell: Arc<Cell>, leader: Arc<Leader>) {
+    let mut commit: Option<tokio::task::JoinHandle<Committed>> = None;
+    let mut committed_at = cell.clock.now();
+    let mut viewed_at = TimeMs(0);
+    let mut last_round = cell.clock.now();
+    loop {
+        // A full sleep without a wake is what an idle round is.
+        let _ = tokio::time::timeout(ROUND, leader.wake.notified()).await;
+        let now = cell.clock.now();
+        if now.since(last_round) > HELD_UP {
+            slog::warn!(cell.log, "leader.held_up"; "pool" => &leader.pool,
+                "for_ms" => now.since(last_round).0);
+            // Orders wait until a commit shows that this host still leads.
+            leader.fenced.store(true, Ordering::Relaxed);
+            committed_at = TimeMs(0);
+        }
+        last_round = now;
+        if commit
+            .as_ref()
+            .is_some_and(tokio::task::JoinHandle::is_finished)
+            && let Some(task) = commit.take()
+        {
+            match task.await {
+                Ok(Committed::Durable) => {
+                    lock(&leader.state).committed(now);
+                    leader.confirmed_at_ms.store(now.0, Ordering::Relaxed);
+                    leader.fenced.store(false, Ordering::Relaxed);
+                }
+                Ok(Committed::Deposed) => break,
+                Err(error) => {
+                    slog::error!(cell.log, "commit.failed"; "error" => %error);
+                    break;
+                }
+            }
+            if leader.releasing.load(Ordering::Relaxed) {
+                break;
+            }
+        }
+        lock(&leader.state).tick(now);
+        if commit.is_none() {
+            let releasing = leader.releasing.load(Ordering::Relaxed);
+            let changed = lock(&leader.state).has_changes();
+            let due = (changed && now.since(committed_at) >= COMMIT_GAP)
+                || now.since(committed_at) >= tenure::RENEWAL
+                || releasing;
+            if due {
+                committed_at = now;
+                let with_view = now.since(viewed_at) >= VIEW_GAP;
+                if with_view {
+                    viewed_at = now;
+                }
+                commit = Some(begin_commit(&cell, &leader, now, with_view, releasing));
+            }
+        }
+        orders::carry_out(&cell, &leader);
+    }
+    leader.over.store(true, Ordering::Relaxed);
+    cell.remove_leader(&leader.pool);
+    slog::info!(cell.log, "leadership.ended"; "pool" => &leader.pool, "term" => leader.term,
+        "released" => leader.releasing.load(Ordering::Relaxed));
+}
+
+fn begin_commit(
+    cell: &Arc<Cell>,
+    leader: &Arc<Leader>,
+    now: TimeMs,
+    with_view: bool,
+    releasing: bool,
+) -> tokio::task::JoinHandle<Committed> {
+    let (commit, summary) = {
+        let mut state = lock(&leader.state);
+        let commit = state.take_commit(now, COMMIT_ROWS);
+        (commit, with_view.then(|| state.summary()))
+    };
+    if let Some(summary) = &summary {
+        leader.view.store(Arc::new(summary.clone()));
+    }
+    let cell = Arc::clone(cell);
+    let leader = Arc::clone(leader);
+    tokio::spawn(async move {
+        let began = cell.clock.now();
+        let rows = commit.changes.len();
+        let result = carry_through(&cell, &leader, &commit, summary.as_ref(), releasing).await;
+        let took = cell.clock.now().since(began);
+        metrics::histogram!("mangotrestle_commit_seconds").record(took.as_duration().as_secs_f64());
+        slog::debug!(cell.log, "commit.settled"; "pool" => &leader.pool, "rows" => rows,
+            "took_ms" => took.0);
+        leader.wake.notify_one();
+        result
+    })
+}
+
+/// Tries a commit until it is durable or another host leads the pool.
+async fn carry_through(
+    cell: &Arc<Cell>,
+    leader: &Leader,
+    commit: &Commit,
+    summary: Option<&PoolSummary>,
+    releasing: bool,
+) -> Committed {
+    let sequence = leader.sequence.load(Ordering::Relaxed) + 1;
+    let row = LeadRow {
+        holder: cell.settings.host.clone(),
+        address: cell.settings.peer.to_string(),
+        life: cell.life,
+        term: leader.term,
+        sequence,
+        released: releasing,
+    };
+    let mut transaction = changes(&leader.pool, commit);
+    push_row(&mut transaction, names::lead(&leader.pool), &row);
+    if let Some(summary) = summary {
+        push_row(&mut transaction, names::view(&leader.pool), summary);
+    }
+    loop {
+        let expected = leader.version.load(Ordering::Relaxed);
+        transaction.expect = vec![(names::lead(&leader.pool), expected)];
+        match cell.transact(&transaction, TRY).await {
+            Ok(TransactionAnswer::Done { version }) => {
+                leader.version.store(version, Ordering::Relaxed);
+                leader.sequence.store(sequence, Ordering::Relaxed);
+                return Committed::Durable;
+            }
+            Ok(TransactionAnswer::Conflict(rows)) => {
+                let found = rows.iter().find(|found| is_own(found, &row));
+                let Some(found) = found else {
+                    observe_rows(cell, &leader.pool, &rows);
+                    slog::warn!(cell.log, "leadership.deposed"; "pool" => &leader.pool,
+                        "term" => leader.term);
+                    return Committed::Deposed;
+                };
+                leader.version.store(found.version, Ordering::Relaxed);
+                if sequence_of(found) == Some(sequence) {
+                    // An earlier try was carried out and its answer lost.
+                    leader.sequence.store(sequence, Ordering::Relaxed);
+                    return Committed::Durable;
+                }
+            }
+            Err(error) => {
+                slog::debug!(cell.log, "commit.tried"; "pool" => &leader.pool,
+                    "error" => %error);
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+fn sequence_of(row: &Row) -> Option<u64> {
+    let value = row.value.as_ref()?;
+    let lead: LeadRow = serde_json::from_slice(&value.0).ok()?;
+    Some(lead.sequence)
+}
+
+fn push_row<T: serde::Serialize>(transaction: &mut Transaction, name: RowName, row: &T) {
+    // Rows of this system are plain structs, whose encoding does not fail.
+    let value = serde_json::to_vec(row).unwrap_or_default();
+    transaction.set.push((name, Value(value)));
+}
+
+fn changes(pool: &str, commit: &Commit) -> Transaction {
+    let mut transaction = Transaction::default();
+    for change in &commit.changes {
+        match change {
+            RowChange::Assign { job, row } => {
+                push_row(&mut transaction, names::assign(pool, job), row);
+            }
+            RowChange::End { job, row } => {
+                push_row(&mut transaction, names::ended(pool, job), row);
+            }
+            RowChange::LetGo { job } => {
+                transaction.remove.push(names::inbox(pool, job));
+                transaction.remove.push(names::cancel(pool, job));
+                transaction.remove.push(names::assign(pool, job));
+            }
+        }
+    }
+    transaction
+}
+
+/// Gives up all pools at a planned stop, and tells the hosts that are to lead them.
+pub(super) async fn release_all(cell: &Arc<Cell>) {
+    let leaders = cell.all_leaders();
+    for (_, leader) in &leaders {
+        leader.releasing.store(true, Ordering::Relaxed);
+        leader.wake.notify_one();
+    }
+    let all_over = async {
+        while !leaders.iter().all(|(_, leader)| leader.is_over()) {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    // A store that does not answer must not hold up the stop.
+    let _ = tokio::time::timeout(TRY, all_over).await;
+    for (pool, _) in leaders {
+        let successors = cell.successors(&pool);
+        tokio::spawn(async move {
+            for successor in successors.into_iter().take(2) {
+                // A successor that does not answer sees it in the store.
+                let told = tokio::time::timeout(PAUSE * 10, successor.released(pool.clone()));
+                if matches!(told.await, Ok(Ok(()))) {
+                    return;
+                }
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/mangotrestle/src/host/peers.rs
@@ -0,0 +1,97 @@
+//! Serves the other hosts of the cell.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use jsonrpsee::server::ServerHandle;
+use mangotrestle_peer::cell::{self, Advice, CellBackend, JobName, Knowledge, Question, Submitted};
+use mangotrestle_users_platform::advice;
+
+use super::access::{RelayedAnswer, RelayedCall};
+use super::cell::Cell;
+use super::leader;
+
+/// Serves this host's part of the cell.
+pub(super) async fn serve(cell: &Arc<Cell>) -> std::io::Result<ServerHandle> {
+    let backend = Arc::new(Backend {
+        cell: Arc::clone(cell),
+    });
+    cell::serve(cell.settings.peer, backend).await
+}
+
+struct Backend {
+    cell: Arc<Cell>,
+}
+
+impl CellBackend for Backend {
+    async fn submitted(&self, submitted: Submitted) -> bool {
+        let Some(leader) = self.cell.leader(&submitted.pool) else {
+            return false;
+        };
+        let record = Arc::new(submitted.record);
+        leader.submitted(&self.cell, &submitted.job, record, submitted.version);
+        true
+    }
+
+    async fn cancelled(&self, name: JobName) -> bool {
+        let Some(leader) = self.cell.leader(&name.pool) else {
+            return false;
+        };
+        leader.cancelled(&self.cell, &name.job);
+        true
+    }
+
+    async fn state(&self, name: JobName) -> Knowledge {
+        match self.cell.leader(&name.pool) {
+            None => Knowledge::NotLeading,
+            Some(leader) => leader
+                .state(&name.job)
+                .map_or(Knowledge::NotKnown, Knowledge::State),
+        }
+    }
+
+    async fn ask(&self, question: Question) -> Option<Advice> {
+        ask(&self.cell, &question).await
+    }
+
+    async fn relay(&self, call: serde_json::Value) -> serde_json::Value {
+        let answer = match serde_json::from_value::<RelayedCall>(call) {
+            Ok(call) => self.cell.carry_out(call).await,
+            Err(error) => {
+                slog::warn!(self.cell.log, "relay.malformed"; "error" => %error);
+                RelayedAnswer::Closed
+            }
+        };
+        // An answer that cannot be encoded reads as no answer.
+        serde_json::to_value(answer).unwrap_or_default()
+    }
+
+    async fn released(&self, pool: String) {
+        leader::claim_released(&self.cell, &pool).await;
+    }
+}
+
+/// Asks which workers may run a step, from this host.
+pub(super) async fn ask(cell: &Arc<Cell>, question: &Question) -> Option<Advice> {
+    let service = cell.settings.advice?;
+    let within = Duration::from_millis(question.within_ms);
+    let answer = advice::ask(
+        &cell.transport,
+        service,
+        &question.step,
+        &question.workers,
+        within,
+    )
+    .await;
+    match answer {
+        Ok(advice) => Some(Advice {
+            good: advice.good,
+            valid_ms: advice.valid.0,
+        }),
+        Err(error) => {
+            slog::info!(cell.log, "advice.failed"; "step" => &question.step,
+                "error" => %error);
+            None
+        }
+    }
+}
--- a/crates/mangotrestle/src/lib.rs
+++ b/crates/mangotrestle/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod access;
 pub mod command;
 pub mod daemon;
+pub mod host;
 pub mod job_file;
 pub mod logging;
 pub mod position;
--- a/crates/mangotrestle/src/settings/value.rs
+++ b/crates/mangotrestle/src/settings/value.rs
@@ -133,6 +133,14 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct LogLevel(pub slog::Level);
 
+impl std::str::FromStr for LogLevel {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        Self::parse(text)
+    }
+}
+
 impl SettingValue for LogLevel {
     fn parse(text: &str) -> Result<Self, String> {
         match text {
