--- a/crates/mangotrestle-core/src/workflow/pool/asking.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/asking.rs
@@ -5,7 +5,7 @@
 
 use super::super::job::{Phase, StepKey, UnitKey};
 use super::super::worker::Worker;
-use super::{Order, Pool};
+use super::{Note, Order, Pool};
 
 /// Most workers in one question.
 const MOST_WORKERS: usize = 60;
@@ -207,7 +207,13 @@
         let Some(step) = job.step_mut(key) else {
             return;
         };
-        step.tickets.asked_at = None;
+        let asked_at = step.tickets.asked_at.take();
+        self.notes.push(Note::Advised {
+            step: key.clone(),
+            asked: workers.len(),
+            good: answer.as_ref().map(|(good, _)| good.len()),
+            after: now.since(asked_at.unwrap_or(now)),
+        });
         match answer {
             Some((good, valid)) => {
                 let valid = if valid.0 > 0 { valid } else { SpanMs(valid_ms) };
--- a/crates/mangotrestle-core/src/workflow/pool/mod.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/mod.rs
@@ -147,6 +147,17 @@
         /// Time since the job became known to this leader.
         waited: SpanMs,
     },
+    /// An answer about tickets came, or none.
+    Advised {
+        /// The step.
+        step: StepKey,
+        /// Workers asked about.
+        asked: usize,
+        /// Workers that are allowed; `None` if there was no answer.
+        good: Option<usize>,
+        /// Time since the question was handed out.
+        after: SpanMs,
+    },
     /// An order for a run was refused or not answered.
     OrderFailed {
         /// The task.
--- a/crates/mangotrestle/src/host/events.rs
+++ b/crates/mangotrestle/src/host/events.rs
@@ -106,6 +106,17 @@
                 "worker" => worker.as_str(), "waited_ms" => waited.0, "pool" => pool,
                 "term" => term);
         }
+        Note::Advised {
+            step,
+            asked,
+            good,
+            after,
+        } => {
+            metrics::histogram!("mangotrestle_advice_seconds")
+                .record(after.as_duration().as_secs_f64());
+            slog::info!(log, "step.advised"; "step" => %step, "asked" => asked, "good" => ?good,
+                "took_ms" => after.0, "pool" => pool);
+        }
         Note::OrderFailed {
             task,
             run,
