Let the pool's leader accept jobs in its commits; settle workers whose life is over

Ruled out: lost orders (none unanswered in the log), missing tombstones (seen at once). Change: hosts hand submissions to the leader, whose commit carries them; direct acceptance stays where the leader does not answer. Suspected workers are looked up in the machines' list. A leader whose host registered another life is replaced at once.

--- a/crates/mangotrestle-core/src/workflow/job.rs
+++ b/crates/mangotrestle-core/src/workflow/job.rs
@@ -178,6 +178,8 @@
     pub occurrences: BTreeMap<u32, Occurrence>,
     /// Whether a task has started.
     pub begun: bool,
+    /// Whether its acceptance is durable; until then it may be planned, but nothing is ordered.
+    pub accepted: bool,
     /// Set once nothing more of it may start.
     pub end: Option<record::JobState>,
     /// Whether the end is durable.
@@ -197,6 +199,7 @@
             record,
             occurrences: BTreeMap::new(),
             begun: false,
+            accepted: true,
             end: None,
             end_durable: false,
             due_at,
--- a/crates/mangotrestle-core/src/workflow/pool/intake.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/intake.rs
@@ -18,6 +18,10 @@
 impl Pool {
     /// Takes an accepted job. A job that is known already stays as it is.
     pub fn accept(&mut self, now: TimeMs, id: &id::JobId, record: Arc<JobRecord>) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            // A host has made durable what this leader was asked to.
+            job.accepted = true;
+        }
         if self.knows(id) {
             return;
         }
@@ -25,6 +29,37 @@
         self.begin(now, job);
     }
 
+    /// Takes a job whose acceptance becomes durable with the next commit. Says whether the job is
+    /// known already and its acceptance durable.
+    pub fn submit(&mut self, now: TimeMs, id: &id::JobId, record: Arc<JobRecord>) -> bool {
+        if let Some(job) = self.jobs.get(id) {
+            return job.accepted;
+        }
+        if self.ended.contains_key(id) {
+            return true;
+        }
+        let mut job = self.new_job(now, id, record);
+        job.accepted = false;
+        self.begin(now, job);
+        self.mark_dirty(id);
+        false
+    }
+
+    /// Drops a job whose acceptance did not become durable; nothing of it was ordered.
+    pub fn drop_submission(&mut self, now: TimeMs, id: &id::JobId) {
+        if !self.jobs.get(id).is_some_and(|job| !job.accepted) {
+            return;
+        }
+        for (key, _) in self.jobs.get(id).map(Job::assigned).unwrap_or_default() {
+            self.release(now, &key);
+        }
+        self.waiting.retain(|(_, key)| key.step.job != *id);
+        self.scheduled.retain(|(_, other, _)| other != id);
+        self.jobs.remove(id);
+        self.dirty.remove(id);
+        self.writing.retain(|other| other != id);
+    }
+
     /// Takes a job from the rows of an earlier leader.
     pub fn restore(
         &mut self,
--- a/crates/mangotrestle-core/src/workflow/pool/queries.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/queries.rs
@@ -14,7 +14,7 @@
     #[must_use]
     pub fn state(&self, id: &id::JobId) -> Option<JobState> {
         if let Some(job) = self.jobs.get(id) {
-            return Some(job.state());
+            return job.accepted.then(|| job.state());
         }
         self.ended.get(id).map(|(state, _)| *state)
     }
@@ -25,6 +25,17 @@
         self.jobs.len()
     }
 
+    /// Workers that may be at their end and on which runs may be.
+    #[must_use]
+    pub fn suspected_workers(&self) -> Vec<id::WorkerId> {
+        self.workers
+            .iter()
+            .filter(|(_, worker)| !worker.tasks.is_empty() && !worker.over)
+            .filter(|(_, worker)| worker.is_silent() || worker.missing_since.is_some())
+            .map(|(id, _)| id.clone())
+            .collect()
+    }
+
     /// Number of units that wait for a worker.
     #[must_use]
     pub fn waiting_count(&self) -> usize {
--- a/crates/mangotrestle-core/src/workflow/pool/rows.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/rows.rs
@@ -1,15 +1,25 @@
 //! Makes commits from what changed, and lets go out what became durable.
 
+use std::sync::Arc;
+
 use crate::id;
 use crate::time::TimeMs;
 
 use super::super::job::{Job, Member, MemberKey, Occurrence, Phase, StepKey, UnitKey};
 use super::super::record::{AssignmentRow, EndRow};
+use super::super::spec::JobRecord;
 use super::Pool;
 
 /// A change of the pool's rows.
 #[derive(Clone, Debug, PartialEq)]
 pub enum RowChange {
+    /// Write an accepted job, which must be new.
+    Accept {
+        /// The job.
+        job: id::JobId,
+        /// What was submitted.
+        record: Arc<JobRecord>,
+    },
     /// Write a job's assignments.
     Assign {
         /// The job.
@@ -37,7 +47,8 @@
     pub const fn row_count(&self) -> usize {
         match self {
             Self::Assign { .. } | Self::End { .. } => 1,
-            Self::LetGo { .. } => 3,
+            // A row and two conditions.
+            Self::Accept { .. } | Self::LetGo { .. } => 3,
         }
     }
 }
@@ -91,6 +102,12 @@
                 member.phase = Phase::Writing;
             }
         });
+        if !job.accepted {
+            commit.changes.push(RowChange::Accept {
+                job: id.clone(),
+                record: Arc::clone(&job.record),
+            });
+        }
         let settled = job.occurrences.values().all(Occurrence::is_free);
         if let Some(state) = job.end
             && !job.end_durable
@@ -125,6 +142,7 @@
             let Some(job) = self.jobs.get_mut(&id) else {
                 continue;
             };
+            job.accepted = true;
             let mut bound = Vec::new();
             for_each_member(job, |key, member| {
                 if member.phase == Phase::Writing {
--- a/crates/mangotrestle-core/src/workflow/tenure.rs
+++ b/crates/mangotrestle-core/src/workflow/tenure.rs
@@ -102,15 +102,15 @@
     }
 
     /// Whether a host of this rank should claim the pool. Only time over which looks were answered
-    /// counts as silence.
+    /// counts as silence; a leader whose process has ended for certain is not waited for.
     #[must_use]
-    pub fn claim_due(&self, rank: u64) -> bool {
+    pub fn claim_due(&self, rank: u64, ended: bool) -> bool {
         let Some(looked_at) = self.looked_at else {
             return false;
         };
         let silence = looked_at.since(self.changed_at);
         let patience = match &self.row {
-            Some(row) if !row.released => EXPIRY,
+            Some(row) if !row.released && !ended => EXPIRY,
             _ => SpanMs(0),
         };
         silence >= patience + SpanMs(STAGGER.0 * rank)
--- a/crates/mangotrestle-peer/src/cell.rs
+++ b/crates/mangotrestle-peer/src/cell.rs
@@ -37,6 +37,35 @@
     pub version: u64,
 }
 
+/// Asks a leader to make a job durable.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Submission {
+    /// The pool.
+    pub pool: String,
+    /// The job.
+    pub job: id::JobId,
+    /// What was submitted.
+    pub record: JobRecord,
+}
+
+/// What became of a submitted job.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub enum Acceptance {
+    /// Durably accepted now.
+    Accepted {
+        /// Version of its row.
+        version: u64,
+    },
+    /// Accepted earlier.
+    Known,
+    /// Certainly not accepted.
+    NotAccepted(String),
+    /// It may have been accepted.
+    Unknown(String),
+    /// The host does not lead the pool and has done nothing.
+    NotLeading,
+}
+
 /// Names a job of a pool.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct JobName {
@@ -79,6 +108,9 @@
 
 /// What a host does for others of its cell.
 pub trait CellBackend: Send + Sync + 'static {
+    /// Makes a job durable in the pool that the host leads.
+    fn accept(&self, submission: Submission) -> impl Future<Output = Acceptance> + Send;
+
     /// Takes notice of a job that is durably accepted; says whether it leads the pool.
     fn submitted(&self, submitted: Submitted) -> impl Future<Output = bool> + Send;
 
@@ -104,6 +136,10 @@
 
 #[async_trait]
 impl<B: CellBackend> CellRpcServer for Adapter<B> {
+    async fn accept(&self, message: Submission) -> RpcResult<Acceptance> {
+        Ok(self.backend.accept(message).await)
+    }
+
     async fn submitted(&self, message: Submitted) -> RpcResult<bool> {
         Ok(self.backend.submitted(message).await)
     }
@@ -171,6 +207,15 @@
         Ok(Self { client })
     }
 
+    /// Asks the leader to make a job durable.
+    ///
+    /// # Errors
+    ///
+    /// [`PeerError`]; the job may have been accepted.
+    pub async fn accept(&self, submission: Submission) -> Result<Acceptance, PeerError> {
+        self.client.accept(submission).await.map_err(no_answer)
+    }
+
     /// Tells the leader of a job that is durably accepted.
     ///
     /// # Errors
--- a/crates/mangotrestle-peer/src/cell_rpc.rs
+++ b/crates/mangotrestle-peer/src/cell_rpc.rs
@@ -3,10 +3,13 @@
 use jsonrpsee::core::RpcResult;
 use jsonrpsee::proc_macros::rpc;
 
-use crate::cell::{Advice, JobName, Knowledge, Question, Submitted};
+use crate::cell::{Acceptance, Advice, JobName, Knowledge, Question, Submission, Submitted};
 
 #[rpc(server, client, namespace = "cell")]
 pub(crate) trait CellRpc {
+    #[method(name = "accept")]
+    async fn accept(&self, message: Submission) -> RpcResult<Acceptance>;
+
     #[method(name = "submitted")]
     async fn submitted(&self, message: Submitted) -> RpcResult<bool>;
 
--- a/crates/mangotrestle/src/host/acceptor.rs
+++ b/crates/mangotrestle/src/host/acceptor.rs
@@ -5,6 +5,7 @@
 
 use mangotrestle_core::id;
 use mangotrestle_core::workflow::spec::JobRecord;
+use mangotrestle_peer::cell::Acceptance;
 use mangotrestle_users_platform::store::{Row, Transaction, TransactionAnswer, Value};
 use tokio::sync::{mpsc, oneshot};
 
@@ -15,27 +16,9 @@
 const MOST_JOBS: usize = 30;
 /// Jobs that wait for a transaction before more are refused.
 const QUEUE_JOBS: usize = 512;
-/// Time for one try; the store is slow at times and still answers within a second.
-const TRY: Duration = Duration::from_millis(1_200);
 /// Pause before a try whose predecessor failed.
 const PAUSE: Duration = Duration::from_millis(60);
 
-/// What became of a submitted job.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub(super) enum Acceptance {
-    /// Durably accepted now.
-    Accepted {
-        /// Version of its row.
-        version: u64,
-    },
-    /// Accepted earlier.
-    Known,
-    /// Certainly not accepted.
-    NotAccepted(String),
-    /// It may have been accepted.
-    Unknown(String),
-}
-
 struct Submission {
     job: id::JobId,
     row: Vec<u8>,
@@ -73,6 +56,7 @@
         job: &id::JobId,
         record: &JobRecord,
         within: Duration,
+        uncertain: bool,
     ) -> Acceptance {
         let row = match serde_json::to_vec(record) {
             Ok(row) => row,
@@ -83,7 +67,7 @@
             job: job.clone(),
             row,
             give_up_at: Instant::now() + within,
-            uncertain: false,
+            uncertain,
             answer,
         };
         if self.sender.try_send(submission).is_err() {
@@ -117,8 +101,15 @@
 
 /// One transaction for a batch; what is not settled comes back.
 async fn try_batch(cell: &Arc<Cell>, pool: &str, batch: Vec<Submission>) -> Vec<Submission> {
+    if cell.store_is_away() {
+        let left = after_failure(batch, true, "no way to the store");
+        if !left.is_empty() {
+            tokio::time::sleep(PAUSE).await;
+        }
+        return left;
+    }
     let transaction = transaction(pool, &batch);
-    let result = cell.transact(&transaction, TRY).await;
+    let result = cell.transact(&transaction, cell.try_time()).await;
     match result {
         Ok(TransactionAnswer::Done { version }) => {
             for submission in batch {
--- a/crates/mangotrestle/src/host/access.rs
+++ b/crates/mangotrestle/src/host/access.rs
@@ -23,11 +23,27 @@
 /// Time for a relayed call beyond that of the call itself.
 const RELAY_MARGIN: Duration = Duration::from_millis(100);
 
+/// Refusals for load in a row that close the direct way; a busy part of the store refuses a few.
+const CLOSING_REFUSALS: u64 = 6;
+/// Status of a refusal for load.
+const TOO_MANY: u16 = 429;
+/// Time after a call that no peer could pass on in which none is tried again.
+const NO_RELAY_MS: u64 = 400;
+/// Multiple of the time of late transactions that one may take before its answer counts as lost.
+const TRY_MULTIPLE: u64 = 8;
+/// Shortest time before an answer counts as lost.
+const SHORTEST_TRY_MS: u64 = 400;
+/// Longest time before an answer counts as lost; a slow store answers within a second.
+const LONGEST_TRY_MS: u64 = 1_500;
+
 /// State of the direct way.
 #[derive(Debug, Default)]
 pub(super) struct DirectWay {
     failures: AtomicU64,
     closed_until_ms: AtomicU64,
+    no_relay_until_ms: AtomicU64,
+    /// Time before the answer of a transaction counts as lost; zero before the first.
+    try_ms: AtomicU64,
 }
 
 /// A call that a peer passes on.
@@ -85,6 +101,32 @@
         self.clock.now().0 >= self.direct.closed_until_ms.load(Ordering::Relaxed)
     }
 
+    /// Whether there is no way to the store at present, directly or through a peer.
+    pub(super) fn store_is_away(&self) -> bool {
+        let no_relay_until = self.direct.no_relay_until_ms.load(Ordering::Relaxed);
+        !self.store_is_open() && self.clock.now().0 < no_relay_until
+    }
+
+    /// Time before the answer of a transaction counts as lost, from the times of those before.
+    pub(super) fn try_time(&self) -> Duration {
+        let try_ms = self.direct.try_ms.load(Ordering::Relaxed);
+        Duration::from_millis(try_ms.clamp(SHORTEST_TRY_MS, LONGEST_TRY_MS))
+    }
+
+    /// Learns from the time that a transaction took, or from a lost answer.
+    fn learn_try_time(&self, took: Duration, lost: bool) {
+        let before = self.direct.try_ms.load(Ordering::Relaxed);
+        let observed = millis(took) * TRY_MULTIPLE;
+        let next = if lost {
+            before.max(SHORTEST_TRY_MS) * 2
+        } else {
+            // Falls by a quarter of the distance, rises at once.
+            observed.max(before - (before.saturating_sub(observed)) / 4)
+        };
+        let next = next.clamp(SHORTEST_TRY_MS, LONGEST_TRY_MS);
+        self.direct.try_ms.store(next, Ordering::Relaxed);
+    }
+
     /// Whether the last call to the store succeeded, by whatever way.
     pub(super) fn store_answers(&self) -> bool {
         let failed_at = self.store_failed_at_ms.load(Ordering::Relaxed);
@@ -100,11 +142,15 @@
         }
         self.store_failed_at_ms.store(now, Ordering::Relaxed);
         let failures = self.direct.failures.fetch_add(1, Ordering::Relaxed) + 1;
-        if failures >= CLOSING_FAILURES {
+        let closing = match error {
+            Some(CallError::Refused(TOO_MANY)) => CLOSING_REFUSALS,
+            _ => CLOSING_FAILURES,
+        };
+        if failures >= closing {
             let was_open = self.store_is_open();
             let until = now + CLOSED_MS;
             self.direct.closed_until_ms.store(until, Ordering::Relaxed);
-            if was_open && failures == CLOSING_FAILURES {
+            if was_open {
                 let error = error.map(ToString::to_string).unwrap_or_default();
                 slog::warn!(self.log, "store.lost"; "failures" => failures, "error" => error);
             }
@@ -128,9 +174,9 @@
     ) -> Result<TransactionAnswer, CallError> {
         let open = self.store_is_open();
         if open {
-            let result = self.store.transact(transaction, within).await;
-            self.note_direct(result.as_ref().err());
+            let result = self.transact_directly(transaction, within).await;
             match result {
+                Err(CallError::Refused(TOO_MANY)) if self.store_is_open() => return result,
                 Err(error) if error.had_no_effect() => {}
                 other => return other,
             }
@@ -148,14 +194,26 @@
             }
             Some(_) => Err(CallError::Unknown("a peer gave another answer".to_owned())),
             None if open => Err(CallError::NotSent("no way to the store".to_owned())),
-            None => {
-                let result = self.store.transact(transaction, within).await;
-                self.note_direct(result.as_ref().err());
-                result
-            }
+            None => self.transact_directly(transaction, within).await,
         }
     }
 
+    async fn transact_directly(
+        &self,
+        transaction: &Transaction,
+        within: Duration,
+    ) -> Result<TransactionAnswer, CallError> {
+        let began = std::time::Instant::now();
+        let result = self.store.transact(transaction, within).await;
+        match &result {
+            Ok(_) => self.learn_try_time(began.elapsed(), false),
+            Err(CallError::Unknown(_)) => self.learn_try_time(began.elapsed(), true),
+            Err(_) => {}
+        }
+        self.note_direct(result.as_ref().err());
+        result
+    }
+
     /// Reads rows.
     pub(super) async fn range(
         self: &Arc<Self>,
@@ -275,6 +333,9 @@
         call: &RelayedCall,
         within: Duration,
     ) -> Option<RelayedAnswer> {
+        if self.clock.now().0 < self.direct.no_relay_until_ms.load(Ordering::Relaxed) {
+            return None;
+        }
         let value = serde_json::to_value(call).ok()?;
         for client in self.relay_peers(MOST_RELAYS) {
             let wait = within + RELAY_MARGIN;
@@ -299,6 +360,10 @@
                 }
             }
         }
+        let until = self.clock.now().0 + NO_RELAY_MS;
+        self.direct
+            .no_relay_until_ms
+            .store(until, Ordering::Relaxed);
         None
     }
 
@@ -313,9 +378,7 @@
                 within_ms,
             } => {
                 let within = Duration::from_millis(within_ms);
-                let result = self.store.transact(&transaction, within).await;
-                self.note_direct(result.as_ref().err());
-                RelayedAnswer::Transact(result)
+                RelayedAnswer::Transact(self.transact_directly(&transaction, within).await)
             }
             RelayedCall::Range {
                 table,
--- a/crates/mangotrestle/src/host/cell.rs
+++ b/crates/mangotrestle/src/host/cell.rs
@@ -49,6 +49,8 @@
 #[derive(Debug)]
 pub(super) struct Peer {
     row: HostRow,
+    /// Version of its row.
+    version: u64,
     client: CellClient,
     passed_over_until: TimeMs,
     /// Questions that it is asking on behalf of leaders here.
@@ -96,6 +98,8 @@
     acceptors: Mutex<FastMap<String, Acceptor>>,
     waves: Mutex<BTreeMap<String, Wave>>,
     claiming: Mutex<FastSet<String>>,
+    /// Version of this host's own row, zero before it is written.
+    registered_version: AtomicU64,
     stopping: AtomicBool,
 }
 
@@ -124,6 +128,7 @@
             acceptors: Mutex::default(),
             waves: Mutex::default(),
             claiming: Mutex::default(),
+            registered_version: AtomicU64::new(0),
             stopping: AtomicBool::new(false),
         }
     }
@@ -153,7 +158,7 @@
     }
 
     /// Takes a host's row; `None` if the host is gone.
-    pub(super) fn learn_host(&self, host: &id::EntryHostId, row: Option<HostRow>) {
+    pub(super) fn learn_host(&self, host: &id::EntryHostId, row: Option<HostRow>, version: u64) {
         if *host == self.settings.host {
             return;
         }
@@ -181,6 +186,7 @@
             "life" => row.life);
         let peer = Peer {
             row,
+            version,
             client,
             passed_over_until: TimeMs(0),
             questions: 0,
@@ -188,11 +194,45 @@
         peers.insert(host.clone(), peer);
     }
 
+    /// Notes that this host's row is durable.
+    pub(super) fn note_registered(&self, version: u64) {
+        self.registered_version.store(version, Ordering::Relaxed);
+    }
+
+    /// Whether the process that leads a pool has ended: its host has registered another life since
+    /// the last commit.
+    pub(super) fn leader_has_ended(&self, pool: &str) -> bool {
+        let lead = self.with_pool(pool, |view| {
+            let row = view.watch.row();
+            row.map(|row| (row.holder.clone(), row.life, view.watch.version()))
+        });
+        let Some((holder, life, version)) = lead else {
+            return false;
+        };
+        let (present_life, registered) = if holder == self.settings.host {
+            (self.life, self.registered_version.load(Ordering::Relaxed))
+        } else {
+            match lock(&self.peers).get(&holder) {
+                Some(peer) => (peer.row.life, peer.version),
+                None => return false,
+            }
+        };
+        present_life != life && registered > version
+    }
+
     /// A client of a peer.
     pub(super) fn peer(&self, host: &id::EntryHostId) -> Option<CellClient> {
         lock(&self.peers).get(host).map(|peer| peer.client.clone())
     }
 
+    /// A client of a peer that has not just left a call unanswered.
+    pub(super) fn answering_peer(&self, host: &id::EntryHostId) -> Option<CellClient> {
+        let now = self.clock.now();
+        let peers = lock(&self.peers);
+        let peer = peers.get(host)?;
+        (now >= peer.passed_over_until).then(|| peer.client.clone())
+    }
+
     /// Passes a peer over for a while.
     pub(super) fn note_peer_failure(&self, host: &id::EntryHostId) {
         let now = self.clock.now();
--- a/crates/mangotrestle/src/host/events.rs
+++ b/crates/mangotrestle/src/host/events.rs
@@ -9,8 +9,7 @@
 use mangotrestle_core::workflow::environment::HostSettings;
 use mangotrestle_core::workflow::pool::Note;
 use mangotrestle_core::workflow::record::JobState;
-
-use super::acceptor::Acceptance;
+use mangotrestle_peer::cell::Acceptance;
 
 /// The process begins.
 pub(super) fn started(log: &slog::Logger, settings: &HostSettings) {
@@ -59,7 +58,7 @@
     let outcome = match acceptance {
         Acceptance::Accepted { .. } => "accepted",
         Acceptance::Known => "known",
-        Acceptance::NotAccepted(_) => "not-accepted",
+        Acceptance::NotAccepted(_) | Acceptance::NotLeading => "not-accepted",
         Acceptance::Unknown(_) => "unknown",
     };
     metrics::histogram!("mangotrestle_acceptance_seconds", "outcome" => outcome)
--- a/crates/mangotrestle/src/host/feeds.rs
+++ b/crates/mangotrestle/src/host/feeds.rs
@@ -7,7 +7,7 @@
 use mangotrestle_core::workflow::tenure::{LeadRow, PoolSummary};
 use mangotrestle_users_platform::operator;
 use mangotrestle_users_platform::store::{
-    FeedError, OPERATOR_TABLE, Row, RowName, Rows, Transaction, Value,
+    FeedError, OPERATOR_TABLE, Row, RowName, Rows, Transaction, TransactionAnswer, Value,
 };
 
 use super::cell::{Cell, HostRow};
@@ -140,7 +140,13 @@
         set: vec![(RowName::new(names::CELL, "", &key), Value(row))],
         ..Transaction::default()
     };
-    cell.transact(&transaction, READ).await.is_ok()
+    match cell.transact(&transaction, READ).await {
+        Ok(TransactionAnswer::Done { version }) => {
+            cell.note_registered(version);
+            true
+        }
+        _ => false,
+    }
 }
 
 /// Reads all of the cell's rows, with the version of the first read.
@@ -194,9 +200,9 @@
         return;
     };
     match &row.value {
-        None => cell.learn_host(&host, None),
+        None => cell.learn_host(&host, None, row.version),
         Some(value) => match serde_json::from_slice::<HostRow>(&value.0) {
-            Ok(known) => cell.learn_host(&host, Some(known)),
+            Ok(known) => cell.learn_host(&host, Some(known), row.version),
             Err(error) => {
                 slog::warn!(cell.log, "peer.malformed"; "peer" => host.as_str(),
                     "error" => %error);
@@ -251,7 +257,8 @@
     };
     for pool in &catalog.pools {
         let rank = cell.rank(&pool.name);
-        let due = cell.with_pool(&pool.name, |view| view.watch.claim_due(rank));
+        let ended = cell.leader_has_ended(&pool.name);
+        let due = cell.with_pool(&pool.name, |view| view.watch.claim_due(rank, ended));
         if due && cell.leader(&pool.name).is_none() {
             leader::begin_claim(cell, &pool.name);
         }
--- a/crates/mangotrestle/src/host/front.rs
+++ b/crates/mangotrestle/src/host/front.rs
@@ -14,14 +14,13 @@
 use mangotrestle_core::workflow::catalog::{Catalog, Queue};
 use mangotrestle_core::workflow::record::{EndRow, JobState};
 use mangotrestle_core::workflow::spec::JobRecord;
-use mangotrestle_peer::cell::{JobName, Knowledge, Submitted};
+use mangotrestle_peer::cell::{Acceptance, JobName, Knowledge, Submission, Submitted};
 use mangotrestle_users_platform::ingress;
 use mangotrestle_users_platform::store::{Transaction, TransactionAnswer, Value};
 use rand::RngExt;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
-use super::acceptor::Acceptance;
 use super::cell::Cell;
 use super::events;
 use super::names;
@@ -30,6 +29,8 @@
 const DEFAULT_BODY_BYTES: usize = 262_144;
 /// Time that a caller waits where it does not say.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(3);
+/// Part of that time that the pool's leader is given.
+const LEADER_PART: f64 = 0.6;
 /// Part of the caller's time in which the store may be tried.
 const TRYING_PART: f64 = 0.8;
 /// Time for a leader's answer about a job, after which the store is asked.
@@ -171,8 +172,8 @@
             return refuse(StatusCode::SERVICE_UNAVAILABLE, SpanMs::from_secs(60));
         }
     }
-    let acceptor = cell.acceptor(&queue.pool);
-    let acceptance = acceptor.accept(job, &record, within).await;
+    let record = Arc::new(record);
+    let (acceptance, by_leader) = accept(cell, queue, job, &record, within).await;
     events::job_answered(
         &cell.log,
         job,
@@ -183,19 +184,79 @@
     );
     match acceptance {
         Acceptance::Accepted { version } => {
-            tell_leader(cell, queue, job, record, version);
+            if !by_leader {
+                tell_leader(cell, queue, job, record, version);
+            }
             StatusCode::OK.into_response()
         }
         Acceptance::Known => StatusCode::OK.into_response(),
-        Acceptance::NotAccepted(_) => refuse(StatusCode::SERVICE_UNAVAILABLE, STORE_RETURN),
+        Acceptance::NotAccepted(_) | Acceptance::NotLeading => {
+            refuse(StatusCode::SERVICE_UNAVAILABLE, STORE_RETURN)
+        }
         Acceptance::Unknown(_) => StatusCode::GATEWAY_TIMEOUT.into_response(),
     }
 }
 
+/// Makes a job durable: by the pool's leader, whose commits carry many changes, or directly where
+/// the leader does not answer. Says whether the leader did it.
+async fn accept(
+    cell: &Arc<Cell>,
+    queue: &Queue,
+    job: &id::JobId,
+    record: &Arc<JobRecord>,
+    within: Duration,
+) -> (Acceptance, bool) {
+    let began = Instant::now();
+    let for_leader = within
+        .mul_f64(LEADER_PART)
+        .min(cell.try_time() * 2 + LEADER_ANSWER);
+    let by_leader = tokio::time::timeout(for_leader, accept_by_leader(cell, queue, job, record));
+    let uncertain = match by_leader.await {
+        Ok(Some(Acceptance::Unknown(_))) | Err(_) => true,
+        Ok(Some(Acceptance::NotLeading) | None) => false,
+        Ok(Some(acceptance)) => return (acceptance, true),
+    };
+    let rest = within.saturating_sub(began.elapsed());
+    let acceptor = cell.acceptor(&queue.pool);
+    (acceptor.accept(job, record, rest, uncertain).await, false)
+}
+
+/// Has the pool's leader make a job durable; `None` if nothing was sent.
+async fn accept_by_leader(
+    cell: &Arc<Cell>,
+    queue: &Queue,
+    job: &id::JobId,
+    record: &Arc<JobRecord>,
+) -> Option<Acceptance> {
+    if let Some(leader) = cell.leader(&queue.pool) {
+        return Some(leader.accept(cell, job, Arc::clone(record)).await);
+    }
+    let row = cell.lead_row(&queue.pool)?;
+    let peer = cell.answering_peer(&row.holder)?;
+    let submission = Submission {
+        pool: queue.pool.clone(),
+        job: job.clone(),
+        record: record.as_ref().clone(),
+    };
+    match peer.accept(submission).await {
+        Ok(acceptance) => Some(acceptance),
+        Err(error) => {
+            cell.note_peer_failure(&row.holder);
+            Some(Acceptance::Unknown(error.to_string()))
+        }
+    }
+}
+
 /// Tells the pool's leader of an accepted job, so that it need not find it in the store.
-fn tell_leader(cell: &Arc<Cell>, queue: &Queue, job: &id::JobId, record: JobRecord, version: u64) {
+fn tell_leader(
+    cell: &Arc<Cell>,
+    queue: &Queue,
+    job: &id::JobId,
+    record: Arc<JobRecord>,
+    version: u64,
+) {
     if let Some(leader) = cell.leader(&queue.pool) {
-        leader.submitted(cell, job, Arc::new(record), version);
+        leader.submitted(cell, job, record, version);
         return;
     }
     let Some(row) = cell.lead_row(&queue.pool) else {
@@ -207,7 +268,7 @@
     let message = Submitted {
         pool: queue.pool.clone(),
         job: job.clone(),
-        record,
+        record: record.as_ref().clone(),
         version,
     };
     let cell = Arc::clone(cell);
--- a/crates/mangotrestle/src/host/leader.rs
+++ b/crates/mangotrestle/src/host/leader.rs
@@ -12,19 +12,21 @@
 use mangotrestle_core::workflow::record::{AssignmentRow, JobState};
 use mangotrestle_core::workflow::spec::JobRecord;
 use mangotrestle_core::workflow::tenure::{self, LeadRow, PoolSummary};
+use mangotrestle_peer::cell::Acceptance;
 use mangotrestle_users_platform::registry;
 use mangotrestle_users_platform::store::{
     FeedError, Row, RowName, Rows, Transaction, TransactionAnswer, Value, WORKERS_TABLE,
 };
 use mangotrestle_users_platform::transport::CallError;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, oneshot};
 
 use super::cell::{Cell, lock};
+use super::liveness;
 use super::names;
 use super::orders;
 
-/// Time for one try of a commit; the store is slow at times and still answers within a second.
-const TRY: Duration = Duration::from_millis(1_200);
+/// Time that giving up a pool may hold up a planned stop.
+const RELEASE: Duration = Duration::from_millis(1_200);
 /// Pause before a commit is tried again.
 const PAUSE: Duration = Duration::from_millis(50);
 /// Time for a whole read.
@@ -77,12 +79,50 @@
     pub(super) fenced: AtomicBool,
     releasing: AtomicBool,
     over: AtomicBool,
+    /// Callers whose job becomes durable with a commit to come.
+    waiters: Mutex<FastMap<id::JobId, Vec<oneshot::Sender<Acceptance>>>>,
     view: ArcSwap<PoolSummary>,
     /// Questions that this host asks itself.
     pub(super) own_questions: AtomicUsize,
 }
 
 impl Leader {
+    /// Makes a job durable with the next commit.
+    pub(super) async fn accept(
+        &self,
+        cell: &Cell,
+        job: &id::JobId,
+        record: Arc<JobRecord>,
+    ) -> Acceptance {
+        if cell.store_is_away() {
+            return Acceptance::NotAccepted("no way to the store".to_owned());
+        }
+        let (sender, answered) = oneshot::channel();
+        {
+            let mut waiters = lock(&self.waiters);
+            if self.is_over() || self.releasing.load(Ordering::Relaxed) {
+                return Acceptance::NotLeading;
+            }
+            if lock(&self.state).submit(cell.clock.now(), job, record) {
+                return Acceptance::Known;
+            }
+            waiters.entry(job.clone()).or_default().push(sender);
+        }
+        self.wake.notify_one();
+        match answered.await {
+            Ok(acceptance) => acceptance,
+            Err(_) => Acceptance::Unknown("the leadership ended".to_owned()),
+        }
+    }
+
+    /// Answers the callers who wait for a job.
+    fn answer_waiters(&self, job: &id::JobId, acceptance: &Acceptance) {
+        for waiter in lock(&self.waiters).remove(job).unwrap_or_default() {
+            // A caller that has gone needs no answer.
+            let _ = waiter.send(acceptance.clone());
+        }
+    }
+
     /// Takes a job that is durably accepted as of a version.
     pub(super) fn submitted(
         &self,
@@ -149,7 +189,7 @@
         return;
     };
     observe_rows(cell, pool, &rows.rows);
-    if cell.with_pool(pool, |view| view.watch.claim_due(0)) {
+    if cell.with_pool(pool, |view| view.watch.claim_due(0, false)) {
         begin_claim(cell, pool);
     }
 }
@@ -199,6 +239,7 @@
                     Arc::clone(&leader),
                     feeds.inbox,
                 ));
+                tokio::spawn(liveness::follow(Arc::clone(cell), Arc::clone(&leader)));
                 tokio::spawn(lead(Arc::clone(cell), leader));
                 return;
             }
@@ -220,7 +261,7 @@
         remove: Vec::new(),
     };
     for _ in 0..CLAIM_TRIES {
-        match cell.transact(&transaction, TRY).await {
+        match cell.transact(&transaction, cell.try_time()).await {
             Ok(TransactionAnswer::Done { version }) => return Some(version),
             Ok(TransactionAnswer::Conflict(rows)) => {
                 observe_rows(cell, pool, &rows);
@@ -287,6 +328,7 @@
         fenced: AtomicBool::new(false),
         releasing: AtomicBool::new(false),
         over: AtomicBool::new(false),
+        waiters: Mutex::default(),
         view,
         own_questions: AtomicUsize::new(0),
     };
@@ -464,7 +506,21 @@
 /// What became of a commit.
 enum Committed {
     /// It is durable.
-    Durable,
+    Durable {
+        /// As of this version.
+        version: u64,
+        /// Jobs that it accepted.
+        accepted: Vec<id::JobId>,
+    },
+    /// Nothing was done, since these jobs had been accepted before.
+    Duplicates(Vec<id::JobId>),
+    /// Nothing was done; the store refuses.
+    Refused {
+        /// Jobs that it would have accepted.
+        submitted: Vec<id::JobId>,
+        /// Why.
+        why: String,
+    },
     /// Another host has taken the pool.
     Deposed,
 }
@@ -493,10 +549,21 @@
             && let Some(task) = commit.take()
         {
             match task.await {
-                Ok(Committed::Durable) => {
+                Ok(Committed::Durable { version, accepted }) => {
                     lock(&leader.state).committed(now);
                     leader.confirmed_at_ms.store(now.0, Ordering::Relaxed);
                     leader.fenced.store(false, Ordering::Relaxed);
+                    for job in accepted {
+                        leader.answer_waiters(&job, &Acceptance::Accepted { version });
+                    }
+                }
+                Ok(Committed::Duplicates(jobs)) => {
+                    lock(&leader.state).commit_undone();
+                    drop_submissions(&leader, now, &jobs, &Acceptance::Known);
+                }
+                Ok(Committed::Refused { submitted, why }) => {
+                    lock(&leader.state).commit_undone();
+                    drop_submissions(&leader, now, &submitted, &Acceptance::NotAccepted(why));
                 }
                 Ok(Committed::Deposed) => break,
                 Err(error) => {
@@ -526,12 +593,24 @@
         }
         orders::carry_out(&cell, &leader);
     }
-    leader.over.store(true, Ordering::Relaxed);
     cell.remove_leader(&leader.pool);
+    {
+        // Dropping the senders tells the callers that the outcome is unknown.
+        let mut waiters = lock(&leader.waiters);
+        leader.over.store(true, Ordering::Relaxed);
+        waiters.clear();
+    }
     slog::info!(cell.log, "leadership.ended"; "pool" => &leader.pool, "term" => leader.term,
         "released" => leader.releasing.load(Ordering::Relaxed));
 }
 
+fn drop_submissions(leader: &Leader, now: TimeMs, jobs: &[id::JobId], acceptance: &Acceptance) {
+    for job in jobs {
+        lock(&leader.state).drop_submission(now, job);
+        leader.answer_waiters(job, acceptance);
+    }
+}
+
 fn begin_commit(
     cell: &Arc<Cell>,
     leader: &Arc<Leader>,
@@ -584,14 +663,21 @@
     if let Some(summary) = summary {
         push_row(&mut transaction, names::view(&leader.pool), summary);
     }
+    let submitted: Vec<id::JobId> = submitted(commit);
+    let conditions = std::mem::take(&mut transaction.expect);
+    let mut uncertain = false;
     loop {
         let expected = leader.version.load(Ordering::Relaxed);
-        transaction.expect = vec![(names::lead(&leader.pool), expected)];
-        match cell.transact(&transaction, TRY).await {
+        transaction.expect.clone_from(&conditions);
+        transaction
+            .expect
+            .push((names::lead(&leader.pool), expected));
+        match cell.transact(&transaction, cell.try_time()).await {
             Ok(TransactionAnswer::Done { version }) => {
                 leader.version.store(version, Ordering::Relaxed);
                 leader.sequence.store(sequence, Ordering::Relaxed);
-                return Committed::Durable;
+                let accepted = submitted;
+                return Committed::Durable { version, accepted };
             }
             Ok(TransactionAnswer::Conflict(rows)) => {
                 let found = rows.iter().find(|found| is_own(found, &row));
@@ -605,10 +691,22 @@
                 if sequence_of(found) == Some(sequence) {
                     // An earlier try was carried out and its answer lost.
                     leader.sequence.store(sequence, Ordering::Relaxed);
-                    return Committed::Durable;
+                    return Committed::Durable {
+                        version: found.version,
+                        accepted: submitted,
+                    };
+                }
+                let duplicates = existing(&leader.pool, &submitted, &rows);
+                if !duplicates.is_empty() {
+                    return Committed::Duplicates(duplicates);
                 }
             }
             Err(error) => {
+                uncertain |= !error.had_no_effect();
+                if !uncertain && !submitted.is_empty() {
+                    let why = error.to_string();
+                    return Committed::Refused { submitted, why };
+                }
                 slog::debug!(cell.log, "commit.tried"; "pool" => &leader.pool,
                     "error" => %error);
                 tokio::time::sleep(PAUSE).await;
@@ -617,6 +715,27 @@
     }
 }
 
+/// Jobs that a commit accepts.
+fn submitted(commit: &Commit) -> Vec<id::JobId> {
+    let changes = commit.changes.iter();
+    changes
+        .filter_map(|change| match change {
+            RowChange::Accept { job, .. } => Some(job.clone()),
+            _ => None,
+        })
+        .collect()
+}
+
+/// Those jobs of which a row exists in the inbox or among the ends.
+fn existing(pool: &str, jobs: &[id::JobId], rows: &[Row]) -> Vec<id::JobId> {
+    let exists = |job: &&id::JobId| {
+        let (inbox, ended) = (names::inbox(pool, job), names::ended(pool, job));
+        rows.iter()
+            .any(|row| row.value.is_some() && (row.name == inbox || row.name == ended))
+    };
+    jobs.iter().filter(exists).cloned().collect()
+}
+
 fn sequence_of(row: &Row) -> Option<u64> {
     let value = row.value.as_ref()?;
     let lead: LeadRow = serde_json::from_slice(&value.0).ok()?;
@@ -633,6 +752,12 @@
     let mut transaction = Transaction::default();
     for change in &commit.changes {
         match change {
+            RowChange::Accept { job, record } => {
+                let inbox = names::inbox(pool, job);
+                transaction.expect.push((inbox.clone(), 0));
+                transaction.expect.push((names::ended(pool, job), 0));
+                push_row(&mut transaction, inbox, record.as_ref());
+            }
             RowChange::Assign { job, row } => {
                 push_row(&mut transaction, names::assign(pool, job), row);
             }
@@ -662,7 +787,7 @@
         }
     };
     // A store that does not answer must not hold up the stop.
-    let _ = tokio::time::timeout(TRY, all_over).await;
+    let _ = tokio::time::timeout(RELEASE, all_over).await;
     for (pool, _) in leaders {
         let successors = cell.successors(&pool);
         tokio::spawn(async move {
--- a/crates/mangotrestle/src/host/mod.rs
+++ b/crates/mangotrestle/src/host/mod.rs
@@ -11,6 +11,7 @@
 //! - `front` answers callers, `acceptor` makes their jobs durable;
 //! - `feeds` follows the configuration and the cell's rows;
 //! - `leader` leads a pool, `orders` carries out what it orders;
+//! - `liveness` finds out whether a worker that does not answer is at its end;
 //! - `peers` serves and calls the other hosts;
 //! - `upkeep` carries out waves of upkeep;
 //! - `events` writes the log.
@@ -31,6 +32,7 @@
 mod feeds;
 mod front;
 mod leader;
+mod liveness;
 mod names;
 mod orders;
 mod peers;
--- a/crates/mangotrestle/src/host/peers.rs
+++ b/crates/mangotrestle/src/host/peers.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use jsonrpsee::server::ServerHandle;
-use mangotrestle_peer::cell::{self, Advice, CellBackend, JobName, Knowledge, Question, Submitted};
+use mangotrestle_peer::cell::{
+    self, Acceptance, Advice, CellBackend, JobName, Knowledge, Question, Submission, Submitted,
+};
 use mangotrestle_users_platform::advice;
 
 use super::access::{RelayedAnswer, RelayedCall};
@@ -24,6 +26,16 @@
 }
 
 impl CellBackend for Backend {
+    async fn accept(&self, submission: Submission) -> Acceptance {
+        match self.cell.leader(&submission.pool) {
+            None => Acceptance::NotLeading,
+            Some(leader) => {
+                let record = Arc::new(submission.record);
+                leader.accept(&self.cell, &submission.job, record).await
+            }
+        }
+    }
+
     async fn submitted(&self, submitted: Submitted) -> bool {
         let Some(leader) = self.cell.leader(&submitted.pool) else {
             return false;
