Write the release of a stopping leader; spare a slow store

Cause: a leader told to stop ended after the commit that was in flight, before the one that gives the pool up, so successors waited out its silence. While the store was slow, claims and direct submissions queued on one part and were refused.

--- a/crates/mangotrestle-core/src/workflow/tenure.rs
+++ b/crates/mangotrestle-core/src/workflow/tenure.rs
@@ -17,7 +17,7 @@
 /// Time without a commit, as seen by looks that were answered, after which a leader is replaced:
 /// three renewals and a slow answer of the store.
 pub const EXPIRY: SpanMs = SpanMs(1_900);
-/// Further time for each rank among the hosts, so that they do not claim together.
+/// Least time for each rank among the hosts, so that they do not claim together.
 pub const STAGGER: SpanMs = SpanMs(250);
 /// Longest time for which a leader extends leases of workers without a commit; after it and a
 /// lease, nothing that it started can still run on a worker which nobody else reaches.
@@ -101,10 +101,11 @@
         self.version
     }
 
-    /// Whether a host of this rank should claim the pool. Only time over which looks were answered
+    /// Whether a host of this rank should claim the pool; `stagger` is the time that each rank
+    /// leaves to the one before. Only time over which looks were answered
     /// counts as silence; a leader whose process has ended for certain is not waited for.
     #[must_use]
-    pub fn claim_due(&self, rank: u64, ended: bool) -> bool {
+    pub fn claim_due(&self, rank: u64, stagger: SpanMs, ended: bool) -> bool {
         let Some(looked_at) = self.looked_at else {
             return false;
         };
@@ -113,7 +114,7 @@
             Some(row) if !row.released && !ended => EXPIRY,
             _ => SpanMs(0),
         };
-        silence >= patience + SpanMs(STAGGER.0 * rank)
+        silence >= patience + SpanMs(stagger.0 * rank)
     }
 
     /// The row that a claim of this host writes.
--- a/crates/mangotrestle/src/host/access.rs
+++ b/crates/mangotrestle/src/host/access.rs
@@ -5,9 +5,11 @@
 //! a peer whose own way is open. A peer never passes a relayed call on again.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
+use mangotrestle_core::time::SpanMs;
+use mangotrestle_core::workflow::tenure;
 use mangotrestle_users_platform::store::{FeedError, Rows, Transaction, TransactionAnswer};
 use mangotrestle_users_platform::transport::CallError;
 use serde::{Deserialize, Serialize};
@@ -33,6 +35,8 @@
 const TRY_MULTIPLE: u64 = 8;
 /// Shortest time before an answer counts as lost.
 const SHORTEST_TRY_MS: u64 = 400;
+/// Time before an answer counts as lost from which on the store counts as slow.
+const SLOW_TRY_MS: u64 = 800;
 /// Longest time before an answer counts as lost; a slow store answers within a second.
 const LONGEST_TRY_MS: u64 = 1_500;
 
@@ -44,6 +48,8 @@
     no_relay_until_ms: AtomicU64,
     /// Time before the answer of a transaction counts as lost; zero before the first.
     try_ms: AtomicU64,
+    /// Whether the log says that the store is lost.
+    lost_logged: AtomicBool,
 }
 
 /// A call that a peer passes on.
@@ -113,6 +119,18 @@
         Duration::from_millis(try_ms.clamp(SHORTEST_TRY_MS, LONGEST_TRY_MS))
     }
 
+    /// Whether transactions take much longer than they should.
+    pub(super) fn store_is_slow(&self) -> bool {
+        self.try_time() >= Duration::from_millis(SLOW_TRY_MS)
+    }
+
+    /// Time that each rank among the hosts leaves to the one before when a pool has no leader: a
+    /// claim must be able to show before the next is made.
+    pub(super) fn stagger(&self) -> SpanMs {
+        let claim_ms = millis(self.try_time()) / 2;
+        SpanMs(claim_ms.max(tenure::STAGGER.0))
+    }
+
     /// Learns from the time that a transaction took, or from a lost answer.
     fn learn_try_time(&self, took: Duration, lost: bool) {
         let before = self.direct.try_ms.load(Ordering::Relaxed);
@@ -150,7 +168,8 @@
             let was_open = self.store_is_open();
             let until = now + CLOSED_MS;
             self.direct.closed_until_ms.store(until, Ordering::Relaxed);
-            if was_open {
+            let known = self.direct.lost_logged.swap(true, Ordering::Relaxed);
+            if was_open && !known {
                 let error = error.map(ToString::to_string).unwrap_or_default();
                 slog::warn!(self.log, "store.lost"; "failures" => failures, "error" => error);
             }
@@ -160,8 +179,7 @@
     fn note_answer(&self) {
         let now = self.clock.now().0;
         let answered = self.store_answered_at_ms.swap(now, Ordering::Relaxed);
-        let failed = self.store_failed_at_ms.load(Ordering::Relaxed);
-        if failed > answered {
+        if self.direct.lost_logged.swap(false, Ordering::Relaxed) {
             slog::info!(self.log, "store.regained"; "away_ms" => now.saturating_sub(answered));
         }
     }
@@ -283,8 +301,8 @@
         table: &str,
         after: u64,
         wait: Duration,
-        within: Duration,
     ) -> Result<Rows, FeedError> {
+        let within = wait + self.try_time();
         let open = self.store_is_open();
         if open {
             let result = self.store.feed(table, after, wait, within).await;
--- a/crates/mangotrestle/src/host/feeds.rs
+++ b/crates/mangotrestle/src/host/feeds.rs
@@ -17,8 +17,6 @@
 /// How long the store may hold the configuration's feed back: half of the time in which a
 /// configuration has to be in force, so that a connection that went silent is noticed in time.
 const CONFIGURATION_WAIT_PART: f64 = 0.45;
-/// Time for an answer beyond the wait asked for.
-const FEED_MARGIN: Duration = Duration::from_millis(450);
 /// Distance of looks at the cell's rows.
 const CELL_INTERVAL: Duration = Duration::from_millis(400);
 /// How long the store may hold the cell's feed back.
@@ -45,10 +43,7 @@
                 .whole_part(OPERATOR_TABLE, "", READ)
                 .await
                 .map_err(FeedError::Call),
-            Some(after) => {
-                cell.feed(OPERATOR_TABLE, after, wait, wait + FEED_MARGIN)
-                    .await
-            }
+            Some(after) => cell.feed(OPERATOR_TABLE, after, wait).await,
         };
         match result {
             Ok(rows) => {
@@ -107,10 +102,7 @@
         }
         let result = match version {
             None => read_cell(&cell).await.map_err(FeedError::Call),
-            Some(after) => {
-                cell.feed(names::CELL, after, CELL_WAIT, CELL_WAIT + FEED_MARGIN)
-                    .await
-            }
+            Some(after) => cell.feed(names::CELL, after, CELL_WAIT).await,
         };
         match result {
             Ok(rows) => {
@@ -257,8 +249,11 @@
     };
     for pool in &catalog.pools {
         let rank = cell.rank(&pool.name);
+        let stagger = cell.stagger();
         let ended = cell.leader_has_ended(&pool.name);
-        let due = cell.with_pool(&pool.name, |view| view.watch.claim_due(rank, ended));
+        let due = cell.with_pool(&pool.name, |view| {
+            view.watch.claim_due(rank, stagger, ended)
+        });
         if due && cell.leader(&pool.name).is_none() {
             leader::begin_claim(cell, &pool.name);
         }
--- a/crates/mangotrestle/src/host/front.rs
+++ b/crates/mangotrestle/src/host/front.rs
@@ -29,6 +29,8 @@
 const DEFAULT_BODY_BYTES: usize = 262_144;
 /// Time that a caller waits where it does not say.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(3);
+/// Pause before a pool's leader is looked for again while the store is slow.
+const LEADER_PAUSE: Duration = Duration::from_millis(150);
 /// Part of that time that the pool's leader is given.
 const LEADER_PART: f64 = 0.6;
 /// Part of the caller's time in which the store may be tried.
@@ -210,12 +212,21 @@
     let for_leader = within
         .mul_f64(LEADER_PART)
         .min(cell.try_time() * 2 + LEADER_ANSWER);
-    let by_leader = tokio::time::timeout(for_leader, accept_by_leader(cell, queue, job, record));
-    let uncertain = match by_leader.await {
-        Ok(Some(Acceptance::Unknown(_))) | Err(_) => true,
-        Ok(Some(Acceptance::NotLeading) | None) => false,
-        Ok(Some(acceptance)) => return (acceptance, true),
-    };
+    let mut uncertain = false;
+    loop {
+        let by_leader = accept_by_leader(cell, queue, job, record);
+        match tokio::time::timeout(for_leader, by_leader).await {
+            Ok(Some(Acceptance::Unknown(_))) | Err(_) => uncertain = true,
+            Ok(Some(Acceptance::NotLeading) | None) => {}
+            Ok(Some(acceptance)) => return (acceptance, true),
+        }
+        // A slow store must not be given many small transactions while a new leader is on its way.
+        let leave_it = cell.store_is_slow() && !cell.store_is_away();
+        if !leave_it || began.elapsed() + LEADER_PAUSE > within.mul_f64(LEADER_PART) {
+            break;
+        }
+        tokio::time::sleep(LEADER_PAUSE).await;
+    }
     let rest = within.saturating_sub(began.elapsed());
     let acceptor = cell.acceptor(&queue.pool);
     (acceptor.accept(job, record, rest, uncertain).await, false)
--- a/crates/mangotrestle/src/host/leader.rs
+++ b/crates/mangotrestle/src/host/leader.rs
@@ -49,8 +49,6 @@
 const INBOX_INTERVAL: Duration = Duration::from_millis(350);
 /// How long the store may hold a feed back.
 const FEED_WAIT: Duration = Duration::from_millis(400);
-/// Time for a feed's answer beyond the wait asked for.
-const FEED_MARGIN: Duration = Duration::from_millis(450);
 /// How long a worker may hold a report back.
 const HOLD_WAIT: SpanMs = SpanMs(1_500);
 /// Pause between two looks at a worker, in which ends gather.
@@ -189,7 +187,7 @@
         return;
     };
     observe_rows(cell, pool, &rows.rows);
-    if cell.with_pool(pool, |view| view.watch.claim_due(0, false)) {
+    if cell.with_pool(pool, |view| view.watch.claim_due(0, cell.stagger(), false)) {
         begin_claim(cell, pool);
     }
 }
@@ -419,10 +417,7 @@
     while !leader.is_over() {
         let began = tokio::time::Instant::now();
         let result = match version {
-            Some(after) => {
-                cell.feed(WORKERS_TABLE, after, FEED_WAIT, FEED_WAIT + FEED_MARGIN)
-                    .await
-            }
+            Some(after) => cell.feed(WORKERS_TABLE, after, FEED_WAIT).await,
             None => cell
                 .whole_part(WORKERS_TABLE, "", READ)
                 .await
@@ -460,10 +455,7 @@
     while !leader.is_over() {
         let began = tokio::time::Instant::now();
         let result = match version {
-            Some(after) => {
-                cell.feed(names::INBOX, after, FEED_WAIT, FEED_WAIT + FEED_MARGIN)
-                    .await
-            }
+            Some(after) => cell.feed(names::INBOX, after, FEED_WAIT).await,
             None => cell
                 .whole_part(names::INBOX, &leader.pool, READ)
                 .await
@@ -530,6 +522,7 @@
     let mut commit: Option<tokio::task::JoinHandle<Committed>> = None;
     let mut committed_at = cell.clock.now();
     let mut viewed_at = TimeMs(0);
+    let mut gives_up = false;
     let mut last_round = cell.clock.now();
     loop {
         // A full sleep without a wake is what an idle round is.
@@ -571,7 +564,7 @@
                     break;
                 }
             }
-            if leader.releasing.load(Ordering::Relaxed) {
+            if gives_up {
                 break;
             }
         }
@@ -588,6 +581,7 @@
                 if with_view {
                     viewed_at = now;
                 }
+                gives_up = releasing;
                 commit = Some(begin_commit(&cell, &leader, now, with_view, releasing));
             }
         }
