Keep one writer a part while the store is slow, and look for a commit that is not answered

Cause: at 60 times its usual time a part of the store carries out under two transactions a second. Commits were sent again after 400 ms and hosts went past the leader after 1.2 s, so that everything queued behind duplicates and was refused (429). Ruled out: reads (answered in 0.3 s), the workers (silent in no case). Change: a commit without an answer is looked for by a read and sent again only when the store is quick and the row is not there; hosts leave submissions to a leader whose commits they see; spans of the leadership stretch while the store is slow.

--- a/crates/mangotrestle-core/src/workflow/tenure.rs
+++ b/crates/mangotrestle-core/src/workflow/tenure.rs
@@ -19,6 +19,8 @@
 pub const EXPIRY: SpanMs = SpanMs(1_900);
 /// Least time for each rank among the hosts, so that they do not claim together.
 pub const STAGGER: SpanMs = SpanMs(250);
+/// Time after a commit was seen in which its leader counts as alive: a renewal and a look.
+pub const COMMITS_SEEN: SpanMs = SpanMs(1_300);
 /// Longest time for which a leader extends leases of workers without a commit; after it and a
 /// lease, nothing that it started can still run on a worker which nobody else reaches.
 pub const UNCONFIRMED: SpanMs = SpanMs(12_000);
@@ -53,6 +55,11 @@
     pub released: bool,
 }
 
+/// A span of the leadership while the store is slow: its commits and looks take that much longer.
+const fn stretched(span: SpanMs, slow: bool) -> SpanMs {
+    SpanMs(if slow { span.0 * 2 } else { span.0 })
+}
+
 /// What a host sees of a pool's leadership.
 #[derive(Debug, Default)]
 pub struct Watch {
@@ -101,17 +108,25 @@
         self.version
     }
 
+    /// Whether the leader has committed lately, as far as this host has seen; `slow` says that the
+    /// store is.
+    #[must_use]
+    pub fn commits(&self, now: TimeMs, slow: bool) -> bool {
+        let seen = stretched(COMMITS_SEEN, slow);
+        self.row.as_ref().is_some_and(|row| !row.released) && now.since(self.changed_at) < seen
+    }
+
     /// Whether a host of this rank should claim the pool; `stagger` is the time that each rank
     /// leaves to the one before. Only time over which looks were answered
     /// counts as silence; a leader whose process has ended for certain is not waited for.
     #[must_use]
-    pub fn claim_due(&self, rank: u64, stagger: SpanMs, ended: bool) -> bool {
+    pub fn claim_due(&self, rank: u64, stagger: SpanMs, ended: bool, slow: bool) -> bool {
         let Some(looked_at) = self.looked_at else {
             return false;
         };
         let silence = looked_at.since(self.changed_at);
         let patience = match &self.row {
-            Some(row) if !row.released && !ended => EXPIRY,
+            Some(row) if !row.released && !ended => stretched(EXPIRY, slow),
             _ => SpanMs(0),
         };
         silence >= patience + SpanMs(stagger.0 * rank)
--- a/crates/mangotrestle/src/host/acceptor.rs
+++ b/crates/mangotrestle/src/host/acceptor.rs
@@ -16,6 +16,8 @@
 const MOST_JOBS: usize = 30;
 /// Jobs that wait for a transaction before more are refused.
 const QUEUE_JOBS: usize = 512;
+/// Pause before a try whose predecessor was refused.
+const BUSY_PAUSE: Duration = Duration::from_millis(300);
 /// Pause before a try whose predecessor failed.
 const PAUSE: Duration = Duration::from_millis(60);
 
@@ -123,7 +125,9 @@
             let why = error.to_string();
             let left = after_failure(batch, certain, &why);
             if !left.is_empty() {
-                tokio::time::sleep(PAUSE).await;
+                // A part that refuses for load has a second of transactions before this one.
+                let pause = if certain { BUSY_PAUSE } else { PAUSE };
+                tokio::time::sleep(pause).await;
             }
             left
         }
--- a/crates/mangotrestle/src/host/access.rs
+++ b/crates/mangotrestle/src/host/access.rs
@@ -10,7 +10,9 @@
 
 use mangotrestle_core::time::SpanMs;
 use mangotrestle_core::workflow::tenure;
-use mangotrestle_users_platform::store::{FeedError, Rows, Transaction, TransactionAnswer};
+use mangotrestle_users_platform::store::{
+    FeedError, Row, RowName, Rows, Transaction, TransactionAnswer,
+};
 use mangotrestle_users_platform::transport::CallError;
 use serde::{Deserialize, Serialize};
 
@@ -31,14 +33,23 @@
 const TOO_MANY: u16 = 429;
 /// Time after a call that no peer could pass on in which none is tried again.
 const NO_RELAY_MS: u64 = 400;
-/// Multiple of the time of late transactions that one may take before its answer counts as lost.
-const TRY_MULTIPLE: u64 = 8;
-/// Shortest time before an answer counts as lost.
-const SHORTEST_TRY_MS: u64 = 400;
-/// Time before an answer counts as lost from which on the store counts as slow.
-const SLOW_TRY_MS: u64 = 800;
-/// Longest time before an answer counts as lost; a slow store answers within a second.
-const LONGEST_TRY_MS: u64 = 1_500;
+/// Time for a transaction.
+const TRY: Duration = Duration::from_millis(1_500);
+/// Time for a transaction while the store is slow.
+const SLOW_TRY: Duration = Duration::from_millis(3_000);
+/// Time of a transaction from which on the store counts as slow; ten times the usual.
+const SLOW_TRANSACTION_MS: u64 = 150;
+/// Time of a read beyond what it was to wait, from which on the store counts as slow.
+const SLOW_READ_MS: u64 = 80;
+/// Time for which the store counts as slow after a slow answer.
+const SLOW_FOR_MS: u64 = 2_500;
+/// Distance of looks for the rows of a transaction that is not answered.
+const PROBE: Duration = Duration::from_millis(300);
+/// Time for such a look.
+const PROBE_READ: Duration = Duration::from_millis(1_000);
+/// Time after which a transaction counts as lost whose rows are not there though the store answers
+/// reads quickly.
+const LOST: Duration = Duration::from_millis(500);
 
 /// State of the direct way.
 #[derive(Debug, Default)]
@@ -46,8 +57,7 @@
     failures: AtomicU64,
     closed_until_ms: AtomicU64,
     no_relay_until_ms: AtomicU64,
-    /// Time before the answer of a transaction counts as lost; zero before the first.
-    try_ms: AtomicU64,
+    slow_until_ms: AtomicU64,
     /// Whether the log says that the store is lost.
     lost_logged: AtomicBool,
 }
@@ -113,36 +123,43 @@
         !self.store_is_open() && self.clock.now().0 < no_relay_until
     }
 
-    /// Time before the answer of a transaction counts as lost, from the times of those before.
+    /// Time for a transaction.
     pub(super) fn try_time(&self) -> Duration {
-        let try_ms = self.direct.try_ms.load(Ordering::Relaxed);
-        Duration::from_millis(try_ms.clamp(SHORTEST_TRY_MS, LONGEST_TRY_MS))
+        if self.store_is_slow() { SLOW_TRY } else { TRY }
     }
 
-    /// Whether transactions take much longer than they should.
+    /// Whether the store takes much longer than it should.
     pub(super) fn store_is_slow(&self) -> bool {
-        self.try_time() >= Duration::from_millis(SLOW_TRY_MS)
+        self.clock.now().0 < self.direct.slow_until_ms.load(Ordering::Relaxed)
     }
 
     /// Time that each rank among the hosts leaves to the one before when a pool has no leader: a
     /// claim must be able to show before the next is made.
     pub(super) fn stagger(&self) -> SpanMs {
-        let claim_ms = millis(self.try_time()) / 2;
-        SpanMs(claim_ms.max(tenure::STAGGER.0))
+        let factor = if self.store_is_slow() { 4 } else { 1 };
+        SpanMs(tenure::STAGGER.0 * factor)
     }
 
-    /// Learns from the time that a transaction took, or from a lost answer.
-    fn learn_try_time(&self, took: Duration, lost: bool) {
-        let before = self.direct.try_ms.load(Ordering::Relaxed);
-        let observed = millis(took) * TRY_MULTIPLE;
-        let next = if lost {
-            before.max(SHORTEST_TRY_MS) * 2
-        } else {
-            // Falls by a quarter of the distance, rises at once.
-            observed.max(before - (before.saturating_sub(observed)) / 4)
-        };
-        let next = next.clamp(SHORTEST_TRY_MS, LONGEST_TRY_MS);
-        self.direct.try_ms.store(next, Ordering::Relaxed);
+    fn note_transaction_time(&self, took: Duration) {
+        if millis(took) >= SLOW_TRANSACTION_MS {
+            self.note_slow("transaction", took);
+        }
+    }
+
+    /// Learns from a read that was to wait and took this long.
+    fn note_read_time(&self, took: Duration, wait: Duration) {
+        if millis(took.saturating_sub(wait)) >= SLOW_READ_MS {
+            self.note_slow("read", took);
+        }
+    }
+
+    fn note_slow(&self, what: &'static str, took: Duration) {
+        let was_slow = self.store_is_slow();
+        let until = self.clock.now().0 + SLOW_FOR_MS;
+        self.direct.slow_until_ms.store(until, Ordering::Relaxed);
+        if !was_slow {
+            slog::info!(self.log, "store.slow"; "call" => what, "took_ms" => millis(took));
+        }
     }
 
     /// Whether the last call to the store succeeded, by whatever way.
@@ -216,6 +233,40 @@
         }
     }
 
+    /// Carries out a transaction and, while there is no answer, looks whether its rows are there. A
+    /// transaction that a slow store has queued is not sent twice, and one whose answer was lost is
+    /// not waited for. `is_ours` tells whether a row was written by this transaction and no other.
+    pub(super) async fn settle(
+        self: &Arc<Self>,
+        transaction: &Transaction,
+        probe: &RowName,
+        is_ours: impl Fn(&Row) -> bool,
+    ) -> Result<TransactionAnswer, CallError> {
+        let began = std::time::Instant::now();
+        let mut call = std::pin::pin!(self.transact(transaction, self.try_time()));
+        loop {
+            if let Ok(result) = tokio::time::timeout(PROBE, &mut call).await {
+                return result;
+            }
+            let asked = std::time::Instant::now();
+            let end = format!("{}\u{1}", probe.key);
+            let rows = self
+                .range(&probe.table, &probe.part, &probe.key, &end, PROBE_READ)
+                .await;
+            let Ok(rows) = rows else {
+                continue;
+            };
+            if let Some(row) = rows.rows.iter().find(|row| is_ours(row)) {
+                let version = row.version;
+                return Ok(TransactionAnswer::Done { version });
+            }
+            let quick = millis(asked.elapsed()) < SLOW_READ_MS;
+            if quick && began.elapsed() >= LOST {
+                return Err(CallError::Unknown("the answer was lost".to_owned()));
+            }
+        }
+    }
+
     async fn transact_directly(
         &self,
         transaction: &Transaction,
@@ -223,10 +274,8 @@
     ) -> Result<TransactionAnswer, CallError> {
         let began = std::time::Instant::now();
         let result = self.store.transact(transaction, within).await;
-        match &result {
-            Ok(_) => self.learn_try_time(began.elapsed(), false),
-            Err(CallError::Unknown(_)) => self.learn_try_time(began.elapsed(), true),
-            Err(_) => {}
+        if result.is_ok() {
+            self.note_transaction_time(began.elapsed());
         }
         self.note_direct(result.as_ref().err());
         result
@@ -243,9 +292,11 @@
     ) -> Result<Rows, CallError> {
         let open = self.store_is_open();
         if open {
+            let began = std::time::Instant::now();
             let result = self.store.range(table, part, from, to, within).await;
             self.note_direct(result.as_ref().err());
             if result.is_ok() {
+                self.note_read_time(began.elapsed(), Duration::ZERO);
                 return result;
             }
         }
@@ -305,7 +356,11 @@
         let within = wait + self.try_time();
         let open = self.store_is_open();
         if open {
+            let began = std::time::Instant::now();
             let result = self.store.feed(table, after, wait, within).await;
+            if result.is_ok() {
+                self.note_read_time(began.elapsed(), wait);
+            }
             match &result {
                 Err(FeedError::Call(error)) => self.note_direct(Some(error)),
                 Ok(_) | Err(FeedError::HistoryLost) => {
--- a/crates/mangotrestle/src/host/cell.rs
+++ b/crates/mangotrestle/src/host/cell.rs
@@ -325,6 +325,12 @@
         lock(&self.pools).keys().cloned().collect()
     }
 
+    /// Whether commits of a pool's leader have been seen lately.
+    pub(super) fn leader_commits(&self, pool: &str) -> bool {
+        let (now, slow) = (self.clock.now(), self.store_is_slow());
+        self.with_pool(pool, |view| view.watch.commits(now, slow))
+    }
+
     /// The leadership row of a pool.
     pub(super) fn lead_row(&self, pool: &str) -> Option<LeadRow> {
         self.with_pool(pool, |view| view.watch.row().cloned())
--- a/crates/mangotrestle/src/host/feeds.rs
+++ b/crates/mangotrestle/src/host/feeds.rs
@@ -249,10 +249,10 @@
     };
     for pool in &catalog.pools {
         let rank = cell.rank(&pool.name);
-        let stagger = cell.stagger();
+        let (stagger, slow) = (cell.stagger(), cell.store_is_slow());
         let ended = cell.leader_has_ended(&pool.name);
         let due = cell.with_pool(&pool.name, |view| {
-            view.watch.claim_due(rank, stagger, ended)
+            view.watch.claim_due(rank, stagger, ended, slow)
         });
         if due && cell.leader(&pool.name).is_none() {
             leader::begin_claim(cell, &pool.name);
--- a/crates/mangotrestle/src/host/front.rs
+++ b/crates/mangotrestle/src/host/front.rs
@@ -209,20 +209,21 @@
     within: Duration,
 ) -> (Acceptance, bool) {
     let began = Instant::now();
-    let for_leader = within
-        .mul_f64(LEADER_PART)
-        .min(cell.try_time() * 2 + LEADER_ANSWER);
     let mut uncertain = false;
-    loop {
+    while began.elapsed() < within {
         let by_leader = accept_by_leader(cell, queue, job, record);
-        match tokio::time::timeout(for_leader, by_leader).await {
-            Ok(Some(Acceptance::Unknown(_))) | Err(_) => uncertain = true,
+        match tokio::time::timeout(within.saturating_sub(began.elapsed()), by_leader).await {
+            Ok(Some(Acceptance::Unknown(_))) => uncertain = true,
             Ok(Some(Acceptance::NotLeading) | None) => {}
             Ok(Some(acceptance)) => return (acceptance, true),
+            Err(_) => {
+                uncertain = true;
+                break;
+            }
         }
-        // A slow store must not be given many small transactions while a new leader is on its way.
+        // A slow store must not be given many small transactions while a leader is on its way.
         let leave_it = cell.store_is_slow() && !cell.store_is_away();
-        if !leave_it || began.elapsed() + LEADER_PAUSE > within.mul_f64(LEADER_PART) {
+        if !leave_it || began.elapsed() > within.mul_f64(LEADER_PART) {
             break;
         }
         tokio::time::sleep(LEADER_PAUSE).await;
@@ -249,11 +250,21 @@
         job: job.clone(),
         record: record.as_ref().clone(),
     };
-    match peer.accept(submission).await {
-        Ok(acceptance) => Some(acceptance),
-        Err(error) => {
-            cell.note_peer_failure(&row.holder);
-            Some(Acceptance::Unknown(error.to_string()))
+    let mut answer = std::pin::pin!(peer.accept(submission));
+    loop {
+        let answered = tokio::time::timeout(LEADER_ANSWER, &mut answer).await;
+        match answered {
+            Ok(Ok(acceptance)) => return Some(acceptance),
+            Ok(Err(error)) => {
+                cell.note_peer_failure(&row.holder);
+                return Some(Acceptance::Unknown(error.to_string()));
+            }
+            // A leader that commits is waited for, however slow the store is.
+            Err(_) if cell.leader_commits(&queue.pool) => {}
+            Err(_) => {
+                cell.note_peer_failure(&row.holder);
+                return Some(Acceptance::Unknown("the leader does not answer".to_owned()));
+            }
         }
     }
 }
--- a/crates/mangotrestle/src/host/leader.rs
+++ b/crates/mangotrestle/src/host/leader.rs
@@ -29,6 +29,8 @@
 const RELEASE: Duration = Duration::from_millis(1_200);
 /// Pause before a commit is tried again.
 const PAUSE: Duration = Duration::from_millis(50);
+/// Status of a refusal for load.
+const TOO_MANY: u16 = 429;
 /// Time for a whole read.
 const READ: Duration = Duration::from_millis(2_000);
 /// Tries to claim a pool whose answers are lost.
@@ -76,6 +78,8 @@
     /// Whether a worker has seen a higher term.
     pub(super) fenced: AtomicBool,
     releasing: AtomicBool,
+    /// Whether the commit that gives the pool up has begun.
+    given_up: AtomicBool,
     over: AtomicBool,
     /// Callers whose job becomes durable with a commit to come.
     waiters: Mutex<FastMap<id::JobId, Vec<oneshot::Sender<Acceptance>>>>,
@@ -98,7 +102,7 @@
         let (sender, answered) = oneshot::channel();
         {
             let mut waiters = lock(&self.waiters);
-            if self.is_over() || self.releasing.load(Ordering::Relaxed) {
+            if self.is_over() || self.given_up.load(Ordering::Relaxed) {
                 return Acceptance::NotLeading;
             }
             if lock(&self.state).submit(cell.clock.now(), job, record) {
@@ -187,7 +191,9 @@
         return;
     };
     observe_rows(cell, pool, &rows.rows);
-    if cell.with_pool(pool, |view| view.watch.claim_due(0, cell.stagger(), false)) {
+    if cell.with_pool(pool, |view| {
+        view.watch.claim_due(0, cell.stagger(), false, false)
+    }) {
         begin_claim(cell, pool);
     }
 }
@@ -259,7 +265,9 @@
         remove: Vec::new(),
     };
     for _ in 0..CLAIM_TRIES {
-        match cell.transact(&transaction, cell.try_time()).await {
+        let probe = names::lead(pool);
+        let is_ours = |found: &Row| is_own(found, row);
+        match cell.settle(&transaction, &probe, is_ours).await {
             Ok(TransactionAnswer::Done { version }) => return Some(version),
             Ok(TransactionAnswer::Conflict(rows)) => {
                 observe_rows(cell, pool, &rows);
@@ -325,6 +333,7 @@
         confirmed_at_ms: AtomicU64::new(now.0),
         fenced: AtomicBool::new(false),
         releasing: AtomicBool::new(false),
+        given_up: AtomicBool::new(false),
         over: AtomicBool::new(false),
         waiters: Mutex::default(),
         view,
@@ -522,7 +531,6 @@
     let mut commit: Option<tokio::task::JoinHandle<Committed>> = None;
     let mut committed_at = cell.clock.now();
     let mut viewed_at = TimeMs(0);
-    let mut gives_up = false;
     let mut last_round = cell.clock.now();
     loop {
         // A full sleep without a wake is what an idle round is.
@@ -564,7 +572,7 @@
                     break;
                 }
             }
-            if gives_up {
+            if leader.given_up.load(Ordering::Relaxed) {
                 break;
             }
         }
@@ -581,7 +589,7 @@
                 if with_view {
                     viewed_at = now;
                 }
-                gives_up = releasing;
+                leader.given_up.store(releasing, Ordering::Relaxed);
                 commit = Some(begin_commit(&cell, &leader, now, with_view, releasing));
             }
         }
@@ -666,7 +674,9 @@
         transaction
             .expect
             .push((names::lead(&leader.pool), expected));
-        match cell.transact(&transaction, cell.try_time()).await {
+        let probe = names::lead(&leader.pool);
+        let is_ours = |found: &Row| is_own(found, &row) && sequence_of(found) == Some(sequence);
+        match cell.settle(&transaction, &probe, is_ours).await {
             Ok(TransactionAnswer::Done { version }) => {
                 leader.version.store(version, Ordering::Relaxed);
                 leader.sequence.store(sequence, Ordering::Relaxed);
@@ -697,7 +707,8 @@
             }
             Err(error) => {
                 uncertain |= !error.had_no_effect();
-                if !uncertain && !submitted.is_empty() {
+                let busy = error == CallError::Refused(TOO_MANY);
+                if !uncertain && !busy && !submitted.is_empty() {
                     let why = error.to_string();
                     return Committed::Refused { submitted, why };
                 }
@@ -782,9 +793,12 @@
     };
     // A store that does not answer must not hold up the stop.
     let _ = tokio::time::timeout(RELEASE, all_over).await;
-    for (pool, _) in leaders {
+    for (pool, leader) in leaders {
         let successors = cell.successors(&pool);
         tokio::spawn(async move {
+            while !leader.is_over() {
+                tokio::time::sleep(PAUSE).await;
+            }
             for successor in successors.into_iter().take(2) {
                 // A successor that does not answer sees it in the store.
                 let told = tokio::time::timeout(PAUSE * 10, successor.released(pool.clone()));
