Follow workers' lives, ask silent leaders, avoid slow workers

Change: the machines' list is read twice a second and a life that left it is over; a leader without a commit for 0.9 s is asked whether it is there; progress of runs says how fast a worker is, slow ones are taken last and runs that end sooner elsewhere are moved. Callers refused while the store is away return spread over the outage's length.

--- a/crates/mangotrestle-core/src/workflow/environment.rs
+++ b/crates/mangotrestle-core/src/workflow/environment.rs
@@ -31,6 +31,8 @@
     pub harm: SpanMs,
     /// Time until a pace is in force.
     pub pace: SpanMs,
+    /// Longest time that a worker takes to stop a run.
+    pub stop: SpanMs,
     /// Time in which a cancel has to be acknowledged.
     pub acknowledge: SpanMs,
     /// Time that an upkeep takes.
--- a/crates/mangotrestle-core/src/workflow/job.rs
+++ b/crates/mangotrestle-core/src/workflow/job.rs
@@ -97,8 +97,10 @@
     pub confirmed_at: TimeMs,
     /// Orders for this run that got no answer and may still be carried out.
     pub unanswered: u32,
-    /// Share at which it is paced, in percent.
-    pub percent: u32,
+    /// Share of its speed that was last ordered, in percent.
+    pub paced_percent: u32,
+    /// Progress in percent when it was last measured, and when that was.
+    pub mark: (TimeMs, u32),
     /// When it was seen over its bound first, without a break since.
     pub over_since: Option<TimeMs>,
 }
@@ -381,7 +383,7 @@
     unit.saved.clone_from(&row.saved);
     for (member, worker) in unit.members.iter_mut().zip(&row.workers) {
         member.worker.clone_from(worker);
-        member.percent = 100;
+        member.paced_percent = 100;
         if worker.is_some() {
             member.phase = Phase::Bound;
             // A leader before this one may have sent the order, and it may come late.
--- a/crates/mangotrestle-core/src/workflow/message.rs
+++ b/crates/mangotrestle-core/src/workflow/message.rs
@@ -114,7 +114,7 @@
     pub run: u32,
     /// Its last checkpoint.
     pub saved: String,
-    /// The share at which it is paced.
+    /// How much of its work is done, in percent; for a task that lasts, how far it is at work.
     pub percent: u32,
     /// A serving task's tail in milliseconds, or any other task's processor use.
     pub figure: Option<u64>,
--- a/crates/mangotrestle-core/src/workflow/pool/mod.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/mod.rs
@@ -10,6 +10,7 @@
 //! - `rows` makes commits;
 //! - `orders` hands out orders and takes their answers;
 //! - `reports` takes what workers say they have;
+//! - `progress` tells slow workers from slow work;
 //! - `release` settles ends and gives room back;
 //! - `sharing` keeps fillers from harming tasks that serve;
 //! - `queries` answers questions.
@@ -30,12 +31,14 @@
 mod intake;
 mod orders;
 mod placing;
+mod progress;
 mod queries;
 mod release;
 mod reports;
 mod rows;
 mod sharing;
 
+pub use progress::Speed;
 pub use reports::LookFailure;
 pub use rows::{Commit, RowChange};
 
@@ -63,6 +66,8 @@
     pub harm: SpanMs,
     /// Time until a pace is in force.
     pub pace: SpanMs,
+    /// Longest time that a stop takes.
+    pub stop: SpanMs,
 }
 
 /// An order to a worker or a question for tickets.
@@ -180,6 +185,15 @@
         /// How.
         end: message::RunEnd,
     },
+    /// A run was taken from a worker on which it would take too long.
+    Moved {
+        /// The task.
+        task: message::TaskName,
+        /// The run.
+        run: u32,
+        /// The worker.
+        worker: id::WorkerId,
+    },
     /// A worker listed a run that should not be there.
     Stray {
         /// The task.
@@ -253,6 +267,8 @@
     ended: FastMap<id::JobId, (record::JobState, TimeMs)>,
     /// Ended rows that can be swept, oldest first.
     ended_order: std::collections::VecDeque<(TimeMs, id::JobId)>,
+    /// Speed of the pool's workers against their callers' estimates.
+    speed: Speed,
     questions_in_flight: usize,
     /// Steps that are asked about before they are ready.
     ask_ahead: FastSet<StepKey>,
@@ -289,6 +305,7 @@
             letting_go: Vec::new(),
             ended: FastMap::default(),
             ended_order: std::collections::VecDeque::new(),
+            speed: Speed::default(),
             questions_in_flight: 0,
             ask_ahead: FastSet::default(),
             retries: BTreeSet::new(),
--- a/crates/mangotrestle-core/src/workflow/pool/placing.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/placing.rs
@@ -204,7 +204,7 @@
                 + per_mille(left.memory_mib, capacity.memory_mib)
         };
         (
-            !avoided && !worker.is_doubted(now),
+            !avoided && !worker.is_doubted(now) && !self.is_slow(now, worker),
             near,
             quiet,
             Reverse(accelerators_left),
@@ -231,7 +231,7 @@
             member.phase = Phase::Planned;
             member.since = now;
             member.unanswered = 0;
-            member.percent = 100;
+            member.paced_percent = 100;
             member.over_since = None;
         }
         for (member, worker) in (0..).zip(workers) {
--- a/crates/mangotrestle-core/src/workflow/pool/queries.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/queries.rs
@@ -25,17 +25,24 @@
         self.jobs.len()
     }
 
-    /// Workers that may be at their end and on which runs may be.
+    /// Workers on which runs may be and whose life is not known to be over.
     #[must_use]
-    pub fn suspected_workers(&self) -> Vec<id::WorkerId> {
+    pub fn workers_with_runs(&self) -> Vec<id::WorkerId> {
         self.workers
             .iter()
             .filter(|(_, worker)| !worker.tasks.is_empty() && !worker.over)
-            .filter(|(_, worker)| worker.is_silent() || worker.missing_since.is_some())
             .map(|(id, _)| id.clone())
             .collect()
     }
 
+    /// Whether a worker does not answer or has left the platform's list.
+    #[must_use]
+    pub fn is_suspected(&self, id: &id::WorkerId) -> bool {
+        self.workers
+            .get(id)
+            .is_some_and(|worker| worker.is_silent() || worker.missing_since.is_some())
+    }
+
     /// Number of units that wait for a worker.
     #[must_use]
     pub fn waiting_count(&self) -> usize {
--- a/crates/mangotrestle-core/src/workflow/pool/reports.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/reports.rs
@@ -121,6 +121,9 @@
         for running in &report.running {
             match self.take_running(now, id, running) {
                 Some(key) => {
+                    if self.take_progress(now, id, &key, running) {
+                        self.move_run(now, id, &key);
+                    }
                     present.insert(key);
                 }
                 None => strays += 1,
@@ -167,7 +170,6 @@
             unit.saved.clone_from(&running.saved);
         }
         let member = &mut unit.members[key.member as usize];
-        member.percent = running.percent;
         let over = target_ms > 0 && running.figure.is_some_and(|tail_ms| tail_ms > target_ms);
         member.over_since = if over {
             member.over_since.or(Some(now))
--- a/crates/mangotrestle-core/src/workflow/pool/sharing.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/sharing.rs
@@ -81,7 +81,7 @@
         };
         let run = unit.run;
         let member = &unit.members[key.member as usize];
-        if !fills || member.phase != Phase::Running || member.percent == percent {
+        if !fills || member.phase != Phase::Running || member.paced_percent == percent {
             return;
         }
         let Some(worker) = self.workers.get(id) else {
@@ -105,7 +105,7 @@
             return;
         };
         if done && unit.run == run {
-            unit.members[key.member as usize].percent = percent;
+            unit.members[key.member as usize].paced_percent = percent;
         }
     }
 
--- a/crates/mangotrestle-core/src/workflow/tenure.rs
+++ b/crates/mangotrestle-core/src/workflow/tenure.rs
@@ -13,10 +13,12 @@
 use crate::time::{SpanMs, TimeMs};
 
 /// Longest time between two commits of a leader, empty ones included.
-pub const RENEWAL: SpanMs = SpanMs(500);
+pub const RENEWAL: SpanMs = SpanMs(400);
 /// Time without a commit, as seen by looks that were answered, after which a leader is replaced:
-/// three renewals and a slow answer of the store.
-pub const EXPIRY: SpanMs = SpanMs(1_900);
+/// three renewals and a look.
+pub const EXPIRY: SpanMs = SpanMs(1_600);
+/// Time without a commit after which a leader that does not answer its peers either is replaced.
+pub const DOUBT: SpanMs = SpanMs(900);
 /// Least time for each rank among the hosts, so that they do not claim together.
 pub const STAGGER: SpanMs = SpanMs(250);
 /// Time after a commit was seen in which its leader counts as alive: a renewal and a look.
@@ -116,6 +118,15 @@
         self.row.as_ref().is_some_and(|row| !row.released) && now.since(self.changed_at) < seen
     }
 
+    /// Whether the leader has not committed for so long that its peers should ask it.
+    #[must_use]
+    pub fn is_doubtful(&self, slow: bool) -> bool {
+        let Some(looked_at) = self.looked_at else {
+            return false;
+        };
+        self.row.is_some() && looked_at.since(self.changed_at) >= stretched(DOUBT, slow)
+    }
+
     /// Whether a host of this rank should claim the pool; `stagger` is the time that each rank
     /// leaves to the one before. Only time over which looks were answered
     /// counts as silence; a leader whose process has ended for certain is not waited for.
--- a/crates/mangotrestle-core/src/workflow/worker.rs
+++ b/crates/mangotrestle-core/src/workflow/worker.rs
@@ -112,6 +112,8 @@
     doubted_until: TimeMs,
     /// Whether its machine is about to go down for upkeep.
     pub reserved_for_upkeep: bool,
+    /// How fast it is.
+    pub speed: super::pool::Speed,
     /// Index of the share at which fillers work here.
     pub pace_level: usize,
     /// When that changed, or a task here was last over its bound.
@@ -157,6 +159,7 @@
             quarantined_until: TimeMs(0),
             doubted_until: TimeMs(0),
             reserved_for_upkeep: false,
+            speed: super::pool::Speed::default(),
             pace_level: FULL_PACE_LEVEL,
             pace_changed_at: TimeMs(0),
             pace_asked_at: TimeMs(0),
--- a/crates/mangotrestle-peer/src/cell.rs
+++ b/crates/mangotrestle-peer/src/cell.rs
@@ -117,6 +117,9 @@
     /// Takes notice of a cancel that is durably accepted; says whether it leads the pool.
     fn cancelled(&self, name: JobName) -> impl Future<Output = bool> + Send;
 
+    /// Says whether it leads a pool.
+    fn leads(&self, pool: String) -> impl Future<Output = bool> + Send;
+
     /// Says what it knows of a job.
     fn state(&self, name: JobName) -> impl Future<Output = Knowledge> + Send;
 
@@ -148,6 +151,10 @@
         Ok(self.backend.cancelled(message).await)
     }
 
+    async fn leads(&self, pool: String) -> RpcResult<bool> {
+        Ok(self.backend.leads(pool).await)
+    }
+
     async fn state(&self, message: JobName) -> RpcResult<Knowledge> {
         Ok(self.backend.state(message).await)
     }
@@ -234,6 +241,15 @@
         self.client.cancelled(name).await.map_err(no_answer)
     }
 
+    /// Asks the host whether it leads a pool.
+    ///
+    /// # Errors
+    ///
+    /// [`PeerError`].
+    pub async fn leads(&self, pool: String) -> Result<bool, PeerError> {
+        self.client.leads(pool).await.map_err(no_answer)
+    }
+
     /// Asks the leader for a job's state.
     ///
     /// # Errors
--- a/crates/mangotrestle-peer/src/cell_rpc.rs
+++ b/crates/mangotrestle-peer/src/cell_rpc.rs
@@ -16,6 +16,9 @@
     #[method(name = "cancelled")]
     async fn cancelled(&self, message: JobName) -> RpcResult<bool>;
 
+    #[method(name = "leads")]
+    async fn leads(&self, pool: String) -> RpcResult<bool>;
+
     #[method(name = "state")]
     async fn state(&self, message: JobName) -> RpcResult<Knowledge>;
 
--- a/crates/mangotrestle/src/host/access.rs
+++ b/crates/mangotrestle/src/host/access.rs
@@ -8,7 +8,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
-use mangotrestle_core::time::SpanMs;
+use mangotrestle_core::time::{SpanMs, TimeMs};
 use mangotrestle_core::workflow::tenure;
 use mangotrestle_users_platform::store::{
     FeedError, Row, RowName, Rows, Transaction, TransactionAnswer,
@@ -123,6 +123,12 @@
         !self.store_is_open() && self.clock.now().0 < no_relay_until
     }
 
+    /// How long the store has not answered.
+    pub(super) fn store_away_for(&self) -> SpanMs {
+        let answered_at = TimeMs(self.store_answered_at_ms.load(Ordering::Relaxed));
+        self.clock.now().since(answered_at)
+    }
+
     /// Time for a transaction.
     pub(super) fn try_time(&self) -> Duration {
         if self.store_is_slow() { SLOW_TRY } else { TRY }
--- a/crates/mangotrestle/src/host/cell.rs
+++ b/crates/mangotrestle/src/host/cell.rs
@@ -62,6 +62,10 @@
 pub(super) struct PoolView {
     /// Its leadership.
     pub(super) watch: Watch,
+    /// Whether its leader is being asked if it is there.
+    pub(super) asking: bool,
+    /// Whether its leader neither commits nor answers its peers.
+    pub(super) unresponsive: bool,
     /// What its leader tells.
     pub(super) summary: Option<Arc<PoolSummary>>,
 }
@@ -325,6 +329,11 @@
         lock(&self.pools).keys().cloned().collect()
     }
 
+    /// Whether a pool's leader neither commits nor answers its peers.
+    pub(super) fn is_unresponsive(&self, pool: &str) -> bool {
+        self.with_pool(pool, |view| view.unresponsive)
+    }
+
     /// Whether commits of a pool's leader have been seen lately.
     pub(super) fn leader_commits(&self, pool: &str) -> bool {
         let (now, slow) = (self.clock.now(), self.store_is_slow());
--- a/crates/mangotrestle/src/host/events.rs
+++ b/crates/mangotrestle/src/host/events.rs
@@ -136,6 +136,11 @@
             slog::info!(log, "run.ended"; "task" => %task, "run" => run,
                 "worker" => worker.as_str(), "end" => ?end);
         }
+        Note::Moved { task, run, worker } => {
+            metrics::counter!("mangotrestle_runs_moved_total").increment(1);
+            slog::info!(log, "run.moved"; "task" => %task, "run" => run,
+                "worker" => worker.as_str());
+        }
         Note::Stray { task, run, worker } => {
             slog::warn!(log, "run.stray"; "task" => %task, "run" => run,
                 "worker" => worker.as_str(), "term" => term);
--- a/crates/mangotrestle/src/host/feeds.rs
+++ b/crates/mangotrestle/src/host/feeds.rs
@@ -21,6 +21,8 @@
 const CELL_INTERVAL: Duration = Duration::from_millis(400);
 /// How long the store may hold the cell's feed back.
 const CELL_WAIT: Duration = Duration::from_millis(400);
+/// Time for a leader to say that it is there.
+const LEADER_ANSWER: Duration = Duration::from_millis(350);
 /// Pause after a call that failed.
 const PAUSE: Duration = Duration::from_millis(150);
 /// Time for a whole read.
@@ -240,6 +242,41 @@
     }
 }
 
+/// Asks a leader that has not committed for a while whether it is there.
+fn ask_doubtful_leader(cell: &Arc<Cell>, pool: &str) {
+    let slow = cell.store_is_slow();
+    let doubtful = cell.with_pool(pool, |view| {
+        let doubtful = view.watch.is_doubtful(slow);
+        if !doubtful {
+            view.unresponsive = false;
+        }
+        doubtful && !std::mem::replace(&mut view.asking, doubtful)
+    });
+    let Some(row) = cell.lead_row(pool).filter(|_| doubtful) else {
+        return;
+    };
+    let Some(peer) = cell.peer(&row.holder) else {
+        cell.with_pool(pool, |view| view.asking = false);
+        return;
+    };
+    let (cell, pool) = (Arc::clone(cell), pool.to_owned());
+    tokio::spawn(async move {
+        let answered = tokio::time::timeout(LEADER_ANSWER, peer.leads(pool.clone())).await;
+        let leads = matches!(answered, Ok(Ok(true)));
+        if !leads {
+            slog::info!(cell.log, "leadership.unresponsive"; "pool" => &pool,
+                "holder" => row.holder.as_str(), "term" => row.term);
+        }
+        cell.with_pool(&pool, |view| {
+            view.asking = false;
+            view.unresponsive = !leads;
+        });
+        if !leads {
+            claim_due_pools(&cell);
+        }
+    });
+}
+
 fn claim_due_pools(cell: &Arc<Cell>) {
     if cell.is_stopping() {
         return;
@@ -248,9 +285,11 @@
         return;
     };
     for pool in &catalog.pools {
+        ask_doubtful_leader(cell, &pool.name);
         let rank = cell.rank(&pool.name);
         let (stagger, slow) = (cell.stagger(), cell.store_is_slow());
         let ended = cell.leader_has_ended(&pool.name);
+        let ended = ended || cell.is_unresponsive(&pool.name);
         let due = cell.with_pool(&pool.name, |view| {
             view.watch.claim_due(rank, stagger, ended, slow)
         });
--- a/crates/mangotrestle/src/host/front.rs
+++ b/crates/mangotrestle/src/host/front.rs
@@ -39,8 +39,10 @@
 const LEADER_ANSWER: Duration = Duration::from_millis(400);
 /// Time for a read of the store on behalf of a caller.
 const READ: Duration = Duration::from_millis(1_000);
-/// When a caller should return whose job could not be stored.
+/// When a caller should return whose job could not be stored, at the least.
 const STORE_RETURN: SpanMs = SpanMs(1_000);
+/// When a caller should return at the latest while the store is away.
+const LONGEST_STORE_RETURN: SpanMs = SpanMs(4_000);
 /// Tries to write a cancel whose row changes meanwhile.
 const CANCEL_TRIES: u32 = 4;
 
@@ -193,7 +195,7 @@
         }
         Acceptance::Known => StatusCode::OK.into_response(),
         Acceptance::NotAccepted(_) | Acceptance::NotLeading => {
-            refuse(StatusCode::SERVICE_UNAVAILABLE, STORE_RETURN)
+            refuse(StatusCode::SERVICE_UNAVAILABLE, store_return(cell))
         }
         Acceptance::Unknown(_) => StatusCode::GATEWAY_TIMEOUT.into_response(),
     }
@@ -461,6 +463,14 @@
     (StatusCode::OK, headers, Body::from(body)).into_response()
 }
 
+/// When a caller should return whose job could not be stored: an outage that has lasted a while
+/// is expected to last as long again, and callers return spread over that time.
+fn store_return(cell: &Cell) -> SpanMs {
+    let away = cell.store_away_for();
+    let longest = LONGEST_STORE_RETURN.0.min(STORE_RETURN.0 + away.0);
+    SpanMs(rand::rng().random_range(STORE_RETURN.0..=longest.max(STORE_RETURN.0 + 1)))
+}
+
 /// A refusal that says when to come back, in whole seconds.
 fn refuse(status: StatusCode, retry_after: SpanMs) -> Response {
     let seconds = retry_after.0.div_ceil(1_000);
--- a/crates/mangotrestle/src/host/leader.rs
+++ b/crates/mangotrestle/src/host/leader.rs
@@ -356,6 +356,7 @@
         remember: bounds.remember,
         harm: bounds.harm,
         pace: bounds.pace,
+        stop: bounds.stop,
     }
 }
 
--- a/crates/mangotrestle/src/host/liveness.rs
+++ b/crates/mangotrestle/src/host/liveness.rs
@@ -14,21 +14,21 @@
 use super::cell::{Cell, lock};
 use super::leader::Leader;
 
-/// Distance of reads of the list while a worker is suspected.
+/// Distance of reads of the list.
 const INTERVAL: Duration = Duration::from_millis(500);
 /// Time for one page.
 const READ: Duration = Duration::from_millis(800);
 
-/// Follows suspected workers of a pool until its leadership ends.
+/// Follows the lives of a pool's workers until its leadership ends.
 pub(super) async fn follow(cell: Arc<Cell>, leader: Arc<Leader>) {
+    let mut before: FastSet<id::WorkerId> = FastSet::default();
     while !leader.is_over() {
         tokio::time::sleep(INTERVAL).await;
-        let suspected = lock(&leader.state).suspected_workers();
-        if suspected.is_empty() {
-            continue;
-        }
         match lives(&cell).await {
-            Ok(Some(lives)) => settle(&cell, &leader, &suspected, &lives),
+            Ok(Some(lives)) => {
+                settle(&cell, &leader, &before, &lives);
+                before.extend(lives);
+            }
             Ok(None) => return,
             Err(error) => {
                 slog::info!(cell.log, "machines.not_read"; "error" => %error);
@@ -37,16 +37,26 @@
     }
 }
 
-fn settle(cell: &Cell, leader: &Leader, suspected: &[id::WorkerId], lives: &FastSet<id::WorkerId>) {
+/// Settles workers that an earlier list had and the present one has not. One that no list had may
+/// be too new for the list, unless it does not answer either.
+fn settle(
+    cell: &Cell,
+    leader: &Leader,
+    before: &FastSet<id::WorkerId>,
+    lives: &FastSet<id::WorkerId>,
+) {
     let now = cell.clock.now();
-    for worker in suspected {
-        if lives.contains(worker) {
+    let mut state = lock(&leader.state);
+    for worker in state.workers_with_runs() {
+        let known = before.contains(&worker) || state.is_suspected(&worker);
+        if lives.contains(&worker) || !known {
             continue;
         }
         slog::info!(cell.log, "worker.over"; "worker" => worker.as_str(),
             "pool" => &leader.pool, "lives_listed" => lives.len());
-        lock(&leader.state).worker_over(now, worker);
+        state.worker_over(now, &worker);
     }
+    drop(state);
     leader.wake.notify_one();
 }
 
--- a/crates/mangotrestle/src/host/peers.rs
+++ b/crates/mangotrestle/src/host/peers.rs
@@ -53,6 +53,10 @@
         true
     }
 
+    async fn leads(&self, pool: String) -> bool {
+        self.cell.leader(&pool).is_some()
+    }
+
     async fn state(&self, name: JobName) -> Knowledge {
         match self.cell.leader(&name.pool) {
             None => Knowledge::NotLeading,
