Do not extend the lease of a worker that does not answer

Cause: every look at a silent worker carried a later deadline, which the leader then had to wait out: what ran there was never started elsewhere.

--- a/crates/mangotrestle-core/src/workflow/pool/orders.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/orders.rs
@@ -49,6 +49,13 @@
         if worker.entry.address.is_empty() || !worker.clock.is_known() {
             return;
         }
+        if worker.is_silent() {
+            // An order would extend the lease, whose lapse is the way out.
+            if member.unanswered == 0 {
+                self.withdraw(now, key);
+            }
+            return;
+        }
         let ticket = step
             .tickets
             .valid(&id, now)
--- a/crates/mangotrestle-core/src/workflow/pool/reports.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/reports.rs
@@ -45,10 +45,9 @@
                 () if worker.serving > 0 && worker.filling > 0 => SHARED_WAIT,
                 () => settings.hold_wait,
             };
-            let deadline = worker
-                .clock
-                .is_known()
-                .then(|| Self::deadline(worker, now, settings.longest_hold));
+            // The lapse of its lease is the way out for what runs on a worker that does not answer.
+            let extends = worker.clock.is_known() && !worker.is_silent();
+            let deadline = extends.then(|| Self::deadline(worker, now, settings.longest_hold));
             worker.hold_sent_at = Some(now);
             worker.told_seen = worker.durable_seen;
             self.orders.push(Order::Hold {
--- /dev/null
+++ b/crates/mangotrestle-core/tests/workflow/main.rs
@@ -0,0 +1,9 @@
+//! Tests of jobs of several steps: the pool against a naive world of workers and rows.
+
+mod admission;
+mod driver;
+mod placing;
+mod recovery;
+mod tenure;
+mod tickets;
+mod world;
--- /dev/null
+++ b/crates/mangotrestle-core/tests/workflow/placing.rs
@@ -0,0 +1,74 @@
+//! Where units go, and in which order.
+
+use mangotrestle_core::workflow::record::JobState;
+
+use super::world::{Breaches, World, job, record, step, worker};
+
+#[test]
+fn urgent_work_goes_before_work_that_came_earlier() {
+    let mut world = World::new(1, 1);
+    for number in 0..6 {
+        world.submit(&job(number), &record(2, vec![step(1, 8_000, 500, &[])]));
+    }
+    world.submit(&job(100), &record(0, vec![step(1, 8_000, 500, &[])]));
+
+    world.run_for(1_700);
+
+    assert_eq!(world.end_of(&job(100)), Some(JobState::Completed));
+    let completed = (0..6).filter(|&number| world.end_of(&job(number)).is_some());
+    assert!(completed.count() <= 2);
+}
+
+#[test]
+fn a_gang_starts_whole_though_smaller_work_keeps_coming() {
+    let mut world = World::new(2, 2);
+    for number in 0..30 {
+        world.submit(&job(number), &record(2, vec![step(2, 4_000, 600, &[])]));
+    }
+    world.run_for(300);
+    let mut gang = step(2, 8_000, 500, &[]);
+    gang.gang = true;
+    world.submit(&job(100), &record(1, vec![gang]));
+
+    world.run_for(4_000);
+
+    assert_eq!(world.end_of(&job(100)), Some(JobState::Completed));
+    assert_eq!(world.breaches, Breaches::default());
+}
+
+#[test]
+fn no_more_tasks_of_a_step_share_a_worker_than_it_allows() {
+    let mut world = World::new(3, 3);
+    let mut spread = step(6, 500, 20_000, &[]);
+    spread.most_per_worker = 1;
+    world.submit(&job(1), &record(0, vec![spread]));
+
+    world.run_for(2_000);
+
+    let most = ["w-0", "w-1", "w-2"]
+        .map(|name| world.running_on(&worker(name)).len())
+        .into_iter()
+        .max();
+    assert_eq!(most, Some(1));
+    assert_eq!(world.starts, 3);
+}
+
+#[test]
+fn work_is_kept_from_a_worker_that_is_much_slower() {
+    let mut world = World::new(4, 3);
+    world
+        .workers
+        .get_mut(&worker("w-0"))
+        .expect("the worker")
+        .speed_percent = 10;
+    for number in 0..40 {
+        world.submit(&job(number), &record(0, vec![step(2, 1_000, 800, &[])]));
+        world.run_for(150);
+    }
+    world.run_for(2_500);
+
+    let completed = (0..40).filter(|&number| world.end_of(&job(number)).is_some());
+    let completed = completed.count();
+    assert!(completed >= 34, "{completed} of 40 jobs completed");
+    assert_eq!(world.breaches, Breaches::default());
+}
--- /dev/null
+++ b/crates/mangotrestle-core/tests/workflow/tenure.rs
@@ -0,0 +1,95 @@
+//! Who claims a pool, and when.
+
+use mangotrestle_core::id::EntryHostId;
+use mangotrestle_core::time::{SpanMs, TimeMs};
+use mangotrestle_core::workflow::tenure::{EXPIRY, LeadRow, STAGGER, Watch};
+
+fn host(name: &str) -> EntryHostId {
+    EntryHostId::new(name).expect("a valid host name")
+}
+
+fn row(term: u64, released: bool) -> LeadRow {
+    LeadRow {
+        holder: host("a"),
+        address: "127.0.0.1:1".to_owned(),
+        life: 7,
+        term,
+        sequence: 3,
+        released,
+    }
+}
+
+#[test]
+fn a_pool_without_a_row_is_claimed_at_once_by_the_first_host_and_later_by_others() {
+    let mut watch = Watch::default();
+    watch.observe_unchanged(TimeMs(1_000));
+
+    assert!(watch.claim_due(0, STAGGER, false, false));
+    assert!(!watch.claim_due(1, STAGGER, false, false));
+}
+
+#[test]
+fn a_leader_that_commits_is_left_alone() {
+    let mut watch = Watch::default();
+    for number in 1..20 {
+        watch.observe(TimeMs(number * 500), row(1, false), number);
+        assert!(!watch.claim_due(0, STAGGER, false, false));
+    }
+}
+
+#[test]
+fn silence_counts_only_while_looks_are_answered() {
+    let mut watch = Watch::default();
+    watch.observe(TimeMs(1_000), row(1, false), 5);
+
+    // A long time passes in which this host could not look.
+    let before = watch.claim_due(0, STAGGER, false, false);
+    watch.observe_unchanged(TimeMs(1_000) + EXPIRY);
+    let after = watch.claim_due(0, STAGGER, false, false);
+
+    assert!(!before);
+    assert!(after);
+}
+
+#[test]
+fn after_an_outage_the_leader_has_its_full_time_again() {
+    let mut watch = Watch::default();
+    watch.observe(TimeMs(1_000), row(1, false), 5);
+
+    watch.restart(TimeMs(60_000));
+
+    assert!(!watch.claim_due(0, STAGGER, false, false));
+}
+
+#[test]
+fn a_leader_that_gave_up_or_ended_is_not_waited_for() {
+    let mut released = Watch::default();
+    released.observe(TimeMs(1_000), row(1, true), 5);
+    let mut ended = Watch::default();
+    ended.observe(TimeMs(1_000), row(1, false), 5);
+
+    assert!(released.claim_due(0, STAGGER, false, false));
+    assert!(ended.claim_due(0, STAGGER, true, false));
+}
+
+#[test]
+fn a_slow_store_leaves_a_leader_more_time() {
+    let mut watch = Watch::default();
+    watch.observe(TimeMs(1_000), row(1, false), 5);
+    watch.observe_unchanged(TimeMs(1_000) + EXPIRY + SpanMs(1));
+
+    assert!(watch.claim_due(0, STAGGER, false, false));
+    assert!(!watch.claim_due(0, STAGGER, false, true));
+}
+
+#[test]
+fn a_claim_raises_the_term_and_older_versions_are_ignored() {
+    let mut watch = Watch::default();
+    watch.observe(TimeMs(1_000), row(4, false), 9);
+    watch.observe(TimeMs(1_100), row(2, false), 6);
+
+    let claim = watch.claim(&host("b"), "127.0.0.1:2", 8);
+
+    assert_eq!(claim.term, 5);
+    assert_eq!(watch.version(), 9);
+}
