Try more peers for a relayed call, the one that passed the last on first

Cause: with three of eight hosts refused by the store, two random peers were both without a way in one of twenty calls; the leader among them then stood still for 0.4 s and refused submissions.

--- a/crates/mangotrestle/src/host/access.rs
+++ b/crates/mangotrestle/src/host/access.rs
@@ -22,8 +22,8 @@
 const CLOSING_FAILURES: u64 = 2;
 /// Time for which the direct way stays closed, in milliseconds; a peer's help costs little more.
 const CLOSED_MS: u64 = 1_000;
-/// Peers that are tried for one call.
-const MOST_RELAYS: usize = 2;
+/// Peers that are tried for one call; one that has no open way itself says so at once.
+const MOST_RELAYS: usize = 6;
 /// Time for a relayed call beyond that of the call itself.
 const RELAY_MARGIN: Duration = Duration::from_millis(100);
 
@@ -421,8 +421,11 @@
             let answer = tokio::time::timeout(wait, client.1.relay(value.clone())).await;
             match answer {
                 Ok(Ok(answer)) => match serde_json::from_value(answer) {
-                    Ok(RelayedAnswer::Closed) => {}
-                    Ok(answer) => return Some(answer),
+                    Ok(RelayedAnswer::Closed) => self.note_relay(&client.0, false),
+                    Ok(answer) => {
+                        self.note_relay(&client.0, true);
+                        return Some(answer);
+                    }
                     Err(error) => return Some(unknown(call, &error.to_string())),
                 },
                 Ok(Err(error)) => {
--- a/crates/mangotrestle/src/host/cell.rs
+++ b/crates/mangotrestle/src/host/cell.rs
@@ -102,6 +102,8 @@
     acceptors: Mutex<FastMap<String, Acceptor>>,
     waves: Mutex<BTreeMap<String, Wave>>,
     claiming: Mutex<FastSet<String>>,
+    /// The peer that passed the last call on.
+    relay: Mutex<Option<id::EntryHostId>>,
     /// Version of this host's own row, zero before it is written.
     registered_version: AtomicU64,
     stopping: AtomicBool,
@@ -132,6 +134,7 @@
             acceptors: Mutex::default(),
             waves: Mutex::default(),
             claiming: Mutex::default(),
+            relay: Mutex::default(),
             registered_version: AtomicU64::new(0),
             stopping: AtomicBool::new(false),
         }
@@ -248,7 +251,17 @@
         }
     }
 
-    /// Peers to pass calls on, in random order.
+    /// Notes whether a peer could pass a call on.
+    pub(super) fn note_relay(&self, host: &id::EntryHostId, passed: bool) {
+        let mut present = lock(&self.relay);
+        if passed {
+            *present = Some(host.clone());
+        } else if present.as_ref() == Some(host) {
+            *present = None;
+        }
+    }
+
+    /// Peers to pass calls on: the one that did so last, then others in random order.
     pub(super) fn relay_peers(&self, most: usize) -> Vec<(id::EntryHostId, CellClient)> {
         let now = self.clock.now();
         let peers = lock(&self.peers);
@@ -261,6 +274,8 @@
         for index in (1..usable.len()).rev() {
             usable.swap(index, rng.random_range(0..=index));
         }
+        let last = lock(&self.relay).clone();
+        usable.sort_by_key(|(host, _)| Some(host) != last.as_ref());
         usable.truncate(most);
         usable
     }
