--- a/crates/mangotrestle-core/src/workflow/environment.rs
+++ b/crates/mangotrestle-core/src/workflow/environment.rs
@@ -33,12 +33,6 @@
     pub pace: SpanMs,
     /// Longest time that a worker takes to stop a run.
     pub stop: SpanMs,
-    /// Time in which a cancel has to be acknowledged.
-    pub acknowledge: SpanMs,
-    /// Time that an upkeep takes.
-    pub upkeep: SpanMs,
-    /// Time between holders of one machine's fence.
-    pub machine_lease: SpanMs,
 }
 
 /// Settings of a host on the users' platform.
--- a/crates/mangotrestle-core/src/workflow/mod.rs
+++ b/crates/mangotrestle-core/src/workflow/mod.rs
@@ -25,5 +25,4 @@
 pub mod spec;
 pub mod tenure;
 pub mod tickets;
-pub mod upkeep;
 pub mod worker;
--- a/crates/mangotrestle-core/src/workflow/pool/intake.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/intake.rs
@@ -45,6 +45,16 @@
         false
     }
 
+    /// Submitted jobs of which no commit has tried to make anything durable.
+    #[must_use]
+    pub fn unwritten_submissions(&self) -> Vec<id::JobId> {
+        let submitted = self.jobs.values().filter(|job| !job.accepted);
+        submitted
+            .map(|job| job.id.clone())
+            .filter(|id| !self.writing.contains(id))
+            .collect()
+    }
+
     /// Drops a job whose acceptance did not become durable; nothing of it was ordered.
     pub fn drop_submission(&mut self, now: TimeMs, id: &id::JobId) {
         if !self.jobs.get(id).is_some_and(|job| !job.accepted) {
--- a/crates/mangotrestle-core/tests/workflow/recovery.rs
+++ b/crates/mangotrestle-core/tests/workflow/recovery.rs
@@ -1,5 +1,8 @@
 //! What a new leader does with what an earlier one left, and what follows from workers' ends.
 
+use std::sync::Arc;
+
+use mangotrestle_core::time::TimeMs;
 use mangotrestle_core::workflow::record::JobState;
 
 use super::world::{Breaches, World, job, record, step, worker};
@@ -148,3 +151,44 @@
     assert_eq!(world.end_of(&job(1)), Some(JobState::Failed));
     assert_eq!(world.starts, 3);
 }
+
+#[test]
+fn a_submission_that_was_dropped_leaves_nothing_behind_and_may_come_again() {
+    let mut world = World::new(10, 2);
+    world.store_up = false;
+    let submitted = record(0, vec![step(2, 1_000, 300, &[])]);
+    let now = TimeMs(world.now);
+    world.pool.submit(now, &job(1), Arc::clone(&submitted));
+    world.run_for(200);
+
+    let unwritten = world.pool.unwritten_submissions();
+    world.pool.drop_submission(TimeMs(world.now), &job(1));
+    world.store_up = true;
+    world.run_for(1_000);
+    let starts_of_dropped = world.starts;
+    world.submit(&job(1), &submitted);
+    world.run_for(2_000);
+
+    assert_eq!(unwritten, [job(1)]);
+    assert_eq!(starts_of_dropped, 0);
+    assert_eq!(world.end_of(&job(1)), Some(JobState::Completed));
+}
+
+#[test]
+fn a_submission_starts_only_once_its_acceptance_is_durable() {
+    let mut world = World::new(11, 2);
+    world.store_up = false;
+    let now = TimeMs(world.now);
+    let known = world
+        .pool
+        .submit(now, &job(1), record(0, vec![step(1, 1_000, 300, &[])]));
+
+    world.run_for(500);
+    let (state_before, starts_before) = (world.pool.state(&job(1)), world.starts);
+    world.store_up = true;
+    world.run_for(1_000);
+
+    assert!(!known);
+    assert_eq!((state_before, starts_before), (None, 0));
+    assert_eq!(world.end_of(&job(1)), Some(JobState::Completed));
+}
--- a/crates/mangotrestle/src/host/access.rs
+++ b/crates/mangotrestle/src/host/access.rs
@@ -10,6 +10,7 @@
 
 use mangotrestle_core::time::{SpanMs, TimeMs};
 use mangotrestle_core::workflow::tenure;
+use mangotrestle_platform::budget::Priority;
 use mangotrestle_users_platform::store::{
     FeedError, Row, RowName, Rows, Transaction, TransactionAnswer,
 };
@@ -273,11 +274,35 @@
         }
     }
 
+    async fn range_directly(
+        &self,
+        table: &str,
+        part: &str,
+        from: &str,
+        to: &str,
+        within: Duration,
+    ) -> Result<Rows, CallError> {
+        self.reads.acquire(Priority::Normal).await;
+        self.store.range(table, part, from, to, within).await
+    }
+
+    async fn feed_directly(
+        &self,
+        table: &str,
+        after: u64,
+        wait: Duration,
+        within: Duration,
+    ) -> Result<Rows, FeedError> {
+        self.reads.acquire(Priority::Normal).await;
+        self.store.feed(table, after, wait, within).await
+    }
+
     async fn transact_directly(
         &self,
         transaction: &Transaction,
         within: Duration,
     ) -> Result<TransactionAnswer, CallError> {
+        self.writes.acquire(Priority::Urgent).await;
         let began = std::time::Instant::now();
         let result = self.store.transact(transaction, within).await;
         if result.is_ok() {
@@ -299,7 +324,7 @@
         let open = self.store_is_open();
         if open {
             let began = std::time::Instant::now();
-            let result = self.store.range(table, part, from, to, within).await;
+            let result = self.range_directly(table, part, from, to, within).await;
             self.note_direct(result.as_ref().err());
             if result.is_ok() {
                 self.note_read_time(began.elapsed(), Duration::ZERO);
@@ -323,7 +348,7 @@
             Some(_) => Err(CallError::Unknown("a peer gave another answer".to_owned())),
             None if open => Err(CallError::NotSent("no way to the store".to_owned())),
             None => {
-                let result = self.store.range(table, part, from, to, within).await;
+                let result = self.range_directly(table, part, from, to, within).await;
                 self.note_direct(result.as_ref().err());
                 result
             }
@@ -363,7 +388,7 @@
         let open = self.store_is_open();
         if open {
             let began = std::time::Instant::now();
-            let result = self.store.feed(table, after, wait, within).await;
+            let result = self.feed_directly(table, after, wait, within).await;
             if result.is_ok() {
                 self.note_read_time(began.elapsed(), wait);
             }
@@ -395,7 +420,7 @@
                 "no way to the store".to_owned(),
             ))),
             None => {
-                let result = self.store.feed(table, after, wait, within).await;
+                let result = self.feed_directly(table, after, wait, within).await;
                 match &result {
                     Err(FeedError::Call(error)) => self.note_direct(Some(error)),
                     _ => self.note_direct(None),
@@ -470,7 +495,7 @@
                 within_ms,
             } => {
                 let within = Duration::from_millis(within_ms);
-                let result = self.store.range(&table, &part, &from, &to, within).await;
+                let result = self.range_directly(&table, &part, &from, &to, within).await;
                 self.note_direct(result.as_ref().err());
                 RelayedAnswer::Range(result)
             }
@@ -484,7 +509,7 @@
                     Duration::from_millis(wait_ms),
                     Duration::from_millis(within_ms),
                 );
-                let result = self.store.feed(&table, after, wait, within).await;
+                let result = self.feed_directly(&table, after, wait, within).await;
                 match &result {
                     Err(FeedError::Call(error)) => self.note_direct(Some(error)),
                     _ => self.note_direct(None),
--- a/crates/mangotrestle/src/host/cell.rs
+++ b/crates/mangotrestle/src/host/cell.rs
@@ -14,11 +14,10 @@
 use mangotrestle_core::workflow::catalog::Catalog;
 use mangotrestle_core::workflow::environment::HostSettings;
 use mangotrestle_core::workflow::tenure::{LeadRow, PoolSummary, Watch};
-use mangotrestle_core::workflow::upkeep::Wave;
 use mangotrestle_peer::cell::CellClient;
+use mangotrestle_platform::budget::Budget;
 use mangotrestle_users_platform::machines::Machines;
-use mangotrestle_users_platform::operator;
-use mangotrestle_users_platform::store::{Row, Store};
+use mangotrestle_users_platform::store::Store;
 use mangotrestle_users_platform::transport::Transport;
 use mangotrestle_users_platform::worker::Workers;
 use rand::RngExt;
@@ -31,6 +30,10 @@
 
 /// Longest time for a call to a peer; callers set shorter ones.
 const PEER_TIMEOUT: Duration = Duration::from_secs(4);
+/// Part of the store's rates that the hosts use; the rest is left to retries of all at once.
+const STORE_PART: f64 = 0.9;
+/// Equal parts of the store's rates that one host may use.
+const LEADER_PARTS: f64 = 3.0;
 /// Time for which a peer is passed over that did not answer.
 const PEER_PASSED_OVER: SpanMs = SpanMs(1_500);
 
@@ -82,6 +85,10 @@
     pub(super) life: u64,
     /// Calls to the store.
     pub(super) store: Store,
+    /// This host's part of the store's writing calls.
+    pub(super) writes: Budget,
+    /// This host's part of the store's reading calls.
+    pub(super) reads: Budget,
     /// Calls to workers.
     pub(super) workers: Workers,
     /// Calls to the machines' service.
@@ -100,7 +107,6 @@
     peers: Mutex<BTreeMap<id::EntryHostId, Peer>>,
     leaders: Mutex<FastMap<String, Arc<Leader>>>,
     acceptors: Mutex<FastMap<String, Acceptor>>,
-    waves: Mutex<BTreeMap<String, Wave>>,
     claiming: Mutex<FastSet<String>>,
     /// The peer that passed the last call on.
     relay: Mutex<Option<id::EntryHostId>>,
@@ -114,6 +120,8 @@
     pub(super) fn new(settings: HostSettings, log: slog::Logger) -> Self {
         let transport = Transport::new();
         Self {
+            writes: Budget::new(settings.store_limits.writes_per_s * STORE_PART),
+            reads: Budget::new(settings.store_limits.reads_per_s * STORE_PART),
             store: Store::new(Transport::new(), settings.store),
             workers: Workers::new(Transport::new()),
             machines: settings
@@ -132,7 +140,6 @@
             peers: Mutex::default(),
             leaders: Mutex::default(),
             acceptors: Mutex::default(),
-            waves: Mutex::default(),
             claiming: Mutex::default(),
             relay: Mutex::default(),
             registered_version: AtomicU64::new(0),
@@ -199,6 +206,17 @@
             questions: 0,
         };
         peers.insert(host.clone(), peer);
+        self.share_store(peers.len() + 1);
+    }
+
+    /// Takes this host's part of what the store allows all hosts together.
+    fn share_store(&self, hosts: usize) {
+        // A leader makes many more calls than the other hosts, of which most are far below a part.
+        let hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
+        let part = STORE_PART * (LEADER_PARTS / f64::from(hosts)).min(1.0);
+        let limits = &self.settings.store_limits;
+        self.writes.set_rate_per_s(limits.writes_per_s * part);
+        self.reads.set_rate_per_s(limits.reads_per_s * part);
     }
 
     /// Notes that this host's row is durable.
@@ -402,35 +420,6 @@
         lock(&self.claiming).remove(pool);
     }
 
-    /// Takes an operator's row that is not the configuration.
-    pub(super) fn take_wave_row(&self, row: &Row) {
-        if !row.name.key.starts_with(operator::WAVE_PREFIX) {
-            return;
-        }
-        let Some(value) = &row.value else {
-            slog::info!(self.log, "wave.removed"; "wave" => &row.name.key);
-            lock(&self.waves).remove(&row.name.key);
-            return;
-        };
-        match operator::decode_wave(&value.0) {
-            Some(wave) => {
-                slog::info!(self.log, "wave.seen"; "wave" => wave.number,
-                    "machines" => wave.machines.len(), "most_down" => wave.most_down,
-                    "duration_ms" => wave.duration_ms, "row_version" => row.version);
-                lock(&self.waves).insert(row.name.key.clone(), wave);
-            }
-            None => {
-                slog::warn!(self.log, "wave.malformed"; "wave" => &row.name.key,
-                    "row_version" => row.version);
-            }
-        }
-    }
-
-    /// Waves that the operator asks for.
-    pub(super) fn waves(&self) -> BTreeMap<String, Wave> {
-        lock(&self.waves).clone()
-    }
-
     /// What makes jobs of a pool durable.
     pub(super) fn acceptor(self: &Arc<Self>, pool: &str) -> Acceptor {
         let mut acceptors = lock(&self.acceptors);
--- a/crates/mangotrestle/src/host/feeds.rs
+++ b/crates/mangotrestle/src/host/feeds.rs
@@ -68,7 +68,8 @@
 
 fn take_operator_row(cell: &Cell, row: &Row) {
     if row.name.key != operator::CONFIGURATION_KEY {
-        cell.take_wave_row(row);
+        slog::info!(cell.log, "operator.row_ignored"; "key" => &row.name.key,
+            "row_version" => row.version);
         return;
     }
     let Some(value) = &row.value else {
@@ -152,7 +153,6 @@
     if let Some(catalog) = cell.catalog.load_full() {
         pools.extend(catalog.pools.iter().map(|pool| pool.name.clone()));
     }
-    pools.push(names::UPKEEP_POOL.to_owned());
     pools.sort_unstable();
     pools.dedup();
     for pool in pools {
--- a/crates/mangotrestle/src/host/leader.rs
+++ b/crates/mangotrestle/src/host/leader.rs
@@ -577,6 +577,9 @@
                 break;
             }
         }
+        if cell.store_is_away() {
+            refuse_unwritten(&leader, now);
+        }
         lock(&leader.state).tick(now);
         if commit.is_none() {
             let releasing = leader.releasing.load(Ordering::Relaxed);
@@ -607,6 +610,13 @@
         "released" => leader.releasing.load(Ordering::Relaxed));
 }
 
+/// Refuses submitted jobs that no commit has tried to write, while there is no way to the store.
+fn refuse_unwritten(leader: &Leader, now: TimeMs) {
+    let jobs = lock(&leader.state).unwritten_submissions();
+    let refusal = Acceptance::NotAccepted("no way to the store".to_owned());
+    drop_submissions(leader, now, &jobs, &refusal);
+}
+
 fn drop_submissions(leader: &Leader, now: TimeMs, jobs: &[id::JobId], acceptance: &Acceptance) {
     for job in jobs {
         lock(&leader.state).drop_submission(now, job);
--- a/crates/mangotrestle/src/host/liveness.rs
+++ b/crates/mangotrestle/src/host/liveness.rs
@@ -68,8 +68,8 @@
     let mut lives = FastSet::default();
     let mut token: Option<String> = None;
     loop {
-        let (page, next) = machines.page(token.as_deref(), READ).await?;
-        lives.extend(page.into_iter().filter_map(|machine| machine.worker));
+        let (page, next) = machines.workers(token.as_deref(), READ).await?;
+        lives.extend(page);
         match next {
             Some(next) => token = Some(next),
             None => return Ok(Some(lives)),
--- a/crates/mangotrestle/src/host/mod.rs
+++ b/crates/mangotrestle/src/host/mod.rs
@@ -13,7 +13,6 @@
 //! - `leader` leads a pool, `orders` carries out what it orders;
 //! - `liveness` finds out whether a worker that does not answer is at its end;
 //! - `peers` serves and calls the other hosts;
-//! - `upkeep` carries out waves of upkeep;
 //! - `events` writes the log.
 
 use std::sync::Arc;
@@ -36,7 +35,6 @@
 mod names;
 mod orders;
 mod peers;
-mod upkeep;
 
 use cell::Cell;
 
@@ -94,7 +92,6 @@
     let callers = tokio::spawn(front::serve(Arc::clone(&cell), front, stopped));
     tokio::spawn(feeds::follow_configuration(Arc::clone(&cell)));
     tokio::spawn(feeds::follow_cell(Arc::clone(&cell)));
-    tokio::spawn(upkeep::follow(Arc::clone(&cell)));
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
--- a/crates/mangotrestle/src/host/names.rs
+++ b/crates/mangotrestle/src/host/names.rs
@@ -29,8 +29,6 @@
 pub(super) const HOST_PREFIX: &str = "host/";
 /// Ends the key of a cancel.
 const CANCEL_SUFFIX: char = '!';
-/// Pool whose leader carries out waves of upkeep.
-pub(super) const UPKEEP_POOL: &str = "@upkeep";
 
 /// The row of an accepted job.
 pub(super) fn inbox(pool: &str, job: &id::JobId) -> RowName {
