--- a/crates/mangotrestle-core/src/workflow/pool/intake.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/intake.rs
@@ -57,7 +57,7 @@
 
     /// Drops a job whose acceptance did not become durable; nothing of it was ordered.
     pub fn drop_submission(&mut self, now: TimeMs, id: &id::JobId) {
-        if !self.jobs.get(id).is_some_and(|job| !job.accepted) {
+        if self.jobs.get(id).is_none_or(|job| job.accepted) {
             return;
         }
         for (key, _) in self.jobs.get(id).map(Job::assigned).unwrap_or_default() {
--- a/crates/mangotrestle-core/tests/workflow/driver.rs
+++ b/crates/mangotrestle-core/tests/workflow/driver.rs
@@ -18,7 +18,7 @@
     world.failing_runs = 20;
     world.network = Network {
         lost_answers: 30,
-        late_orders: if seed % 2 == 0 { 20 } else { 0 },
+        late_orders: if seed.is_multiple_of(2) { 20 } else { 0 },
     };
     for number in 0..JOBS {
         let steps = draw_steps(&mut world);
--- a/crates/mangotrestle-core/tests/workflow/tickets.rs
+++ b/crates/mangotrestle-core/tests/workflow/tickets.rs
@@ -30,7 +30,12 @@
     let mut tickets = StepTickets::default();
     let good = worker("w-1");
     let answer = vec![(good.clone(), "t".to_owned())];
-    tickets.learn(TimeMs(1_000), &[good.clone()], answer, SpanMs(2_000));
+    tickets.learn(
+        TimeMs(1_000),
+        std::slice::from_ref(&good),
+        answer,
+        SpanMs(2_000),
+    );
 
     tickets.reject(&good);
 
--- a/crates/mangotrestle-core/tests/workflow/world.rs
+++ b/crates/mangotrestle-core/tests/workflow/world.rs
@@ -31,7 +31,7 @@
 /// A run on a worker.
 #[derive(Clone, Debug)]
 struct Run {
-    run: u32,
+    number: u32,
     need: Resources,
     worked_ms: u64,
     work_ms: u64,
@@ -368,10 +368,8 @@
             } else {
                 ORDER_MS
             };
-            if lost {
-                if let Some(answer) = unanswered(&order) {
-                    self.schedule(self.now + 500, Coming::Answer { term, answer });
-                }
+            if lost && let Some(answer) = unanswered(&order) {
+                self.schedule(self.now + 500, Coming::Answer { term, answer });
             }
             self.schedule(self.now + delay, Coming::Order { order, term, lost });
         }
@@ -393,7 +391,6 @@
                     }
                 }
                 Coming::Answer { term, answer } if term == self.term => self.take(answer),
-                Coming::Answer { .. } => {}
                 Coming::Commit { term, commit } if term == self.term => {
                     self.write(commit);
                     self.schedule(
@@ -404,8 +401,8 @@
                         },
                     );
                 }
-                // The row of the leadership has changed, so the commit does nothing.
-                Coming::Commit { .. } => {}
+                // The leader of an earlier term is gone, and the row of the leadership has changed.
+                Coming::Answer { .. } | Coming::Commit { .. } => {}
             }
         }
     }
@@ -475,7 +472,7 @@
                 model.fence = term;
                 let name = task.to_string();
                 match model.running.get_mut(&name) {
-                    Some(present) if present.run <= run => {
+                    Some(present) if present.number <= run => {
                         present.stops_at.get_or_insert(self.now + STOP_MS);
                     }
                     _ => {
@@ -529,7 +526,7 @@
         model.finished.retain(|end| end.number > last_seen);
         let running = model.running.iter().map(|(name, run)| RunningTask {
             task: name.parse().expect("a task's name"),
-            run: run.run,
+            run: run.number,
             saved: String::new(),
             percent: u32::try_from(run.worked_ms * 100 / run.work_ms.max(1)).unwrap_or(100),
             figure: None,
@@ -577,7 +574,7 @@
         }
         model.fence = term;
         if let Some(present) = model.running.get(&name) {
-            let same = present.run == run;
+            let same = present.number == run;
             return answer(
                 if same {
                     OrderAnswer::Done
@@ -681,7 +678,7 @@
             self.breaches.over_capacity += 1;
         }
         let run = Run {
-            run,
+            number: run,
             need,
             worked_ms: 0,
             work_ms: spec.estimate_ms * uneven / 100,
@@ -701,7 +698,7 @@
         for model in self.workers.values().filter(|model| model.alive) {
             for (name, run) in &model.running {
                 let step = name.rsplit_once('.').map_or("", |(step, _)| step);
-                *present.entry((step.to_owned(), run.run)).or_default() += 1;
+                *present.entry((step.to_owned(), run.number)).or_default() += 1;
             }
         }
         let mut gangs_done: BTreeSet<(String, u32)> = BTreeSet::new();
@@ -712,7 +709,10 @@
                     .rsplit_once('.')
                     .map_or("", |(step, _)| step)
                     .to_owned();
-                let together = present.get(&(step.clone(), run.run)).copied().unwrap_or(0);
+                let together = present
+                    .get(&(step.clone(), run.number))
+                    .copied()
+                    .unwrap_or(0);
                 if now >= model.lease_until {
                     ends.push((name.clone(), RunEnd::Lapsed));
                 } else if run.stops_at.is_some_and(|at| now >= at) {
@@ -732,7 +732,7 @@
                             RunEnd::Done
                         };
                         if end == RunEnd::Done && run.gang_size > 1 {
-                            gangs_done.insert((step, run.run));
+                            gangs_done.insert((step, run.number));
                         }
                         ends.push((name.clone(), end));
                     }
@@ -749,7 +749,7 @@
                 .iter()
                 .filter(|(name, run)| {
                     let step = name.rsplit_once('.').map_or("", |(step, _)| step);
-                    gangs_done.contains(&(step.to_owned(), run.run))
+                    gangs_done.contains(&(step.to_owned(), run.number))
                 })
                 .map(|(name, _)| name.clone())
                 .collect();
@@ -785,11 +785,11 @@
             return;
         };
         let highest = self.highest_ended.entry(name.to_owned()).or_default();
-        *highest = (*highest).max(run.run);
+        *highest = (*highest).max(run.number);
         self.finished.push(FinishedTask {
             number: self.next_number,
             task: name.parse().expect("a task's name"),
-            run: run.run,
+            run: run.number,
             end,
             saved: String::new(),
         });
--- a/crates/mangotrestle/src/host/acceptor.rs
+++ b/crates/mangotrestle/src/host/acceptor.rs
@@ -40,7 +40,7 @@
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.debug_struct("Submission")
             .field("job", &self.job)
-            .finish()
+            .finish_non_exhaustive()
     }
 }
 
--- a/crates/mangotrestle/src/host/access.rs
+++ b/crates/mangotrestle/src/host/access.rs
@@ -37,7 +37,7 @@
 /// Time for a transaction.
 const TRY: Duration = Duration::from_millis(1_500);
 /// Time for a transaction while the store is slow.
-const SLOW_TRY: Duration = Duration::from_millis(3_000);
+const SLOW_TRY: Duration = Duration::from_secs(3);
 /// Time of a transaction from which on the store counts as slow; ten times the usual.
 const SLOW_TRANSACTION_MS: u64 = 150;
 /// Time of a read beyond what it was to wait, from which on the store counts as slow.
@@ -47,7 +47,7 @@
 /// Distance of looks for the rows of a transaction that is not answered.
 const PROBE: Duration = Duration::from_millis(300);
 /// Time for such a look.
-const PROBE_READ: Duration = Duration::from_millis(1_000);
+const PROBE_READ: Duration = Duration::from_secs(1);
 /// Time after which a transaction counts as lost whose rows are not there though the store answers
 /// reads quickly.
 const LOST: Duration = Duration::from_millis(500);
--- a/crates/mangotrestle/src/host/feeds.rs
+++ b/crates/mangotrestle/src/host/feeds.rs
@@ -28,7 +28,7 @@
 /// Time for a whole read.
 const READ: Duration = Duration::from_millis(1_500);
 /// Time without answered looks after which leaders get their full time again.
-const BLIND: Duration = Duration::from_millis(1_000);
+const BLIND: Duration = Duration::from_secs(1);
 
 /// Follows the configuration until the process ends.
 pub(super) async fn follow_configuration(cell: Arc<Cell>) {
--- a/crates/mangotrestle/src/host/front.rs
+++ b/crates/mangotrestle/src/host/front.rs
@@ -38,7 +38,7 @@
 /// Time for a leader's answer about a job, after which the store is asked.
 const LEADER_ANSWER: Duration = Duration::from_millis(400);
 /// Time for a read of the store on behalf of a caller.
-const READ: Duration = Duration::from_millis(1_000);
+const READ: Duration = Duration::from_secs(1);
 /// When a caller should return whose job could not be stored, at the least.
 const STORE_RETURN: SpanMs = SpanMs(1_000);
 /// When a caller should return at the latest while the store is away.
--- a/crates/mangotrestle/src/host/leader.rs
+++ b/crates/mangotrestle/src/host/leader.rs
@@ -32,7 +32,7 @@
 /// Status of a refusal for load.
 const TOO_MANY: u16 = 429;
 /// Time for a whole read.
-const READ: Duration = Duration::from_millis(2_000);
+const READ: Duration = Duration::from_secs(2);
 /// Tries to claim a pool whose answers are lost.
 const CLAIM_TRIES: u32 = 3;
 /// Tries to load a pool.
--- a/crates/mangotrestle/src/host/orders.rs
+++ b/crates/mangotrestle/src/host/orders.rs
@@ -184,24 +184,20 @@
         within_ms: u64::try_from(ADVICE_MARGIN.as_millis()).unwrap_or(u64::MAX),
     };
     let own = leader.own_questions.load(Ordering::Relaxed);
-    let answer = match cell.take_asker(own) {
-        Some((host, peer)) => {
-            let asked = tokio::time::timeout(ADVICE_MARGIN * 2, peer.ask(question.clone())).await;
-            cell.give_asker_back(&host);
-            match asked {
-                Ok(Ok(answer)) => answer,
-                _ => {
-                    cell.note_peer_failure(&host);
-                    None
-                }
-            }
-        }
-        None => {
-            leader.own_questions.fetch_add(1, Ordering::Relaxed);
-            let answer = peers::ask(cell, &question).await;
-            leader.own_questions.fetch_sub(1, Ordering::Relaxed);
+    let answer = if let Some((host, peer)) = cell.take_asker(own) {
+        let asked = tokio::time::timeout(ADVICE_MARGIN * 2, peer.ask(question.clone())).await;
+        cell.give_asker_back(&host);
+        if let Ok(Ok(answer)) = asked {
             answer
+        } else {
+            cell.note_peer_failure(&host);
+            None
         }
+    } else {
+        leader.own_questions.fetch_add(1, Ordering::Relaxed);
+        let answer = peers::ask(cell, &question).await;
+        leader.own_questions.fetch_sub(1, Ordering::Relaxed);
+        answer
     };
     let answer = answer.map(|advice| (advice.good, SpanMs(advice.valid_ms)));
     let now = cell.clock.now();
