Note the outcome of a direct store call in one place; remove dead worker state

access.rs noted the outcome of reads and feeds after each of their direct calls, thrice each; the direct calls do it now, as that of transactions did. Ending a worker's life stood three times and is one method. The upkeep mark and the probe of a quarantined worker had no effect (nothing set the first, the second repeated the condition beside it).

--- a/crates/mangotrestle-core/src/workflow/pool/intake.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/intake.rs
@@ -351,8 +351,7 @@
     /// Takes notice that a worker's life is over, by another life's word at its address.
     pub fn worker_over(&mut self, now: TimeMs, id: &id::WorkerId) {
         if let Some(worker) = self.workers.get_mut(id) {
-            worker.over = true;
-            worker.missing_since.get_or_insert(now);
+            worker.end_life(now);
         }
     }
 
--- a/crates/mangotrestle-core/src/workflow/pool/orders.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/orders.rs
@@ -303,8 +303,7 @@
                 worker.note_refusal(now);
             }
             OrderAnswer::OtherLife => {
-                worker.over = true;
-                worker.missing_since.get_or_insert(now);
+                worker.end_life(now);
             }
             _ => worker.note_answer(now, clock),
         }
--- a/crates/mangotrestle-core/src/workflow/pool/reports.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/reports.rs
@@ -79,8 +79,7 @@
         match answer {
             Ok(report) => self.take_report(now, id, sent_at, &report),
             Err(LookFailure::OtherLife) => {
-                worker.over = true;
-                worker.missing_since.get_or_insert(now);
+                worker.end_life(now);
                 self.settle_lapsed_workers(now);
             }
             Err(LookFailure::Fenced) => worker.next_hold_at = now + SILENT_PAUSE,
--- a/crates/mangotrestle-core/src/workflow/worker.rs
+++ b/crates/mangotrestle-core/src/workflow/worker.rs
@@ -110,8 +110,6 @@
     last_failed_job: Option<crate::id::JobId>,
     quarantined_until: TimeMs,
     doubted_until: TimeMs,
-    /// Whether its machine is about to go down for upkeep.
-    pub reserved_for_upkeep: bool,
     /// How fast it is.
     pub speed: super::pool::Speed,
     /// Index of the share at which fillers work here.
@@ -158,7 +156,6 @@
             last_failed_job: None,
             quarantined_until: TimeMs(0),
             doubted_until: TimeMs(0),
-            reserved_for_upkeep: false,
             speed: super::pool::Speed::default(),
             pace_level: FULL_PACE_LEVEL,
             pace_changed_at: TimeMs(0),
@@ -180,17 +177,17 @@
         self.met
             && !self.over
             && !self.entry.draining
-            && !self.reserved_for_upkeep
             && self.strays == 0
             && self.missing_since.is_none()
             && !self.is_silent()
             && now >= self.suspect_until
-            && (now >= self.quarantined_until || self.probes(now))
+            && now >= self.quarantined_until
     }
 
-    /// Whether a worker in quarantine may run one task to show that it is sound again.
-    fn probes(&self, now: TimeMs) -> bool {
-        now >= self.quarantined_until && self.tasks.is_empty()
+    /// Notes that its life is over for certain.
+    pub fn end_life(&mut self, now: TimeMs) {
+        self.over = true;
+        self.missing_since.get_or_insert(now);
     }
 
     /// Whether the last run here failed a short time ago.
--- a/crates/mangotrestle/src/host/access.rs
+++ b/crates/mangotrestle/src/host/access.rs
@@ -283,7 +283,9 @@
         within: Duration,
     ) -> Result<Rows, CallError> {
         self.reads.acquire(Priority::Normal).await;
-        self.store.range(table, part, from, to, within).await
+        let result = self.store.range(table, part, from, to, within).await;
+        self.note_direct(result.as_ref().err());
+        result
     }
 
     async fn feed_directly(
@@ -294,7 +296,12 @@
         within: Duration,
     ) -> Result<Rows, FeedError> {
         self.reads.acquire(Priority::Normal).await;
-        self.store.feed(table, after, wait, within).await
+        let result = self.store.feed(table, after, wait, within).await;
+        match &result {
+            Err(FeedError::Call(error)) => self.note_direct(Some(error)),
+            Ok(_) | Err(FeedError::HistoryLost) => self.note_direct(None),
+        }
+        result
     }
 
     async fn transact_directly(
@@ -325,7 +332,6 @@
         if open {
             let began = std::time::Instant::now();
             let result = self.range_directly(table, part, from, to, within).await;
-            self.note_direct(result.as_ref().err());
             if result.is_ok() {
                 self.note_read_time(began.elapsed(), Duration::ZERO);
                 return result;
@@ -347,11 +353,7 @@
             }
             Some(_) => Err(CallError::Unknown("a peer gave another answer".to_owned())),
             None if open => Err(CallError::NotSent("no way to the store".to_owned())),
-            None => {
-                let result = self.range_directly(table, part, from, to, within).await;
-                self.note_direct(result.as_ref().err());
-                result
-            }
+            None => self.range_directly(table, part, from, to, within).await,
         }
     }
 
@@ -392,12 +394,8 @@
             if result.is_ok() {
                 self.note_read_time(began.elapsed(), wait);
             }
-            match &result {
-                Err(FeedError::Call(error)) => self.note_direct(Some(error)),
-                Ok(_) | Err(FeedError::HistoryLost) => {
-                    self.note_direct(None);
-                    return result;
-                }
+            if !matches!(result, Err(FeedError::Call(_))) {
+                return result;
             }
         }
         let call = RelayedCall::Feed {
@@ -419,14 +417,7 @@
             None if open => Err(FeedError::Call(CallError::NotSent(
                 "no way to the store".to_owned(),
             ))),
-            None => {
-                let result = self.feed_directly(table, after, wait, within).await;
-                match &result {
-                    Err(FeedError::Call(error)) => self.note_direct(Some(error)),
-                    _ => self.note_direct(None),
-                }
-                result
-            }
+            None => self.feed_directly(table, after, wait, within).await,
         }
     }
 
@@ -495,9 +486,7 @@
                 within_ms,
             } => {
                 let within = Duration::from_millis(within_ms);
-                let result = self.range_directly(&table, &part, &from, &to, within).await;
-                self.note_direct(result.as_ref().err());
-                RelayedAnswer::Range(result)
+                RelayedAnswer::Range(self.range_directly(&table, &part, &from, &to, within).await)
             }
             RelayedCall::Feed {
                 table,
@@ -509,12 +498,8 @@
                     Duration::from_millis(wait_ms),
                     Duration::from_millis(within_ms),
                 );
-                let result = self.feed_directly(&table, after, wait, within).await;
-                match &result {
-                    Err(FeedError::Call(error)) => self.note_direct(Some(error)),
-                    _ => self.note_direct(None),
-                }
-                RelayedAnswer::Feed(result)
+                let rows = self.feed_directly(&table, after, wait, within);
+                RelayedAnswer::Feed(rows.await)
             }
         }
     }
