Let hosts with more processor time lead first

Both leaders were on hosts of 0.12 core that used 0.099 of it on average, while eight hosts of 0.5 core led nothing: candidates were ranked by the pool's name alone. Half of the first starts came after 1.0 s, the slowest after 33 s.

Test: hosts_with_more_processor_time_lead_first_and_equals_share_the_pools (no ranking by strength existed before, so it did not compile). What a leader costs on a weak host is still too much.

--- a/crates/mangotrestle-core/src/workflow/environment.rs
+++ b/crates/mangotrestle-core/src/workflow/environment.rs
@@ -62,4 +62,6 @@
     pub bounds: Bounds,
     /// Memory that the process may use, in mebibytes.
     pub memory_mib: u64,
+    /// Processor time that the process may use, in thousandths of a core; zero if it is not known.
+    pub cpu_millicores: u32,
 }
--- a/crates/mangotrestle-core/src/workflow/tenure.rs
+++ b/crates/mangotrestle-core/src/workflow/tenure.rs
@@ -5,11 +5,14 @@
 //! that is carried out late finds another version and does nothing. A rival takes the row by the
 //! same condition with a higher term, after which nothing of the former leader can be committed.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
 
+use crate::collections::FastMap;
 use crate::id;
+use crate::membership::rendezvous;
 use crate::time::{SpanMs, TimeMs};
 
 /// Longest time between two commits of a leader, empty ones included.
@@ -57,6 +60,18 @@
     pub released: bool,
 }
 
+/// Hosts in the order in which they are to lead a pool: those with more processor time first, since
+/// the leader does most of a pool's work, and spread by the pool's name among equals.
+pub fn candidates<'a>(
+    pool: &str,
+    hosts: impl IntoIterator<Item = (&'a id::EntryHostId, u32)>,
+) -> Vec<&'a id::EntryHostId> {
+    let cpu_millicores: FastMap<_, _> = hosts.into_iter().collect();
+    let mut ranked = rendezvous::ranked(pool, cpu_millicores.keys().copied(), usize::MAX);
+    ranked.sort_by_key(|host| Reverse(cpu_millicores.get(host)));
+    ranked
+}
+
 /// A span of the leadership while the store is slow: its commits and looks take that much longer.
 const fn stretched(span: SpanMs, slow: bool) -> SpanMs {
     SpanMs(if slow { span.0 * 2 } else { span.0 })
--- a/crates/mangotrestle-core/tests/workflow/tenure.rs
+++ b/crates/mangotrestle-core/tests/workflow/tenure.rs
@@ -2,7 +2,7 @@
 
 use mangotrestle_core::id::EntryHostId;
 use mangotrestle_core::time::{SpanMs, TimeMs};
-use mangotrestle_core::workflow::tenure::{EXPIRY, LeadRow, STAGGER, Watch};
+use mangotrestle_core::workflow::tenure::{self, EXPIRY, LeadRow, STAGGER, Watch};
 
 fn host(name: &str) -> EntryHostId {
     EntryHostId::new(name).expect("a valid host name")
@@ -93,3 +93,25 @@
     assert_eq!(claim.term, 5);
     assert_eq!(watch.version(), 9);
 }
+
+#[test]
+fn hosts_with_more_processor_time_lead_first_and_equals_share_the_pools() {
+    let names: Vec<EntryHostId> = (0..8).map(|index| host(&format!("host-{index}"))).collect();
+    let strength = |index: usize| if index < 4 { 500 } else { 120 };
+    let hosts = || names.iter().enumerate().map(|(index, name)| (name, strength(index)));
+    let pools: Vec<String> = (0..40).map(|pool| format!("pool-{pool}")).collect();
+
+    let first: Vec<_> = pools
+        .iter()
+        .map(|pool| tenure::candidates(pool, hosts()))
+        .collect();
+
+    let strong = &names[..4];
+    for ranked in &first {
+        assert_eq!(ranked.len(), names.len());
+        assert!(ranked[..4].iter().all(|name| strong.contains(name)));
+    }
+    for name in strong {
+        assert!(first.iter().any(|ranked| ranked[0] == name));
+    }
+}
--- a/crates/mangotrestle/src/host/cell.rs
+++ b/crates/mangotrestle/src/host/cell.rs
@@ -9,11 +9,10 @@
 use arc_swap::ArcSwapOption;
 use mangotrestle_core::collections::{FastMap, FastSet};
 use mangotrestle_core::id;
-use mangotrestle_core::membership::rendezvous;
 use mangotrestle_core::time::{SpanMs, TimeMs};
 use mangotrestle_core::workflow::catalog::Catalog;
 use mangotrestle_core::workflow::environment::HostSettings;
-use mangotrestle_core::workflow::tenure::{LeadRow, PoolSummary, Watch};
+use mangotrestle_core::workflow::tenure::{self, LeadRow, PoolSummary, Watch};
 use mangotrestle_peer::cell::CellClient;
 use mangotrestle_platform::budget::Budget;
 use mangotrestle_users_platform::machines::Machines;
@@ -46,6 +45,9 @@
     pub(super) zone: String,
     /// The life of its process.
     pub(super) life: u64,
+    /// Its processor time, in thousandths of a core; zero if it is not known.
+    #[serde(default)]
+    pub(super) cpu_millicores: u32,
 }
 
 /// A host of the cell as this one sees it.
@@ -168,6 +170,7 @@
             address: self.settings.peer,
             zone: self.settings.zone.clone(),
             life: self.life,
+            cpu_millicores: self.settings.cpu_millicores,
         }
     }
 
@@ -328,8 +331,8 @@
     /// This host's rank among all for a pool.
     pub(super) fn rank(&self, pool: &str) -> u64 {
         let peers = lock(&self.peers);
-        let hosts = peers.keys().chain(std::iter::once(&self.settings.host));
-        let ranked = rendezvous::ranked(pool, hosts, usize::MAX);
+        let own = (&self.settings.host, self.settings.cpu_millicores);
+        let ranked = tenure::candidates(pool, strengths(&peers).chain(std::iter::once(own)));
         let position = ranked.iter().position(|host| **host == self.settings.host);
         position
             .and_then(|rank| u64::try_from(rank).ok())
@@ -339,8 +342,7 @@
     /// Hosts for a pool, best first, without this one.
     pub(super) fn successors(&self, pool: &str) -> Vec<CellClient> {
         let peers = lock(&self.peers);
-        let ranked = rendezvous::ranked(pool, peers.keys(), usize::MAX);
-        ranked
+        tenure::candidates(pool, strengths(&peers))
             .into_iter()
             .filter_map(|host| peers.get(host))
             .map(|peer| peer.client.clone())
@@ -430,6 +432,15 @@
     }
 }
 
+/// Peers with their processor time.
+fn strengths(
+    peers: &BTreeMap<id::EntryHostId, Peer>,
+) -> impl Iterator<Item = (&id::EntryHostId, u32)> {
+    peers
+        .iter()
+        .map(|(host, peer)| (host, peer.row.cpu_millicores))
+}
+
 /// Locks; a thread that panicked while it held the lock leaves the state as it was.
 pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
