Pass over a host that leads a pool for the next by its equals

Test: a_host_that_leads_a_pool_is_passed_over_for_the_next_by_its_equals_and_not_by_weaker_hosts (new parameter, so it did not compile before).

--- a/crates/mangotrestle-core/src/workflow/tenure.rs
+++ b/crates/mangotrestle-core/src/workflow/tenure.rs
@@ -61,14 +61,23 @@
 }
 
 /// Hosts in the order in which they are to lead a pool: those with more processor time first, since
-/// the leader does most of a pool's work, and spread by the pool's name among equals.
+/// the leader does most of a pool's work, and spread by the pool's name among equals. Processor time
+/// is in thousandths of a core; a host shares it evenly between the pools that it leads.
+#[must_use]
 pub fn candidates<'a>(
     pool: &str,
     hosts: impl IntoIterator<Item = (&'a id::EntryHostId, u32)>,
+    other_pools_led: &FastMap<id::EntryHostId, u32>,
 ) -> Vec<&'a id::EntryHostId> {
-    let cpu_millicores: FastMap<_, _> = hosts.into_iter().collect();
-    let mut ranked = rendezvous::ranked(pool, cpu_millicores.keys().copied(), usize::MAX);
-    ranked.sort_by_key(|host| Reverse(cpu_millicores.get(host)));
+    let shares: FastMap<_, _> = hosts
+        .into_iter()
+        .map(|(host, cpu_millicores)| {
+            let led = other_pools_led.get(host).copied().unwrap_or_default();
+            (host, cpu_millicores / (led + 1))
+        })
+        .collect();
+    let mut ranked = rendezvous::ranked(pool, shares.keys().copied(), usize::MAX);
+    ranked.sort_by_key(|host| Reverse(shares.get(host)));
     ranked
 }
 
--- a/crates/mangotrestle-core/tests/workflow/tenure.rs
+++ b/crates/mangotrestle-core/tests/workflow/tenure.rs
@@ -1,5 +1,6 @@
 //! Who claims a pool, and when.
 
+use mangotrestle_core::collections::FastMap;
 use mangotrestle_core::id::EntryHostId;
 use mangotrestle_core::time::{SpanMs, TimeMs};
 use mangotrestle_core::workflow::tenure::{self, EXPIRY, LeadRow, STAGGER, Watch};
@@ -108,7 +109,7 @@
 
     let first: Vec<_> = pools
         .iter()
-        .map(|pool| tenure::candidates(pool, hosts()))
+        .map(|pool| tenure::candidates(pool, hosts(), &FastMap::default()))
         .collect();
 
     let strong = &names[..4];
@@ -120,3 +121,16 @@
         assert!(first.iter().any(|ranked| ranked[0] == name));
     }
 }
+
+#[test]
+fn a_host_that_leads_a_pool_is_passed_over_for_the_next_by_its_equals_and_not_by_weaker_hosts() {
+    let names: Vec<EntryHostId> = (0..4).map(|index| host(&format!("host-{index}"))).collect();
+    let hosts = || names.iter().zip([500, 500, 120, 120]);
+    let first = tenure::candidates("pool", hosts(), &FastMap::default())[0];
+    let led: FastMap<EntryHostId, u32> = [(first.clone(), 1)].into_iter().collect();
+
+    let ranked = tenure::candidates("pool", hosts(), &led);
+
+    assert_eq!(ranked.iter().position(|name| *name == first), Some(1));
+    assert!(names[..2].contains(ranked[0]));
+}
--- a/crates/mangotrestle/src/host/cell.rs
+++ b/crates/mangotrestle/src/host/cell.rs
@@ -330,9 +330,11 @@
 
     /// This host's rank among all for a pool.
     pub(super) fn rank(&self, pool: &str) -> u64 {
+        let led = self.other_pools_led(pool);
         let peers = lock(&self.peers);
         let own = (&self.settings.host, self.settings.cpu_millicores);
-        let ranked = tenure::candidates(pool, strengths(&peers).chain(std::iter::once(own)));
+        let hosts = strengths(&peers).chain(std::iter::once(own));
+        let ranked = tenure::candidates(pool, hosts, &led);
         let position = ranked.iter().position(|host| **host == self.settings.host);
         position
             .and_then(|rank| u64::try_from(rank).ok())
@@ -341,14 +343,33 @@
 
     /// Hosts for a pool, best first, without this one.
     pub(super) fn successors(&self, pool: &str) -> Vec<CellClient> {
+        let led = self.other_pools_led(pool);
         let peers = lock(&self.peers);
-        tenure::candidates(pool, strengths(&peers))
+        tenure::candidates(pool, strengths(&peers), &led)
             .into_iter()
             .filter_map(|host| peers.get(host))
             .map(|peer| peer.client.clone())
             .collect()
     }
 
+    /// How many pools other than this one each host leads, claims of this host included.
+    fn other_pools_led(&self, pool: &str) -> FastMap<id::EntryHostId, u32> {
+        let mut led: FastMap<id::EntryHostId, u32> = FastMap::default();
+        let claimed = lock(&self.claiming).clone();
+        for (name, view) in lock(&self.pools).iter().filter(|(name, _)| *name != pool) {
+            let holder = if claimed.contains(name) {
+                Some(&self.settings.host)
+            } else {
+                let row = view.watch.row();
+                row.filter(|row| !row.released).map(|row| &row.holder)
+            };
+            if let Some(holder) = holder {
+                *led.entry(holder.clone()).or_default() += 1;
+            }
+        }
+        led
+    }
+
     /// Looks at or changes what is known of a pool.
     pub(super) fn with_pool<T>(&self, pool: &str, use_view: impl FnOnce(&mut PoolView) -> T) -> T {
         let mut pools = lock(&self.pools);
