Notice a store that answers nothing within half a second

The direct way counted as closed only after two calls had run into their limits of 1.5 s and more, so submissions waited for a commit that could not be answered, and 23 callers had no answer within their 3 s. Besides, the acceptance by the host itself went on beyond the caller's time.

Now a call that waits half a second beyond the usual while nothing else is answered closes the direct way: other calls go by a peer, and submissions that no commit has tried to write are refused at once. The acceptance by the host ends with the caller's time.

Ruled out: the leader's rounds (none was held up).

--- a/crates/mangotrestle-core/src/workflow/tenure.rs
+++ b/crates/mangotrestle-core/src/workflow/tenure.rs
@@ -60,21 +60,27 @@
     pub released: bool,
 }
 
-/// Hosts in the order in which they are to lead a pool: those with more processor time first, since
-/// the leader does most of a pool's work, and spread by the pool's name among equals. Processor time
-/// is in thousandths of a core; a host shares it evenly between the pools that it leads.
+/// A host that may lead a pool.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate<'a> {
+    /// The host.
+    pub host: &'a id::EntryHostId,
+    /// Its processor time, in thousandths of a core; zero if it is not known.
+    pub cpu_millicores: u32,
+    /// Pools that it leads besides, between which it shares its processor time.
+    pub other_pools_led: u32,
+}
+
+/// Hosts in the order in which they are to lead a pool: those with more processor time left for it
+/// first, since the leader does most of a pool's work, and spread by the pool's name among equals.
 #[must_use]
-pub fn candidates<'a>(
+pub fn ranked<'a>(
     pool: &str,
-    hosts: impl IntoIterator<Item = (&'a id::EntryHostId, u32)>,
-    other_pools_led: &FastMap<id::EntryHostId, u32>,
+    candidates: impl IntoIterator<Item = Candidate<'a>>,
 ) -> Vec<&'a id::EntryHostId> {
-    let shares: FastMap<_, _> = hosts
+    let shares: FastMap<_, _> = candidates
         .into_iter()
-        .map(|(host, cpu_millicores)| {
-            let led = other_pools_led.get(host).copied().unwrap_or_default();
-            (host, cpu_millicores / (led + 1))
-        })
+        .map(|one| (one.host, one.cpu_millicores / (one.other_pools_led + 1)))
         .collect();
     let mut ranked = rendezvous::ranked(pool, shares.keys().copied(), usize::MAX);
     ranked.sort_by_key(|host| Reverse(shares.get(host)));
--- a/crates/mangotrestle-core/tests/workflow/tenure.rs
+++ b/crates/mangotrestle-core/tests/workflow/tenure.rs
@@ -1,9 +1,8 @@
 //! Who claims a pool, and when.
 
-use mangotrestle_core::collections::FastMap;
 use mangotrestle_core::id::EntryHostId;
 use mangotrestle_core::time::{SpanMs, TimeMs};
-use mangotrestle_core::workflow::tenure::{self, EXPIRY, LeadRow, STAGGER, Watch};
+use mangotrestle_core::workflow::tenure::{self, Candidate, EXPIRY, LeadRow, STAGGER, Watch};
 
 fn host(name: &str) -> EntryHostId {
     EntryHostId::new(name).expect("a valid host name")
@@ -95,21 +94,28 @@
     assert_eq!(watch.version(), 9);
 }
 
+fn candidate(host: &EntryHostId, cpu_millicores: u32, other_pools_led: u32) -> Candidate<'_> {
+    Candidate {
+        host,
+        cpu_millicores,
+        other_pools_led,
+    }
+}
+
 #[test]
 fn hosts_with_more_processor_time_lead_first_and_equals_share_the_pools() {
     let names: Vec<EntryHostId> = (0..8).map(|index| host(&format!("host-{index}"))).collect();
     let strength = |index: usize| if index < 4 { 500 } else { 120 };
     let hosts = || {
-        names
-            .iter()
-            .enumerate()
-            .map(|(index, name)| (name, strength(index)))
+        (0..)
+            .zip(&names)
+            .map(|(index, name)| candidate(name, strength(index), 0))
     };
     let pools: Vec<String> = (0..40).map(|pool| format!("pool-{pool}")).collect();
 
     let first: Vec<_> = pools
         .iter()
-        .map(|pool| tenure::candidates(pool, hosts(), &FastMap::default()))
+        .map(|pool| tenure::ranked(pool, hosts()))
         .collect();
 
     let strong = &names[..4];
@@ -126,10 +132,11 @@
 fn a_host_that_leads_a_pool_is_passed_over_for_the_next_by_its_equals_and_not_by_weaker_hosts() {
     let names: Vec<EntryHostId> = (0..4).map(|index| host(&format!("host-{index}"))).collect();
     let hosts = || names.iter().zip([500, 500, 120, 120]);
-    let first = tenure::candidates("pool", hosts(), &FastMap::default())[0];
-    let led: FastMap<EntryHostId, u32> = [(first.clone(), 1)].into_iter().collect();
+    let idle = hosts().map(|(name, strength)| candidate(name, strength, 0));
+    let first = tenure::ranked("pool", idle)[0];
 
-    let ranked = tenure::candidates("pool", hosts(), &led);
+    let busy = hosts().map(|(name, strength)| candidate(name, strength, u32::from(name == first)));
+    let ranked = tenure::ranked("pool", busy);
 
     assert_eq!(ranked.iter().position(|name| *name == first), Some(1));
     assert!(names[..2].contains(ranked[0]));
--- a/crates/mangotrestle/src/host/access.rs
+++ b/crates/mangotrestle/src/host/access.rs
@@ -28,6 +28,12 @@
 /// Time for a relayed call beyond that of the call itself.
 const RELAY_MARGIN: Duration = Duration::from_millis(100);
 
+/// Time beyond the usual without any direct answer after which a call that waits closes the direct
+/// way: long enough for a lost packet to be sent again.
+const SILENCE: Duration = Duration::from_millis(500);
+/// The same while the store is slow.
+const SLOW_SILENCE: Duration = Duration::from_millis(1_500);
+
 /// Refusals for load in a row that close the direct way; a busy part of the store refuses a few.
 const CLOSING_REFUSALS: u64 = 6;
 /// Status of a refusal for load.
@@ -56,6 +62,7 @@
 #[derive(Debug, Default)]
 pub(super) struct DirectWay {
     failures: AtomicU64,
+    answered_at_ms: AtomicU64,
     closed_until_ms: AtomicU64,
     no_relay_until_ms: AtomicU64,
     slow_until_ms: AtomicU64,
@@ -179,6 +186,8 @@
         let now = self.clock.now().0;
         if error.is_none() {
             self.direct.failures.store(0, Ordering::Relaxed);
+            self.direct.answered_at_ms.store(now, Ordering::Relaxed);
+            self.direct.closed_until_ms.store(0, Ordering::Relaxed);
             self.note_answer();
             return;
         }
@@ -189,15 +198,39 @@
             _ => CLOSING_FAILURES,
         };
         if failures >= closing {
-            let was_open = self.store_is_open();
-            let until = now + CLOSED_MS;
-            self.direct.closed_until_ms.store(until, Ordering::Relaxed);
-            let known = self.direct.lost_logged.swap(true, Ordering::Relaxed);
-            if was_open && !known {
-                let error = error.map(ToString::to_string).unwrap_or_default();
-                slog::warn!(self.log, "store.lost"; "failures" => failures, "error" => error);
-            }
+            let error = error.map(ToString::to_string).unwrap_or_default();
+            self.close_direct_way(failures, &error);
+        }
+    }
+
+    fn close_direct_way(&self, failures: u64, why: &str) {
+        let was_open = self.store_is_open();
+        let until = self.clock.now().0 + CLOSED_MS;
+        self.direct.closed_until_ms.store(until, Ordering::Relaxed);
+        let known = self.direct.lost_logged.swap(true, Ordering::Relaxed);
+        if was_open && !known {
+            slog::warn!(self.log, "store.lost"; "failures" => failures, "error" => why);
+        }
+    }
+
+    /// Waits for a direct call that usually answers within a time. While it waits longer and
+    /// nothing else is answered, the way counts as closed, so that other calls take another.
+    async fn watched<T>(&self, usual: Duration, call: impl Future<Output = T>) -> T {
+        let began = self.clock.now().0;
+        let silence = if self.store_is_slow() {
+            SLOW_SILENCE
+        } else {
+            SILENCE
+        };
+        let mut call = std::pin::pin!(call);
+        if let Ok(result) = tokio::time::timeout(usual + silence, &mut call).await {
+            return result;
+        }
+        if self.direct.answered_at_ms.load(Ordering::Relaxed) < began {
+            let failures = self.direct.failures.load(Ordering::Relaxed);
+            self.close_direct_way(failures, "no call is answered");
         }
+        call.await
     }
 
     fn note_answer(&self) {
@@ -283,7 +316,8 @@
         within: Duration,
     ) -> Result<Rows, CallError> {
         self.reads.acquire(Priority::Normal).await;
-        let result = self.store.range(table, part, from, to, within).await;
+        let call = self.store.range(table, part, from, to, within);
+        let result = self.watched(Duration::ZERO, call).await;
         self.note_direct(result.as_ref().err());
         result
     }
@@ -296,7 +330,8 @@
         within: Duration,
     ) -> Result<Rows, FeedError> {
         self.reads.acquire(Priority::Normal).await;
-        let result = self.store.feed(table, after, wait, within).await;
+        let call = self.store.feed(table, after, wait, within);
+        let result = self.watched(wait, call).await;
         match &result {
             Err(FeedError::Call(error)) => self.note_direct(Some(error)),
             Ok(_) | Err(FeedError::HistoryLost) => self.note_direct(None),
@@ -311,7 +346,8 @@
     ) -> Result<TransactionAnswer, CallError> {
         self.writes.acquire(Priority::Urgent).await;
         let began = std::time::Instant::now();
-        let result = self.store.transact(transaction, within).await;
+        let call = self.store.transact(transaction, within);
+        let result = self.watched(Duration::ZERO, call).await;
         if result.is_ok() {
             self.note_transaction_time(began.elapsed());
         }
--- a/crates/mangotrestle/src/host/cell.rs
+++ b/crates/mangotrestle/src/host/cell.rs
@@ -12,7 +12,7 @@
 use mangotrestle_core::time::{SpanMs, TimeMs};
 use mangotrestle_core::workflow::catalog::Catalog;
 use mangotrestle_core::workflow::environment::HostSettings;
-use mangotrestle_core::workflow::tenure::{self, LeadRow, PoolSummary, Watch};
+use mangotrestle_core::workflow::tenure::{self, Candidate, LeadRow, PoolSummary, Watch};
 use mangotrestle_peer::cell::CellClient;
 use mangotrestle_platform::budget::Budget;
 use mangotrestle_users_platform::machines::Machines;
@@ -332,9 +332,13 @@
     pub(super) fn rank(&self, pool: &str) -> u64 {
         let led = self.other_pools_led(pool);
         let peers = lock(&self.peers);
-        let own = (&self.settings.host, self.settings.cpu_millicores);
-        let hosts = strengths(&peers).chain(std::iter::once(own));
-        let ranked = tenure::candidates(pool, hosts, &led);
+        let own = Candidate {
+            host: &self.settings.host,
+            cpu_millicores: self.settings.cpu_millicores,
+            other_pools_led: led.get(&self.settings.host).copied().unwrap_or_default(),
+        };
+        let hosts = candidates(&peers, &led).chain(std::iter::once(own));
+        let ranked = tenure::ranked(pool, hosts);
         let position = ranked.iter().position(|host| **host == self.settings.host);
         position
             .and_then(|rank| u64::try_from(rank).ok())
@@ -345,7 +349,7 @@
     pub(super) fn successors(&self, pool: &str) -> Vec<CellClient> {
         let led = self.other_pools_led(pool);
         let peers = lock(&self.peers);
-        tenure::candidates(pool, strengths(&peers), &led)
+        tenure::ranked(pool, candidates(&peers, &led))
             .into_iter()
             .filter_map(|host| peers.get(host))
             .map(|peer| peer.client.clone())
@@ -453,13 +457,16 @@
     }
 }
 
-/// Peers with their processor time.
-fn strengths(
-    peers: &BTreeMap<id::EntryHostId, Peer>,
-) -> impl Iterator<Item = (&id::EntryHostId, u32)> {
-    peers
-        .iter()
-        .map(|(host, peer)| (host, peer.row.cpu_millicores))
+/// Peers that may lead a pool.
+fn candidates<'a>(
+    peers: &'a BTreeMap<id::EntryHostId, Peer>,
+    other_pools_led: &FastMap<id::EntryHostId, u32>,
+) -> impl Iterator<Item = Candidate<'a>> {
+    peers.iter().map(|(host, peer)| Candidate {
+        host,
+        cpu_millicores: peer.row.cpu_millicores,
+        other_pools_led: other_pools_led.get(host).copied().unwrap_or_default(),
+    })
 }
 
 /// Locks; a thread that panicked while it held the lock leaves the state as it was.
--- a/crates/mangotrestle/src/host/front.rs
+++ b/crates/mangotrestle/src/host/front.rs
@@ -232,7 +232,12 @@
     }
     let rest = within.saturating_sub(began.elapsed());
     let acceptor = cell.acceptor(&queue.pool);
-    (acceptor.accept(job, record, rest, uncertain).await, false)
+    let accepted = acceptor.accept(job, record, rest, uncertain);
+    let acceptance = match tokio::time::timeout(rest, accepted).await {
+        Ok(acceptance) => acceptance,
+        Err(_) => Acceptance::Unknown("the store did not settle it in time".to_owned()),
+    };
+    (acceptance, false)
 }
 
 /// Has the pool's leader make a job durable; `None` if nothing was sent.
