Serve work that can be on time before work that is late anyway

Cause: waiting work went by urgency and due time alone, so that in a backlog everything became late one after the other, and repeated jobs ranked by the time of their acceptance and not of their occurrence.

Now, within an urgency band, work that can still be on time goes first, then late work, and work of no use to its caller goes last of all bands.

--- a/crates/mangotrestle-core/src/workflow/admission.rs
+++ b/crates/mangotrestle-core/src/workflow/admission.rs
@@ -8,11 +8,10 @@
 use crate::resources::Resources;
 use crate::time::SpanMs;
 
+use super::rank::USEFUL_OBJECTIVES;
 use super::spec;
 use super::tenure;
 
-/// Multiple of a job's objective up to which a late end is still of use to its caller.
-const USEFUL_OBJECTIVES: u64 = 3;
 /// Shortest time after which a refused caller is asked to return.
 const SHORTEST_RETURN: SpanMs = SpanMs(1_000);
 /// Longest time after which a refused caller is asked to return.
--- a/crates/mangotrestle-core/src/workflow/job.rs
+++ b/crates/mangotrestle-core/src/workflow/job.rs
@@ -9,6 +9,7 @@
 use crate::time::TimeMs;
 
 use super::message;
+use super::rank;
 use super::record;
 use super::spec;
 use super::tickets;
@@ -149,6 +150,8 @@
     pub ready: bool,
     /// Which workers its queue's policy allows.
     pub tickets: tickets::StepTickets,
+    /// Rank under which its waiting units are queued.
+    pub rank: rank::Rank,
 }
 
 /// One run through a job's steps.
@@ -186,8 +189,8 @@
     pub end: Option<record::JobState>,
     /// Whether the end is durable.
     pub end_durable: bool,
-    /// When it is late, on this host's clock.
-    pub due_at: TimeMs,
+    /// Offset from this host's steady clock to the time of day.
+    epoch_offset_ms: u64,
     /// When it became known here.
     pub known_at: TimeMs,
 }
@@ -195,7 +198,12 @@
 impl Job {
     /// A job of which nothing has begun.
     #[must_use]
-    pub fn new(id: id::JobId, record: Arc<spec::JobRecord>, now: TimeMs, due_at: TimeMs) -> Self {
+    pub fn new(
+        id: id::JobId,
+        record: Arc<spec::JobRecord>,
+        now: TimeMs,
+        epoch_offset_ms: u64,
+    ) -> Self {
         Self {
             id,
             record,
@@ -204,7 +212,7 @@
             accepted: true,
             end: None,
             end_durable: false,
-            due_at,
+            epoch_offset_ms,
             known_at: now,
         }
     }
@@ -215,6 +223,17 @@
         self.record.schedule.map_or(1, |schedule| schedule.count)
     }
 
+    /// When an occurrence's time begins, on this host's clock: when it is due, or when the job was
+    /// accepted.
+    #[must_use]
+    pub fn began_at(&self, occurrence: u32) -> TimeMs {
+        let began_ms = match self.record.schedule {
+            Some(schedule) => schedule.first_ms + u64::from(occurrence) * schedule.period_ms,
+            None => self.record.accepted_ms,
+        };
+        TimeMs(began_ms.saturating_sub(self.epoch_offset_ms))
+    }
+
     /// Makes the units of an occurrence that begins.
     #[must_use]
     pub fn fresh_occurrence(&self) -> Occurrence {
@@ -225,6 +244,7 @@
             open: step.unit_count(),
             ready: false,
             tickets: tickets::StepTickets::default(),
+            rank: rank::Rank::default(),
         });
         Occurrence {
             steps: steps.collect(),
--- a/crates/mangotrestle-core/src/workflow/mod.rs
+++ b/crates/mangotrestle-core/src/workflow/mod.rs
@@ -11,6 +11,7 @@
 //! - [`job`] is a job in the leader's memory, [`record`] holds the rows that last;
 //! - [`message`] names what workers are told and what they answer;
 //! - [`worker`] is one life of a worker as the leader sees it;
+//! - [`rank`] says which waiting work is served first;
 //! - [`tickets`] remembers which workers a queue's policy allows for a step;
 //! - [`tenure`] is the leadership of a pool and its chain of conditional commits;
 //! - [`pool`] decides: events in, orders and rows out, without I/O and without a clock.
@@ -21,6 +22,7 @@
 pub mod job;
 pub mod message;
 pub mod pool;
+pub mod rank;
 pub mod record;
 pub mod spec;
 pub mod tenure;
--- a/crates/mangotrestle-core/src/workflow/pool/intake.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/intake.rs
@@ -7,10 +7,11 @@
 
 use super::super::job::{Job, StepKey, Unit, UnitKey};
 use super::super::message::WorkerEntry;
+use super::super::rank::Rank;
 use super::super::record::{AssignmentRow, JobState};
 use super::super::spec::JobRecord;
 use super::super::worker::Worker;
-use super::{Note, Pool, Rank};
+use super::{Note, Pool};
 
 /// Time after the store's return in which entries that lapsed meanwhile come back.
 const LIST_SETTLES: SpanMs = SpanMs(2_200);
@@ -63,7 +64,7 @@
         for (key, _) in self.jobs.get(id).map(Job::assigned).unwrap_or_default() {
             self.release(now, &key);
         }
-        self.waiting.retain(|(_, key)| key.step.job != *id);
+        self.unqueue_job(id);
         self.scheduled.retain(|(_, other, _)| other != id);
         self.jobs.remove(id);
         self.dirty.remove(id);
@@ -103,9 +104,7 @@
     }
 
     fn new_job(&self, now: TimeMs, id: &id::JobId, record: Arc<JobRecord>) -> Job {
-        let due_ms = record.accepted_ms + record.objective_ms();
-        let due_at = TimeMs(due_ms.saturating_sub(self.epoch_offset_ms));
-        Job::new(id.clone(), record, now, due_at)
+        Job::new(id.clone(), record, now, self.epoch_offset_ms)
     }
 
     /// Puts a job into the books and lets begin what is due.
@@ -118,9 +117,8 @@
         if let (Some(schedule), None) = (job.record.schedule, job.end) {
             for number in 0..schedule.count {
                 if !job.occurrences.contains_key(&number) {
-                    let due_ms = schedule.first_ms + u64::from(number) * schedule.period_ms;
-                    let due_at = TimeMs(due_ms.saturating_sub(self.epoch_offset_ms));
-                    self.scheduled.insert((due_at, id.clone(), number));
+                    self.scheduled
+                        .insert((job.began_at(number), id.clone(), number));
                 }
             }
         }
@@ -134,7 +132,7 @@
         }
         for number in occurrences {
             self.collapse_partial_gangs(now, &id, number);
-            self.advance(&id, number);
+            self.advance(now, &id, number);
         }
         self.finish_if_done(now, &id);
     }
@@ -183,57 +181,46 @@
             }
             let fresh = job.fresh_occurrence();
             job.occurrences.insert(number, fresh);
-            self.advance(&id, number);
+            self.advance(now, &id, number);
         }
     }
 
     /// Makes the steps ready whose earlier steps are done, and queues their waiting units.
-    pub(super) fn advance(&mut self, id: &id::JobId, number: u32) {
+    pub(super) fn advance(&mut self, now: TimeMs, id: &id::JobId, number: u32) {
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
-        let rank = rank(job);
+        let began_at = job.began_at(number);
         let record = Arc::clone(&job.record);
         let Some(occurrence) = job.occurrences.get_mut(&number) else {
             return;
         };
         let done: Vec<bool> = occurrence.steps.iter().map(|step| step.open == 0).collect();
-        for (index, step) in occurrence.steps.iter_mut().enumerate() {
-            let after = &record.steps[index].after;
+        for (index, step) in (0_u32..).zip(&mut occurrence.steps) {
+            let after = &record.steps[index as usize].after;
             let ready = after.iter().all(|&earlier| done[earlier as usize]);
             if !ready || step.ready {
                 continue;
             }
             step.ready = true;
+            step.rank = Rank::new(now, &record, began_at, index);
             for (unit, state) in (0..).zip(&step.units) {
                 if state.waits() {
                     let key = UnitKey {
                         step: StepKey {
                             job: id.clone(),
                             occurrence: number,
-                            step: u32::try_from(index).unwrap_or(u32::MAX),
+                            step: index,
                         },
                         unit,
                     };
-                    self.waiting.insert((rank, key));
+                    self.waiting.insert((step.rank, key));
                 }
             }
         }
         self.placing_due = true;
     }
 
-    /// Queues a unit again.
-    pub(super) fn queue_unit(&mut self, key: &UnitKey) {
-        let Some(job) = self.jobs.get(&key.step.job) else {
-            return;
-        };
-        if job.end.is_some() || !job.unit(key).is_some_and(Unit::waits) {
-            return;
-        }
-        self.waiting.insert((rank(job), key.clone()));
-        self.placing_due = true;
-    }
-
     /// Ends a job on its caller's word. An end that came before stays.
     pub fn cancel(&mut self, now: TimeMs, id: &id::JobId) {
         self.end_job(now, id, JobState::Cancelled);
@@ -248,22 +235,13 @@
             return;
         }
         job.end = Some(state);
-        let rank = rank(job);
         let after = now.since(job.known_at);
         self.notes.push(Note::JobEnded {
             job: id.clone(),
             state,
             after,
         });
-        let waiting: Vec<_> = self
-            .waiting
-            .iter()
-            .filter(|(other, key)| *other == rank && key.step.job == *id)
-            .cloned()
-            .collect();
-        for key in waiting {
-            self.waiting.remove(&key);
-        }
+        self.unqueue_job(id);
         self.scheduled.retain(|(_, other, _)| other != id);
         self.stop_assigned(now, id);
         self.mark_dirty(id);
@@ -368,14 +346,6 @@
     }
 }
 
-/// Rank of a job's units.
-pub(super) fn rank(job: &Job) -> Rank {
-    Rank {
-        priority: job.record.policy.priority,
-        due_at: job.due_at,
-    }
-}
-
 /// Stands for a worker that rows name and the platform does not list.
 fn ghost_entry(id: &id::WorkerId) -> WorkerEntry {
     WorkerEntry {
--- a/crates/mangotrestle-core/src/workflow/pool/mod.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/mod.rs
@@ -6,6 +6,7 @@
 //!
 //! - `intake` takes jobs, cancels and the platform's list of workers;
 //! - `placing` assigns waiting units to workers;
+//! - `queueing` keeps waiting units in the order in which they are served;
 //! - `asking` has tickets asked for;
 //! - `rows` makes commits;
 //! - `orders` hands out orders and takes their answers;
@@ -24,6 +25,7 @@
 
 use super::job::{Job, MemberKey, StepKey, UnitKey};
 use super::message;
+use super::rank::Rank;
 use super::record;
 use super::worker::Worker;
 
@@ -33,6 +35,7 @@
 mod placing;
 mod progress;
 mod queries;
+mod queueing;
 mod release;
 mod reports;
 mod rows;
@@ -42,13 +45,6 @@
 pub use reports::LookFailure;
 pub use rows::{Commit, RowChange};
 
-/// Order of waiting units: urgency band, then when the job is late.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-struct Rank {
-    priority: u32,
-    due_at: TimeMs,
-}
-
 /// What the platform and the settings fix for a pool.
 #[derive(Clone, Debug)]
 pub struct PoolSettings {
@@ -280,6 +276,8 @@
     stray_stops: FastMap<(id::WorkerId, message::TaskName, u32), TimeMs>,
     orders: Vec<Order>,
     notes: Vec<Note>,
+    /// When the waiting units were last ranked.
+    ranked_at: TimeMs,
     /// Whether something changed that may let a waiting unit start.
     placing_due: bool,
     /// Time until which entries that vanished from the list may return.
@@ -315,6 +313,7 @@
             stray_stops: FastMap::default(),
             orders: Vec::new(),
             notes: Vec::new(),
+            ranked_at: now,
             placing_due: false,
             list_settles_at: TimeMs(0),
             epoch_offset_ms,
@@ -329,6 +328,7 @@
         self.drop_gone_workers(now);
         self.settle_lapsed_workers(now);
         self.keep_harm_away(now);
+        self.rank_anew(now);
         self.place(now);
         self.ask(now);
         self.hold_workers(now);
--- a/crates/mangotrestle-core/src/workflow/pool/placing.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/placing.rs
@@ -17,9 +17,10 @@
 use crate::time::{SpanMs, TimeMs};
 
 use super::super::job::{Job, MemberKey, Phase, Step, StepKey, UnitKey};
+use super::super::rank::Rank;
 use super::super::spec::StepSpec;
 use super::super::worker::Worker;
-use super::{Note, Pool, Rank};
+use super::{Note, Pool};
 
 /// Gangs that may keep workers from later work at one time.
 const MOST_RESERVING_GANGS: usize = 3;
--- a/crates/mangotrestle-core/src/workflow/pool/queries.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/queries.rs
@@ -87,7 +87,9 @@
             .filter(|worker| worker.missing_since.is_none() && !worker.entry.draining)
             .fold(Resources::ZERO, |sum, worker| sum + worker.entry.capacity);
         let mut own: BTreeMap<u32, [u64; 3]> = BTreeMap::new();
-        for (rank, key) in &self.waiting {
+        // What is of no use any more waits for all others.
+        let waiting = self.waiting.iter().filter(|(rank, _)| !rank.useless);
+        for (rank, key) in waiting {
             let Some(step) = self.step_spec(&key.step) else {
                 continue;
             };
--- a/crates/mangotrestle-core/src/workflow/pool/release.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/release.rs
@@ -70,8 +70,7 @@
             return;
         }
         unit.done = true;
-        let rank = super::intake::rank(job);
-        self.waiting.remove(&(rank, key.unit.clone()));
+        self.unqueue_unit(&key.unit);
         self.mark_dirty(&key.unit.step.job);
         if !here {
             // A former run has finished the work, so the present one is of no use.
@@ -97,7 +96,7 @@
             self.note_ask_ahead(key);
             return;
         }
-        self.advance(&key.job, key.occurrence);
+        self.advance(now, &key.job, key.occurrence);
         self.finish_if_done(now, &key.job);
     }
 
--- a/crates/mangotrestle-core/src/workflow/spec.rs
+++ b/crates/mangotrestle-core/src/workflow/spec.rs
@@ -168,6 +168,22 @@
         ends_ms.into_iter().max().unwrap_or_default()
     }
 
+    /// Estimated time from the begin of a step to the end of the job, in milliseconds.
+    #[must_use]
+    pub fn rest_ms(&self, step: u32) -> u64 {
+        let mut rest_ms = vec![0_u64; self.steps.len()];
+        for (index, spec) in self.steps.iter().enumerate().rev() {
+            rest_ms[index] += spec.estimate_ms;
+            for &earlier in &spec.after {
+                let earlier = earlier as usize;
+                if earlier < index {
+                    rest_ms[earlier] = rest_ms[earlier].max(rest_ms[index]);
+                }
+            }
+        }
+        rest_ms.get(step as usize).copied().unwrap_or_default()
+    }
+
     /// Core-milliseconds of all tasks of one occurrence by the caller's estimates; an accelerator
     /// counts as eight cores.
     #[must_use]
--- a/crates/mangotrestle-core/tests/workflow/placing.rs
+++ b/crates/mangotrestle-core/tests/workflow/placing.rs
@@ -1,9 +1,11 @@
 //! Where units go, and in which order.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use mangotrestle_core::time::TimeMs;
 use mangotrestle_core::workflow::record::JobState;
+use mangotrestle_core::workflow::spec::JobRecord;
 
 use super::world::{Breaches, World, job, record, step, worker};
 
@@ -105,3 +107,34 @@
 
     assert!(quickest < ROUND, "the quickest round took {quickest:?}");
 }
+
+/// Jobs that the worker can do while twice as many arrive, and of them four fifths.
+const MOST_IN_TIME: usize = 20 * 4 / 5;
+
+#[test]
+fn a_backlog_does_not_make_everything_late_one_after_the_other() {
+    let mut world = World::new(6, 1);
+    let mut open: Vec<(u64, u64)> = Vec::new();
+    let mut in_time = 0;
+    for round in 0..200 {
+        if round % 2 == 0 && round < 80 {
+            let spec = JobRecord {
+                accepted_ms: world.now,
+                ..record(0, vec![step(1, 8_000, 400, &[])]).as_ref().clone()
+            };
+            let objective_ms = spec.objective_ms();
+            world.submit(&job(round / 2), &Arc::new(spec));
+            open.push((round / 2, world.now + objective_ms));
+        }
+        world.run_for(100);
+        open.retain(|&(number, due_at)| {
+            let ended = world.end_of(&job(number)).is_some();
+            in_time += usize::from(ended && world.now <= due_at);
+            !ended
+        });
+    }
+
+    assert!(in_time >= MOST_IN_TIME, "{in_time} of 40 jobs were in time");
+    assert!(open.is_empty(), "{open:?} never ended");
+    assert_eq!(world.breaches, Breaches::default());
+}
