--- a/crates/mangotrestle-core/src/workflow/job.rs
+++ b/crates/mangotrestle-core/src/workflow/job.rs
@@ -121,6 +121,8 @@
     pub members: Vec<Member>,
     /// Workers on which a run failed or was too slow.
     pub avoid: SmallVec<[id::WorkerId; 2]>,
+    /// How often a run was stopped to make room for other work.
+    pub preempted: u32,
     /// Whether the present run must not go on, so that all members have to end first.
     pub collapsing: bool,
 }
@@ -150,6 +152,8 @@
     pub ready: bool,
     /// Which workers its queue's policy allows.
     pub tickets: tickets::StepTickets,
+    /// When its units were first queued.
+    pub queued_at: TimeMs,
     /// Rank under which its waiting units are queued.
     pub rank: rank::Rank,
 }
@@ -244,6 +248,7 @@
             open: step.unit_count(),
             ready: false,
             tickets: tickets::StepTickets::default(),
+            queued_at: TimeMs(0),
             rank: rank::Rank::default(),
         });
         Occurrence {
--- a/crates/mangotrestle-core/src/workflow/pool/intake.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/intake.rs
@@ -203,6 +203,7 @@
                 continue;
             }
             step.ready = true;
+            step.queued_at = now;
             step.rank = Rank::new(now, &record, began_at, index);
             for (unit, state) in (0..).zip(&step.units) {
                 if state.waits() {
--- a/crates/mangotrestle-core/src/workflow/pool/mod.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/mod.rs
@@ -7,6 +7,7 @@
 //! - `intake` takes jobs, cancels and the platform's list of workers;
 //! - `placing` assigns waiting units to workers;
 //! - `queueing` keeps waiting units in the order in which they are served;
+//! - `preempting` makes room for urgent work;
 //! - `asking` has tickets asked for;
 //! - `rows` makes commits;
 //! - `orders` hands out orders and takes their answers;
@@ -33,6 +34,7 @@
 mod intake;
 mod orders;
 mod placing;
+mod preempting;
 mod progress;
 mod queries;
 mod queueing;
@@ -190,6 +192,17 @@
         /// The worker.
         worker: id::WorkerId,
     },
+    /// A run was stopped to make room for urgent work.
+    Preempted {
+        /// The task.
+        task: message::TaskName,
+        /// The run.
+        run: u32,
+        /// The worker.
+        worker: id::WorkerId,
+        /// The step that wants the room.
+        wanted_by: StepKey,
+    },
     /// A worker listed a run that should not be there.
     Stray {
         /// The task.
@@ -278,6 +291,8 @@
     notes: Vec<Note>,
     /// When the waiting units were last ranked.
     ranked_at: TimeMs,
+    /// When runs to stop for urgent work were last looked for.
+    made_room_at: TimeMs,
     /// Whether something changed that may let a waiting unit start.
     placing_due: bool,
     /// Time until which entries that vanished from the list may return.
@@ -314,6 +329,7 @@
             orders: Vec::new(),
             notes: Vec::new(),
             ranked_at: now,
+            made_room_at: now,
             placing_due: false,
             list_settles_at: TimeMs(0),
             epoch_offset_ms,
@@ -330,6 +346,7 @@
         self.keep_harm_away(now);
         self.rank_anew(now);
         self.place(now);
+        self.make_room(now);
         self.ask(now);
         self.hold_workers(now);
         self.forget_old_ends(now);
--- a/crates/mangotrestle-core/src/workflow/pool/placing.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/placing.rs
@@ -74,18 +74,18 @@
 }
 
 /// A unit that is to be placed, with what its job says about it.
-struct Request<'a> {
+pub(super) struct Request<'a> {
     key: &'a UnitKey,
-    job: &'a Job,
+    pub(super) job: &'a Job,
     step: &'a Step,
     spec: &'a StepSpec,
-    need: Resources,
+    pub(super) need: Resources,
 }
 
 impl Request<'_> {
     /// Whether the worker may run the unit: it has the label, and the queue's policy allows it with
     /// a ticket that is valid.
-    fn allows(&self, now: TimeMs, worker: &Worker) -> bool {
+    pub(super) fn allows(&self, now: TimeMs, worker: &Worker) -> bool {
         let label = self.spec.constraint.as_deref();
         let fits_label = label.is_none_or(|label| worker.has_label(label));
         let gated = self.job.record.policy.advice.is_some();
@@ -275,7 +275,7 @@
         }
     }
 
-    fn request<'a>(&'a self, key: &'a UnitKey) -> Option<Request<'a>> {
+    pub(super) fn request<'a>(&'a self, key: &'a UnitKey) -> Option<Request<'a>> {
         let job = self.jobs.get(&key.step.job)?;
         let spec = job.record.steps.get(key.step.step as usize)?;
         Some(Request {
--- a/crates/mangotrestle-core/src/workflow/pool/sharing.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/sharing.rs
@@ -109,7 +109,7 @@
         }
     }
 
-    fn member(&self, key: &MemberKey) -> Option<&super::super::job::Member> {
+    pub(super) fn member(&self, key: &MemberKey) -> Option<&super::super::job::Member> {
         let unit = self.jobs.get(&key.unit.step.job)?.unit(&key.unit)?;
         unit.members.get(key.member as usize)
     }
--- a/crates/mangotrestle-core/tests/workflow/main.rs
+++ b/crates/mangotrestle-core/tests/workflow/main.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod driver;
 mod placing;
+mod preempting;
 mod recovery;
 mod tenure;
 mod tickets;
--- /dev/null
+++ b/crates/mangotrestle-core/tests/workflow/preempting.rs
@@ -0,0 +1,89 @@
+//! Which runs are stopped to make room for urgent work.
+
+use std::sync::Arc;
+
+use mangotrestle_core::workflow::record::JobState;
+use mangotrestle_core::workflow::spec::{JobRecord, StepSpec};
+
+use super::world::{Breaches, World, job, record, step, worker};
+
+/// Time in which urgent work has to start: the design's 1.1 s.
+const URGENT_START_MS: u64 = 1_100;
+
+/// A job that is accepted now and may take long.
+fn patient(world: &World, spec: StepSpec) -> Arc<JobRecord> {
+    let mut patient = record(2, vec![spec]).as_ref().clone();
+    patient.accepted_ms = world.now;
+    patient.policy.stretch = 5.0;
+    Arc::new(patient)
+}
+
+/// An urgent job of one task that needs a whole worker and is accepted now.
+fn urgent(world: &World) -> Arc<JobRecord> {
+    let mut urgent = record(0, vec![step(1, 8_000, 1_000, &[])]).as_ref().clone();
+    urgent.accepted_ms = world.now;
+    urgent.policy.target_latency_ms = 2_000;
+    Arc::new(urgent)
+}
+
+fn starts_in_time(world: &mut World) -> bool {
+    let record = urgent(world);
+    world.submit(&job(100), &record);
+    world.run_for(URGENT_START_MS);
+    let running = world.running_on(&worker("w-0"));
+    running
+        .iter()
+        .any(|name| name.starts_with(job(100).as_str()))
+}
+
+#[test]
+fn urgent_work_starts_in_time_and_what_was_stopped_goes_on_from_its_checkpoint() {
+    let mut world = World::new(1, 1);
+    let long = patient(&world, step(4, 2_000, 5_000, &[]));
+    world.submit(&job(1), &long);
+    world.run_for(1_000);
+
+    assert!(starts_in_time(&mut world));
+    world.run_for(9_000);
+
+    assert_eq!(world.end_of(&job(100)), Some(JobState::Completed));
+    assert_eq!(world.end_of(&job(1)), Some(JobState::Completed));
+    assert_eq!(world.breaches, Breaches::default());
+}
+
+#[test]
+fn no_more_runs_are_stopped_than_the_urgent_work_needs() {
+    let mut world = World::new(2, 3);
+    let long = patient(&world, step(12, 2_000, 5_000, &[]));
+    world.submit(&job(1), &long);
+    world.run_for(1_000);
+
+    let record = urgent(&world);
+    world.submit(&job(100), &record);
+    world.run_for(URGENT_START_MS);
+
+    let untouched = ["w-0", "w-1", "w-2"]
+        .map(|name| world.running_on(&worker(name)))
+        .into_iter()
+        .flatten()
+        .filter(|name| name.starts_with(job(1).as_str()))
+        .count();
+    assert_eq!(untouched, 8);
+}
+
+#[test]
+fn tasks_that_last_and_work_without_checkpoints_are_not_stopped() {
+    for lasts in [true, false] {
+        let mut world = World::new(3, 1);
+        let mut spec = step(4, 2_000, 5_000, &[]);
+        spec.persistent = lasts;
+        spec.saves_progress = lasts;
+        let long = patient(&world, spec);
+        world.submit(&job(1), &long);
+        world.run_for(1_000);
+
+        assert!(!starts_in_time(&mut world), "lasts: {lasts}");
+
+        assert_eq!(world.running_on(&worker("w-0")).len(), 4);
+    }
+}
--- a/crates/mangotrestle/src/host/events.rs
+++ b/crates/mangotrestle/src/host/events.rs
@@ -141,6 +141,16 @@
             slog::info!(log, "run.moved"; "task" => %task, "run" => run,
                 "worker" => worker.as_str());
         }
+        Note::Preempted {
+            task,
+            run,
+            worker,
+            wanted_by,
+        } => {
+            metrics::counter!("mangotrestle_runs_preempted_total").increment(1);
+            slog::info!(log, "run.preempted"; "task" => %task, "run" => run,
+                "worker" => worker.as_str(), "wanted_by" => %wanted_by);
+        }
         Note::Stray { task, run, worker } => {
             slog::warn!(log, "run.stray"; "task" => %task, "run" => run,
                 "worker" => worker.as_str(), "term" => term);
