Make the test of tasks that stay together red without its change

Now each zone has room for nine tasks, and the code before leaves eight on four workers of three zones.

--- a/crates/mangotrestle-core/tests/workflow/placing.rs
+++ b/crates/mangotrestle-core/tests/workflow/placing.rs
@@ -146,14 +146,14 @@
     for number in 0..12 {
         world.add_worker_in(&format!("w-{number}"), &format!("zone-{}", number % 3));
     }
-    // Some room is taken everywhere, differently.
+    // Every worker has room for two or three tasks, and so each zone for nine.
     for number in 0..12 {
-        let cpu_millicores = 500 + 300 * (number % 4);
+        let cpu_millicores = 5_000 + 300 * (number % 4);
         let spec = step(1, cpu_millicores, 60_000, &[]);
         world.submit(&job(number), &record(0, vec![spec]));
     }
     world.run_for(300);
-    world.submit(&job(100), &record(0, vec![step(9, 1_000, 60_000, &[])]));
+    world.submit(&job(100), &record(0, vec![step(8, 1_000, 60_000, &[])]));
     world.run_for(300);
 
     let holding: Vec<WorkerId> = world
@@ -174,5 +174,5 @@
     zones.dedup();
 
     assert_eq!(zones.len(), 1, "{holding:?}");
-    assert!(holding.len() <= 3, "{holding:?}");
+    assert!(holding.len() <= 4, "{holding:?}");
 }
