--- a/crates/mangotrestle-core/src/workflow/job.rs
+++ b/crates/mangotrestle-core/src/workflow/job.rs
@@ -154,6 +154,9 @@
     pub tickets: tickets::StepTickets,
     /// When its units were first queued.
     pub queued_at: TimeMs,
+    /// Whether it is late and started before work that can be on time, since it would be of no use
+    /// soon.
+    pub rescued: bool,
     /// Rank under which its waiting units are queued.
     pub rank: rank::Rank,
 }
@@ -249,6 +252,7 @@
             ready: false,
             tickets: tickets::StepTickets::default(),
             queued_at: TimeMs(0),
+            rescued: false,
             rank: rank::Rank::default(),
         });
         Occurrence {
--- a/crates/mangotrestle-core/src/workflow/mod.rs
+++ b/crates/mangotrestle-core/src/workflow/mod.rs
@@ -11,6 +11,7 @@
 //! - [`job`] is a job in the leader's memory, [`record`] holds the rows that last;
 //! - [`message`] names what workers are told and what they answer;
 //! - [`worker`] is one life of a worker as the leader sees it;
+//! - [`estimate`] corrects callers' estimates by the runs that ended;
 //! - [`rank`] says which waiting work is served first;
 //! - [`tickets`] remembers which workers a queue's policy allows for a step;
 //! - [`tenure`] is the leadership of a pool and its chain of conditional commits;
@@ -19,6 +20,7 @@
 pub mod admission;
 pub mod catalog;
 pub mod environment;
+pub mod estimate;
 pub mod job;
 pub mod message;
 pub mod pool;
--- a/crates/mangotrestle-core/src/workflow/pool/intake.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/intake.rs
@@ -7,7 +7,7 @@
 
 use super::super::job::{Job, StepKey, Unit, UnitKey};
 use super::super::message::WorkerEntry;
-use super::super::rank::Rank;
+use super::super::rank::{Outlook, Rank};
 use super::super::record::{AssignmentRow, JobState};
 use super::super::spec::JobRecord;
 use super::super::worker::Worker;
@@ -192,6 +192,7 @@
         };
         let began_at = job.began_at(number);
         let record = Arc::clone(&job.record);
+        let estimates = &self.estimates;
         let Some(occurrence) = job.occurrences.get_mut(&number) else {
             return;
         };
@@ -204,7 +205,8 @@
             }
             step.ready = true;
             step.queued_at = now;
-            step.rank = Rank::new(now, &record, began_at, index);
+            let outlook = Outlook::new(estimates, &record, began_at, index);
+            step.rank = Rank::new(now, &record, &outlook, index, false);
             for (unit, state) in (0..).zip(&step.units) {
                 if state.waits() {
                     let key = UnitKey {
--- a/crates/mangotrestle-core/src/workflow/pool/mod.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/mod.rs
@@ -24,6 +24,7 @@
 use crate::id;
 use crate::time::{SpanMs, TimeMs, WorkerTimeMs};
 
+use super::estimate::Estimates;
 use super::job::{Job, MemberKey, StepKey, UnitKey};
 use super::message;
 use super::rank::Rank;
@@ -276,6 +277,10 @@
     ended: FastMap<id::JobId, (record::JobState, TimeMs)>,
     /// Ended rows that can be swept, oldest first.
     ended_order: std::collections::VecDeque<(TimeMs, id::JobId)>,
+    /// How long tasks take.
+    estimates: Estimates,
+    /// Starts in time that no rescue of late work has used up.
+    starts_in_time: u32,
     /// Speed of the pool's workers against their callers' estimates.
     speed: Speed,
     /// Workers that waiting gangs keep from later work.
@@ -320,6 +325,8 @@
             letting_go: Vec::new(),
             ended: FastMap::default(),
             ended_order: std::collections::VecDeque::new(),
+            estimates: Estimates::default(),
+            starts_in_time: 0,
             speed: Speed::default(),
             reservations: Vec::new(),
             questions_in_flight: 0,
--- a/crates/mangotrestle-core/src/workflow/pool/placing.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/placing.rs
@@ -243,6 +243,9 @@
         self.reservations = decisions.reservations;
         for (rank, key, workers) in decisions.assigned {
             self.waiting.remove(&(rank, key.clone()));
+            if !rank.late {
+                self.note_start_in_time();
+            }
             self.assign(now, &key, &workers);
         }
     }
--- a/crates/mangotrestle-core/src/workflow/pool/preempting.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/preempting.rs
@@ -9,6 +9,7 @@
 use crate::time::{SpanMs, TimeMs};
 
 use super::super::job::{Member, MemberKey, Phase, UnitKey};
+use super::super::rank::Outlook;
 use super::super::worker::Worker;
 use super::{Note, Pool};
 
@@ -175,9 +176,12 @@
         if !yields {
             return None;
         }
+        let began_at = job.began_at(key.unit.step.occurrence);
         let step = key.unit.step.step;
-        let due_at = job.began_at(key.unit.step.occurrence) + SpanMs(job.record.objective_ms());
-        let spare = due_at.since(now + SpanMs(job.record.rest_ms(step)) + self.settings.stop);
+        let outlook = Outlook::new(&self.estimates, &job.record, began_at, step);
+        let spare = outlook
+            .due_at
+            .since(now + outlook.rest + self.settings.stop);
         (spare >= SPARE).then_some(spare)
     }
 
--- a/crates/mangotrestle-core/src/workflow/pool/queueing.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/queueing.rs
@@ -1,14 +1,24 @@
 //! Keeps waiting units in the order in which they are served.
+//!
+//! Late work that would soon be of no use is *rescued*: it goes before work that can be on time, for
+//! a ninth of what starts, saved up for a while, so that a short backlog fails nobody and a long one
+//! does not make everything late.
 
 use crate::id;
 use crate::time::{SpanMs, TimeMs};
 
 use super::super::job::{StepKey, Unit, UnitKey};
-use super::super::rank::Rank;
+use super::super::rank::{Outlook, Rank};
 use super::Pool;
 
 /// Distance of looks at which waiting work has become late; a tenth of the shortest objectives.
 const RANKED_EVERY: SpanMs = SpanMs(200);
+/// Time before the last useful start in which late work is rescued: several tasks one after the other.
+const LAST_CHANCE: SpanMs = SpanMs(1_500);
+/// Starts in time for each unit that is rescued.
+const STARTS_PER_RESCUE: u32 = 8;
+/// Most units that may be rescued at once: the late work of a short burst.
+const MOST_RESCUES: u32 = 120;
 
 impl Pool {
     /// Queues a unit again.
@@ -49,28 +59,79 @@
             self.move_step(&key, rank);
             self.placing_due = true;
         }
+        for key in self.last_chances(now) {
+            self.rescue(now, &key);
+        }
+    }
+
+    /// Notes that a unit was assigned that can be on time.
+    pub(super) fn note_start_in_time(&mut self) {
+        self.starts_in_time = (self.starts_in_time + 1).min(MOST_RESCUES * STARTS_PER_RESCUE);
     }
 
     fn changed_ranks(&self, now: TimeMs) -> Vec<(StepKey, Rank)> {
         let mut changed = Vec::new();
-        let mut last: Option<&StepKey> = None;
-        for (present, key) in &self.waiting {
-            if last == Some(&key.step) {
-                continue;
-            }
-            last = Some(&key.step);
-            let Some(job) = self.jobs.get(&key.step.job) else {
-                continue;
-            };
-            let began_at = job.began_at(key.step.occurrence);
-            let rank = Rank::new(now, &job.record, began_at, key.step.step);
-            if rank != *present {
-                changed.push((key.step.clone(), rank));
+        for (present, key) in self.waiting_steps() {
+            let rank = self.rank_of(now, key).map(|(rank, _)| rank);
+            if let Some(rank) = rank.filter(|rank| rank != present) {
+                changed.push((key.clone(), rank));
             }
         }
         changed
     }
 
+    /// Late steps that are of no use soon, in the order of service.
+    fn last_chances(&self, now: TimeMs) -> Vec<StepKey> {
+        let late = self
+            .waiting_steps()
+            .filter(|(rank, _)| rank.late && !rank.useless);
+        let soon = late.filter(|(_, key)| {
+            let outlook = self.rank_of(now, key).map(|(_, outlook)| outlook);
+            outlook.is_some_and(|outlook| {
+                let end = now + outlook.rest;
+                end <= outlook.useful_until && end + LAST_CHANCE > outlook.useful_until
+            })
+        });
+        soon.map(|(_, key)| key.clone()).collect()
+    }
+
+    /// Lets a late step go with those that can be on time, if rescues are not used up.
+    fn rescue(&mut self, now: TimeMs, key: &StepKey) {
+        let job = self.jobs.get_mut(&key.job);
+        let Some(step) = job.and_then(|job| job.step_mut(key)) else {
+            return;
+        };
+        let units = step.units.iter().filter(|unit| unit.waits()).count();
+        let cost = u32::try_from(units)
+            .unwrap_or(u32::MAX)
+            .saturating_mul(STARTS_PER_RESCUE);
+        if cost > self.starts_in_time {
+            return;
+        }
+        self.starts_in_time -= cost;
+        step.rescued = true;
+        if let Some((rank, _)) = self.rank_of(now, key) {
+            self.move_step(key, rank);
+            self.placing_due = true;
+        }
+    }
+
+    /// Steps that wait, each once, in the order of service.
+    fn waiting_steps(&self) -> impl Iterator<Item = (&Rank, &StepKey)> {
+        let mut last: Option<&StepKey> = None;
+        let steps = self.waiting.iter().map(|(rank, key)| (rank, &key.step));
+        steps.filter(move |(_, step)| last.replace(step) != Some(step))
+    }
+
+    fn rank_of(&self, now: TimeMs, key: &StepKey) -> Option<(Rank, Outlook)> {
+        let job = self.jobs.get(&key.job)?;
+        let step = job.step(key)?;
+        let began_at = job.began_at(key.occurrence);
+        let outlook = Outlook::new(&self.estimates, &job.record, began_at, key.step);
+        let rank = Rank::new(now, &job.record, &outlook, key.step, step.rescued);
+        Some((rank, outlook))
+    }
+
     fn move_step(&mut self, key: &StepKey, rank: Rank) {
         let Some(step) = self
             .jobs
--- a/crates/mangotrestle-core/src/workflow/pool/release.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/release.rs
@@ -42,6 +42,9 @@
                 end,
             });
         }
+        if here && end == RunEnd::Done {
+            self.learn_time(now, &key);
+        }
         match end {
             RunEnd::Done => self.unit_done(now, &key, worker, here),
             RunEnd::Failed => self.unit_failed(now, &key, worker, run),
@@ -55,6 +58,24 @@
         }
     }
 
+    /// Learns how long a task took that was never interrupted.
+    fn learn_time(&mut self, now: TimeMs, key: &MemberKey) {
+        let Some(job) = self.jobs.get(&key.unit.step.job) else {
+            return;
+        };
+        let spec = &job.record.steps[key.unit.step.step as usize];
+        let Some(unit) = job.unit(&key.unit) else {
+            return;
+        };
+        let member = &unit.members[key.member as usize];
+        let whole = unit.run == 1 && member.phase == Phase::Running;
+        if whole && !spec.persistent && !spec.fills {
+            let took_ms = now.since(member.since).0;
+            let queue = &job.record.policy.queue;
+            self.estimates.learn(queue, spec.estimate_ms, took_ms);
+        }
+    }
+
     fn unit_done(&mut self, now: TimeMs, key: &MemberKey, worker: &id::WorkerId, here: bool) {
         if let Some(worker) = self.workers.get_mut(worker) {
             worker.note_success();
--- a/crates/mangotrestle-core/src/workflow/spec.rs
+++ b/crates/mangotrestle-core/src/workflow/spec.rs
@@ -151,29 +151,13 @@
 }
 
 impl JobRecord {
-    /// Estimated time of the longest chain of steps, in milliseconds.
+    /// Time from the begin of each step to the end of the job, in milliseconds, where
+    /// `expected_ms` says how long a step's tasks take.
     #[must_use]
-    pub fn chain_ms(&self) -> u64 {
-        let mut ends_ms = vec![0_u64; self.steps.len()];
-        for (index, step) in self.steps.iter().enumerate() {
-            let begin_ms = step
-                .after
-                .iter()
-                .filter_map(|&earlier| ends_ms.get(earlier as usize))
-                .max()
-                .copied()
-                .unwrap_or_default();
-            ends_ms[index] = begin_ms + step.estimate_ms;
-        }
-        ends_ms.into_iter().max().unwrap_or_default()
-    }
-
-    /// Estimated time from the begin of a step to the end of the job, in milliseconds.
-    #[must_use]
-    pub fn rest_ms(&self, step: u32) -> u64 {
+    pub fn rests_ms(&self, expected_ms: impl Fn(&StepSpec) -> u64) -> Vec<u64> {
         let mut rest_ms = vec![0_u64; self.steps.len()];
         for (index, spec) in self.steps.iter().enumerate().rev() {
-            rest_ms[index] += spec.estimate_ms;
+            rest_ms[index] += expected_ms(spec);
             for &earlier in &spec.after {
                 let earlier = earlier as usize;
                 if earlier < index {
@@ -181,7 +165,14 @@
                 }
             }
         }
-        rest_ms.get(step as usize).copied().unwrap_or_default()
+        rest_ms
+    }
+
+    /// Estimated time of the longest chain of steps, in milliseconds.
+    #[must_use]
+    pub fn chain_ms(&self) -> u64 {
+        let rests_ms = self.rests_ms(|step| step.estimate_ms);
+        rests_ms.into_iter().max().unwrap_or_default()
     }
 
     /// Core-milliseconds of all tasks of one occurrence by the caller's estimates; an accelerator
@@ -198,7 +189,13 @@
             .sum()
     }
 
-    /// Time within which the job is on time, from its acceptance.
+    /// Time within which the job is on time, from its acceptance, by its caller's estimates.
+    #[must_use]
+    pub fn objective_ms(&self) -> u64 {
+        self.objective_of_ms(self.chain_ms())
+    }
+
+    /// Time within which a job of so long a chain is on time, from its acceptance.
     #[must_use]
     #[allow(
         clippy::cast_possible_truncation,
@@ -206,8 +203,8 @@
         clippy::cast_precision_loss,
         reason = "a span of milliseconds far below 2^52"
     )]
-    pub fn objective_ms(&self) -> u64 {
-        (self.policy.stretch * self.chain_ms() as f64) as u64 + self.policy.target_latency_ms
+    pub fn objective_of_ms(&self, chain_ms: u64) -> u64 {
+        (self.policy.stretch * chain_ms as f64) as u64 + self.policy.target_latency_ms
     }
 
     /// Why no job like this can be run, if so.
--- a/crates/mangotrestle-core/tests/workflow/main.rs
+++ b/crates/mangotrestle-core/tests/workflow/main.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod driver;
+mod estimates;
 mod placing;
 mod preempting;
 mod recovery;
--- a/crates/mangotrestle-core/tests/workflow/placing.rs
+++ b/crates/mangotrestle-core/tests/workflow/placing.rs
@@ -176,3 +176,43 @@
     assert_eq!(zones.len(), 1, "{holding:?}");
     assert!(holding.len() <= 4, "{holding:?}");
 }
+
+/// Time after acceptance until which an end is of use: three objectives of 1.3 s.
+const USEFUL_MS: u64 = 3_900;
+
+#[test]
+fn late_work_of_a_short_burst_is_served_while_it_is_of_use() {
+    let mut world = World::new(8, 1);
+    let mut open: Vec<(u64, u64)> = Vec::new();
+    let mut of_use = 0;
+    for round in 0..500 {
+        // Half of what the worker can do, and once eight jobs at the same time.
+        let arrivals = if round == 350 {
+            8
+        } else {
+            u64::from(round % 12 == 0)
+        };
+        for _ in 0..arrivals {
+            let spec = JobRecord {
+                accepted_ms: world.now,
+                ..record(0, vec![step(1, 8_000, 400, &[])]).as_ref().clone()
+            };
+            let number = open.len() as u64 + 1_000 * round;
+            world.submit(&job(number), &Arc::new(spec));
+            open.push((number, world.now));
+        }
+        world.run_for(100);
+        open.retain(|&(number, accepted_at)| {
+            let ended = world.end_of(&job(number)).is_some();
+            of_use += u32::from(ended && world.now <= accepted_at + USEFUL_MS);
+            !ended
+        });
+    }
+
+    let submitted = 42 + 8;
+    assert!(
+        of_use >= submitted - 1,
+        "{of_use} of {submitted} jobs were of use"
+    );
+    assert_eq!(world.breaches, Breaches::default());
+}
