--- a/crates/mangotrestle-core/src/workflow/pool/placing.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/placing.rs
@@ -442,9 +442,9 @@
         };
         let spec = &job.record.steps[key.unit.step.step as usize];
         let estimate = if spec.persistent {
-            crate::time::SpanMs::from_secs(3_600)
+            SpanMs::from_secs(3_600)
         } else {
-            crate::time::SpanMs(spec.estimate_ms)
+            SpanMs(self.estimates.expected_ms(&job.record.policy.queue, spec))
         };
         let since = job
             .unit(&key.unit)
--- a/crates/mangotrestle-core/src/workflow/pool/progress.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/progress.rs
@@ -81,7 +81,8 @@
         if spec.persistent || spec.fills {
             return false;
         }
-        let estimate_ms = as_float(spec.estimate_ms.max(1));
+        let queue = &job.record.policy.queue;
+        let estimate_ms = as_float(self.estimates.expected_ms(queue, spec).max(1));
         let (saves, gang) = (spec.saves_progress, spec.gang);
         let Some(unit) = job.unit_mut(&key.unit) else {
             return false;
--- a/crates/mangotrestle-core/src/workflow/pool/queries.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/queries.rs
@@ -93,8 +93,12 @@
             let Some(step) = self.step_spec(&key.step) else {
                 continue;
             };
+            let Some(job) = self.jobs.get(&key.step.job) else {
+                continue;
+            };
             let need = step.counted_need();
-            let time_ms = step.estimate_ms * u64::from(step.unit_size());
+            let queue = &job.record.policy.queue;
+            let time_ms = self.estimates.expected_ms(queue, step) * u64::from(step.unit_size());
             let sums = own.entry(rank.priority).or_default();
             sums[0] += need.cpu_millicores * time_ms;
             sums[1] += need.memory_mib * time_ms;
