Carry what is awaited first in a commit, and as many rows as it may hold

Cause: a commit took any 22 of the changed jobs, counting four rows for each.

Now submissions go first, then runs to start, then ends, and a quarter of the rows stays for the rest; rows are counted as they are.

--- a/crates/mangotrestle-core/src/workflow/pool/rows.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/rows.rs
@@ -41,14 +41,19 @@
     },
 }
 
+/// A new job's row and two conditions.
+const ACCEPT_ROWS: usize = 3;
+/// Rows that are removed when a job is let go of.
+const LET_GO_ROWS: usize = 3;
+
 impl RowChange {
     /// Rows that the change touches.
     #[must_use]
     pub const fn row_count(&self) -> usize {
         match self {
             Self::Assign { .. } | Self::End { .. } => 1,
-            // A row and two conditions.
-            Self::Accept { .. } | Self::LetGo { .. } => 3,
+            Self::Accept { .. } => ACCEPT_ROWS,
+            Self::LetGo { .. } => LET_GO_ROWS,
         }
     }
 }
@@ -60,8 +65,60 @@
     pub changes: Vec<RowChange>,
 }
 
-/// Most rows that one job adds to a commit.
-const ROWS_PER_JOB: usize = 4;
+/// Part of a commit's rows that is kept for changes that nobody waits for, as a divisor.
+const LASTING_PART: usize = 4;
+/// Most jobs in a commit, so that it keeps to the size of a transaction: rows of wide jobs take
+/// several kilobytes.
+const MOST_JOBS: usize = 48;
+
+/// What waits for a job's row, most urgent first.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Awaited {
+    /// Its caller waits for the acceptance.
+    Acceptance,
+    /// Workers have room for its runs.
+    Start,
+    /// Its caller asks for the end.
+    End,
+    /// Nobody; the row only has to last.
+    Nothing,
+}
+
+fn awaited(job: &Job) -> Awaited {
+    let planned = |member: &Member| member.phase == Phase::Planned;
+    let steps = job.occurrences.values().flat_map(|one| &one.steps);
+    let mut members = steps
+        .flat_map(|step| &step.units)
+        .flat_map(|unit| &unit.members);
+    match () {
+        () if !job.accepted => Awaited::Acceptance,
+        () if members.any(planned) => Awaited::Start,
+        () if job.end.is_some() && !job.end_durable => Awaited::End,
+        () => Awaited::Nothing,
+    }
+}
+
+/// Most rows that a job's changes touch.
+fn rows_of(job: &Job) -> usize {
+    let acceptance = if job.accepted { 0 } else { ACCEPT_ROWS };
+    let end = if job.end.is_some() {
+        1 + LET_GO_ROWS
+    } else {
+        1
+    };
+    acceptance + end
+}
+
+/// Adds a job to a commit if its rows fit.
+fn add_within(written: &mut Vec<id::JobId>, rows: &mut usize, job: &Job, most_rows: usize) -> bool {
+    let more = rows_of(job);
+    let fits = written.len() < MOST_JOBS && *rows + more <= most_rows;
+    if fits {
+        *rows += more;
+        written.push(job.id.clone());
+    }
+    fits
+}
 
 impl Pool {
     /// Whether something waits to become durable.
@@ -71,13 +128,13 @@
     }
 
     /// The next commit, of at most so many rows. There must be none in flight.
+    ///
+    /// What callers and workers wait for goes first: submissions, then runs to start, then ends of
+    /// jobs. The rest, which only has to last, has a part of the rows to itself.
     pub fn take_commit(&mut self, now: TimeMs, most_rows: usize) -> Commit {
-        let jobs: Vec<id::JobId> = self
-            .dirty
-            .iter()
-            .take(most_rows / ROWS_PER_JOB)
-            .cloned()
-            .collect();
+        // A job that was let go of meanwhile has no rows.
+        self.dirty.retain(|id| self.jobs.contains_key(id));
+        let jobs = self.next_written(most_rows);
         let whole = jobs.len() == self.dirty.len();
         let mut commit = Commit::default();
         for id in &jobs {
@@ -93,6 +150,32 @@
         commit
     }
 
+    /// Jobs that the next commit covers.
+    fn next_written(&self, most_rows: usize) -> Vec<id::JobId> {
+        let jobs = self.dirty.iter().filter_map(|id| self.jobs.get(id));
+        let mut jobs: Vec<(Awaited, &Job)> = jobs.map(|job| (awaited(job), job)).collect();
+        jobs.sort_by_key(|(awaited, job)| (*awaited, job.known_at));
+        let first_lasting = jobs.partition_point(|(awaited, _)| *awaited < Awaited::Nothing);
+        let (urgent, lasting) = jobs.split_at(first_lasting);
+        let kept = if lasting.is_empty() {
+            0
+        } else {
+            most_rows / LASTING_PART
+        };
+        let mut written = Vec::new();
+        let mut rows = 0;
+        let mut left = Vec::new();
+        for (_, job) in urgent {
+            if !add_within(&mut written, &mut rows, job, most_rows - kept) {
+                left.push(*job);
+            }
+        }
+        for job in lasting.iter().map(|(_, job)| *job).chain(left) {
+            add_within(&mut written, &mut rows, job, most_rows);
+        }
+        written
+    }
+
     fn write_job(&mut self, now: TimeMs, id: &id::JobId, commit: &mut Commit) {
         let Some(job) = self.jobs.get_mut(id) else {
             return;
--- a/crates/mangotrestle-core/tests/workflow/recovery.rs
+++ b/crates/mangotrestle-core/tests/workflow/recovery.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use mangotrestle_core::time::TimeMs;
+use mangotrestle_core::workflow::pool::RowChange;
 use mangotrestle_core::workflow::record::JobState;
 
 use super::world::{Breaches, World, job, record, step, worker};
@@ -192,3 +193,43 @@
     assert_eq!((state_before, starts_before), (None, 0));
     assert_eq!(world.end_of(&job(1)), Some(JobState::Completed));
 }
+
+#[test]
+fn a_commit_that_cannot_hold_all_changes_carries_the_submissions_first() {
+    let mut world = World::new(12, 40);
+    for number in 0..60 {
+        world.submit(&job(number), &record(1, vec![step(4, 1_000, 400, &[])]));
+    }
+    world.run_for(300);
+    // Ends of runs come in while no commit is made, as with a store that is slow.
+    world.store_up = false;
+    world.run_for(600);
+    let now = TimeMs(world.now);
+    let submitted: Vec<_> = (100..108).map(job).collect();
+    for id in &submitted {
+        world
+            .pool
+            .submit(now, id, record(0, vec![step(1, 1_000, 400, &[])]));
+    }
+    world.pool.tick(now);
+    world.pool.commit_undone();
+
+    let commit = world.pool.take_commit(now, 88);
+
+    let accepted: Vec<_> = commit
+        .changes
+        .iter()
+        .filter_map(|change| match change {
+            RowChange::Accept { job, .. } => Some(job.clone()),
+            _ => None,
+        })
+        .collect();
+    let rows: usize = commit.changes.iter().map(RowChange::row_count).sum();
+    assert_eq!(accepted.len(), submitted.len());
+    assert!(
+        commit.changes.len() > 40,
+        "{} changes",
+        commit.changes.len()
+    );
+    assert!(rows <= 88, "{rows} rows");
+}
