Give up reads that a silent store leaves unanswered, and refuse new work after 0.8 s of silence

Now a read ends with the silence that closed the way, reads on a closed way have half a second, and a leader that had no answer by any way for 0.8 s refuses what no commit has tried to write, at once and truly.

--- a/crates/mangotrestle/src/host/access.rs
+++ b/crates/mangotrestle/src/host/access.rs
@@ -31,7 +31,12 @@
 /// Time beyond the usual without any direct answer after which a call that waits closes the direct
 /// way: long enough for a lost packet to be sent again.
 const SILENCE: Duration = Duration::from_millis(500);
-/// The same while the store is slow.
+/// Time without an answer by any way after which new work is refused: twice the distance of looks
+/// at the store.
+const ALL_SILENT: Duration = Duration::from_millis(800);
+/// What the log says of calls that were given up for silence.
+const UNANSWERED: &str = "no call is answered";
+/// The same spans while the store is slow.
 const SLOW_SILENCE: Duration = Duration::from_millis(1_500);
 
 /// Refusals for load in a row that close the direct way; a busy part of the store refuses a few.
@@ -213,24 +218,42 @@
         }
     }
 
-    /// Waits for a direct call that usually answers within a time. While it waits longer and
-    /// nothing else is answered, the way counts as closed, so that other calls take another.
-    async fn watched<T>(&self, usual: Duration, call: impl Future<Output = T>) -> T {
+    /// Ends when a direct call that began now and usually answers within a time has waited longer
+    /// while nothing else was answered; the way counts as closed then, so that other calls take
+    /// another.
+    async fn silence(&self, usual: Duration) {
         let began = self.clock.now().0;
         let silence = if self.store_is_slow() {
             SLOW_SILENCE
         } else {
             SILENCE
         };
-        let mut call = std::pin::pin!(call);
-        if let Ok(result) = tokio::time::timeout(usual + silence, &mut call).await {
-            return result;
+        tokio::time::sleep(usual + silence).await;
+        while self.direct.answered_at_ms.load(Ordering::Relaxed) >= began {
+            tokio::time::sleep(silence).await;
         }
-        if self.direct.answered_at_ms.load(Ordering::Relaxed) < began {
-            let failures = self.direct.failures.load(Ordering::Relaxed);
-            self.close_direct_way(failures, "no call is answered");
-        }
-        call.await
+        let failures = self.direct.failures.load(Ordering::Relaxed);
+        self.close_direct_way(failures, UNANSWERED);
+    }
+
+    /// Time for a read on a way that counts as closed: long enough to see that the store is back.
+    fn closed_read_time(&self, within: Duration) -> Duration {
+        let silence = if self.store_is_slow() {
+            SLOW_SILENCE
+        } else {
+            SILENCE
+        };
+        within.min(silence)
+    }
+
+    /// Whether nothing was answered for so long, by whatever way, that the store seems to be away.
+    pub(super) fn store_is_silent(&self) -> bool {
+        let silence = if self.store_is_slow() {
+            SLOW_SILENCE
+        } else {
+            ALL_SILENT
+        };
+        self.store_away_for().as_duration() >= silence
     }
 
     fn note_answer(&self) {
@@ -317,7 +340,10 @@
     ) -> Result<Rows, CallError> {
         self.reads.acquire(Priority::Normal).await;
         let call = self.store.range(table, part, from, to, within);
-        let result = self.watched(Duration::ZERO, call).await;
+        let result = tokio::select! {
+            result = call => result,
+            () = self.silence(Duration::ZERO) => Err(CallError::Unknown(UNANSWERED.to_owned())),
+        };
         self.note_direct(result.as_ref().err());
         result
     }
@@ -331,7 +357,12 @@
     ) -> Result<Rows, FeedError> {
         self.reads.acquire(Priority::Normal).await;
         let call = self.store.feed(table, after, wait, within);
-        let result = self.watched(wait, call).await;
+        let result = tokio::select! {
+            result = call => result,
+            () = self.silence(wait) => {
+                Err(FeedError::Call(CallError::Unknown(UNANSWERED.to_owned())))
+            }
+        };
         match &result {
             Err(FeedError::Call(error)) => self.note_direct(Some(error)),
             Ok(_) | Err(FeedError::HistoryLost) => self.note_direct(None),
@@ -346,8 +377,12 @@
     ) -> Result<TransactionAnswer, CallError> {
         self.writes.acquire(Priority::Urgent).await;
         let began = std::time::Instant::now();
-        let call = self.store.transact(transaction, within);
-        let result = self.watched(Duration::ZERO, call).await;
+        let mut call = std::pin::pin!(self.store.transact(transaction, within));
+        let result = tokio::select! {
+            result = &mut call => result,
+            // The transaction may be carried out all the same.
+            () = self.silence(Duration::ZERO) => call.await,
+        };
         if result.is_ok() {
             self.note_transaction_time(began.elapsed());
         }
@@ -389,7 +424,10 @@
             }
             Some(_) => Err(CallError::Unknown("a peer gave another answer".to_owned())),
             None if open => Err(CallError::NotSent("no way to the store".to_owned())),
-            None => self.range_directly(table, part, from, to, within).await,
+            None => {
+                let within = self.closed_read_time(within);
+                self.range_directly(table, part, from, to, within).await
+            }
         }
     }
 
@@ -453,7 +491,11 @@
             None if open => Err(FeedError::Call(CallError::NotSent(
                 "no way to the store".to_owned(),
             ))),
-            None => self.feed_directly(table, after, wait, within).await,
+            None => {
+                let within = self.closed_read_time(within);
+                self.feed_directly(table, after, Duration::ZERO, within)
+                    .await
+            }
         }
     }
 
--- a/crates/mangotrestle/src/host/leader.rs
+++ b/crates/mangotrestle/src/host/leader.rs
@@ -96,7 +96,7 @@
         job: &id::JobId,
         record: Arc<JobRecord>,
     ) -> Acceptance {
-        if cell.store_is_away() {
+        if cell.store_is_away() || cell.store_is_silent() {
             return Acceptance::NotAccepted("no way to the store".to_owned());
         }
         let (sender, answered) = oneshot::channel();
@@ -577,7 +577,7 @@
                 break;
             }
         }
-        if cell.store_is_away() {
+        if cell.store_is_away() || cell.store_is_silent() {
             refuse_unwritten(&leader, now);
         }
         lock(&leader.state).tick(now);
