--- a/crates/mangotrestle-core/src/workflow/job.rs
+++ b/crates/mangotrestle-core/src/workflow/job.rs
@@ -391,7 +391,8 @@
     #[must_use]
     pub fn state(&self) -> record::JobState {
         match self.end {
-            Some(end) if self.end_durable => end,
+            // A cancel is durable before the leader learns of it.
+            Some(end) if self.end_durable || end == record::JobState::Cancelled => end,
             _ if self.begun => record::JobState::Running,
             _ => record::JobState::Queued,
         }
--- a/crates/mangotrestle/src/host/front.rs
+++ b/crates/mangotrestle/src/host/front.rs
@@ -12,7 +12,7 @@
 use mangotrestle_core::time::SpanMs;
 use mangotrestle_core::workflow::admission::{self, Admission};
 use mangotrestle_core::workflow::catalog::{Catalog, Queue};
-use mangotrestle_core::workflow::record::{EndRow, JobState};
+use mangotrestle_core::workflow::record::{AssignmentRow, EndRow, JobState};
 use mangotrestle_core::workflow::spec::JobRecord;
 use mangotrestle_peer::cell::{Acceptance, JobName, Knowledge, Submission, Submitted};
 use mangotrestle_users_platform::ingress;
@@ -376,10 +376,37 @@
     }
     let accepted = inbox.rows.iter().any(|row| row.name.key == job.as_str());
     let cancelled = inbox.rows.len() > usize::from(accepted);
-    Ok(match (accepted, cancelled) {
-        (false, _) => None,
-        (true, true) => Some(JobState::Cancelled),
-        (true, false) => Some(JobState::Running),
+    match (accepted, cancelled) {
+        (false, _) => Ok(None),
+        (true, true) => Ok(Some(JobState::Cancelled)),
+        (true, false) => stored_progress(cell, pool, job).await.map(Some),
+    }
+}
+
+/// Whether a task of an accepted job has started, by the store's word.
+async fn stored_progress(
+    cell: &Arc<Cell>,
+    pool: &str,
+    job: &id::JobId,
+) -> Result<JobState, String> {
+    let assigned = cell
+        .range(
+            names::ASSIGN,
+            pool,
+            job.as_str(),
+            &names::after_job(job),
+            READ,
+        )
+        .await
+        .map_err(|error| error.to_string())?;
+    let Some(value) = assigned.rows.first().and_then(|row| row.value.as_ref()) else {
+        return Ok(JobState::Queued);
+    };
+    let row: AssignmentRow = serde_json::from_slice(&value.0).map_err(|error| error.to_string())?;
+    Ok(if row.begun {
+        JobState::Running
+    } else {
+        JobState::Queued
     })
 }
 
