--- a/crates/mangotrestle/src/host/access.rs
+++ b/crates/mangotrestle/src/host/access.rs
@@ -191,9 +191,12 @@
         let now = self.clock.now().0;
         if error.is_none() {
             self.direct.failures.store(0, Ordering::Relaxed);
-            self.direct.answered_at_ms.store(now, Ordering::Relaxed);
+            let answered = self.direct.answered_at_ms.swap(now, Ordering::Relaxed);
             self.direct.closed_until_ms.store(0, Ordering::Relaxed);
             self.note_answer();
+            if self.direct.lost_logged.swap(false, Ordering::Relaxed) {
+                slog::info!(self.log, "store.regained"; "away_ms" => now.saturating_sub(answered));
+            }
             return;
         }
         self.store_failed_at_ms.store(now, Ordering::Relaxed);
@@ -256,12 +259,10 @@
         self.store_away_for().as_duration() >= silence
     }
 
+    /// Notes that the store answered, by whatever way.
     fn note_answer(&self) {
         let now = self.clock.now().0;
-        let answered = self.store_answered_at_ms.swap(now, Ordering::Relaxed);
-        if self.direct.lost_logged.swap(false, Ordering::Relaxed) {
-            slog::info!(self.log, "store.regained"; "away_ms" => now.saturating_sub(answered));
-        }
+        self.store_answered_at_ms.store(now, Ordering::Relaxed);
     }
 
     /// Carries out a transaction.
