Give a question about tickets the time that the queue's policy says

Now a question carries the time that the policy gives for its workers, and 1.5 s more.

Test: a_question_has_the_time_that_the_queues_policy_says (the order did not carry a time before).

--- a/crates/mangotrestle-core/src/workflow/pool/asking.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/asking.rs
@@ -187,11 +187,12 @@
     }
 
     fn send_question(&mut self, now: TimeMs, key: &StepKey, workers: Vec<id::WorkerId>) {
-        let Some(step) = self
-            .jobs
-            .get_mut(&key.job)
-            .and_then(|job| job.step_mut(key))
-        else {
+        let Some(job) = self.jobs.get_mut(&key.job) else {
+            return;
+        };
+        let policy = job.record.policy.advice.unwrap_or_default();
+        let takes = policy.takes(workers.len());
+        let Some(step) = job.step_mut(key) else {
             return;
         };
         step.tickets.asked_at = Some(now);
@@ -199,6 +200,7 @@
         self.orders.push(Order::Ask {
             step: key.clone(),
             workers,
+            takes,
         });
     }
 
--- a/crates/mangotrestle-core/src/workflow/pool/mod.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/mod.rs
@@ -134,6 +134,8 @@
         step: StepKey,
         /// The workers.
         workers: Vec<id::WorkerId>,
+        /// Time that the answer takes by the queue's policy.
+        takes: SpanMs,
     },
 }
 
--- a/crates/mangotrestle-core/src/workflow/spec.rs
+++ b/crates/mangotrestle-core/src/workflow/spec.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::resources;
+use crate::time::SpanMs;
 
 /// Most tasks in one step; a job's assignments must fit into one row of the store.
 pub const MAX_STEP_TASKS: u32 = 1_000;
@@ -115,6 +116,20 @@
     pub valid_ms: u64,
 }
 
+impl AdvicePolicy {
+    /// Time that the answer to a question about so many workers takes.
+    #[must_use]
+    #[allow(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        clippy::cast_precision_loss,
+        reason = "a saturating cast is what an absurd figure should become"
+    )]
+    pub fn takes(&self, workers: usize) -> SpanMs {
+        SpanMs((self.decide_ms + self.each_ms * workers as f64).ceil() as u64)
+    }
+}
+
 /// What a queue asks of its jobs.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
--- a/crates/mangotrestle-core/tests/workflow/tickets.rs
+++ b/crates/mangotrestle-core/tests/workflow/tickets.rs
@@ -1,9 +1,13 @@
 //! What is remembered of a queue's policy.
 
+use std::sync::Arc;
+
 use mangotrestle_core::time::{SpanMs, TimeMs};
+use mangotrestle_core::workflow::pool::Order;
+use mangotrestle_core::workflow::spec::AdvicePolicy;
 use mangotrestle_core::workflow::tickets::StepTickets;
 
-use super::world::worker;
+use super::world::{World, job, record, step, worker};
 
 #[test]
 fn a_ticket_lapses_and_the_permission_stays() {
@@ -42,3 +46,26 @@
     assert!(tickets.valid(&good, TimeMs(1_001)).is_none());
     assert!(tickets.allows(&good));
 }
+
+#[test]
+fn a_question_has_the_time_that_the_queues_policy_says() {
+    let mut world = World::new(1, 30);
+    world.run_for(200);
+    let mut slow = record(0, vec![step(1, 1_000, 500, &[])]).as_ref().clone();
+    slow.policy.advice = Some(AdvicePolicy {
+        decide_ms: 728.0,
+        each_ms: 10.4,
+        valid_ms: 1_500,
+    });
+
+    let now = TimeMs(world.now);
+    world.pool.accept(now, &job(1), Arc::new(slow));
+    world.pool.tick(now);
+
+    let orders = world.pool.take_orders();
+    let takes = orders.iter().find_map(|order| match order {
+        Order::Ask { takes, workers, .. } => Some((*takes, workers.len())),
+        _ => None,
+    });
+    assert_eq!(takes, Some((SpanMs(1_040), 30)));
+}
--- a/crates/mangotrestle/src/host/orders.rs
+++ b/crates/mangotrestle/src/host/orders.rs
@@ -43,7 +43,11 @@
 
 async fn carry_out_one(cell: &Arc<Cell>, leader: &Arc<Leader>, order: Order) {
     match order {
-        Order::Ask { step, workers } => ask(cell, leader, &step, workers).await,
+        Order::Ask {
+            step,
+            workers,
+            takes,
+        } => ask(cell, leader, &step, workers, takes).await,
         Order::Hold { .. } => hold(cell, leader, order).await,
         Order::Start { .. } | Order::Stop { .. } | Order::Pace { .. } => {
             order_worker(cell, leader, order).await;
@@ -177,15 +181,22 @@
     lock(&leader.state).hold_answered(now, &worker, result);
 }
 
-async fn ask(cell: &Arc<Cell>, leader: &Arc<Leader>, step: &StepKey, workers: Vec<id::WorkerId>) {
+async fn ask(
+    cell: &Arc<Cell>,
+    leader: &Arc<Leader>,
+    step: &StepKey,
+    workers: Vec<id::WorkerId>,
+    takes: SpanMs,
+) {
+    let within = takes.as_duration() + ADVICE_MARGIN;
     let question = Question {
         step: step.to_string(),
         workers,
-        within_ms: u64::try_from(ADVICE_MARGIN.as_millis()).unwrap_or(u64::MAX),
+        within_ms: u64::try_from(within.as_millis()).unwrap_or(u64::MAX),
     };
     let own = leader.own_questions.load(Ordering::Relaxed);
     let answer = if let Some((host, peer)) = cell.take_asker(own) {
-        let asked = tokio::time::timeout(ADVICE_MARGIN * 2, peer.ask(question.clone())).await;
+        let asked = tokio::time::timeout(within + ADVICE_MARGIN, peer.ask(question.clone())).await;
         cell.give_asker_back(&host);
         if let Ok(Ok(answer)) = asked {
             answer
