Look units up, visit members and account for room in one place each

Now Pool::{step, unit, unit_mut, member, member_key}, Job::{assigned, members, members_mut}, Worker::{occupy, vacate, matches} and Pool::waiting_steps serve all of them. A commit no longer builds a key for every member whose phase it only changes.

--- a/crates/mangotrestle-core/src/workflow/job.rs
+++ b/crates/mangotrestle-core/src/workflow/job.rs
@@ -358,33 +358,45 @@
     }
 
     /// Members that are assigned to a worker.
-    #[must_use]
-    pub fn assigned(&self) -> Vec<(MemberKey, id::WorkerId)> {
-        let mut found = Vec::new();
-        for (&occurrence, steps) in &self.occurrences {
-            for (step, units) in (0..).zip(&steps.steps) {
-                for (unit, state) in (0..).zip(&units.units) {
-                    for (member, assigned) in (0..).zip(&state.members) {
-                        let Some(worker) = &assigned.worker else {
-                            continue;
-                        };
-                        let key = MemberKey {
-                            unit: UnitKey {
-                                step: StepKey {
-                                    job: self.id.clone(),
-                                    occurrence,
-                                    step,
-                                },
-                                unit,
-                            },
-                            member,
-                        };
-                        found.push((key, worker.clone()));
-                    }
-                }
-            }
-        }
-        found
+    pub fn assigned(&self) -> impl Iterator<Item = (MemberKey, &Member)> {
+        let steps = self.occurrences.iter().flat_map(|(&occurrence, one)| {
+            let steps = (0..).zip(&one.steps);
+            steps.map(move |(step, state)| (occurrence, step, state))
+        });
+        let units = steps.flat_map(move |(occurrence, step, state)| {
+            let units = (0..).zip(&state.units);
+            let assigned = units.filter(|(_, unit)| !unit.is_free());
+            assigned.map(move |(unit, state)| {
+                let step = StepKey {
+                    job: self.id.clone(),
+                    occurrence,
+                    step,
+                };
+                (UnitKey { step, unit }, state)
+            })
+        });
+        units.flat_map(|(key, unit)| {
+            let members = (0..).zip(&unit.members);
+            let assigned = members.filter(|(_, member)| member.worker.is_some());
+            assigned.map(move |(member, state)| {
+                let unit = key.clone();
+                (MemberKey { unit, member }, state)
+            })
+        })
+    }
+
+    /// All members.
+    pub fn members(&self) -> impl Iterator<Item = &Member> {
+        let steps = self.occurrences.values().flat_map(|one| &one.steps);
+        let units = steps.flat_map(|step| &step.units);
+        units.flat_map(|unit| &unit.members)
+    }
+
+    /// All members, to change them.
+    pub fn members_mut(&mut self) -> impl Iterator<Item = &mut Member> {
+        let steps = self.occurrences.values_mut().flat_map(|one| &mut one.steps);
+        let units = steps.flat_map(|step| &mut step.units);
+        units.flat_map(|unit| &mut unit.members)
     }
 
     /// State as callers see it.
--- a/crates/mangotrestle-core/src/workflow/pool/asking.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/asking.rs
@@ -3,7 +3,7 @@
 use crate::id;
 use crate::time::{SpanMs, TimeMs};
 
-use super::super::job::{Phase, StepKey, UnitKey};
+use super::super::job::{Phase, StepKey};
 use super::super::worker::Worker;
 use super::{Note, Order, Pool};
 
@@ -43,19 +43,12 @@
 
     /// Waiting steps of queues whose policy an outside service knows, in the order of service.
     fn gated_steps(&self) -> Vec<StepKey> {
-        let mut steps: Vec<StepKey> = Vec::new();
-        let mut last: Option<&StepKey> = None;
-        for (_, key) in &self.waiting {
-            if last == Some(&key.step) {
-                continue;
-            }
-            last = Some(&key.step);
-            let job = self.jobs.get(&key.step.job);
-            if job.is_some_and(|job| job.record.policy.advice.is_some()) {
-                steps.push(key.step.clone());
-            }
-        }
-        steps
+        let steps = self.waiting_steps().map(|(_, step)| step);
+        let gated = steps.filter(|step| {
+            let job = self.jobs.get(&step.job);
+            job.is_some_and(|job| job.record.policy.advice.is_some())
+        });
+        gated.cloned().collect()
     }
 
     /// Asks about the steps that follow one of which a first unit is done.
@@ -117,10 +110,7 @@
         let suits = |worker: &&Worker| {
             worker.takes_work(now)
                 && need.fits_in(&worker.entry.capacity)
-                && spec
-                    .constraint
-                    .as_deref()
-                    .is_none_or(|label| worker.has_label(label))
+                && worker.matches(spec.constraint.as_deref())
         };
         let mut unknown: Vec<&Worker> = self
             .workers
@@ -154,7 +144,7 @@
 
     /// Asks again about a worker to which a run is bound and whose ticket has lapsed.
     pub(super) fn ask_again(&mut self, now: TimeMs, key: &StepKey, worker: &id::WorkerId) {
-        let Some(step) = self.jobs.get(&key.job).and_then(|job| job.step(key)) else {
+        let Some(step) = self.step(key) else {
             return;
         };
         if step.tickets.asked_at.is_none() && step.tickets.retry_at <= now {
@@ -170,7 +160,7 @@
 
     /// Workers to which runs of a step are bound without an order.
     fn bound_workers(&self, key: &StepKey) -> Vec<id::WorkerId> {
-        let Some(step) = self.jobs.get(&key.job).and_then(|job| job.step(key)) else {
+        let Some(step) = self.step(key) else {
             return Vec::new();
         };
         let mut workers: Vec<id::WorkerId> = step
@@ -243,17 +233,10 @@
         let Some(job) = self.jobs.get(&key.job) else {
             return;
         };
-        let waiting: Vec<_> = job
+        let bound = job
             .assigned()
-            .into_iter()
-            .map(|(member, _)| member)
-            .filter(|member| member.unit.step == *key)
-            .filter(|member| {
-                let unit: &UnitKey = &member.unit;
-                job.unit(unit)
-                    .is_some_and(|unit| unit.members[member.member as usize].phase == Phase::Bound)
-            })
-            .collect();
+            .filter(|(member, state)| member.unit.step == *key && state.phase == Phase::Bound);
+        let waiting: Vec<_> = bound.map(|(member, _)| member).collect();
         for member in waiting {
             self.send_start(now, &member);
         }
--- a/crates/mangotrestle-core/src/workflow/pool/intake.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/intake.rs
@@ -61,7 +61,9 @@
         if self.jobs.get(id).is_none_or(|job| job.accepted) {
             return;
         }
-        for (key, _) in self.jobs.get(id).map(Job::assigned).unwrap_or_default() {
+        let jobs = self.jobs.get(id).into_iter();
+        let assigned: Vec<_> = jobs.flat_map(Job::assigned).map(|(key, _)| key).collect();
+        for key in assigned {
             self.release(now, &key);
         }
         self.unqueue_job(id);
@@ -86,15 +88,11 @@
         if let Some(row) = row {
             job.restore(row);
         }
-        for (key, worker) in job.assigned() {
-            let step = &job.record.steps[key.unit.step.step as usize];
-            let need = step.counted_need();
-            let (serving, filling) = (step.persistent, step.fills);
-            let worker = self.worker_or_ghost(now, &worker);
-            worker.used += need;
-            worker.serving += u32::from(serving);
-            worker.filling += u32::from(filling);
-            worker.tasks.insert(key, need);
+        for (key, member) in job.assigned() {
+            let spec = &job.record.steps[key.unit.step.step as usize];
+            if let Some(worker) = &member.worker {
+                self.worker_or_ghost(now, worker).occupy(key, spec);
+            }
         }
         self.begin(now, job);
     }
--- a/crates/mangotrestle-core/src/workflow/pool/mod.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/mod.rs
@@ -25,7 +25,7 @@
 use crate::time::{SpanMs, TimeMs, WorkerTimeMs};
 
 use super::estimate::Estimates;
-use super::job::{Job, MemberKey, StepKey, UnitKey};
+use super::job::{Job, Member, MemberKey, Step, StepKey, Unit, UnitKey};
 use super::message;
 use super::rank::Rank;
 use super::record;
@@ -371,6 +371,27 @@
         std::mem::take(&mut self.notes)
     }
 
+    fn step(&self, key: &StepKey) -> Option<&Step> {
+        self.jobs.get(&key.job)?.step(key)
+    }
+
+    fn unit(&self, key: &UnitKey) -> Option<&Unit> {
+        self.jobs.get(&key.step.job)?.unit(key)
+    }
+
+    fn unit_mut(&mut self, key: &UnitKey) -> Option<&mut Unit> {
+        self.jobs.get_mut(&key.step.job)?.unit_mut(key)
+    }
+
+    fn member(&self, key: &MemberKey) -> Option<&Member> {
+        self.unit(&key.unit)?.members.get(key.member as usize)
+    }
+
+    /// The member that runs a task.
+    fn member_key(&self, task: &message::TaskName) -> Option<MemberKey> {
+        self.jobs.get(&task.job)?.member_key(task)
+    }
+
     fn mark_dirty(&mut self, job: &id::JobId) {
         if !self.dirty.contains(job) {
             self.dirty.insert(job.clone());
--- a/crates/mangotrestle-core/src/workflow/pool/orders.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/orders.rs
@@ -159,9 +159,7 @@
     fn give_up_if_silent(&mut self, now: TimeMs, worker: &id::WorkerId, key: &MemberKey) {
         let silent = self.workers.get(worker).is_some_and(Worker::is_silent);
         let unsent = self
-            .jobs
-            .get(&key.unit.step.job)
-            .and_then(|job| job.unit(&key.unit))
+            .unit(&key.unit)
             .is_some_and(|unit| unit.members[key.member as usize].unanswered == 0);
         if silent && unsent {
             self.withdraw(now, key);
@@ -177,10 +175,7 @@
 
     /// Stops a member, or frees it if no order for it was ever sent.
     pub(super) fn stop_member(&mut self, now: TimeMs, key: &MemberKey) {
-        let Some(job) = self.jobs.get_mut(&key.unit.step.job) else {
-            return;
-        };
-        let Some(unit) = job.unit_mut(&key.unit) else {
+        let Some(unit) = self.unit_mut(&key.unit) else {
             return;
         };
         let member = &mut unit.members[key.member as usize];
@@ -198,11 +193,7 @@
     }
 
     fn send_stop(&mut self, now: TimeMs, key: &MemberKey) {
-        let Some(unit) = self
-            .jobs
-            .get(&key.unit.step.job)
-            .and_then(|job| job.unit(&key.unit))
-        else {
+        let Some(unit) = self.unit(&key.unit) else {
             return;
         };
         let member = &unit.members[key.member as usize];
@@ -235,13 +226,10 @@
         clock: Option<WorkerTimeMs>,
     ) {
         self.note_order_answer(now, worker, answer, clock);
-        let Some(job) = self.jobs.get_mut(&task.job) else {
+        let Some(key) = self.member_key(task) else {
             return;
         };
-        let Some(key) = job.member_key(task) else {
-            return;
-        };
-        let Some(unit) = job.unit_mut(&key.unit) else {
+        let Some(unit) = self.unit_mut(&key.unit) else {
             return;
         };
         let member = &mut unit.members[key.member as usize];
@@ -274,9 +262,7 @@
             }
             self.retries.pop_first();
             let phase = self
-                .jobs
-                .get(&key.unit.step.job)
-                .and_then(|job| job.unit(&key.unit))
+                .unit(&key.unit)
                 .map(|unit| unit.members[key.member as usize].phase);
             match phase {
                 Some(Phase::Bound) => self.send_start(now, &key),
--- a/crates/mangotrestle-core/src/workflow/pool/placing.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/placing.rs
@@ -10,6 +10,7 @@
 //! is decided, so that work which finds no room costs one comparison for each worker.
 
 use std::cmp::Reverse;
+use std::sync::Arc;
 
 use smallvec::SmallVec;
 
@@ -91,8 +92,7 @@
     /// Whether the worker may run the unit: it has the label, and the queue's policy allows it with
     /// a ticket that is valid.
     pub(super) fn allows(&self, now: TimeMs, worker: &Worker) -> bool {
-        let label = self.spec.constraint.as_deref();
-        let fits_label = label.is_none_or(|label| worker.has_label(label));
+        let fits_label = worker.matches(self.spec.constraint.as_deref());
         let gated = self.job.record.policy.advice.is_some();
         fits_label && (!gated || self.step.tickets.valid(&worker.entry.worker, now).is_some())
     }
@@ -197,10 +197,7 @@
 ) -> Preference {
     let spec = request.spec;
     let worker = slot.worker;
-    let near = spec
-        .affinity_rack
-        .as_deref()
-        .is_none_or(|rack| worker.has_label(rack));
+    let near = worker.matches(spec.affinity_rack.as_deref());
     let capacity = &worker.entry.capacity;
     let quiet = if spec.fills {
         slot.serving == 0
@@ -330,9 +327,7 @@
         let Some(job) = self.jobs.get_mut(&key.step.job) else {
             return;
         };
-        let spec = &job.record.steps[key.step.step as usize];
-        let need = spec.counted_need();
-        let (serving, filling) = (spec.persistent, spec.fills);
+        let record = Arc::clone(&job.record);
         let waited = now.since(job.known_at);
         let Some(unit) = job.unit_mut(key) else {
             return;
@@ -359,10 +354,7 @@
                 waited,
             });
             if let Some(worker) = self.workers.get_mut(worker) {
-                worker.used += need;
-                worker.serving += u32::from(serving);
-                worker.filling += u32::from(filling);
-                worker.tasks.insert(member, need);
+                worker.occupy(member, &record.steps[key.step.step as usize]);
             }
         }
         self.mark_dirty(&key.step.job);
--- a/crates/mangotrestle-core/src/workflow/pool/preempting.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/preempting.rs
@@ -73,11 +73,7 @@
             if wanted.len() >= MOST_WANTED || rank.useless {
                 break;
             }
-            let Some(step) = self
-                .jobs
-                .get(&key.step.job)
-                .and_then(|job| job.step(&key.step))
-            else {
+            let Some(step) = self.step(&key.step) else {
                 continue;
             };
             let gang = self.step_spec(&key.step).is_some_and(|spec| spec.gang);
@@ -186,10 +182,7 @@
     }
 
     fn preempt(&mut self, now: TimeMs, key: &MemberKey, wanted_by: &UnitKey) {
-        let Some(job) = self.jobs.get_mut(&key.unit.step.job) else {
-            return;
-        };
-        let Some(unit) = job.unit_mut(&key.unit) else {
+        let Some(unit) = self.unit_mut(&key.unit) else {
             return;
         };
         unit.preempted += 1;
--- a/crates/mangotrestle-core/src/workflow/pool/progress.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/progress.rs
@@ -142,11 +142,7 @@
             return false;
         };
         let need = spec.counted_need();
-        let Some(step) = self
-            .jobs
-            .get(&key.unit.step.job)
-            .and_then(|job| job.step(&key.unit.step))
-        else {
+        let Some(step) = self.step(&key.unit.step) else {
             return false;
         };
         let gated = self
@@ -168,10 +164,7 @@
 
     /// Moves a run away from a worker on which it would take too long.
     pub(super) fn move_run(&mut self, now: TimeMs, id: &id::WorkerId, key: &MemberKey) {
-        let Some(job) = self.jobs.get_mut(&key.unit.step.job) else {
-            return;
-        };
-        let Some(unit) = job.unit_mut(&key.unit) else {
+        let Some(unit) = self.unit_mut(&key.unit) else {
             return;
         };
         unit.avoid.push(id.clone());
--- a/crates/mangotrestle-core/src/workflow/pool/queueing.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/queueing.rs
@@ -38,8 +38,7 @@
 
     /// Takes a unit out of the queue.
     pub(super) fn unqueue_unit(&mut self, key: &UnitKey) {
-        let step = self.jobs.get(&key.step.job);
-        if let Some(step) = step.and_then(|job| job.step(&key.step)) {
+        if let Some(step) = self.step(&key.step) {
             self.waiting.remove(&(step.rank, key.clone()));
         }
     }
@@ -117,7 +116,7 @@
     }
 
     /// Steps that wait, each once, in the order of service.
-    fn waiting_steps(&self) -> impl Iterator<Item = (&Rank, &StepKey)> {
+    pub(super) fn waiting_steps(&self) -> impl Iterator<Item = (&Rank, &StepKey)> {
         let mut last: Option<&StepKey> = None;
         let steps = self.waiting.iter().map(|(rank, key)| (rank, &key.step));
         steps.filter(move |(_, step)| last.replace(step) != Some(step))
--- a/crates/mangotrestle-core/src/workflow/pool/release.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/release.rs
@@ -1,5 +1,7 @@
 //! Settles ends of runs and gives room back.
 
+use std::sync::Arc;
+
 use crate::id;
 use crate::time::TimeMs;
 
@@ -19,13 +21,10 @@
         end: RunEnd,
         saved: &str,
     ) {
-        let Some(job) = self.jobs.get_mut(&task.job) else {
-            return;
-        };
-        let Some(key) = job.member_key(task) else {
+        let Some(key) = self.member_key(task) else {
             return;
         };
-        let Some(unit) = job.unit_mut(&key.unit) else {
+        let Some(unit) = self.unit_mut(&key.unit) else {
             return;
         };
         let current = unit.run == run;
@@ -155,8 +154,7 @@
         let Some(job) = self.jobs.get_mut(&key.unit.step.job) else {
             return;
         };
-        let step = &job.record.steps[key.unit.step.step as usize];
-        let (serving, filling) = (step.persistent, step.fills);
+        let record = Arc::clone(&job.record);
         let Some(unit) = job.unit_mut(&key.unit) else {
             return;
         };
@@ -171,12 +169,8 @@
         if unit.is_free() {
             unit.collapsing = false;
         }
-        if let Some(worker) = self.workers.get_mut(&worker)
-            && let Some(need) = worker.tasks.remove(key)
-        {
-            worker.used -= need;
-            worker.serving -= u32::from(serving);
-            worker.filling -= u32::from(filling);
+        if let Some(worker) = self.workers.get_mut(&worker) {
+            worker.vacate(key, &record.steps[key.unit.step.step as usize]);
         }
         self.mark_dirty(&key.unit.step.job);
         self.queue_unit(&key.unit);
@@ -185,10 +179,7 @@
 
     /// Ends the present run of a gang of which one member has ended or was refused.
     pub(super) fn collapse(&mut self, now: TimeMs, key: &UnitKey) {
-        let Some(job) = self.jobs.get_mut(&key.step.job) else {
-            return;
-        };
-        let Some(unit) = job.unit_mut(key) else {
+        let Some(unit) = self.unit_mut(key) else {
             return;
         };
         if unit.done || unit.collapsing || unit.is_free() {
@@ -200,7 +191,7 @@
 
     /// Stops all members of a unit; those for which no order was sent are free at once.
     pub(super) fn stop_unit(&mut self, now: TimeMs, key: &UnitKey) {
-        let Some(unit) = self.jobs.get(&key.step.job).and_then(|job| job.unit(key)) else {
+        let Some(unit) = self.unit(key) else {
             return;
         };
         let members: Vec<MemberKey> = (0..)
@@ -218,19 +209,17 @@
 
     /// Stops whatever of a job is assigned.
     pub(super) fn stop_assigned(&mut self, now: TimeMs, id: &id::JobId) {
-        let Some(job) = self.jobs.get(id) else {
-            return;
-        };
-        for (key, _) in job.assigned() {
-            // Members of a gang that is done end by themselves.
-            let done = self
-                .jobs
-                .get(id)
-                .and_then(|job| job.unit(&key.unit))
-                .is_some_and(|unit| unit.done);
-            if !done {
-                self.stop_member(now, &key);
-            }
+        // Members of a gang that is done end by themselves.
+        let jobs = self.jobs.get(id).into_iter();
+        let assigned: Vec<_> = jobs
+            .flat_map(|job| {
+                let done = |key: &UnitKey| job.unit(key).is_some_and(|unit| unit.done);
+                let members = job.assigned().map(|(key, _)| key);
+                members.filter(move |key| !done(&key.unit))
+            })
+            .collect();
+        for key in assigned {
+            self.stop_member(now, &key);
         }
     }
 
@@ -262,11 +251,7 @@
             over: worker.over,
         });
         for key in tasks {
-            let run = self
-                .jobs
-                .get(&key.unit.step.job)
-                .and_then(|job| job.unit(&key.unit))
-                .map_or(0, |unit| unit.run);
+            let run = self.unit(&key.unit).map_or(0, |unit| unit.run);
             self.run_ended(now, id, &key.task_name(), run, RunEnd::Lapsed, "");
         }
     }
--- a/crates/mangotrestle-core/src/workflow/pool/reports.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/reports.rs
@@ -259,11 +259,7 @@
             .cloned()
             .collect();
         for key in absent {
-            let Some(unit) = self
-                .jobs
-                .get(&key.unit.step.job)
-                .and_then(|job| job.unit(&key.unit))
-            else {
+            let Some(unit) = self.unit(&key.unit) else {
                 continue;
             };
             let member = &unit.members[key.member as usize];
--- a/crates/mangotrestle-core/src/workflow/pool/rows.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/rows.rs
@@ -5,7 +5,7 @@
 use crate::id;
 use crate::time::TimeMs;
 
-use super::super::job::{Job, Member, MemberKey, Occurrence, Phase, StepKey, UnitKey};
+use super::super::job::{Job, Member, MemberKey, Occurrence, Phase};
 use super::super::record::{AssignmentRow, EndRow};
 use super::super::spec::JobRecord;
 use super::Pool;
@@ -86,18 +86,21 @@
 
 fn awaited(job: &Job) -> Awaited {
     let planned = |member: &Member| member.phase == Phase::Planned;
-    let steps = job.occurrences.values().flat_map(|one| &one.steps);
-    let mut members = steps
-        .flat_map(|step| &step.units)
-        .flat_map(|unit| &unit.members);
     match () {
         () if !job.accepted => Awaited::Acceptance,
-        () if members.any(planned) => Awaited::Start,
+        () if job.members().any(planned) => Awaited::Start,
         () if job.end.is_some() && !job.end_durable => Awaited::End,
         () => Awaited::Nothing,
     }
 }
 
+/// Moves all members of a job that are in one phase on to another.
+fn change_phase(job: &mut Job, from: Phase, to: Phase) {
+    for member in job.members_mut().filter(|member| member.phase == from) {
+        member.phase = to;
+    }
+}
+
 /// Most rows that a job's changes touch.
 fn rows_of(job: &Job) -> usize {
     let acceptance = if job.accepted { 0 } else { ACCEPT_ROWS };
@@ -180,11 +183,7 @@
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
-        for_each_member(job, |_, member| {
-            if member.phase == Phase::Planned {
-                member.phase = Phase::Writing;
-            }
-        });
+        change_phase(job, Phase::Planned, Phase::Writing);
         if !job.accepted {
             commit.changes.push(RowChange::Accept {
                 job: id.clone(),
@@ -226,13 +225,11 @@
                 continue;
             };
             job.accepted = true;
-            let mut bound = Vec::new();
-            for_each_member(job, |key, member| {
-                if member.phase == Phase::Writing {
-                    member.phase = Phase::Bound;
-                    bound.push(key);
-                }
-            });
+            let written = job
+                .assigned()
+                .filter(|(_, member)| member.phase == Phase::Writing);
+            let bound: Vec<MemberKey> = written.map(|(key, _)| key).collect();
+            change_phase(job, Phase::Writing, Phase::Bound);
             for key in bound {
                 self.send_start(now, &key);
             }
@@ -252,11 +249,7 @@
     pub fn commit_undone(&mut self) {
         for id in std::mem::take(&mut self.writing) {
             if let Some(job) = self.jobs.get_mut(&id) {
-                for_each_member(job, |_, member| {
-                    if member.phase == Phase::Writing {
-                        member.phase = Phase::Planned;
-                    }
-                });
+                change_phase(job, Phase::Writing, Phase::Planned);
             }
             self.dirty.insert(id);
         }
@@ -264,26 +257,3 @@
         self.ending.clear();
     }
 }
-
-/// Visits every member of a job.
-fn for_each_member(job: &mut Job, mut visit: impl FnMut(MemberKey, &mut Member)) {
-    let id = job.id.clone();
-    for (&occurrence, steps) in &mut job.occurrences {
-        for (step, units) in (0..).zip(&mut steps.steps) {
-            for (unit, state) in (0..).zip(&mut units.units) {
-                for (member, assigned) in (0..).zip(&mut state.members) {
-                    if assigned.worker.is_none() {
-                        continue;
-                    }
-                    let step = StepKey {
-                        job: id.clone(),
-                        occurrence,
-                        step,
-                    };
-                    let unit = UnitKey { step, unit };
-                    visit(MemberKey { unit, member }, assigned);
-                }
-            }
-        }
-    }
-}
--- a/crates/mangotrestle-core/src/workflow/pool/sharing.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/sharing.rs
@@ -73,10 +73,7 @@
         let fills = self
             .step_spec(&key.unit.step)
             .is_some_and(|step| step.fills);
-        let Some(job) = self.jobs.get_mut(&key.unit.step.job) else {
-            return;
-        };
-        let Some(unit) = job.unit_mut(&key.unit) else {
+        let Some(unit) = self.unit_mut(&key.unit) else {
             return;
         };
         let run = unit.run;
@@ -98,19 +95,11 @@
 
     /// Takes the answer to a pace.
     pub fn pace_answered(&mut self, key: &MemberKey, run: u32, percent: u32, done: bool) {
-        let Some(job) = self.jobs.get_mut(&key.unit.step.job) else {
-            return;
-        };
-        let Some(unit) = job.unit_mut(&key.unit) else {
+        let Some(unit) = self.unit_mut(&key.unit) else {
             return;
         };
         if done && unit.run == run {
             unit.members[key.member as usize].paced_percent = percent;
         }
     }
-
-    pub(super) fn member(&self, key: &MemberKey) -> Option<&super::super::job::Member> {
-        let unit = self.jobs.get(&key.unit.step.job)?.unit(&key.unit)?;
-        unit.members.get(key.member as usize)
-    }
 }
--- a/crates/mangotrestle-core/src/workflow/worker.rs
+++ b/crates/mangotrestle-core/src/workflow/worker.rs
@@ -6,6 +6,7 @@
 
 use super::job::MemberKey;
 use super::message;
+use super::spec::StepSpec;
 
 /// Percent of its true rate at which a worker's clock runs at the least: 2% slow by the platform's
 /// word, and one for this host's own.
@@ -165,6 +166,25 @@
         }
     }
 
+    /// Takes a task of a step in.
+    pub fn occupy(&mut self, key: MemberKey, spec: &StepSpec) {
+        let need = spec.counted_need();
+        self.used += need;
+        self.serving += u32::from(spec.persistent);
+        self.filling += u32::from(spec.fills);
+        self.tasks.insert(key, need);
+    }
+
+    /// Gives the room of a task of a step back, if the task is here.
+    pub fn vacate(&mut self, key: &MemberKey, spec: &StepSpec) {
+        let Some(need) = self.tasks.remove(key) else {
+            return;
+        };
+        self.used -= need;
+        self.serving -= u32::from(spec.persistent);
+        self.filling -= u32::from(spec.fills);
+    }
+
     /// What is free.
     #[must_use]
     pub fn free(&self) -> Resources {
@@ -259,6 +279,12 @@
         none_sent || (self.clock.is_known() && self.clock.reached(now) > self.latest_deadline)
     }
 
+    /// Whether it has the label that is asked for, if one is.
+    #[must_use]
+    pub fn matches(&self, label: Option<&str>) -> bool {
+        label.is_none_or(|label| self.has_label(label))
+    }
+
     /// Whether it has the label.
     #[must_use]
     pub fn has_label(&self, label: &str) -> bool {
