Report steps that wait although workers have room, and runs that do not settle

A step that has waited a second while permitted workers have room for a unit is logged with the tasks that have a ticket and those on workers that no gang reserves, and counted; a run that stays bound, ordered or stopping for two seconds is logged with its phase. No decision depends on either.

--- a/crates/mangotrestle-core/src/workflow/job.rs
+++ b/crates/mangotrestle-core/src/workflow/job.rs
@@ -161,6 +161,8 @@
     pub expedited: bool,
     /// Rank under which its waiting units are queued.
     pub rank: rank::Rank,
+    /// Time since which units have waited although workers have room for one.
+    pub blocked_since: Option<TimeMs>,
 }
 
 /// One execution of all steps of a job.
@@ -257,6 +259,7 @@
             queued_at: TimeMs(0),
             expedited: false,
             rank: rank::Rank::default(),
+            blocked_since: None,
         });
         Occurrence {
             steps: steps.collect(),
--- a/crates/mangotrestle-core/src/workflow/pool/mod.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/mod.rs
@@ -16,6 +16,7 @@
 //! - `progress` detects slow workers and moves runs away from them;
 //! - `release` settles ended runs and frees their resources;
 //! - `sharing` slows best-effort tasks that harm serving tasks;
+//! - `stalls` reports work that does not proceed although nothing it needs is missing;
 //! - `queries` answers questions about the pool.
 
 use std::collections::BTreeSet;
@@ -43,11 +44,13 @@
 mod reports;
 mod rows;
 mod sharing;
+mod stalls;
 mod ticket_requests;
 
 pub use progress::Speed;
 pub use reports::PollFailure;
 pub use rows::{Commit, RowChange};
+pub use stalls::{BlockedStep, TaskRoom, UnsettledRun};
 
 /// Limits of a pool that the platform and the settings fix.
 #[derive(Clone, Debug)]
@@ -166,6 +169,10 @@
         /// Time since the request was handed out.
         after: SpanMs,
     },
+    /// A step waits although workers have room for one of its units.
+    StepBlocked(BlockedStep),
+    /// A run has not left a phase that usually takes milliseconds.
+    RunUnsettled(UnsettledRun),
     /// An order for a run was refused or not answered.
     OrderFailed {
         /// The task.
@@ -302,6 +309,8 @@
     ranked_at: TimeMs,
     /// Time of the last check for runs to preempt.
     preemption_checked_at: TimeMs,
+    /// Time of the last check for work that does not proceed.
+    stalls_checked_at: TimeMs,
     /// Whether something changed that may allow a waiting unit to be placed.
     placing_due: bool,
     /// Time until which workers that vanished from the list may reappear.
@@ -343,6 +352,7 @@
             notes: Vec::new(),
             ranked_at: now,
             preemption_checked_at: now,
+            stalls_checked_at: now,
             placing_due: false,
             list_unsettled_until: TimeMs(0),
             epoch_offset_ms,
@@ -362,6 +372,7 @@
         self.place(now);
         self.preempt_for_urgent_work(now);
         self.request_tickets(now);
+        self.report_stalls(now);
         self.poll_workers(now);
         self.forget_old_ends(now);
     }
--- a/crates/mangotrestle-core/src/workflow/pool/placing.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/placing.rs
@@ -40,7 +40,7 @@
 pub(super) struct Reservation {
     unit: UnitKey,
     chosen_at: TimeMs,
-    workers: Vec<id::WorkerId>,
+    pub(super) workers: Vec<id::WorkerId>,
 }
 
 /// Decisions of a pass.
--- a/crates/mangotrestle/src/host/events.rs
+++ b/crates/mangotrestle/src/host/events.rs
@@ -7,7 +7,7 @@
 use mangotrestle_core::workflow::admission::Admission;
 use mangotrestle_core::workflow::catalog::Queue;
 use mangotrestle_core::workflow::environment::HostSettings;
-use mangotrestle_core::workflow::pool::Note;
+use mangotrestle_core::workflow::pool::{BlockedStep, Note, UnsettledRun};
 use mangotrestle_core::workflow::record::JobState;
 use mangotrestle_peer::cell::Acceptance;
 
@@ -117,6 +117,8 @@
             slog::info!(log, "step.advised"; "step" => %step, "asked" => asked, "good" => ?allowed,
                 "took_ms" => after.0, "pool" => pool);
         }
+        Note::StepBlocked(blocked) => step_blocked(log, pool, term, blocked),
+        Note::RunUnsettled(unsettled) => run_unsettled(log, term, unsettled),
         Note::OrderFailed {
             task,
             run,
@@ -183,6 +185,22 @@
     }
 }
 
+fn step_blocked(log: &slog::Logger, pool: &str, term: u64, blocked: &BlockedStep) {
+    metrics::counter!("mangotrestle_blocked_steps_total").increment(1);
+    let room = &blocked.room;
+    slog::info!(log, "step.blocked"; "step" => %blocked.step,
+        "blocked_ms" => blocked.blocked_for.0, "together" => blocked.unit_size,
+        "permitted" => room.permitted, "ticketed" => room.ticketed,
+        "unreserved" => room.unreserved,
+        "request_ms" => ?blocked.request_age.map(|age| age.0), "pool" => pool, "term" => term);
+}
+
+fn run_unsettled(log: &slog::Logger, term: u64, unsettled: &UnsettledRun) {
+    slog::info!(log, "run.unsettled"; "task" => %unsettled.task, "run" => unsettled.run,
+        "worker" => unsettled.worker.as_str(), "phase" => ?unsettled.phase,
+        "since_ms" => unsettled.since.0, "term" => term);
+}
+
 fn millis(span: Duration) -> u64 {
     u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
 }
