Reproduce accepted work that could run and is not started: two tests, red

The simulation now answers ticket requests after the time that the queue's policy states, its workers refuse a start without a valid ticket, and requests may be lost; before, any request was answered within 8 ms and no ticket was looked at.

On this code: gangs whose tickets have expired, 24 free workers, 8 gangs of 2: 8 of 16 members start in 3 s. A persistent task whose only worker was in quarantine: not started 2 s after its end.

--- a/crates/mangotrestle-core/tests/workflow/placing.rs
+++ b/crates/mangotrestle-core/tests/workflow/placing.rs
@@ -223,3 +223,30 @@
     );
     assert_eq!(world.violations, Violations::default());
 }
+
+#[test]
+fn a_persistent_task_starts_once_its_only_worker_leaves_quarantine() {
+    let mut world = World::new(4, 1);
+    let only_worker = worker("w-0");
+    world.run_for(100);
+    set_failing(&mut world, &only_worker, true);
+    for number in 0..2 {
+        let mut failing = record(0, vec![step(1, 500, 300, &[])]).as_ref().clone();
+        failing.policy.max_attempts = 1;
+        world.submit(&job(number), &Arc::new(failing));
+    }
+    world.run_for(1_000);
+    set_failing(&mut world, &only_worker, false);
+    let mut persistent = step(1, 500, 300, &[]);
+    persistent.persistent = true;
+    world.submit(&job(10), &record(0, vec![persistent]));
+
+    world.run_for(5_000);
+
+    assert_eq!(world.running_on(&only_worker).len(), 1);
+}
+
+fn set_failing(world: &mut World, id: &WorkerId, fails: bool) {
+    let model = world.workers.get_mut(id).expect("the worker");
+    model.fails_all_runs = fails;
+}
--- a/crates/mangotrestle-core/tests/workflow/tickets.rs
+++ b/crates/mangotrestle-core/tests/workflow/tickets.rs
@@ -4,10 +4,10 @@
 
 use mangotrestle_core::time::{SpanMs, TimeMs};
 use mangotrestle_core::workflow::pool::Order;
-use mangotrestle_core::workflow::spec::AdvicePolicy;
+use mangotrestle_core::workflow::spec::{AdvicePolicy, JobRecord};
 use mangotrestle_core::workflow::tickets::StepTickets;
 
-use super::world::{World, job, record, step, worker};
+use super::world::{Violations, World, job, record, step, worker};
 
 #[test]
 fn a_ticket_expires_and_the_permission_stays() {
@@ -73,3 +73,44 @@
     });
     assert_eq!(expected_delay, Some((SpanMs(1_040), 30)));
 }
+
+/// Returns a job of one gang, of which each member takes a whole worker, in a queue whose ticket
+/// requests take longer than a third of a ticket's validity.
+fn advised_gang(members: u32) -> Arc<JobRecord> {
+    let mut gang = step(members, 8_000, 1_000, &[]);
+    gang.gang = true;
+    let mut gang_job = record(1, vec![gang]).as_ref().clone();
+    gang_job.policy.advice = Some(AdvicePolicy {
+        decide_ms: 715.0,
+        each_ms: 10.0,
+        valid_ms: 2_000,
+    });
+    Arc::new(gang_job)
+}
+
+/// Returns a job that occupies a number of whole workers until it is cancelled.
+fn occupying_job(workers: u32) -> Arc<JobRecord> {
+    let mut occupying = step(workers, 8_000, 60_000, &[]);
+    occupying.persistent = true;
+    record(0, vec![occupying])
+}
+
+#[test]
+fn gangs_with_expired_tickets_start_within_3_s_of_enough_workers_becoming_free() {
+    let mut world = World::new(1, 24);
+    world.submit(&job(100), &occupying_job(24));
+    world.run_for(500);
+    for number in 0..8 {
+        world.submit(&job(number), &advised_gang(2));
+    }
+    world.run_for(6_000);
+    world.cancel(&job(100));
+    world.run_for(500);
+    let starts_before = world.starts;
+
+    world.run_for(3_000);
+
+    assert_eq!(world.starts - starts_before, 16);
+    assert_eq!(world.alone_ends, 0);
+    assert_eq!(world.violations, Violations::default());
+}
--- a/crates/mangotrestle-core/tests/workflow/world.rs
+++ b/crates/mangotrestle-core/tests/workflow/world.rs
@@ -27,6 +27,8 @@
 const STOP_DURATION_MS: u64 = 400;
 /// Time that a gang waits for its members.
 const GANG_TIMEOUT_MS: u64 = 3_000;
+/// Time beyond the expected one after which a ticket request counts as failed.
+const TICKET_REQUEST_TIMEOUT_MS: u64 = 1_500;
 
 /// A run on a worker.
 #[derive(Clone, Debug)]
@@ -70,6 +72,8 @@
     pub lost_answers_per_mille: u64,
     /// Orders per thousand that are not answered, and are carried out seconds later.
     pub late_orders_per_mille: u64,
+    /// Ticket requests per thousand that are not answered.
+    pub lost_ticket_requests_per_mille: u64,
 }
 
 /// An event that is due later.
@@ -88,7 +92,7 @@
     Start(WorkerId, MemberKey, u32, OrderAnswer, Option<WorkerTimeMs>),
     Stop(WorkerId, TaskName, u32, OrderAnswer, Option<WorkerTimeMs>),
     Hold(WorkerId, Result<WorkerReport, PollFailure>),
-    Advice(StepKey, Vec<WorkerId>),
+    Advice(StepKey, Vec<WorkerId>, Option<Vec<(WorkerId, String)>>),
     Committed,
 }
 
@@ -138,6 +142,12 @@
     random: u64,
     /// Number of starts that workers have carried out.
     pub starts: u32,
+    /// Number of ticket requests that the leader has sent.
+    pub ticket_requests: u32,
+    /// Number of runs that ended because other members of their gang were missing.
+    pub alone_ends: u32,
+    /// Workers that no queue's policy allows.
+    pub denied_workers: BTreeSet<WorkerId>,
     /// Lets a leader send orders before its commit is durable, to show that the simulation detects
     /// it.
     pub order_before_commit: bool,
@@ -229,6 +239,9 @@
             store_up: true,
             random: seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1,
             starts: 0,
+            ticket_requests: 0,
+            alone_ends: 0,
+            denied_workers: BTreeSet::new(),
             order_before_commit: false,
             failing_runs_per_mille: 0,
         };
@@ -371,6 +384,10 @@
     fn send_orders(&mut self) {
         for order in self.pool.take_orders() {
             let term = self.term;
+            if let Order::RequestTickets { expected_delay, .. } = order {
+                self.send_ticket_request(order, expected_delay);
+                continue;
+            }
             let chance = self.random_below(1_000);
             let late = matches!(order, Order::Start { .. } | Order::Stop { .. })
                 && chance < self.network.late_orders_per_mille;
@@ -389,6 +406,24 @@
         }
     }
 
+    fn send_ticket_request(&mut self, order: Order, expected_delay: SpanMs) {
+        self.ticket_requests += 1;
+        let term = self.term;
+        let lost = self.random_below(1_000) < self.network.lost_ticket_requests_per_mille;
+        let Order::RequestTickets { step, workers, .. } = &order else {
+            return;
+        };
+        if lost {
+            let answer = Answer::Advice(step.clone(), workers.clone(), None);
+            let at = self.now + expected_delay.0 + TICKET_REQUEST_TIMEOUT_MS;
+            self.schedule(at, Event::Answer { term, answer });
+        } else {
+            let lost = false;
+            let at = self.now + expected_delay.0;
+            self.schedule(at, Event::Order { order, term, lost });
+        }
+    }
+
     fn deliver_events(&mut self) {
         while let Some((&key, _)) = self.pending_events.first_key_value() {
             if key.0 > self.now {
@@ -433,11 +468,10 @@
                     .stop_answered(now, &worker, &task, run, &answer, clock);
             }
             Answer::Hold(worker, report) => self.pool.hold_answered(now, &worker, report),
-            Answer::Advice(step, workers) => {
-                let allowed = workers.iter().map(|id| (id.clone(), "ticket".to_owned()));
-                let allowed = allowed.collect();
-                self.pool
-                    .advice_answered(now, &step, &workers, Some((allowed, SpanMs(2_000))));
+            Answer::Advice(step, workers, allowed) => {
+                // The policy's own validity applies.
+                let answer = allowed.map(|allowed| (allowed, SpanMs(0)));
+                self.pool.advice_answered(now, &step, &workers, answer);
             }
             Answer::Committed => {
                 self.commit_in_flight = false;
@@ -503,10 +537,34 @@
                 ..
             } => Some(self.carry_out_hold(worker, deadline, last_seen, term)),
             Order::Pace { .. } => None,
-            Order::RequestTickets { step, workers, .. } => Some(Answer::Advice(step, workers)),
+            Order::RequestTickets { step, workers, .. } => {
+                let tickets = self.tickets(&step, &workers);
+                Some(Answer::Advice(step, workers, Some(tickets)))
+            }
         }
     }
 
+    /// Returns the tickets of the allowed workers; the text of each is the time of its expiry.
+    fn tickets(&self, step: &StepKey, workers: &[WorkerId]) -> Vec<(WorkerId, String)> {
+        let record = self.inbox.get(&step.job);
+        let advice = record.and_then(|record| record.policy.advice);
+        let valid_until = self.now + advice.map_or(0, |advice| advice.valid_ms);
+        let allowed = workers
+            .iter()
+            .filter(|id| !self.denied_workers.contains(*id));
+        allowed
+            .map(|id| (id.clone(), valid_until.to_string()))
+            .collect()
+    }
+
+    /// Whether a start of a task needs a ticket and carries no valid one.
+    fn lacks_ticket(&self, task: &TaskName, ticket: Option<&str>) -> bool {
+        let record = self.inbox.get(&task.job);
+        let needs_ticket = record.is_some_and(|record| record.policy.advice.is_some());
+        let valid_until = ticket.and_then(|text| text.parse::<u64>().ok());
+        needs_ticket && valid_until.is_none_or(|valid_until| valid_until < self.now)
+    }
+
     fn carry_out_hold(
         &mut self,
         worker: WorkerId,
@@ -560,6 +618,7 @@
             member,
             run,
             deadline,
+            ticket,
             ..
         } = order
         else {
@@ -567,6 +626,7 @@
         };
         let task = member.task_name();
         let name = task.to_string();
+        let lacks_ticket = self.lacks_ticket(&task, ticket.as_deref());
         let clock = Some(WorkerTimeMs(self.now));
         let answer = |answer, clock| {
             Some(Answer::Start(
@@ -608,6 +668,9 @@
         if deadline.0 <= self.now {
             return answer(OrderAnswer::Late, clock);
         }
+        if lacks_ticket {
+            return answer(OrderAnswer::Ticket, clock);
+        }
         model.lease_until = model
             .lease_until
             .max(deadline.0.min(self.now + MAX_LEASE.0));
@@ -737,6 +800,7 @@
                     if run.worked_ms > 0 {
                         ends.push((name.clone(), RunEnd::Broken));
                     } else if now > run.started_at + GANG_TIMEOUT_MS {
+                        self.alone_ends += 1;
                         ends.push((name.clone(), RunEnd::Alone));
                     }
                 } else if run.stops_at.is_none() {
