Assign units to allowed workers first and request their tickets afterwards

Cause: a unit was only placed on workers for which a ticket was valid at that moment. Tickets are valid for 2 s, a request takes 0.8 to 2.3 s, and renewals named 8 workers, the first free ones by identifier, so all waiting steps asked about the same workers and nothing kept these free until the answer. A gang that lost its workers meanwhile waited for the next cycle, 2.6 to 6.6 s later, and again.

Change: the service's decision on a worker is final, only the ticket expires. A unit now goes to allowed workers with room, whether or not their tickets are valid; the assignment keeps the workers, a request for exactly these follows at once, and orders go out when all members of the unit have valid tickets. After a request that failed, runs without any order are withdrawn and tickets come first again, so that a service that does not answer keeps no worker from others. The number of requests in flight stays within its limit. Steps with room are no longer renewed ahead.

--- a/crates/mangotrestle-core/src/workflow/job.rs
+++ b/crates/mangotrestle-core/src/workflow/job.rs
@@ -85,6 +85,14 @@
     Stopped,
 }
 
+impl Phase {
+    /// Whether the member is assigned and its start order is still to be sent.
+    #[must_use]
+    pub const fn is_before_order(self) -> bool {
+        matches!(self, Self::Planned | Self::Writing | Self::Bound)
+    }
+}
+
 /// One task of a unit.
 #[derive(Clone, Debug, Default)]
 pub struct Member {
@@ -136,6 +144,21 @@
         self.members.iter().all(|member| member.worker.is_none())
     }
 
+    /// Returns the workers of the members that are assigned and not ordered.
+    pub fn unordered_workers(&self) -> impl Iterator<Item = &id::WorkerId> {
+        let members = self.members.iter();
+        let unordered = members.filter(|member| member.phase.is_before_order());
+        unordered.filter_map(|member| member.worker.as_ref())
+    }
+
+    /// Whether members are assigned and no start order was sent for any of them.
+    #[must_use]
+    pub fn is_unordered(&self) -> bool {
+        let mut assigned = self.members.iter().filter(|member| member.worker.is_some());
+        !self.is_free()
+            && assigned.all(|member| member.phase.is_before_order() && member.unanswered == 0)
+    }
+
     /// Whether it waits to be placed.
     #[must_use]
     pub fn is_waiting(&self) -> bool {
--- a/crates/mangotrestle-core/src/workflow/pool/mod.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/mod.rs
@@ -297,6 +297,8 @@
     /// Workers that are reserved for waiting gangs.
     reservations: Vec<placing::Reservation>,
     ticket_requests_in_flight: usize,
+    /// Steps of which runs may be assigned to workers without a valid ticket.
+    steps_lacking_tickets: FastSet<StepKey>,
     /// Steps for which tickets are requested before they are ready.
     steps_to_request_ahead: FastSet<StepKey>,
     /// Members whose order is due to be sent again, by time.
@@ -345,6 +347,7 @@
             speed: Speed::default(),
             reservations: Vec::new(),
             ticket_requests_in_flight: 0,
+            steps_lacking_tickets: FastSet::default(),
             steps_to_request_ahead: FastSet::default(),
             retries: BTreeSet::new(),
             unexpected_run_stops: FastMap::default(),
--- a/crates/mangotrestle-core/src/workflow/pool/orders.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/orders.rs
@@ -28,8 +28,8 @@
         deadline
     }
 
-    /// Sends the start order of a member whose assignment is durable. Requests a ticket first if
-    /// the queue needs one and there is none.
+    /// Sends the start order of a member whose assignment is durable. If the queue needs tickets, the
+    /// order waits until there are valid ones for all members of the unit.
     pub(super) fn send_start(&mut self, now: TimeMs, key: &MemberKey) {
         let Some(job) = self.jobs.get_mut(&key.unit.step.job) else {
             return;
@@ -40,7 +40,7 @@
             return;
         };
         let unit = &mut step.units[key.unit.unit as usize];
-        let member = &mut unit.members[key.member as usize];
+        let member = &unit.members[key.member as usize];
         let (Phase::Bound, Some(id)) = (member.phase, member.worker.clone()) else {
             return;
         };
@@ -57,15 +57,14 @@
             }
             return;
         }
-        let ticket = step
-            .tickets
-            .valid(&id, now)
-            .map(|ticket| ticket.text.clone());
-        if needs_ticket && ticket.is_none() {
-            let step = key.unit.step.clone();
-            self.request_new_ticket(now, &step, &id);
+        // A gang whose members start at different times wastes the work of those that wait.
+        if needs_ticket && !step.tickets.cover(unit, now) {
+            self.steps_lacking_tickets.insert(key.unit.step.clone());
             return;
         }
+        let ticket = step.tickets.valid(&id, now);
+        let ticket = ticket.map(|ticket| ticket.text.clone());
+        let member = &mut unit.members[key.member as usize];
         member.phase = Phase::Ordered;
         member.phase_since = now;
         let deadline = Self::deadline(worker, now, self.settings.max_lease);
--- a/crates/mangotrestle-core/src/workflow/pool/placing.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/placing.rs
@@ -31,9 +31,19 @@
 const RESERVATION_LIFETIME: SpanMs = SpanMs(100);
 
 /// Preference among workers that fit; the highest is taken. The parts are, most important first:
-/// healthy and not avoided, in the affinity rack, undisturbed, in the zone of the step's other
-/// tasks, already chosen for the step in this pass, fewest accelerators left, lowest cost.
-type Preference = (bool, bool, bool, bool, bool, Reverse<u64>, Reverse<u64>);
+/// healthy and not avoided, no ticket to request first, in the affinity rack, undisturbed, in the
+/// zone of the step's other tasks, already chosen for the step in this pass, fewest accelerators
+/// left, lowest cost.
+type Preference = (
+    bool,
+    bool,
+    bool,
+    bool,
+    bool,
+    bool,
+    Reverse<u64>,
+    Reverse<u64>,
+);
 
 /// Workers that are reserved for a waiting gang.
 #[derive(Clone, Debug)]
@@ -78,6 +88,11 @@
     slots: Vec<Slot<'a>>,
     /// Step and zone of the unit that was placed last.
     last_placed: Option<(&'a StepKey, &'a str)>,
+    /// Number of steps for which the pass may still assign runs whose tickets are yet to be
+    /// requested.
+    ticket_requests_left: usize,
+    /// Step for which the pass last assigned such a run.
+    last_requesting: Option<&'a StepKey>,
 }
 
 /// A unit to place, with the data of its job and step.
@@ -89,16 +104,35 @@
     pub(super) need: Resources,
     /// Zone of another task of the step, if one is assigned.
     zone: Option<&'a str>,
+    /// Whether the unit may be assigned to an allowed worker before its ticket is requested.
+    may_request_ticket: bool,
 }
 
 impl PlacementRequest<'_> {
-    /// Whether the worker may run the unit: it has the required label, and there is a valid ticket
-    /// for it if the queue needs one.
+    /// Whether the worker may run the unit: it has the required label, and if the queue needs a
+    /// ticket, there is a valid one for it or one may be requested.
     pub(super) fn allows(&self, now: TimeMs, worker: &Worker) -> bool {
-        let fits_label = worker.matches(self.spec.constraint.as_deref());
+        self.permits(worker) && (self.may_request_ticket || self.has_ticket(now, worker))
+    }
+
+    /// Whether the worker may be kept free for the unit. It is not for a unit whose tickets cannot
+    /// be obtained.
+    fn may_reserve(&self, now: TimeMs, worker: &Worker) -> bool {
+        let obtainable = !self.step.tickets.last_request_failed();
+        self.permits(worker) && (obtainable || self.has_ticket(now, worker))
+    }
+
+    /// Whether the worker may run the unit once there is a valid ticket for it.
+    fn permits(&self, worker: &Worker) -> bool {
         let needs_ticket = self.job.record.policy.advice.is_some();
-        fits_label
-            && (!needs_ticket || self.step.tickets.valid(&worker.entry.worker, now).is_some())
+        worker.matches(self.spec.constraint.as_deref())
+            && (!needs_ticket || self.step.tickets.allows(&worker.entry.worker))
+    }
+
+    /// Whether there is a valid ticket for the worker, or none is needed.
+    fn has_ticket(&self, now: TimeMs, worker: &Worker) -> bool {
+        let needs_ticket = self.job.record.policy.advice.is_some();
+        !needs_ticket || self.step.tickets.valid(&worker.entry.worker, now).is_some()
     }
 
     fn avoids(&self, worker: &id::WorkerId) -> bool {
@@ -146,7 +180,7 @@
                     if !fits || exceeds_max_per_worker(slot, request, already_here) {
                         return None;
                     }
-                    Some((preference(request, slot, &left, zone), index, slot))
+                    Some((preference(now, request, slot, &left, zone), index, slot))
                 })
                 .max_by_key(|(preference, _, slot)| {
                     (*preference, Reverse(&slot.worker.entry.worker))
@@ -157,7 +191,18 @@
     }
 
     /// Allocates resources on the chosen slots to a unit, and returns the workers.
-    fn allocate(&mut self, request: &PlacementRequest<'a>, chosen: &[usize]) -> Vec<id::WorkerId> {
+    fn allocate(
+        &mut self,
+        now: TimeMs,
+        request: &PlacementRequest<'a>,
+        chosen: &[usize],
+    ) -> Vec<id::WorkerId> {
+        let has_ticket = |&index: &usize| request.has_ticket(now, self.slots[index].worker);
+        let step = &request.key.step;
+        if !chosen.iter().all(has_ticket) && self.last_requesting != Some(step) {
+            self.ticket_requests_left = self.ticket_requests_left.saturating_sub(1);
+            self.last_requesting = Some(step);
+        }
         let mut workers = Vec::with_capacity(chosen.len());
         for &index in chosen {
             let slot = &mut self.slots[index];
@@ -201,6 +246,7 @@
 /// Returns the preference of a slot on which `left` would remain; `zone` is that of the step's
 /// other tasks.
 fn preference(
+    now: TimeMs,
     request: &PlacementRequest<'_>,
     slot: &Slot<'_>,
     left: &Resources,
@@ -228,6 +274,7 @@
     };
     (
         slot.healthy && !request.avoids(&worker.entry.worker),
+        request.has_ticket(now, worker),
         in_affinity_rack,
         undisturbed,
         spec.persistent || zone.is_none_or(|zone| zone == worker.entry.zone),
@@ -268,14 +315,16 @@
             if blocked_step == Some(&key.step) {
                 continue;
             }
-            let Some(mut request) = self.placement_request(key) else {
+            let Some(mut request) = self.placement_request(now, key) else {
                 continue;
             };
             if let Some((_, zone)) = pass.last_placed.filter(|(step, _)| *step == &key.step) {
                 request.zone = Some(zone);
             }
+            request.may_request_ticket &=
+                pass.ticket_requests_left > 0 || pass.last_requesting == Some(&key.step);
             if let Some(chosen) = pass.choose(now, &request) {
-                let workers = pass.allocate(&request, &chosen);
+                let workers = pass.allocate(now, &request, &chosen);
                 decisions.assigned.push((*rank, key.clone(), workers));
                 continue;
             }
@@ -305,14 +354,21 @@
             reserved: false,
             added: SmallVec::new(),
         });
+        let expected_requests = self.ticket_requests_in_flight + self.steps_lacking_tickets.len();
         PlacementPass {
             slots: slots.collect(),
             last_placed: None,
+            ticket_requests_left: self
+                .settings
+                .max_ticket_requests
+                .saturating_sub(expected_requests),
+            last_requesting: None,
         }
     }
 
     pub(super) fn placement_request<'a>(
         &'a self,
+        now: TimeMs,
         key: &'a UnitKey,
     ) -> Option<PlacementRequest<'a>> {
         let job = self.jobs.get(&key.step.job)?;
@@ -325,6 +381,7 @@
             spec,
             need: spec.counted_need(),
             zone: self.zone_of(step),
+            may_request_ticket: step.tickets.may_assign_first(now),
         })
     }
 
@@ -375,6 +432,9 @@
                 worker.add_task(member, &record.steps[key.step.step as usize]);
             }
         }
+        if record.policy.advice.is_some() {
+            self.steps_lacking_tickets.insert(key.step.clone());
+        }
         self.mark_dirty(&key.step.job);
     }
 
@@ -399,7 +459,7 @@
             .slots
             .iter()
             .filter(|slot| !slot.reserved && request.need.fits_in(&slot.worker.entry.capacity))
-            .filter(|slot| request.allows(now, slot.worker))
+            .filter(|slot| request.may_reserve(now, slot.worker))
             .map(|slot| {
                 let (at, count) = self.expected_capacity(now, slot, &request.need);
                 (at, slot.worker, count)
--- a/crates/mangotrestle-core/src/workflow/pool/preempting.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/preempting.rs
@@ -100,7 +100,7 @@
         let mut priority = first.record.policy.priority;
         let mut worker_capacities = self.worker_capacities(now, priority);
         for key in urgent_units {
-            let Some(request) = self.placement_request(key) else {
+            let Some(request) = self.placement_request(now, key) else {
                 continue;
             };
             let own_priority = request.job.record.policy.priority;
--- a/crates/mangotrestle-core/src/workflow/pool/stalls.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/stalls.rs
@@ -10,7 +10,6 @@
 use super::super::job::{Job, Phase, StepKey};
 use super::super::message::TaskName;
 use super::super::spec::StepSpec;
-use super::super::worker::Worker;
 use super::{Note, Pool};
 
 /// Time between two checks.
@@ -135,7 +134,7 @@
             if !permitted {
                 continue;
             }
-            let tasks = tasks_that_fit(worker, key, spec);
+            let tasks = worker.room_for(key, spec);
             room.permitted += tasks;
             if !needs_ticket || step.tickets.valid(id, now).is_some() {
                 room.ticketed += tasks;
@@ -174,24 +173,3 @@
         self.notes.extend(reports);
     }
 }
-
-/// Returns the number of tasks of a step that a worker has room for.
-fn tasks_that_fit(worker: &Worker, key: &StepKey, spec: &StepSpec) -> u32 {
-    let need = spec.counted_need();
-    let mut max = spec.unit_size();
-    if spec.max_per_worker > 0 {
-        let here = worker.tasks.keys().filter(|task| task.unit.step == *key);
-        let here = u32::try_from(here.count()).unwrap_or(u32::MAX);
-        max = max.min(spec.max_per_worker.saturating_sub(here));
-    }
-    let mut free = worker.free();
-    let mut tasks = 0;
-    while tasks < max {
-        let Some(left) = free.checked_sub(&need) else {
-            break;
-        };
-        free = left;
-        tasks += 1;
-    }
-    tasks
-}
--- a/crates/mangotrestle-core/src/workflow/pool/ticket_requests.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/ticket_requests.rs
@@ -1,10 +1,16 @@
 //! Requests tickets from the advice service: for the most urgent steps first, and for as few
 //! workers as necessary.
+//!
+//! The service's decision on a worker is final and only the ticket expires, so a unit is assigned
+//! to allowed workers that have room, and tickets for these workers are requested afterwards. This
+//! way nothing else takes the workers while the request is in flight. For the most urgent waiting
+//! steps without room, some tickets are also kept valid in advance.
 
 use crate::id;
 use crate::time::{SpanMs, TimeMs};
 
-use super::super::job::{Phase, StepKey};
+use super::super::job::{Phase, StepKey, Unit, UnitKey};
+use super::super::rank::Rank;
 use super::super::worker::Worker;
 use super::{Note, Order, Pool};
 
@@ -12,10 +18,6 @@
 const MAX_REQUEST_WORKERS: usize = 60;
 /// Maximum number of workers in a request that only renews tickets; more if a gang needs them.
 const MAX_RENEWAL_WORKERS: usize = 8;
-/// Delay after a request that was refused or not answered.
-const RETRY_DELAY: SpanMs = SpanMs(120);
-/// Time after which a request counts as lost.
-const REQUEST_TIMEOUT: SpanMs = SpanMs(4_000);
 /// Maximum number of waiting steps without free capacity, most urgent first, whose tickets are kept
 /// valid.
 const MAX_RENEWED_BLOCKED_STEPS: usize = 6;
@@ -25,6 +27,7 @@
 impl Pool {
     /// Sends the requests that are due.
     pub(super) fn request_tickets(&mut self, now: TimeMs) {
+        self.request_for_assigned_runs(now);
         if self.ticket_requests_in_flight >= self.settings.max_ticket_requests {
             return;
         }
@@ -87,11 +90,7 @@
         let Some(step) = job.step(key) else {
             return;
         };
-        let in_flight = step
-            .tickets
-            .requested_at
-            .is_some_and(|at| now.since(at) < REQUEST_TIMEOUT);
-        if in_flight || step.tickets.retry_at > now {
+        if !step.tickets.may_request(now) {
             return;
         }
         let workers = self.workers_to_request(now, key, blocked_steps);
@@ -136,12 +135,19 @@
             .filter(is_eligible)
             .filter(|worker| step.tickets.allows(&worker.entry.worker))
             .collect();
-        let has_capacity = allowed.iter().any(|worker| need.fits_in(&worker.free()));
-        let expiring = step.tickets.valid_until() <= now + RENEWAL_MARGIN;
-        if !has_capacity {
+        let room: u32 = allowed
+            .iter()
+            .map(|worker| worker.room_for(key, spec))
+            .sum();
+        let has_room = room >= spec.unit_size();
+        if has_room && step.tickets.may_assign_first(now) {
+            return Vec::new();
+        }
+        if !has_room {
             *blocked_steps += 1;
         }
-        if !expiring || (!has_capacity && *blocked_steps > MAX_RENEWED_BLOCKED_STEPS) {
+        let expiring = step.tickets.valid_until() <= now + RENEWAL_MARGIN;
+        if !expiring || (!has_room && *blocked_steps > MAX_RENEWED_BLOCKED_STEPS) {
             return Vec::new();
         }
         allowed.sort_by_key(|worker| (!need.fits_in(&worker.free()), &worker.entry.worker));
@@ -149,33 +155,43 @@
         ids(&allowed)
     }
 
-    /// Requests a new ticket for a worker to which a run is bound and for which no ticket is valid.
-    pub(super) fn request_new_ticket(&mut self, now: TimeMs, key: &StepKey, worker: &id::WorkerId) {
-        let Some(step) = self.step(key) else {
-            return;
-        };
-        if step.tickets.requested_at.is_none() && step.tickets.retry_at <= now {
-            let bound = self.bound_workers(key);
-            let workers = if bound.is_empty() {
-                vec![worker.clone()]
-            } else {
-                bound
-            };
-            self.send_request(now, key, workers);
+    /// Requests tickets for the workers to which runs are assigned without a valid ticket, most
+    /// urgent steps first.
+    fn request_for_assigned_runs(&mut self, now: TimeMs) {
+        let steps = self.steps_lacking_tickets.iter();
+        let mut ranked: Vec<(Rank, StepKey)> = steps
+            .filter_map(|key| Some((self.step(key)?.rank, key.clone())))
+            .collect();
+        ranked.sort_unstable();
+        self.steps_lacking_tickets.clear();
+        for (_, key) in ranked {
+            let workers = self.workers_lacking_tickets(now, &key);
+            if workers.is_empty() {
+                continue;
+            }
+            let may_request = self.ticket_requests_in_flight < self.settings.max_ticket_requests
+                && self
+                    .step(&key)
+                    .is_some_and(|step| step.tickets.may_request(now));
+            if may_request {
+                self.send_request(now, &key, workers);
+            }
+            self.steps_lacking_tickets.insert(key);
         }
     }
 
-    /// Returns the workers to which runs of a step are bound without an order in flight.
-    fn bound_workers(&self, key: &StepKey) -> Vec<id::WorkerId> {
+    /// Returns the workers for which tickets are needed before the assigned runs of a step can
+    /// start. All members of a gang need valid tickets at the same time.
+    fn workers_lacking_tickets(&self, now: TimeMs, key: &StepKey) -> Vec<id::WorkerId> {
         let Some(step) = self.step(key) else {
             return Vec::new();
         };
         let mut workers: Vec<id::WorkerId> = step
             .units
             .iter()
-            .flat_map(|unit| &unit.members)
-            .filter(|member| member.phase == Phase::Bound)
-            .filter_map(|member| member.worker.clone())
+            .filter(|unit| !step.tickets.cover(unit, now))
+            .flat_map(Unit::unordered_workers)
+            .cloned()
             .collect();
         workers.sort_unstable();
         workers.dedup();
@@ -224,21 +240,40 @@
             allowed: answer.as_ref().map(|(allowed, _)| allowed.len()),
             after: now.since(requested_at.unwrap_or(now)),
         });
-        match answer {
-            Some((allowed, validity)) => {
-                let validity = if validity.0 > 0 {
-                    validity
-                } else {
-                    SpanMs(valid_ms)
-                };
-                step.tickets.learn(now, workers, allowed, validity);
-                self.placing_due = true;
-            }
-            None => step.tickets.retry_at = now + RETRY_DELAY,
+        if let Some((allowed, validity)) = answer {
+            let validity = if validity.0 > 0 {
+                validity
+            } else {
+                SpanMs(valid_ms)
+            };
+            step.tickets.learn(now, workers, allowed, validity);
+            self.placing_due = true;
+        } else {
+            step.tickets.record_failed_request(now);
+            self.withdraw_runs_lacking_tickets(now, key);
         }
         self.start_bound_runs(now, key);
     }
 
+    /// Frees the workers of runs that were assigned before their tickets were requested, and of
+    /// which no member was ordered.
+    fn withdraw_runs_lacking_tickets(&mut self, now: TimeMs, key: &StepKey) {
+        let Some(step) = self.step(key) else {
+            return;
+        };
+        let lacking: Vec<UnitKey> = (0..)
+            .zip(&step.units)
+            .filter(|(_, unit)| unit.is_unordered() && !step.tickets.cover(unit, now))
+            .map(|(unit, _)| UnitKey {
+                step: key.clone(),
+                unit,
+            })
+            .collect();
+        for unit in lacking {
+            self.abort_run(now, &unit);
+        }
+    }
+
     /// Sends the start orders of a step's runs that waited for a ticket.
     fn start_bound_runs(&mut self, now: TimeMs, key: &StepKey) {
         let Some(job) = self.jobs.get(&key.job) else {
--- a/crates/mangotrestle-core/src/workflow/tickets.rs
+++ b/crates/mangotrestle-core/src/workflow/tickets.rs
@@ -7,9 +7,15 @@
 use crate::id;
 use crate::time::{SpanMs, TimeMs};
 
+use super::job::Unit;
+
 /// Time before a ticket's expiry from which it is not used any more, for the delivery of the order
 /// to the worker.
 const TICKET_DELIVERY_MARGIN: SpanMs = SpanMs(150);
+/// Time after which a request counts as lost.
+const REQUEST_TIMEOUT: SpanMs = SpanMs(4_000);
+/// Delay after a request that was refused or not answered.
+const RETRY_DELAY: SpanMs = SpanMs(120);
 
 /// A ticket and the time until which it may be used.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -28,7 +34,9 @@
     /// Time at which the ticket request in flight was handed out, if there is one.
     pub requested_at: Option<TimeMs>,
     /// Time before which no further request is sent, after a failed one.
-    pub retry_at: TimeMs,
+    retry_at: TimeMs,
+    /// Whether the last request was refused or not answered.
+    last_request_failed: bool,
 }
 
 impl StepTickets {
@@ -41,6 +49,7 @@
         allowed: Vec<(id::WorkerId, String)>,
         validity: SpanMs,
     ) {
+        self.last_request_failed = false;
         self.decided.extend(asked.iter().cloned());
         for (worker, text) in allowed {
             let valid_until = now + validity - TICKET_DELIVERY_MARGIN;
@@ -63,6 +72,35 @@
         }
     }
 
+    /// Records that a request was refused or not answered.
+    pub fn record_failed_request(&mut self, now: TimeMs) {
+        self.last_request_failed = true;
+        self.retry_at = now + RETRY_DELAY;
+    }
+
+    /// Whether a request may be sent: none is in flight, and the delay after a failed one is over.
+    #[must_use]
+    pub fn may_request(&self, now: TimeMs) -> bool {
+        let in_flight = self
+            .requested_at
+            .is_some_and(|at| now.since(at) < REQUEST_TIMEOUT);
+        !in_flight && self.retry_at <= now
+    }
+
+    /// Whether the last request was refused or not answered.
+    #[must_use]
+    pub const fn last_request_failed(&self) -> bool {
+        self.last_request_failed
+    }
+
+    /// Whether runs may be assigned to allowed workers before their tickets are requested. After a
+    /// failed request tickets come first, so that no worker is kept free for a service that does
+    /// not answer.
+    #[must_use]
+    pub fn may_assign_first(&self, now: TimeMs) -> bool {
+        self.may_request(now) && !self.last_request_failed
+    }
+
     /// Whether the policy allows the worker, with or without a valid ticket.
     #[must_use]
     pub fn allows(&self, worker: &id::WorkerId) -> bool {
@@ -75,6 +113,13 @@
         !self.decided.contains(worker)
     }
 
+    /// Whether there are valid tickets for all members of a unit that are not ordered yet.
+    #[must_use]
+    pub fn cover(&self, unit: &Unit, now: TimeMs) -> bool {
+        let mut workers = unit.unordered_workers();
+        workers.all(|worker| self.valid(worker, now).is_some())
+    }
+
     /// Returns the time until which at least one of the tickets is valid.
     #[must_use]
     pub fn valid_until(&self) -> TimeMs {
--- a/crates/mangotrestle-core/src/workflow/worker.rs
+++ b/crates/mangotrestle-core/src/workflow/worker.rs
@@ -5,7 +5,7 @@
 use crate::resources::Resources;
 use crate::time::{SpanMs, TimeMs, WorkerTimeMs};
 
-use super::job::MemberKey;
+use super::job::{MemberKey, StepKey};
 use super::message;
 use super::spec::StepSpec;
 
@@ -194,6 +194,28 @@
         self.entry.capacity - self.used
     }
 
+    /// Returns the number of tasks of a step, at most those of one unit, for which there is room.
+    #[must_use]
+    pub fn room_for(&self, step: &StepKey, spec: &StepSpec) -> u32 {
+        let need = spec.counted_need();
+        let mut max = spec.unit_size();
+        if spec.max_per_worker > 0 {
+            let here = self.tasks.keys().filter(|task| task.unit.step == *step);
+            let here = u32::try_from(here.count()).unwrap_or(u32::MAX);
+            max = max.min(spec.max_per_worker.saturating_sub(here));
+        }
+        let mut free = self.free();
+        let mut tasks = 0;
+        while tasks < max {
+            let Some(left) = free.checked_sub(&need) else {
+                break;
+            };
+            free = left;
+            tasks += 1;
+        }
+        tasks
+    }
+
     /// Whether new work may be placed here.
     #[must_use]
     pub fn accepts_work(&self, now: TimeMs) -> bool {
--- a/crates/mangotrestle-core/tests/workflow/random_faults.rs
+++ b/crates/mangotrestle-core/tests/workflow/random_faults.rs
@@ -1,10 +1,12 @@
 //! Seeded random faults: changes of leader, lost and late orders, crashed, unreachable and failing
 //! workers, cancelled jobs. No invariant may be violated, and every job must end.
 
+use std::sync::Arc;
+
 use mangotrestle_core::workflow::record::JobState;
-use mangotrestle_core::workflow::spec::StepSpec;
+use mangotrestle_core::workflow::spec::{AdvicePolicy, StepSpec};
 
-use super::world::{Network, Violations, World, job, record, step};
+use super::world::{Network, Violations, World, job, record, step, worker};
 
 /// Number of seeds to run.
 const SEED_COUNT: u64 = 24;
@@ -13,9 +15,11 @@
 
 /// Runs one seed: faults while the jobs are submitted, about 16 s, then time without faults to
 /// finish.
-fn run_seed(seed: u64, order_before_commit: bool) -> World {
+fn run_seed(seed: u64, order_before_commit: bool, advice: Option<AdvicePolicy>) -> World {
     let mut world = World::new(seed, 6);
     world.order_before_commit = order_before_commit;
+    world.lost_ticket_requests_per_mille = 100;
+    world.denied_workers.insert(worker("w-0"));
     world.failing_runs_per_mille = 20;
     world.network = Network {
         lost_answers_per_mille: 30,
@@ -24,7 +28,9 @@
     for number in 0..JOBS_PER_SEED {
         let steps = random_steps(&mut world);
         let priority = u32::try_from(number % 3).unwrap_or_default();
-        world.submit(&job(number), &record(priority, steps));
+        let mut submitted = record(priority, steps).as_ref().clone();
+        submitted.policy.advice = advice.filter(|_| number.is_multiple_of(2));
+        world.submit(&job(number), &Arc::new(submitted));
         let span_ms = 100 + world.random_below(900);
         world.run_for(span_ms);
         inject_random_fault(&mut world, number);
@@ -35,6 +41,7 @@
         model.speed_percent = 100;
     }
     world.network = Network::default();
+    world.lost_ticket_requests_per_mille = 0;
     world.store_up = true;
     world.run_for(90_000);
     world
@@ -87,7 +94,22 @@
 #[test]
 fn invariants_hold_and_every_job_ends_under_random_faults() {
     for seed in 1..=SEED_COUNT {
-        let world = run_seed(seed, false);
+        let world = run_seed(seed, false, None);
+
+        assert_eq!(world.violations, Violations::default(), "seed {seed}");
+        assert_eq!(world.unfinished(), Vec::new(), "seed {seed}");
+    }
+}
+
+#[test]
+fn invariants_hold_and_every_job_ends_under_random_faults_with_tickets() {
+    let advice = AdvicePolicy {
+        decide_ms: 400.0,
+        each_ms: 10.0,
+        valid_ms: 2_000,
+    };
+    for seed in 1..=SEED_COUNT {
+        let world = run_seed(seed, false, Some(advice));
 
         assert_eq!(world.violations, Violations::default(), "seed {seed}");
         assert_eq!(world.unfinished(), Vec::new(), "seed {seed}");
@@ -97,7 +119,7 @@
 #[test]
 fn the_simulation_detects_orders_sent_before_their_commit() {
     let unbound: u32 = (1..=4)
-        .map(|seed| run_seed(seed, true).violations.unbound)
+        .map(|seed| run_seed(seed, true, None).violations.unbound)
         .sum();
 
     assert!(
--- a/crates/mangotrestle-core/tests/workflow/tickets.rs
+++ b/crates/mangotrestle-core/tests/workflow/tickets.rs
@@ -4,6 +4,7 @@
 
 use mangotrestle_core::time::{SpanMs, TimeMs};
 use mangotrestle_core::workflow::pool::Order;
+use mangotrestle_core::workflow::record::JobState;
 use mangotrestle_core::workflow::spec::{AdvicePolicy, JobRecord};
 use mangotrestle_core::workflow::tickets::StepTickets;
 
@@ -113,3 +114,21 @@
     assert_eq!(world.alone_ends, 0);
     assert_eq!(world.violations, Violations::default());
 }
+
+#[test]
+fn a_step_without_tickets_does_not_keep_workers_from_others_when_its_request_fails() {
+    let mut world = World::new(2, 2);
+    world.submit(&job(100), &occupying_job(2));
+    world.run_for(500);
+    world.submit(&job(1), &advised_gang(2));
+    world.run_for(6_000);
+    world.lost_ticket_requests_per_mille = 1_000;
+    world.run_for(4_000);
+    world.cancel(&job(100));
+
+    world.submit(&job(2), &record(2, vec![step(2, 8_000, 500, &[])]));
+    world.run_for(5_000);
+
+    assert_eq!(world.end_of(&job(2)), Some(JobState::Completed));
+    assert_eq!(world.violations, Violations::default());
+}
