Look for workers for waiting work at least every 200 ms

Cause: placement ran after events only, but a worker also becomes eligible by time alone: at the end of a quarantine or of the time in which it is suspected, and a step at the end of the delay after a failed ticket request. A rank that changes made up for it by chance; a persistent task is never late, so its rank does not change.

Change: updating the ranks, every 200 ms, makes placement due.

--- a/crates/mangotrestle-core/src/workflow/pool/queueing.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/queueing.rs
@@ -52,15 +52,16 @@
         self.waiting.retain(|(_, key)| key.step.job != *id);
     }
 
-    /// Updates the ranks of waiting steps, and expedites late ones.
+    /// Updates the ranks of waiting steps, expedites late ones, and makes placement due.
     pub(super) fn update_ranks(&mut self, now: TimeMs) {
         if now.since(self.ranked_at) < RANKING_INTERVAL {
             return;
         }
         self.ranked_at = now;
+        // The time alone may have made a worker eligible, without any event.
+        self.placing_due = true;
         for (key, rank) in self.changed_ranks(now) {
             self.set_step_rank(&key, rank);
-            self.placing_due = true;
         }
         for key in self.steps_to_expedite(now) {
             self.expedite(now, &key);
@@ -117,7 +118,6 @@
         step.expedited = true;
         if let Some((rank, _)) = self.rank_of(now, key) {
             self.set_step_rank(key, rank);
-            self.placing_due = true;
         }
     }
 
