Acknowledge no end of a run because of a later commit that does not hold it

Cause: when a commit covers all changed jobs, the ends received so far are noted as covered by it. If the store then refused that commit, or one of its jobs turned out to be accepted already, its changes were due again but the note stayed. A later commit that covered only a part of the changes, as with more than 48 changed jobs, made those ends count as durable; they were acknowledged to the workers, which forgot them. A new leader found the runs without an end and started them again.

The simulation counts ends that are acknowledged before they are durable, in all its tests, and its random faults refuse one commit in 20.

Change: a commit that had no effect takes its note back.

--- a/crates/mangotrestle-core/src/workflow/pool/rows.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/rows.rs
@@ -260,5 +260,9 @@
         }
         self.removing.clear();
         self.ending.clear();
+        // The next commit may not cover the ends that this one did.
+        for worker in self.workers.values_mut() {
+            worker.committing_end = worker.durable_end;
+        }
     }
 }
--- a/crates/mangotrestle-core/tests/workflow/random_faults.rs
+++ b/crates/mangotrestle-core/tests/workflow/random_faults.rs
@@ -18,6 +18,7 @@
 fn run_seed(seed: u64, order_before_commit: bool, advice: Option<AdvicePolicy>) -> World {
     let mut world = World::new(seed, 6);
     world.order_before_commit = order_before_commit;
+    world.refused_commits_per_mille = 50;
     world.lost_ticket_requests_per_mille = 100;
     world.denied_workers.insert(worker("w-0"));
     world.failing_runs_per_mille = 20;
@@ -41,6 +42,7 @@
         model.speed_percent = 100;
     }
     world.network = Network::default();
+    world.refused_commits_per_mille = 0;
     world.lost_ticket_requests_per_mille = 0;
     world.store_up = true;
     world.run_for(90_000);
--- a/crates/mangotrestle-core/tests/workflow/recovery.rs
+++ b/crates/mangotrestle-core/tests/workflow/recovery.rs
@@ -234,3 +234,24 @@
     );
     assert!(rows <= 88, "{rows} rows");
 }
+
+#[test]
+fn ends_of_a_refused_commit_are_not_acknowledged_by_a_later_commit_without_them() {
+    let mut world = World::new(8, 80);
+    for number in 0..40 {
+        world.submit(&job(number), &record(0, vec![step(1, 8_000, 400, &[])]));
+    }
+    world.run_for(150);
+    world.refused_commits_per_mille = 1_000;
+    world.run_for(700);
+    for number in 100..400 {
+        world.submit(&job(number), &record(0, vec![step(1, 100, 60_000, &[])]));
+    }
+    world.refused_commits_per_mille = 0;
+
+    world.run_for(100);
+    world.change_leader();
+    world.run_for(3_000);
+
+    assert_eq!(world.violations, Violations::default());
+}
--- a/crates/mangotrestle-core/tests/workflow/world.rs
+++ b/crates/mangotrestle-core/tests/workflow/world.rs
@@ -92,6 +92,7 @@
     Hold(WorkerId, Result<WorkerReport, PollFailure>),
     Advice(StepKey, Vec<WorkerId>, Option<Vec<(WorkerId, String)>>),
     Committed,
+    CommitRefused,
 }
 
 /// Counts of violated invariants.
@@ -109,6 +110,8 @@
     pub after_cancel: u32,
     /// Starts of runs that were not durably bound.
     pub unbound: u32,
+    /// Ends as done that were acknowledged to the worker before they were durable.
+    pub acknowledged_too_early: u32,
 }
 
 /// The simulation.
@@ -144,6 +147,8 @@
     pub ticket_requests: u32,
     /// Number of runs that ended because other members of their gang were missing.
     pub alone_ends: u32,
+    /// Commits per thousand that the store refuses.
+    pub refused_commits_per_mille: u64,
     /// Ticket requests per thousand that are not answered.
     pub lost_ticket_requests_per_mille: u64,
     /// Workers that no queue's policy allows.
@@ -241,6 +246,7 @@
             starts: 0,
             ticket_requests: 0,
             alone_ends: 0,
+            refused_commits_per_mille: 0,
             lost_ticket_requests_per_mille: 0,
             denied_workers: BTreeSet::new(),
             order_before_commit: false,
@@ -442,14 +448,15 @@
                 }
                 Event::Answer { term, answer } if term == self.term => self.take_answer(answer),
                 Event::Commit { term, commit } if term == self.term => {
-                    self.apply_commit(commit);
-                    self.schedule(
-                        self.now + ORDER_LATENCY_MS,
-                        Event::Answer {
-                            term,
-                            answer: Answer::Committed,
-                        },
-                    );
+                    let refused = self.refused_commits_per_mille > 0
+                        && self.random_below(1_000) < self.refused_commits_per_mille;
+                    let answer = if refused {
+                        Answer::CommitRefused
+                    } else {
+                        self.apply_commit(commit);
+                        Answer::Committed
+                    };
+                    self.schedule(self.now + ORDER_LATENCY_MS, Event::Answer { term, answer });
                 }
                 // The leader of an earlier term is gone, and the leadership row has changed.
                 Event::Answer { .. } | Event::Commit { .. } => {}
@@ -474,6 +481,12 @@
                 let answer = allowed.map(|allowed| (allowed, SpanMs(0)));
                 self.pool.advice_answered(now, &step, &workers, answer);
             }
+            Answer::CommitRefused => {
+                self.commit_in_flight = false;
+                if !self.order_before_commit {
+                    self.pool.commit_undone();
+                }
+            }
             Answer::Committed => {
                 self.commit_in_flight = false;
                 if !self.order_before_commit {
@@ -591,6 +604,9 @@
         for end in model.finished.iter().filter(|end| end.number <= last_seen) {
             if end.end == RunEnd::Done {
                 self.done_tasks.insert(end.task.to_string());
+                if !is_durably_done(&self.inbox, &self.assignments, &self.ended, &end.task) {
+                    self.violations.acknowledged_too_early += 1;
+                }
             }
             if end.end == RunEnd::Failed {
                 *self.failures.entry(end.task.to_string()).or_default() += 1;
@@ -878,6 +894,29 @@
     }
 }
 
+/// Whether the rows say that a task is done or its job has ended.
+fn is_durably_done(
+    inbox: &BTreeMap<JobId, Arc<JobRecord>>,
+    assignments: &BTreeMap<JobId, AssignmentRow>,
+    ended: &BTreeMap<JobId, EndRow>,
+    task: &TaskName,
+) -> bool {
+    let (Some(record), false) = (inbox.get(&task.job), ended.contains_key(&task.job)) else {
+        return true;
+    };
+    let gang = record.steps[task.step as usize].gang;
+    let unit = if gang { 0 } else { task.index };
+    let row = assignments.get(&task.job);
+    row.is_some_and(|row| {
+        let occurrence = row.occurrences.get(&task.occurrence);
+        let step = occurrence.and_then(|occurrence| occurrence.steps.get(task.step as usize));
+        let unit = step.and_then(|units| units.get(unit as usize));
+        row.end.is_some()
+            || occurrence.is_some_and(|occurrence| occurrence.done)
+            || unit.is_some_and(|unit| unit.done)
+    })
+}
+
 /// Whether a worker lists a task's end as done that was not acknowledged yet.
 fn has_unacknowledged_success(workers: &BTreeMap<WorkerId, ModelWorker>, name: &str) -> bool {
     workers.values().any(|model| {
