Log and count commits that had no effect

A leader's commit that the store refused, or that named a job accepted by another host, left no line, so the order of events behind second runs had to be inferred. commit.undone says which, mangotrestle_commits_undone_total counts them.

--- a/crates/mangotrestle/src/host/events.rs
+++ b/crates/mangotrestle/src/host/events.rs
@@ -91,6 +91,20 @@
         "state" => ?state);
 }
 
+/// Logs a commit that had no effect: the store refused it for the given reason, or jobs that it
+/// would have accepted had been accepted earlier.
+pub(super) fn commit_undone(
+    log: &slog::Logger,
+    pool: &str,
+    term: u64,
+    duplicates: usize,
+    reason: Option<&str>,
+) {
+    metrics::counter!("mangotrestle_commits_undone_total").increment(1);
+    slog::info!(log, "commit.undone"; "pool" => pool, "term" => term,
+        "duplicates" => duplicates, "refused" => reason);
+}
+
 /// Logs a decision or observation of a pool.
 pub(super) fn log_note(log: &slog::Logger, pool: &str, term: u64, note: &Note) {
     match note {
--- a/crates/mangotrestle/src/host/leader.rs
+++ b/crates/mangotrestle/src/host/leader.rs
@@ -22,6 +22,7 @@
 use tokio::sync::{Notify, oneshot};
 
 use super::cell::{Cell, lock};
+use super::events;
 use super::liveness;
 use super::names;
 use super::orders;
@@ -581,10 +582,13 @@
                     }
                 }
                 Ok(CommitOutcome::Duplicates(jobs)) => {
+                    events::commit_undone(&cell.log, &leader.pool, leader.term, jobs.len(), None);
                     lock(&leader.state).commit_undone();
                     drop_submissions(&leader, now, &jobs, &Acceptance::Known);
                 }
                 Ok(CommitOutcome::Refused { submitted, reason }) => {
+                    let log = &cell.log;
+                    events::commit_undone(log, &leader.pool, leader.term, 0, Some(&reason));
                     lock(&leader.state).commit_undone();
                     drop_submissions(&leader, now, &submitted, &Acceptance::NotAccepted(reason));
                 }
