--- a/crates/mangotrestle-core/src/pool/mod.rs
+++ b/crates/mangotrestle-core/src/pool/mod.rs
@@ -380,7 +380,7 @@
         }
         let mut new_ends = Vec::new();
         for end in ended {
-            if records::belongs_to_other_worker(&self.tenure.state, worker, &end.run) {
+            if self.belongs_to_other_worker(worker, &end.run) {
                 self.leadership.acknowledge(worker, end.run);
             } else if self
                 .tenure
@@ -415,6 +415,14 @@
             .run_after_commit(token, tenure::AfterCommit::Acknowledge { worker, runs });
     }
 
+    /// Whether this attempt is a run on another worker. The journal may hold the record of a deposed
+    /// leader whose start was refused, so the scheduler's view of the workers' lists takes
+    /// precedence.
+    fn belongs_to_other_worker(&self, worker: &id::WorkerId, run: &task::RunId) -> bool {
+        self.tenure.scheduler.worker_of(run) != Some(worker)
+            && records::belongs_to_other_worker(&self.tenure.state, worker, run)
+    }
+
     /// Appends records to the journal. Returns the token under which their commit is reported.
     fn append_to_journal(
         &mut self,
--- a/crates/mangotrestle-core/src/pool/tests.rs
+++ b/crates/mangotrestle-core/src/pool/tests.rs
@@ -488,6 +488,34 @@
     assert_eq!(world.counts("certificates").running, 3);
 }
 
+/// Replaces a leader that started three tasks on one worker, when the journal holds a deposed
+/// leader's records of the same runs on the worker `recorded_on` in place of its own.
+fn replace_leader_with_runs_recorded_on(recorded_on: &id::WorkerId) -> World {
+    let mut world = World::leading();
+    world.accept(1, job("certificates", 3, true));
+    world.journal.truncate(1);
+    for run in &world.launched {
+        let record = records::run_started(run, recorded_on, time::WallTimeMs(2));
+        world.journal.push(record);
+    }
+    world.replace_leader();
+    world.advance(2_000);
+    world
+}
+
+#[test]
+fn end_of_a_run_that_a_deposed_leader_recorded_on_another_worker_settles_its_task() {
+    for recorded_on in (0..3).map(worker) {
+        let mut world = replace_leader_with_runs_recorded_on(&recorded_on);
+
+        world.end_all(task::RunOutcome::Succeeded);
+        world.advance(10_000);
+
+        let succeeded = world.counts("certificates").succeeded;
+        assert_eq!(succeeded, 3, "recorded on {recorded_on}");
+    }
+}
+
 #[test]
 fn repeated_command_changes_nothing() {
     let mut world = World::leading();
--- a/crates/mangotrestle-core/src/scheduler/mod.rs
+++ b/crates/mangotrestle-core/src/scheduler/mod.rs
@@ -231,6 +231,16 @@
         Some(queries::job_view(&self.jobs[key]))
     }
 
+    /// Returns the worker of a run, if it is its task's latest run and its end is not known.
+    #[must_use]
+    pub fn worker_of(&self, run: &task::RunId) -> Option<&id::WorkerId> {
+        let key = self.task_of_current_run(run)?;
+        let record = self.jobs.record(key)?;
+        let open = record.is_active() || record.unknown().is_some();
+        let worker = record.worker().filter(|_| open)?;
+        Some(&self.workers.get(worker)?.id)
+    }
+
     /// Returns the tasks of a job; empty if the job is unknown.
     #[must_use]
     pub fn tasks(&self, job: &id::JobId) -> Vec<TaskView> {
