Adopt a run that another worker lists than the one on record

Two entry hosts that start together may both load a pool. The next leader restores each task as running on the recorded worker. If the worker that runs it lists it first, the listed run was stopped as unexpected; then the recorded worker listed nothing, the task was taken for lost, and it started again at once, beside the run that was being stopped.

Both new tests failed before: 6 launches for 3 tasks, and a start of a task that is listed.

A run that is known only from its record gives way to one that a worker lists, as long as the recorded worker has not listed its runs to this leader. Should it list a copy later, that copy is stopped as before, and none is started.

--- a/crates/mangotrestle-core/src/pool/tests.rs
+++ b/crates/mangotrestle-core/src/pool/tests.rs
@@ -516,6 +516,16 @@
     }
 }
 
+#[test]
+fn run_that_a_deposed_leader_recorded_on_another_worker_gets_no_second_copy() {
+    for recorded_on in (0..3).map(worker) {
+        let world = replace_leader_with_runs_recorded_on(&recorded_on);
+
+        assert_eq!(world.launched.len(), 3, "recorded on {recorded_on}");
+        assert_eq!(world.counts("certificates").running, 3);
+    }
+}
+
 #[test]
 fn repeated_command_changes_nothing() {
     let mut world = World::leading();
--- a/crates/mangotrestle-core/src/scheduler/recovery.rs
+++ b/crates/mangotrestle-core/src/scheduler/recovery.rs
@@ -146,18 +146,21 @@
             record.stage(),
             lifecycle::Stage::Waiting | lifecycle::Stage::BackingOff | lifecycle::Stage::Assigned
         );
-        queued && attempt >= record.attempt() && self.is_wanted(task)
+        let replaceable = queued || self.is_unverified(record);
+        replaceable && attempt >= record.attempt() && self.is_wanted(task)
     }
 
-    /// Makes a listed run the current run of its waiting task.
+    /// Whether a task's run is known only from its record: its worker has not listed its runs to
+    /// this leader yet. The start may have been refused, if the leader that recorded it was already
+    /// deposed.
+    fn is_unverified(&self, record: lifecycle::TaskRecord) -> bool {
+        let worker = record.worker().and_then(|key| self.workers.get(key));
+        record.is_active() && worker.is_some_and(|worker| !worker.has_listed_runs())
+    }
+
+    /// Makes a listed run the current run of its task.
     fn adopt(&mut self, now_ms: time::TimeMs, key: WorkerKey, task: TaskKey, listed: &ListedRun) {
-        self.release_hold(now_ms, task);
-        self.retry(now_ms, task);
-        let Some(waiting) = self
-            .jobs
-            .record(task)
-            .and_then(lifecycle::TaskRecord::waiting)
-        else {
+        let Some(waiting) = self.prepare_adoption(now_ms, task) else {
             return;
         };
         let running = waiting.adopt(key, listed.run.attempt);
@@ -165,6 +168,23 @@
         self.allocate_listed(now_ms, key, task, listed);
     }
 
+    /// Returns a task as waiting so that it can adopt a run: ends its back-off or its assignment to
+    /// a worker, or removes the run that was recorded for it.
+    fn prepare_adoption(
+        &mut self,
+        now_ms: time::TimeMs,
+        task: TaskKey,
+    ) -> Option<lifecycle::Task<lifecycle::Waiting>> {
+        let record = self.jobs.record(task)?;
+        if let Some(active) = record.active().filter(|_| self.is_unverified(record)) {
+            self.detach_run(task);
+            return Some(active.requeue());
+        }
+        self.release_hold(now_ms, task);
+        self.retry(now_ms, task);
+        self.jobs.record(task)?.waiting()
+    }
+
     fn allocate_listed(
         &mut self,
         now_ms: time::TimeMs,
--- a/crates/mangotrestle-core/src/scheduler/worker.rs
+++ b/crates/mangotrestle-core/src/scheduler/worker.rs
@@ -123,6 +123,11 @@
         }
     }
 
+    /// Whether the worker has listed its runs to this leader.
+    pub(super) fn has_listed_runs(&self) -> bool {
+        self.availability_zone.is_some()
+    }
+
     /// Whether the worker is reachable and not leaving.
     pub(super) fn is_present(&self) -> bool {
         self.reachable && !self.leaving
--- a/crates/mangotrestle-core/tests/scheduler/recovery.rs
+++ b/crates/mangotrestle-core/tests/scheduler/recovery.rs
@@ -174,6 +174,52 @@
     assert_eq!(new_leader.check_invariants(), Ok(()));
 }
 
+/// Returns a new leader to which another worker than the recorded one lists the only task's run,
+/// before the recorded worker lists nothing. Also returns the listed run.
+fn recover_listed_elsewhere(
+    recorded_attempt: u32,
+    listed_attempt: u32,
+) -> (scheduler::Scheduler, task::RunId) {
+    let mut previous_leader = pool();
+    let (mut run, recorded) = start_single_task(&mut previous_leader, batch("repeatable", 1));
+    let mut snapshot = previous_leader.snapshot().next().unwrap();
+    snapshot.started[0].attempt = recorded_attempt;
+    run.attempt = listed_attempt;
+    let listed = scheduler::ListedRun {
+        run: run.clone(),
+        need: amount(1, 1, 0),
+    };
+    let other = if recorded == "worker-0" {
+        "worker-1"
+    } else {
+        "worker-0"
+    };
+
+    let mut new_leader = scheduler::Scheduler::new(scheduler::SchedulerConfig::default(), 2);
+    new_leader.restore(NOW, &snapshot);
+    for (name, running) in [(other, vec![listed]), (&recorded, Vec::new())] {
+        let listing = listing(name, "rack-0", capacity(8, 64, 0), running);
+        new_leader.handle(NOW, listing);
+    }
+    new_leader.handle(NOW, scheduler::SchedulerEvent::RecoveryComplete);
+    (new_leader, run)
+}
+
+#[test]
+fn a_run_listed_by_another_worker_than_recorded_is_neither_stopped_nor_repeated() {
+    for listed_attempt in [1, 2] {
+        let (mut new_leader, _) = recover_listed_elsewhere(1, listed_attempt);
+
+        let decisions = decide_all(&mut new_leader, 0);
+
+        assert!(starts(&decisions).is_empty(), "attempt {listed_attempt}");
+        assert!(stops(&decisions).is_empty(), "attempt {listed_attempt}");
+        let state = state(&new_leader, "repeatable");
+        assert_eq!(state, scheduler::TaskState::Running);
+        assert_eq!(new_leader.check_invariants(), Ok(()));
+    }
+}
+
 #[test]
 fn a_run_of_an_unknown_job_is_kept_until_its_job_is_cancelled() {
     let mut pool = scheduler::Scheduler::new(scheduler::SchedulerConfig::default(), 1);
