Count a run that ended before its start was on record

Callers saw a job that stayed running for ever after the leader was killed, and tasks that succeeded and ran again.

The start of an idempotent task is sent while its record is being written. If the leader dies in between and the run ends before the next leader claims its worker, the worker reports the end of an attempt that no record names. A worker that still kept the end answered that the run had been accepted already, without starting anything; the end had been reported, so nothing ever settled the task.

The new test failed before: 6 launches for 3 tasks.

The end of a later attempt than the recorded one now settles the task like an adopted run that ends at once.

--- a/crates/mangotrestle-core/src/pool/tests.rs
+++ b/crates/mangotrestle-core/src/pool/tests.rs
@@ -488,6 +488,20 @@
     assert_eq!(world.counts("certificates").running, 3);
 }
 
+#[test]
+fn run_that_ended_before_the_journal_held_its_start_is_not_started_again() {
+    let mut world = World::leading();
+    world.accept(1, job("certificates", 3, true));
+    world.journal.truncate(1);
+    world.end_all(task::RunOutcome::Succeeded);
+
+    world.replace_leader();
+    world.advance(10_000);
+
+    assert_eq!(world.launched.len(), 3);
+    assert_eq!(world.counts("certificates").succeeded, 3);
+}
+
 /// Replaces a leader that started three tasks on one worker, when the journal holds a deposed
 /// leader's records of the same runs on the worker `recorded_on` in place of its own.
 fn replace_leader_with_runs_recorded_on(recorded_on: &id::WorkerId) -> World {
--- a/crates/mangotrestle-core/src/scheduler/lifecycle.rs
+++ b/crates/mangotrestle-core/src/scheduler/lifecycle.rs
@@ -211,6 +211,12 @@
         self.record.attempt = attempt;
         self.enter_stage(Stage::Running)
     }
+
+    /// Adopts a run that a worker reports as ended and that was not recorded.
+    pub(super) fn adopt_ended(mut self, attempt: u32) -> Task<Active> {
+        self.record.attempt = attempt;
+        self.enter_stage(Stage::Running)
+    }
 }
 
 impl Task<BackingOff> {
--- a/crates/mangotrestle-core/src/scheduler/recovery.rs
+++ b/crates/mangotrestle-core/src/scheduler/recovery.rs
@@ -168,6 +168,25 @@
         self.allocate_listed(now_ms, key, task, listed);
     }
 
+    /// Applies the end of a run that was not recorded to its task.
+    pub(super) fn adopt_ended(
+        &mut self,
+        now_ms: time::TimeMs,
+        run: &task::RunId,
+        outcome: task::RunOutcome,
+    ) {
+        let Some(task) = self.jobs.task_key(&run.task) else {
+            return;
+        };
+        if !self.can_adopt(task, run.attempt) {
+            return;
+        }
+        if let Some(waiting) = self.prepare_adoption(now_ms, task) {
+            let active = waiting.adopt_ended(run.attempt);
+            self.end_active(now_ms, task, active, outcome);
+        }
+    }
+
     /// Returns a task as waiting so that it can adopt a run: ends its back-off or its assignment to
     /// a worker, or removes the run that was recorded for it.
     fn prepare_adoption(
--- a/crates/mangotrestle-core/src/scheduler/run_ends.rs
+++ b/crates/mangotrestle-core/src/scheduler/run_ends.rs
@@ -95,6 +95,7 @@
     ) {
         self.remove_unexpected_run(run);
         let Some(key) = self.task_of_current_run(run) else {
+            self.adopt_ended(now_ms, run, outcome);
             return;
         };
         let Some(record) = self.jobs.record(key) else {
@@ -107,7 +108,7 @@
         }
     }
 
-    fn end_active(
+    pub(super) fn end_active(
         &mut self,
         now_ms: time::TimeMs,
         key: TaskKey,
