Count a run that ended before its job was on record

The new test failed before: 6 launches for 3 tasks.

When a job is accepted, the ends that its state already holds are passed to the scheduler.

--- a/crates/mangotrestle-core/src/pool/mod.rs
+++ b/crates/mangotrestle-core/src/pool/mod.rs
@@ -331,6 +331,9 @@
         if let Some(event) = records::scheduler_event(record) {
             self.tenure.scheduler.handle(now.monotonic, event);
         }
+        if let journal::Record::JobAccepted { spec, .. } = record {
+            self.replay_ended_runs(now, &spec.id);
+        }
         for resolution in &resolutions {
             self.apply_resolution(now, resolution);
         }
@@ -345,6 +348,14 @@
         resolutions
     }
 
+    /// Passes the ends of a job's runs that were recorded before its acceptance to the scheduler.
+    fn replay_ended_runs(&mut self, now: Now, job: &id::JobId) {
+        for (run, outcome) in records::ended_runs(&self.tenure.state, job) {
+            let event = scheduler::SchedulerEvent::RunEnded { run, outcome };
+            self.tenure.scheduler.handle(now.monotonic, event);
+        }
+    }
+
     /// Retries a parked job, whether or not any of its tasks ever ran.
     fn retry_released_job(&mut self, now: Now, job: &id::JobId) {
         let task = task::TaskId {
--- a/crates/mangotrestle-core/src/pool/records.rs
+++ b/crates/mangotrestle-core/src/pool/records.rs
@@ -90,6 +90,31 @@
             .is_some_and(|recorded_worker| recorded_worker != worker)
 }
 
+/// Returns the latest runs of a job's tasks that have ended, with their outcomes.
+pub(super) fn ended_runs(
+    state: &journal::PoolState,
+    job: &id::JobId,
+) -> Vec<(task::RunId, task::RunOutcome)> {
+    let tasks = state
+        .job(job)
+        .into_iter()
+        .flat_map(journal::JobState::tasks);
+    let ended = tasks.filter_map(|(index, task)| {
+        let journal::Phase::Ended(outcome) = task.phase else {
+            return None;
+        };
+        let run = task::RunId {
+            task: task::TaskId {
+                job: job.clone(),
+                index,
+            },
+            attempt: task.attempt,
+        };
+        Some((run, outcome))
+    });
+    ended.collect()
+}
+
 /// Returns a release with a revision above the job's current one, and any other record unchanged.
 /// The leader also raises the revision, for example when it parks the job. The row that the
 /// operator's command changed does not show that, so the release may carry too low a revision.
--- a/crates/mangotrestle-core/src/pool/tests.rs
+++ b/crates/mangotrestle-core/src/pool/tests.rs
@@ -502,6 +502,21 @@
     assert_eq!(world.counts("certificates").succeeded, 3);
 }
 
+#[test]
+fn run_that_ended_before_the_journal_held_its_job_is_not_started_again() {
+    let mut world = World::leading();
+    world.accept(1, job("certificates", 3, true));
+    world.journal.clear();
+    world.end_all(task::RunOutcome::Succeeded);
+
+    world.replace_leader();
+    world.accept(1, job("certificates", 3, true));
+    world.advance(10_000);
+
+    assert_eq!(world.launched.len(), 3);
+    assert_eq!(world.counts("certificates").succeeded, 3);
+}
+
 /// Replaces a leader that started three tasks on one worker, when the journal holds a deposed
 /// leader's records of the same runs on the worker `recorded_on` in place of its own.
 fn replace_leader_with_runs_recorded_on(recorded_on: &id::WorkerId) -> World {
