Start a task again only after every listed run of it has ended

Callers could see a second copy of a task for as long as a stopped run's grace lasts, up to the default deadline.

A worker may list a run that a later attempt has superseded, for example if the deposed one of two leaders has put a later attempt on record that no worker accepted. The run is stopped, but the task was not held back meanwhile: as soon as the recorded run was taken for lost, it started again beside the run that was being stopped. If the superseded run had the same attempt number as the current one, its end never reached the scheduler, and its capacity stayed taken until the worker was claimed again.

A task now backs off while a worker lists an unexpected run of it, and the end of such a run, its absence from a later list and the loss of its worker put it back into the queue.

--- a/crates/mangotrestle-core/src/pool/mod.rs
+++ b/crates/mangotrestle-core/src/pool/mod.rs
@@ -392,6 +392,11 @@
         let mut new_ends = Vec::new();
         for end in ended {
             if self.belongs_to_other_worker(worker, &end.run) {
+                let event = scheduler::SchedulerEvent::UnexpectedRunEnded {
+                    run: end.run.clone(),
+                    worker: worker.clone(),
+                };
+                self.tenure.scheduler.handle(now.monotonic, event);
                 self.leadership.acknowledge(worker, end.run);
             } else if self
                 .tenure
--- a/crates/mangotrestle-core/src/scheduler/bookkeeping.rs
+++ b/crates/mangotrestle-core/src/scheduler/bookkeeping.rs
@@ -13,13 +13,18 @@
 use super::worker;
 
 impl Scheduler {
-    /// Stores a task's record and updates its job's counts and place in the queue.
+    /// Stores a task's record and updates its job's counts and place in the queue. A waiting task
+    /// is stored as backing off while a worker lists another run of it.
     pub(super) fn set_task(
         &mut self,
         now_ms: time::TimeMs,
         key: TaskKey,
         to: lifecycle::TaskRecord,
     ) {
+        let to = match to.waiting().filter(|_| self.has_unexpected_run(key)) {
+            Some(waiting) => waiting.back_off().into_record(),
+            None => to,
+        };
         let job = &mut self.jobs[key.job];
         let from = std::mem::replace(&mut job.tasks[key.position as usize], to);
         *job.counter(from.stage()) -= 1;
--- a/crates/mangotrestle-core/src/scheduler/event.rs
+++ b/crates/mangotrestle-core/src/scheduler/event.rs
@@ -114,6 +114,13 @@
         /// How it ended.
         outcome: task::RunOutcome,
     },
+    /// A run that its worker listed, and that is not its task's current run there, ended.
+    UnexpectedRunEnded {
+        /// The run.
+        run: task::RunId,
+        /// The worker.
+        worker: id::WorkerId,
+    },
     /// Measured usage of a run.
     Usage {
         /// The run.
--- a/crates/mangotrestle-core/src/scheduler/intake.rs
+++ b/crates/mangotrestle-core/src/scheduler/intake.rs
@@ -51,6 +51,9 @@
             SchedulerEvent::StartUnknown { run: _ } => {}
             SchedulerEvent::RunStarted { run } => self.run_started(now_ms, &run),
             SchedulerEvent::RunEnded { run, outcome } => self.run_ended(now_ms, &run, outcome),
+            SchedulerEvent::UnexpectedRunEnded { run, worker } => {
+                self.unexpected_run_ended(now_ms, &run, &worker);
+            }
             SchedulerEvent::Usage { run, used } => self.report_usage(now_ms, &run, &used),
             SchedulerEvent::Checkpointed { run } => self.checkpointed(now_ms, &run),
             SchedulerEvent::ConfigChanged(config) => self.change_config(now_ms, *config),
--- a/crates/mangotrestle-core/src/scheduler/mod.rs
+++ b/crates/mangotrestle-core/src/scheduler/mod.rs
@@ -93,12 +93,11 @@
 mod view;
 mod worker;
 
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use rand::SeedableRng;
 use rand::rngs;
 
-use crate::collections;
 use crate::id;
 use crate::task;
 use crate::time;
@@ -136,7 +135,7 @@
     cancel_sweeps: VecDeque<rounds::CancelSweep>,
     pending_stops: VecDeque<timer::PendingStop>,
     notices: VecDeque<Decision>,
-    unexpected_runs: collections::FastMap<task::RunId, index::WorkerKey>,
+    unexpected_runs: BTreeMap<task::RunId, index::WorkerKey>,
     timers: timer::Timers,
     day_clock: Option<replicas::DayClock>,
     next_window_check_ms: Option<time::TimeMs>,
@@ -164,7 +163,7 @@
             cancel_sweeps: VecDeque::new(),
             pending_stops: VecDeque::new(),
             notices: VecDeque::new(),
-            unexpected_runs: collections::FastMap::default(),
+            unexpected_runs: BTreeMap::new(),
             timers: timer::Timers::default(),
             day_clock: None,
             next_window_check_ms: None,
--- a/crates/mangotrestle-core/src/scheduler/recovery.rs
+++ b/crates/mangotrestle-core/src/scheduler/recovery.rs
@@ -33,7 +33,7 @@
         let listed: collections::FastSet<&task::RunId> =
             listing.running.iter().map(|listed| &listed.run).collect();
         self.end_unlisted(now_ms, key, &listed);
-        self.remove_unlisted_unexpected_runs(key, &listed);
+        self.remove_unlisted_unexpected_runs(now_ms, key, &listed);
         for entry in &listing.running {
             self.reconcile(now_ms, key, entry);
         }
@@ -99,7 +99,7 @@
             return;
         }
         let Some(task) = self.jobs.task_key(&listed.run.task) else {
-            self.add_unexpected_run(key, listed);
+            self.add_unexpected_run(now_ms, key, listed);
             return;
         };
         let record = self.jobs[task.job].tasks[task.position as usize];
@@ -116,7 +116,7 @@
         } else if self.can_adopt(task, listed.run.attempt) {
             self.adopt(now_ms, key, task, listed);
         } else {
-            self.add_unexpected_run(key, listed);
+            self.add_unexpected_run(now_ms, key, listed);
         }
     }
 
@@ -200,8 +200,11 @@
             return Some(active.requeue());
         }
         self.release_hold(now_ms, task);
-        self.retry(now_ms, task);
-        self.jobs.record(task)?.waiting()
+        let record = self.jobs.record(task)?;
+        match record.backing_off() {
+            Some(backing_off) => Some(backing_off.ready()),
+            None => record.waiting(),
+        }
     }
 
     fn allocate_listed(
@@ -268,7 +271,7 @@
 
     /// Records a listed run that is not the current run of any task. It is stopped if its job is
     /// known, and kept if the job is unknown, because the job may be restored later.
-    fn add_unexpected_run(&mut self, key: WorkerKey, listed: &ListedRun) {
+    fn add_unexpected_run(&mut self, now_ms: time::TimeMs, key: WorkerKey, listed: &ListedRun) {
         let stopping = self.jobs.key(&listed.run.task.job).is_some();
         let need = amount::Amount::from(&listed.need);
         self.workers[key]
@@ -280,6 +283,7 @@
                 stopping,
             });
         self.unexpected_runs.insert(listed.run.clone(), key);
+        self.hold_back(now_ms, &listed.run.task);
         if stopping {
             let pending = timer::PendingStop::UnexpectedRun(listed.run.clone());
             self.pending_stops.push_back(pending);
@@ -291,17 +295,62 @@
         }
     }
 
-    pub(super) fn remove_unexpected_run(&mut self, run: &task::RunId) {
+    /// Removes a waiting task from the queue, because a worker lists a run of it.
+    fn hold_back(&mut self, now_ms: time::TimeMs, id: &task::TaskId) {
+        let Some(task) = self.jobs.task_key(id) else {
+            return;
+        };
+        self.release_hold(now_ms, task);
+        if let Some(record) = self.jobs.record(task).filter(|r| r.waiting().is_some()) {
+            self.set_task(now_ms, task, record);
+        }
+    }
+
+    /// Whether a worker lists a run of the task that is not its current run.
+    pub(super) fn has_unexpected_run(&self, key: TaskKey) -> bool {
+        if self.unexpected_runs.is_empty() {
+            return false;
+        }
+        let first_attempt = task::RunId {
+            attempt: 0,
+            ..self.jobs[key.job].run_id(key.position)
+        };
+        let next = self.unexpected_runs.range(&first_attempt..).next();
+        next.is_some_and(|(run, _)| run.task == first_attempt.task)
+    }
+
+    /// Removes an unexpected run that has ended on a worker.
+    pub(super) fn unexpected_run_ended(
+        &mut self,
+        now_ms: time::TimeMs,
+        run: &task::RunId,
+        worker: &id::WorkerId,
+    ) {
+        let key = self.workers.key(worker);
+        if key.is_some() && self.unexpected_runs.get(run) == key.as_ref() {
+            self.remove_unexpected_run(now_ms, run);
+        }
+    }
+
+    pub(super) fn remove_unexpected_run(&mut self, now_ms: time::TimeMs, run: &task::RunId) {
         if let Some(key) = self.unexpected_runs.remove(run) {
             self.workers[key]
                 .unexpected_runs
                 .retain(|unexpected_run| unexpected_run.run != *run);
             self.refresh_worker(key);
+            self.retry_held_back(now_ms, &run.task);
+        }
+    }
+
+    fn retry_held_back(&mut self, now_ms: time::TimeMs, id: &task::TaskId) {
+        if let Some(task) = self.jobs.task_key(id) {
+            self.retry(now_ms, task);
         }
     }
 
     fn remove_unlisted_unexpected_runs(
         &mut self,
+        now_ms: time::TimeMs,
         key: WorkerKey,
         listed: &collections::FastSet<&task::RunId>,
     ) {
@@ -311,7 +360,7 @@
             .map(|unexpected_run| unexpected_run.run.clone())
             .collect();
         for run in unlisted {
-            self.remove_unexpected_run(&run);
+            self.remove_unexpected_run(now_ms, &run);
         }
     }
 
@@ -355,7 +404,7 @@
                 need: unexpected_run.need.into(),
             };
             let stopping = unexpected_run.stopping;
-            self.remove_unexpected_run(&run);
+            self.remove_unexpected_run(now_ms, &run);
             self.reconcile(now_ms, key, &listed);
             let adopted = self.task_of_current_run(&run);
             if let Some(task) = adopted.filter(|_| stopping) {
@@ -389,6 +438,7 @@
         }
         for unexpected_run in std::mem::take(&mut self.workers[key].unexpected_runs) {
             self.unexpected_runs.remove(&unexpected_run.run);
+            self.retry_held_back(now_ms, &unexpected_run.run.task);
         }
         let capacity = std::mem::take(&mut self.workers[key].capacity);
         self.update_total_capacity(&capacity, &amount::Amount::default());
--- a/crates/mangotrestle-core/src/scheduler/run_ends.rs
+++ b/crates/mangotrestle-core/src/scheduler/run_ends.rs
@@ -93,7 +93,7 @@
         run: &task::RunId,
         outcome: task::RunOutcome,
     ) {
-        self.remove_unexpected_run(run);
+        self.remove_unexpected_run(now_ms, run);
         let Some(key) = self.task_of_current_run(run) else {
             self.adopt_ended(now_ms, run, outcome);
             return;
--- a/crates/mangotrestle-core/tests/scheduler/recovery.rs
+++ b/crates/mangotrestle-core/tests/scheduler/recovery.rs
@@ -220,6 +220,51 @@
     }
 }
 
+#[test]
+fn a_task_starts_again_only_after_a_superseded_run_of_it_has_ended() {
+    let (mut new_leader, run) = recover_listed_elsewhere(2, 1);
+
+    let while_stopping = decide_all(&mut new_leader, 600_000);
+    new_leader.handle(NOW, ended(&run, task::RunOutcome::Stopped));
+    let after_end = starts(&decide_all(&mut new_leader, 600_000));
+
+    assert!(starts(&while_stopping).is_empty());
+    assert_eq!(stops(&while_stopping)[0].run, run);
+    assert_eq!(after_end.len(), 1);
+    assert_eq!(after_end[0].run.attempt, 3);
+    assert_eq!(new_leader.check_invariants(), Ok(()));
+}
+
+#[test]
+fn an_ended_copy_on_another_worker_frees_its_capacity_and_leaves_the_task_running() {
+    let mut pool = pool();
+    let (run, worker) = start_single_task(&mut pool, batch("repeatable", 1));
+    let other = if worker == "worker-0" {
+        "worker-1"
+    } else {
+        "worker-0"
+    };
+    let listed = scheduler::ListedRun {
+        run: run.clone(),
+        need: amount(3, 1, 0),
+    };
+    pool.handle(
+        NOW,
+        listing(other, "rack-0", capacity(8, 64, 0), vec![listed]),
+    );
+
+    let worker = worker_id(other);
+    pool.handle(
+        NOW,
+        scheduler::SchedulerEvent::UnexpectedRunEnded { run, worker },
+    );
+
+    let view = pool.workers().find(|view| view.id.as_str() == other);
+    assert_eq!(view.map(|view| view.free.cpu_millicores), Some(8_000));
+    assert_eq!(state(&pool, "repeatable"), scheduler::TaskState::Starting);
+    assert_eq!(pool.check_invariants(), Ok(()));
+}
+
 #[test]
 fn a_run_of_an_unknown_job_is_kept_until_its_job_is_cancelled() {
     let mut pool = scheduler::Scheduler::new(scheduler::SchedulerConfig::default(), 1);
