--- a/crates/mangotrestle-core/src/pool/mod.rs
+++ b/crates/mangotrestle-core/src/pool/mod.rs
@@ -331,6 +331,9 @@
         if let Some(event) = records::scheduler_event(record) {
             self.tenure.scheduler.handle(now.monotonic, event);
         }
+        if let journal::Record::JobAccepted { spec, .. } = record {
+            self.replay_ended_runs(now, &spec.id);
+        }
         for resolution in &resolutions {
             self.apply_resolution(now, resolution);
         }
@@ -345,6 +348,14 @@
         resolutions
     }
 
+    /// Passes the ends of a job's runs that were recorded before its acceptance to the scheduler.
+    fn replay_ended_runs(&mut self, now: Now, job: &id::JobId) {
+        for (run, outcome) in records::ended_runs(&self.tenure.state, job) {
+            let event = scheduler::SchedulerEvent::RunEnded { run, outcome };
+            self.tenure.scheduler.handle(now.monotonic, event);
+        }
+    }
+
     /// Retries a parked job, whether or not any of its tasks ever ran.
     fn retry_released_job(&mut self, now: Now, job: &id::JobId) {
         let task = task::TaskId {
@@ -380,7 +391,12 @@
         }
         let mut new_ends = Vec::new();
         for end in ended {
-            if records::belongs_to_other_worker(&self.tenure.state, worker, &end.run) {
+            if self.belongs_to_other_worker(worker, &end.run) {
+                let event = scheduler::SchedulerEvent::UnexpectedRunEnded {
+                    run: end.run.clone(),
+                    worker: worker.clone(),
+                };
+                self.tenure.scheduler.handle(now.monotonic, event);
                 self.leadership.acknowledge(worker, end.run);
             } else if self
                 .tenure
@@ -415,6 +431,14 @@
             .run_after_commit(token, tenure::AfterCommit::Acknowledge { worker, runs });
     }
 
+    /// Whether this attempt is a run on another worker. The journal may hold the record of a deposed
+    /// leader whose start was refused, so the scheduler's view of the workers' lists takes
+    /// precedence.
+    fn belongs_to_other_worker(&self, worker: &id::WorkerId, run: &task::RunId) -> bool {
+        self.tenure.scheduler.worker_of(run) != Some(worker)
+            && records::belongs_to_other_worker(&self.tenure.state, worker, run)
+    }
+
     /// Appends records to the journal. Returns the token under which their commit is reported.
     fn append_to_journal(
         &mut self,
--- a/crates/mangotrestle-core/src/scheduler/recovery.rs
+++ b/crates/mangotrestle-core/src/scheduler/recovery.rs
@@ -33,7 +33,7 @@
         let listed: collections::FastSet<&task::RunId> =
             listing.running.iter().map(|listed| &listed.run).collect();
         self.end_unlisted(now_ms, key, &listed);
-        self.remove_unlisted_unexpected_runs(key, &listed);
+        self.remove_unlisted_unexpected_runs(now_ms, key, &listed);
         for entry in &listing.running {
             self.reconcile(now_ms, key, entry);
         }
@@ -99,7 +99,7 @@
             return;
         }
         let Some(task) = self.jobs.task_key(&listed.run.task) else {
-            self.add_unexpected_run(key, listed);
+            self.add_unexpected_run(now_ms, key, listed);
             return;
         };
         let record = self.jobs[task.job].tasks[task.position as usize];
@@ -116,7 +116,7 @@
         } else if self.can_adopt(task, listed.run.attempt) {
             self.adopt(now_ms, key, task, listed);
         } else {
-            self.add_unexpected_run(key, listed);
+            self.add_unexpected_run(now_ms, key, listed);
         }
     }
 
@@ -146,18 +146,21 @@
             record.stage(),
             lifecycle::Stage::Waiting | lifecycle::Stage::BackingOff | lifecycle::Stage::Assigned
         );
-        queued && attempt >= record.attempt() && self.is_wanted(task)
+        let replaceable = queued || self.is_unverified(record);
+        replaceable && attempt >= record.attempt() && self.is_wanted(task)
     }
 
-    /// Makes a listed run the current run of its waiting task.
+    /// Whether a task's run is known only from its record: its worker has not listed its runs to
+    /// this leader yet. The start may have been refused, if the leader that recorded it was already
+    /// deposed.
+    fn is_unverified(&self, record: lifecycle::TaskRecord) -> bool {
+        let worker = record.worker().and_then(|key| self.workers.get(key));
+        record.is_active() && worker.is_some_and(|worker| !worker.has_listed_runs())
+    }
+
+    /// Makes a listed run the current run of its task.
     fn adopt(&mut self, now_ms: time::TimeMs, key: WorkerKey, task: TaskKey, listed: &ListedRun) {
-        self.release_hold(now_ms, task);
-        self.retry(now_ms, task);
-        let Some(waiting) = self
-            .jobs
-            .record(task)
-            .and_then(lifecycle::TaskRecord::waiting)
-        else {
+        let Some(waiting) = self.prepare_adoption(now_ms, task) else {
             return;
         };
         let running = waiting.adopt(key, listed.run.attempt);
@@ -165,6 +168,45 @@
         self.allocate_listed(now_ms, key, task, listed);
     }
 
+    /// Applies the end of a run that was not recorded to its task.
+    pub(super) fn adopt_ended(
+        &mut self,
+        now_ms: time::TimeMs,
+        run: &task::RunId,
+        outcome: task::RunOutcome,
+    ) {
+        let Some(task) = self.jobs.task_key(&run.task) else {
+            return;
+        };
+        if !self.can_adopt(task, run.attempt) {
+            return;
+        }
+        if let Some(waiting) = self.prepare_adoption(now_ms, task) {
+            let active = waiting.adopt_ended(run.attempt);
+            self.end_active(now_ms, task, active, outcome);
+        }
+    }
+
+    /// Returns a task as waiting so that it can adopt a run: ends its back-off or its assignment to
+    /// a worker, or removes the run that was recorded for it.
+    fn prepare_adoption(
+        &mut self,
+        now_ms: time::TimeMs,
+        task: TaskKey,
+    ) -> Option<lifecycle::Task<lifecycle::Waiting>> {
+        let record = self.jobs.record(task)?;
+        if let Some(active) = record.active().filter(|_| self.is_unverified(record)) {
+            self.detach_run(task);
+            return Some(active.requeue());
+        }
+        self.release_hold(now_ms, task);
+        let record = self.jobs.record(task)?;
+        match record.backing_off() {
+            Some(backing_off) => Some(backing_off.ready()),
+            None => record.waiting(),
+        }
+    }
+
     fn allocate_listed(
         &mut self,
         now_ms: time::TimeMs,
@@ -229,7 +271,7 @@
 
     /// Records a listed run that is not the current run of any task. It is stopped if its job is
     /// known, and kept if the job is unknown, because the job may be restored later.
-    fn add_unexpected_run(&mut self, key: WorkerKey, listed: &ListedRun) {
+    fn add_unexpected_run(&mut self, now_ms: time::TimeMs, key: WorkerKey, listed: &ListedRun) {
         let stopping = self.jobs.key(&listed.run.task.job).is_some();
         let need = amount::Amount::from(&listed.need);
         self.workers[key]
@@ -241,6 +283,7 @@
                 stopping,
             });
         self.unexpected_runs.insert(listed.run.clone(), key);
+        self.hold_back(now_ms, &listed.run.task);
         if stopping {
             let pending = timer::PendingStop::UnexpectedRun(listed.run.clone());
             self.pending_stops.push_back(pending);
@@ -252,17 +295,62 @@
         }
     }
 
-    pub(super) fn remove_unexpected_run(&mut self, run: &task::RunId) {
+    /// Removes a waiting task from the queue, because a worker lists a run of it.
+    fn hold_back(&mut self, now_ms: time::TimeMs, id: &task::TaskId) {
+        let Some(task) = self.jobs.task_key(id) else {
+            return;
+        };
+        self.release_hold(now_ms, task);
+        if let Some(record) = self.jobs.record(task).filter(|r| r.waiting().is_some()) {
+            self.set_task(now_ms, task, record);
+        }
+    }
+
+    /// Whether a worker lists a run of the task that is not its current run.
+    pub(super) fn has_unexpected_run(&self, key: TaskKey) -> bool {
+        if self.unexpected_runs.is_empty() {
+            return false;
+        }
+        let first_attempt = task::RunId {
+            attempt: 0,
+            ..self.jobs[key.job].run_id(key.position)
+        };
+        let next = self.unexpected_runs.range(&first_attempt..).next();
+        next.is_some_and(|(run, _)| run.task == first_attempt.task)
+    }
+
+    /// Removes an unexpected run that has ended on a worker.
+    pub(super) fn unexpected_run_ended(
+        &mut self,
+        now_ms: time::TimeMs,
+        run: &task::RunId,
+        worker: &id::WorkerId,
+    ) {
+        let key = self.workers.key(worker);
+        if key.is_some() && self.unexpected_runs.get(run) == key.as_ref() {
+            self.remove_unexpected_run(now_ms, run);
+        }
+    }
+
+    pub(super) fn remove_unexpected_run(&mut self, now_ms: time::TimeMs, run: &task::RunId) {
         if let Some(key) = self.unexpected_runs.remove(run) {
             self.workers[key]
                 .unexpected_runs
                 .retain(|unexpected_run| unexpected_run.run != *run);
             self.refresh_worker(key);
+            self.retry_held_back(now_ms, &run.task);
+        }
+    }
+
+    fn retry_held_back(&mut self, now_ms: time::TimeMs, id: &task::TaskId) {
+        if let Some(task) = self.jobs.task_key(id) {
+            self.retry(now_ms, task);
         }
     }
 
     fn remove_unlisted_unexpected_runs(
         &mut self,
+        now_ms: time::TimeMs,
         key: WorkerKey,
         listed: &collections::FastSet<&task::RunId>,
     ) {
@@ -272,7 +360,7 @@
             .map(|unexpected_run| unexpected_run.run.clone())
             .collect();
         for run in unlisted {
-            self.remove_unexpected_run(&run);
+            self.remove_unexpected_run(now_ms, &run);
         }
     }
 
@@ -316,7 +404,7 @@
                 need: unexpected_run.need.into(),
             };
             let stopping = unexpected_run.stopping;
-            self.remove_unexpected_run(&run);
+            self.remove_unexpected_run(now_ms, &run);
             self.reconcile(now_ms, key, &listed);
             let adopted = self.task_of_current_run(&run);
             if let Some(task) = adopted.filter(|_| stopping) {
@@ -350,6 +438,7 @@
         }
         for unexpected_run in std::mem::take(&mut self.workers[key].unexpected_runs) {
             self.unexpected_runs.remove(&unexpected_run.run);
+            self.retry_held_back(now_ms, &unexpected_run.run.task);
         }
         let capacity = std::mem::take(&mut self.workers[key].capacity);
         self.update_total_capacity(&capacity, &amount::Amount::default());
--- a/crates/mangotrestle-core/tests/scheduler/recovery.rs
+++ b/crates/mangotrestle-core/tests/scheduler/recovery.rs
@@ -174,6 +174,97 @@
     assert_eq!(new_leader.check_invariants(), Ok(()));
 }
 
+/// Returns a new leader to which another worker than the recorded one lists the only task's run,
+/// before the recorded worker lists nothing. Also returns the listed run.
+fn recover_listed_elsewhere(
+    recorded_attempt: u32,
+    listed_attempt: u32,
+) -> (scheduler::Scheduler, task::RunId) {
+    let mut previous_leader = pool();
+    let (mut run, recorded) = start_single_task(&mut previous_leader, batch("repeatable", 1));
+    let mut snapshot = previous_leader.snapshot().next().unwrap();
+    snapshot.started[0].attempt = recorded_attempt;
+    run.attempt = listed_attempt;
+    let listed = scheduler::ListedRun {
+        run: run.clone(),
+        need: amount(1, 1, 0),
+    };
+    let other = if recorded == "worker-0" {
+        "worker-1"
+    } else {
+        "worker-0"
+    };
+
+    let mut new_leader = scheduler::Scheduler::new(scheduler::SchedulerConfig::default(), 2);
+    new_leader.restore(NOW, &snapshot);
+    for (name, running) in [(other, vec![listed]), (&recorded, Vec::new())] {
+        let listing = listing(name, "rack-0", capacity(8, 64, 0), running);
+        new_leader.handle(NOW, listing);
+    }
+    new_leader.handle(NOW, scheduler::SchedulerEvent::RecoveryComplete);
+    (new_leader, run)
+}
+
+#[test]
+fn a_run_listed_by_another_worker_than_recorded_is_neither_stopped_nor_repeated() {
+    for listed_attempt in [1, 2] {
+        let (mut new_leader, _) = recover_listed_elsewhere(1, listed_attempt);
+
+        let decisions = decide_all(&mut new_leader, 0);
+
+        assert!(starts(&decisions).is_empty(), "attempt {listed_attempt}");
+        assert!(stops(&decisions).is_empty(), "attempt {listed_attempt}");
+        let state = state(&new_leader, "repeatable");
+        assert_eq!(state, scheduler::TaskState::Running);
+        assert_eq!(new_leader.check_invariants(), Ok(()));
+    }
+}
+
+#[test]
+fn a_task_starts_again_only_after_a_superseded_run_of_it_has_ended() {
+    let (mut new_leader, run) = recover_listed_elsewhere(2, 1);
+
+    let while_stopping = decide_all(&mut new_leader, 600_000);
+    new_leader.handle(NOW, ended(&run, task::RunOutcome::Stopped));
+    let after_end = starts(&decide_all(&mut new_leader, 600_000));
+
+    assert!(starts(&while_stopping).is_empty());
+    assert_eq!(stops(&while_stopping)[0].run, run);
+    assert_eq!(after_end.len(), 1);
+    assert_eq!(after_end[0].run.attempt, 3);
+    assert_eq!(new_leader.check_invariants(), Ok(()));
+}
+
+#[test]
+fn an_ended_copy_on_another_worker_frees_its_capacity_and_leaves_the_task_running() {
+    let mut pool = pool();
+    let (run, worker) = start_single_task(&mut pool, batch("repeatable", 1));
+    let other = if worker == "worker-0" {
+        "worker-1"
+    } else {
+        "worker-0"
+    };
+    let listed = scheduler::ListedRun {
+        run: run.clone(),
+        need: amount(3, 1, 0),
+    };
+    pool.handle(
+        NOW,
+        listing(other, "rack-0", capacity(8, 64, 0), vec![listed]),
+    );
+
+    let worker = worker_id(other);
+    pool.handle(
+        NOW,
+        scheduler::SchedulerEvent::UnexpectedRunEnded { run, worker },
+    );
+
+    let view = pool.workers().find(|view| view.id.as_str() == other);
+    assert_eq!(view.map(|view| view.free.cpu_millicores), Some(8_000));
+    assert_eq!(state(&pool, "repeatable"), scheduler::TaskState::Starting);
+    assert_eq!(pool.check_invariants(), Ok(()));
+}
+
 #[test]
 fn a_run_of_an_unknown_job_is_kept_until_its_job_is_cancelled() {
     let mut pool = scheduler::Scheduler::new(scheduler::SchedulerConfig::default(), 1);
