Do not acknowledge ends that only an undone commit covered

Callers see: after a change of leader, a task whose end as done was acknowledged too early can run a second time.

Cause: a commit that covers all changed jobs marks the ends received so far as covered, in committing_end. When the commit was refused or hit a duplicate submission, the mark stayed. The next durable commit, which may be too small for all changes, made the mark durable, and the next poll told the worker to forget ends whose effects were in no row yet.

Evidence: the new test, before the change:

ends_of_an_undone_commit_are_not_acknowledged_by_a_later_commit_without_them assertion `left == right` failed left: 1 right: 0

Undoing a commit now also takes the mark back to the last durable end, so only a commit that really includes the ends can make them durable.

--- a/crates/mangotrestle-core/src/workflow/pool/rows.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/rows.rs
@@ -258,6 +258,9 @@
             }
             self.dirty.insert(id);
         }
+        for worker in self.workers.values_mut() {
+            worker.committing_end = worker.durable_end;
+        }
         self.removing.clear();
         self.ending.clear();
     }
--- a/crates/mangotrestle-core/tests/workflow/recovery.rs
+++ b/crates/mangotrestle-core/tests/workflow/recovery.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use mangotrestle_core::time::TimeMs;
-use mangotrestle_core::workflow::pool::RowChange;
+use mangotrestle_core::workflow::pool::{Order, RowChange};
 use mangotrestle_core::workflow::record::JobState;
 
 use super::world::{Violations, World, job, record, step, worker};
@@ -234,3 +234,35 @@
     );
     assert!(rows <= 88, "{rows} rows");
 }
+
+#[test]
+fn ends_of_an_undone_commit_are_not_acknowledged_by_a_later_commit_without_them() {
+    let mut world = World::new(13, 1);
+    world.submit(&job(1), &record(0, vec![step(1, 1_000, 100, &[])]));
+    world.run_for(50);
+    world.store_up = false;
+    world.run_for(600);
+    let now = TimeMs(world.now);
+    let undone = world.pool.take_commit(now, 88);
+    world.pool.commit_undone();
+    for number in 100..140 {
+        let submitted = record(0, vec![step(1, 1_000, 100, &[])]);
+        world.pool.submit(now, &job(number), submitted);
+    }
+
+    let smaller = world.pool.take_commit(now, 88);
+    world.pool.committed(now);
+    world.pool.take_orders();
+    world.pool.tick(TimeMs(world.now + 1_000));
+
+    let ends_job = |change: &RowChange| matches!(change, RowChange::End { .. });
+    assert!(undone.changes.iter().any(ends_job), "{undone:?}");
+    assert!(!smaller.changes.iter().any(ends_job), "{smaller:?}");
+    let acknowledged = world.pool.take_orders().into_iter().map(|order| {
+        let Order::Hold { last_seen, .. } = order else {
+            return 0;
+        };
+        last_seen
+    });
+    assert_eq!(acknowledged.max().unwrap_or_default(), 0);
+}
