Stop a bound run of a unit that is done instead of starting it

Callers see: a task that is done runs a second time after a change of leader.

Cause: when an earlier run turns out to be done, its current run is stopped, and until the worker has confirmed the stop the row says both that the unit is done and where the run is bound. A new leader restores such a member as bound. If the worker's report lacks the run, because its start order was lost, the leader sent the start again. A worker that had stopped the run refuses it, one that never got the order starts it.

Evidence: the new test, before the change:

a_new_leader_does_not_start_a_withdrawn_run_of_a_unit_that_is_done assertion `left == right` failed: starts with gang = false left: 2 right: 1

Sending a start is the one place that all ways to a start order share. It now stops the member if the unit is done; the stop also keeps a late order of the earlier leader from starting the run.

--- a/crates/mangotrestle-core/src/workflow/pool/orders.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/orders.rs
@@ -40,6 +40,11 @@
             return;
         };
         let unit = &mut step.units[key.unit.unit as usize];
+        if unit.done {
+            // An earlier leader bound this run before it learned that an earlier run is done.
+            self.stop_member(now, key);
+            return;
+        }
         let member = &mut unit.members[key.member as usize];
         let (Phase::Bound, Some(id)) = (member.phase, member.worker.clone()) else {
             return;
--- a/crates/mangotrestle-core/tests/workflow/recovery.rs
+++ b/crates/mangotrestle-core/tests/workflow/recovery.rs
@@ -5,7 +5,7 @@
 
 use mangotrestle_core::time::TimeMs;
 use mangotrestle_core::workflow::pool::{Order, RowChange};
-use mangotrestle_core::workflow::record::JobState;
+use mangotrestle_core::workflow::record::{AssignmentRow, JobState, OccurrenceRow, UnitRow};
 
 use super::world::{Violations, World, job, record, step, worker};
 
@@ -266,3 +266,37 @@
     });
     assert_eq!(acknowledged.max().unwrap_or_default(), 0);
 }
+
+#[test]
+fn a_new_leader_does_not_start_a_withdrawn_run_of_a_unit_that_is_done() {
+    for gang in [false, true] {
+        let mut world = World::new(14, 2);
+        let mut done_step = step(1, 1_000, 300, &[]);
+        done_step.gang = gang;
+        let submitted = record(0, vec![done_step, step(1, 1_000, 300, &[0])]);
+        // The first run ended as done after the second was bound to w-0, where its start order was
+        // lost.
+        let done_unit = UnitRow {
+            done: true,
+            run: 2,
+            workers: vec![Some(worker("w-0"))],
+            ..UnitRow::default()
+        };
+        let occurrence = OccurrenceRow {
+            steps: vec![vec![done_unit], vec![UnitRow::default()]],
+            ..OccurrenceRow::default()
+        };
+        let row = AssignmentRow {
+            occurrences: [(0, occurrence)].into(),
+            begun: true,
+            end: None,
+        };
+
+        world.restore(&job(1), &submitted, row);
+        world.run_for(3_000);
+
+        assert_eq!(world.starts, 1, "starts with gang = {gang}");
+        assert_eq!(world.end_of(&job(1)), Some(JobState::Completed));
+        assert_eq!(world.unfinished(), Vec::new());
+    }
+}
--- a/crates/mangotrestle-core/tests/workflow/world.rs
+++ b/crates/mangotrestle-core/tests/workflow/world.rs
@@ -332,6 +332,13 @@
         }
     }
 
+    /// Stores a job with its assignments and replaces the leader, so that the new one restores them.
+    pub fn restore(&mut self, id: &JobId, record: &Arc<JobRecord>, row: AssignmentRow) {
+        self.inbox.insert(id.clone(), Arc::clone(record));
+        self.assignments.insert(id.clone(), row);
+        self.change_leader();
+    }
+
     /// Advances the time in steps of five milliseconds.
     pub fn run_for(&mut self, span_ms: u64) {
         let end = self.now + span_ms;
