Begin no more steps of a job that has ended

Callers see: a task of a cancelled job starts seconds after its cancel was acknowledged, and runs to its end. The same for a job that failed.

Cause: ending a job stops its assigned runs once. If a run had already ended as done and the worker reported that later, the end counted towards its step, and the next step was queued, bound and started, with nothing left that would stop it.

Steps become ready in one place only; it now leaves a job alone whose end is set.

--- a/crates/mangotrestle-core/src/workflow/pool/intake.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/intake.rs
@@ -192,14 +192,16 @@
         }
     }
 
-    /// Marks steps ready whose earlier steps are done, and queues their waiting units.
+    /// Marks steps ready whose earlier steps are done, and queues their waiting units. A job that has
+    /// ended begins no more steps.
     pub(super) fn queue_ready_steps(
         &mut self,
         now: TimeMs,
         id: &id::JobId,
         occurrence_number: u32,
     ) {
-        let Some(job) = self.jobs.get_mut(id) else {
+        let open_job = self.jobs.get_mut(id).filter(|job| job.end.is_none());
+        let Some(job) = open_job else {
             return;
         };
         let began_at = job.began_at(occurrence_number);
--- a/crates/mangotrestle-core/tests/workflow/recovery.rs
+++ b/crates/mangotrestle-core/tests/workflow/recovery.rs
@@ -300,3 +300,25 @@
         assert_eq!(world.unfinished(), Vec::new());
     }
 }
+
+#[test]
+fn a_cancelled_job_does_not_begin_its_next_step_when_the_end_of_a_run_is_reported_late() {
+    let mut world = World::new(15, 1);
+    let steps = vec![step(1, 1_000, 200, &[]), step(2, 1_000, 5_000, &[0])];
+    world.submit(&job(1), &record(0, steps));
+    world.run_for(60);
+    let set_reachable = |world: &mut World, reachable| {
+        let model = world.workers.get_mut(&worker("w-0"));
+        model.expect("the worker").reachable = reachable;
+    };
+    set_reachable(&mut world, false);
+    world.run_for(400);
+
+    world.cancel(&job(1));
+    set_reachable(&mut world, true);
+    world.run_for(4_000);
+
+    assert_eq!(world.starts, 1);
+    assert_eq!(world.end_of(&job(1)), Some(JobState::Cancelled));
+    assert_eq!(world.unfinished(), Vec::new());
+}
