Place waiting work when a worker accepts work again

Callers see: an accepted job is not started although workers have room, until anything else happens in the pool; at the end of the traffic, when nothing else happens, never.

Cause: the pool places work only after an event that may let a waiting unit be placed. A worker also becomes available again by time alone, when its quarantine or the time in which it is suspected ends, and by a report that shows no more unexpected runs or that it answers again. None of these made placement due. After a takeover in which workers first do not answer, their first answer made it due while they were still suspected for up to 1.5 s, so that this one pass found no worker.

Evidence: the new test, before the change:

waiting_work_is_placed_once_its_only_worker_answers_a_new_leader_late left: None right: Some(Completed)

Each tick now compares whether a worker accepts work with the tick before, which covers every reason for which it may not, and makes placement due if one has been added.

--- a/crates/mangotrestle-core/src/workflow/pool/mod.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/mod.rs
@@ -359,6 +359,7 @@
         self.settle_lapsed_workers(now);
         self.pace_best_effort_runs(now);
         self.update_ranks(now);
+        self.note_available_workers(now);
         self.place(now);
         self.preempt_for_urgent_work(now);
         self.request_tickets(now);
--- a/crates/mangotrestle-core/src/workflow/pool/queueing.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/queueing.rs
@@ -52,6 +52,16 @@
         self.waiting.retain(|(_, key)| key.step.job != *id);
     }
 
+    /// Makes placement due if a worker accepts work again, for example because its quarantine has
+    /// ended.
+    pub(super) fn note_available_workers(&mut self, now: TimeMs) {
+        for worker in self.workers.values_mut() {
+            let accepts_work = worker.accepts_work(now);
+            self.placing_due |= accepts_work && !worker.accepted_work;
+            worker.accepted_work = accepts_work;
+        }
+    }
+
     /// Updates the ranks of waiting steps, and expedites late ones.
     pub(super) fn update_ranks(&mut self, now: TimeMs) {
         if now.since(self.ranked_at) < RANKING_INTERVAL {
--- a/crates/mangotrestle-core/src/workflow/worker.rs
+++ b/crates/mangotrestle-core/src/workflow/worker.rs
@@ -92,6 +92,8 @@
     pub previous_lease_until: Option<TimeMs>,
     /// Whether it has answered this leader.
     pub answered: bool,
+    /// Whether new work could be placed here at the last tick.
+    pub accepted_work: bool,
     /// Number of the last ended run received from the worker.
     pub received_end: u64,
     /// Number of the last ended run that the commit in flight covers.
@@ -146,6 +148,7 @@
             latest_deadline: WorkerTimeMs(0),
             previous_lease_until: None,
             answered: false,
+            accepted_work: false,
             received_end: 0,
             committing_end: 0,
             durable_end: 0,
--- a/crates/mangotrestle-core/tests/workflow/recovery.rs
+++ b/crates/mangotrestle-core/tests/workflow/recovery.rs
@@ -322,3 +322,23 @@
     assert_eq!(world.end_of(&job(1)), Some(JobState::Cancelled));
     assert_eq!(world.unfinished(), Vec::new());
 }
+
+#[test]
+fn waiting_work_is_placed_once_its_only_worker_answers_a_new_leader_late() {
+    let mut world = World::new(16, 1);
+    let set_reachable = |world: &mut World, reachable| {
+        let model = world.workers.get_mut(&worker("w-0"));
+        model.expect("the worker").reachable = reachable;
+    };
+    // From here on the job's result is useless, so its rank does not change any more.
+    world.run_for(5_000);
+    set_reachable(&mut world, false);
+    world.change_leader();
+    world.submit(&job(1), &record(0, vec![step(1, 1_000, 200, &[])]));
+    world.run_for(1_000);
+
+    set_reachable(&mut world, true);
+    world.run_for(10_000);
+
+    assert_eq!(world.end_of(&job(1)), Some(JobState::Completed));
+}
