Keep a claim alive while the pool is loaded

Callers see: accepted jobs are not started for as long as the takeover of a pool with many unfinished jobs takes longer than about a second, since no host gets to lead it.

Cause: a claim writes the leadership row once, and the next write is the first commit after the load. Other hosts see no commit for 0.9 s, ask the claimant, which answers that it does not lead yet, and claim the pool. The former claimant finishes its load, finds itself deposed and claims again. Loading 20 pages or more at the usual speed of a read is enough to keep this up.

The claimant now rewrites the row at the interval of commits during its first attempt to load, under the same conditions as commits, so the others see a live leader, and a rival's claim still ends the chain. An attempt that is open when the load ends has a number of its own, which the first commit cannot take for its own. A claim whose load has failed is not kept, so a host that can load takes over.

--- a/crates/mangotrestle/src/host/leader.rs
+++ b/crates/mangotrestle/src/host/leader.rs
@@ -240,10 +240,20 @@
     slog::info!(cell.log, "leadership.taken"; "pool" => pool, "term" => row.term,
         "version" => version);
     metrics::counter!("mangotrestle_leaderships_total").increment(1);
-    for _ in 0..MAX_LOAD_ATTEMPTS {
-        match load(cell, pool, &row, version).await {
-            Ok((leader, feeds)) => {
-                let leader = Arc::new(leader);
+    let claim = Claim {
+        row,
+        version: AtomicU64::new(version),
+        sequence: AtomicU64::new(0),
+    };
+    for attempt in 0..MAX_LOAD_ATTEMPTS {
+        let result = tokio::select! {
+            result = load(cell, pool) => result,
+            // After a failure the claim is left to expire, so that a host that can load takes over.
+            () = Box::pin(keep_claim(cell, pool, &claim)), if attempt == 0 => return,
+        };
+        match result {
+            Ok((state, feeds)) => {
+                let leader = Arc::new(new_leader(cell, pool, &claim, state, &feeds));
                 cell.add_leader(pool, Arc::clone(&leader));
                 tokio::spawn(follow_workers(
                     Arc::clone(cell),
@@ -271,6 +281,58 @@
     }
 }
 
+/// A claim that this host has written, while the pool is loaded.
+struct Claim {
+    row: LeadRow,
+    /// Version of the leadership row as of the last write that is known to be durable.
+    version: AtomicU64,
+    /// Number of the last write that was tried.
+    sequence: AtomicU64,
+}
+
+/// Rewrites a claim at the interval of commits, so that no other host takes the pool over while it
+/// is loaded. Returns once another host leads the pool.
+async fn keep_claim(cell: &Arc<Cell>, pool: &str, claim: &Claim) {
+    loop {
+        tokio::time::sleep(leadership::MAX_COMMIT_INTERVAL.as_duration()).await;
+        // An attempt that is still open when the pool is loaded may be applied later, so each has a
+        // number of its own.
+        let sequence = claim.sequence.fetch_add(1, Ordering::Relaxed) + 1;
+        let row = LeadRow {
+            sequence,
+            ..claim.row.clone()
+        };
+        let probe = names::lead_row(pool);
+        let mut transaction = Transaction::default();
+        let expected = claim.version.load(Ordering::Relaxed);
+        transaction.expect.push((probe.clone(), expected));
+        push_row(&mut transaction, probe.clone(), &row);
+        let is_ours =
+            |found: &Row| is_written_by(found, &row) && sequence_of(found) == Some(sequence);
+        match cell
+            .transact_with_probe(&transaction, &probe, is_ours)
+            .await
+        {
+            Ok(TransactionAnswer::Done { version }) => {
+                claim.version.store(version, Ordering::Relaxed);
+            }
+            Ok(TransactionAnswer::Conflict(rows)) => {
+                let Some(found) = rows.iter().find(|found| is_written_by(found, &row)) else {
+                    observe_lead_rows(cell, pool, &rows);
+                    slog::info!(cell.log, "leadership.lost_claim"; "pool" => pool,
+                        "term" => row.term);
+                    return;
+                };
+                claim.version.store(found.version, Ordering::Relaxed);
+            }
+            Err(error) => {
+                slog::debug!(cell.log, "leadership.claim_not_kept"; "pool" => pool,
+                    "error" => %error);
+            }
+        }
+    }
+}
+
 /// Writes a claim; returns the row's version if this host now leads the pool.
 async fn write_claim(cell: &Arc<Cell>, pool: &str, row: &LeadRow, expected: u64) -> Option<u64> {
     let value = serde_json::to_vec(row).ok()?;
@@ -321,12 +383,7 @@
     inbox: u64,
 }
 
-async fn load(
-    cell: &Arc<Cell>,
-    pool: &str,
-    row: &LeadRow,
-    version: u64,
-) -> Result<(Leader, FeedVersions), CallError> {
+async fn load(cell: &Arc<Cell>, pool: &str) -> Result<(Pool, FeedVersions), CallError> {
     let (inbox, assignments, workers) = tokio::try_join!(
         cell.read_part(names::INBOX_TABLE, pool, PART_READ_TIMEOUT),
         cell.read_part(names::ASSIGN_TABLE, pool, PART_READ_TIMEOUT),
@@ -336,32 +393,34 @@
     let mut state = Pool::new(now, pool_settings(cell), cell.clock.epoch_offset_ms());
     apply_worker_rows(cell, pool, &mut state, now, &workers.rows);
     restore_jobs(cell, &mut state, now, &inbox, &assignments);
-    slog::info!(cell.log, "leadership.loaded"; "pool" => pool, "term" => row.term,
+    let feeds = FeedVersions {
+        workers: workers.version,
+        inbox: inbox.version,
+    };
+    Ok((state, feeds))
+}
+
+fn new_leader(cell: &Cell, pool: &str, claim: &Claim, state: Pool, feeds: &FeedVersions) -> Leader {
+    slog::info!(cell.log, "leadership.loaded"; "pool" => pool, "term" => claim.row.term,
         "jobs" => state.job_count(), "workers" => state.worker_count(),
-        "inbox_version" => inbox.version);
-    let published_summary = ArcSwap::from_pointee(state.summary());
-    let leader = Leader {
+        "inbox_version" => feeds.inbox);
+    Leader {
         pool: pool.to_owned(),
-        term: row.term,
+        term: claim.row.term,
+        published_summary: ArcSwap::from_pointee(state.summary()),
         state: Mutex::new(state),
         wake: Notify::new(),
-        version: AtomicU64::new(version),
-        sequence: AtomicU64::new(row.sequence),
-        loaded_version: inbox.version,
-        confirmed_at_ms: AtomicU64::new(now.0),
+        version: AtomicU64::new(claim.version.load(Ordering::Relaxed)),
+        sequence: AtomicU64::new(claim.sequence.load(Ordering::Relaxed)),
+        loaded_version: feeds.inbox,
+        confirmed_at_ms: AtomicU64::new(cell.clock.now().0),
         fenced: AtomicBool::new(false),
         releasing: AtomicBool::new(false),
         release_begun: AtomicBool::new(false),
         ended: AtomicBool::new(false),
         waiters: Mutex::default(),
-        published_summary,
         own_advice_requests: AtomicUsize::new(0),
-    };
-    let feeds = FeedVersions {
-        workers: workers.version,
-        inbox: inbox.version,
-    };
-    Ok((leader, feeds))
+    }
 }
 
 fn pool_settings(cell: &Cell) -> PoolSettings {
--- a/crates/mangotrestle/tests/host/main.rs
+++ b/crates/mangotrestle/tests/host/main.rs
@@ -14,6 +14,11 @@
 /// Time in which a refusal counts as immediate.
 const MAX_REFUSAL_TIME: Duration = Duration::from_millis(500);
 
+/// Duration of a read of one page that does not make the store count as slow.
+const PAGE_READ_TIME: Duration = Duration::from_millis(70);
+/// Time within which a pool whose leader was killed has a new one if reading its jobs takes 2 s.
+const SLOW_TAKEOVER_TIME: Duration = Duration::from_secs(12);
+
 /// Submits new jobs, numbered from `first`, until one is answered with this status; returns its
 /// number.
 async fn submit_until_status(caller: &Caller, first: u64, status: u16) -> u64 {
@@ -104,3 +109,34 @@
 
     assert!(state.body.contains("queued"), "{state:?}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn hosts_do_not_claim_a_pool_from_each_other_while_it_is_loaded() {
+    let platform = Platform::start().await;
+    let first = Host::start("front-a-1", &platform).await;
+    let mut number = 1;
+    while platform.accepted_jobs() < 60 {
+        number = submit_until_status(&first.caller(), number, 200).await + 1;
+    }
+    let others = [
+        Host::start("front-a-2", &platform).await,
+        Host::start("front-a-3", &platform).await,
+    ];
+    for other in &others {
+        number = submit_until_status(&other.caller(), number, 200).await + 1;
+    }
+    platform.set_slow_reads(PAGE_READ_TIME, 2);
+    let (previous_term, previous_summary) = (platform.term(), platform.summary_version());
+
+    first.kill();
+    let killed_at = Instant::now();
+    while platform.summary_version() == previous_summary && killed_at.elapsed() < SLOW_TAKEOVER_TIME
+    {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+
+    let claims = platform.term() - previous_term;
+    let waited = killed_at.elapsed();
+    assert_eq!(claims, 1, "claims of the pool within {waited:?}");
+    assert!(waited < SLOW_TAKEOVER_TIME, "no leader within {waited:?}");
+}
--- a/crates/mangotrestle/tests/host/platform.rs
+++ b/crates/mangotrestle/tests/host/platform.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -13,6 +13,7 @@
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post};
 use http::StatusCode;
+use mangotrestle_core::workflow::leadership::LeadRow;
 use mangotrestle_users_platform::store::Value as StoredValue;
 use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -40,6 +41,10 @@
     changed: Notify,
     unresponsive: AtomicBool,
     calls: AtomicU64,
+    /// Maximum number of rows in one answer to a read; zero for no limit.
+    max_page_rows: AtomicUsize,
+    /// Duration of a read, in milliseconds.
+    read_duration_ms: AtomicU64,
 }
 
 impl Store {
@@ -122,10 +127,13 @@
     Query(query): Query<BTreeMap<String, String>>,
 ) -> Json<Value> {
     store.hang_if_unresponsive().await;
+    let duration_ms = store.read_duration_ms.load(Ordering::Relaxed);
+    tokio::time::sleep(Duration::from_millis(duration_ms)).await;
+    let max_page_rows = store.max_page_rows.load(Ordering::Relaxed);
     let field = |name: &str| query.get(name).cloned().unwrap_or_default();
     let (table, part, from, to) = (field("table"), field("part"), field("from"), field("to"));
     let rows = store.rows.lock().expect("the rows");
-    let found: Vec<Value> = rows
+    let mut found: Vec<Value> = rows
         .rows
         .iter()
         .filter(|((row_table, row_part, key), _)| {
@@ -138,7 +146,11 @@
                 .map(|value| encode_row(key, *version, Some(value)))
         })
         .collect();
-    Json(json!({"rows": found, "truncated": false, "ver": rows.version, "now_ms": 1}))
+    let truncated = max_page_rows > 0 && found.len() > max_page_rows;
+    if truncated {
+        found.truncate(max_page_rows);
+    }
+    Json(json!({"rows": found, "truncated": truncated, "ver": rows.version, "now_ms": 1}))
 }
 
 async fn feed(
@@ -220,6 +232,38 @@
             .store(unresponsive, Ordering::Relaxed);
     }
 
+    /// Sets the duration of a read, and the maximum number of rows in its answer.
+    pub fn set_slow_reads(&self, duration: Duration, max_page_rows: usize) {
+        let duration_ms = u64::try_from(duration.as_millis()).unwrap_or(u64::MAX);
+        self.store
+            .read_duration_ms
+            .store(duration_ms, Ordering::Relaxed);
+        self.store
+            .max_page_rows
+            .store(max_page_rows, Ordering::Relaxed);
+    }
+
+    /// Returns the term of the pool's leadership row; zero if there is none.
+    pub fn term(&self) -> u64 {
+        let row = self.cell_row("lead").and_then(|(_, value)| value);
+        row.map_or(0, |value| {
+            let value: StoredValue = serde_json::from_value(value).expect("a value");
+            let row: LeadRow = serde_json::from_slice(&value.0).expect("a leadership row");
+            row.term
+        })
+    }
+
+    /// Returns the version of the summary that the pool's leader publishes with its commits.
+    pub fn summary_version(&self) -> u64 {
+        self.cell_row("view").map_or(0, |(version, _)| version)
+    }
+
+    fn cell_row(&self, key: &str) -> Option<(u64, Option<Value>)> {
+        let rows = self.store.rows.lock().expect("the rows");
+        let key = ("cell".to_owned(), "pool".to_owned(), key.to_owned());
+        rows.rows.get(&key).cloned()
+    }
+
     /// Returns the number of jobs in the pool's inbox.
     pub fn accepted_jobs(&self) -> usize {
         self.job_keys().len()
