Answer a job that the leader has as accepted while the store is silent

Callers see: 503, which says that the job will never run, for a job that was accepted before and runs, when they submit it again while the store does not answer.

Cause: the leader refused every submission while the store is unreachable or unresponsive, before it looked whether it has the job. The same held for a job whose acceptance is in a commit that may still be applied.

Evidence: the new test, before the change:

does_not_refuse_an_accepted_job_that_is_submitted_again_while_the_store_is_unresponsive left: 503 right: 200

The leader now refuses at once only jobs that it does not have.

--- a/crates/mangotrestle-core/src/workflow/pool/intake.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/intake.rs
@@ -101,7 +101,9 @@
         self.begin_job(now, job);
     }
 
-    fn knows(&self, id: &id::JobId) -> bool {
+    /// Whether the job was submitted to this leader or accepted, or its end is remembered.
+    #[must_use]
+    pub fn knows(&self, id: &id::JobId) -> bool {
         self.jobs.contains_key(id) || self.ended.contains_key(id)
     }
 
--- a/crates/mangotrestle/src/host/leader.rs
+++ b/crates/mangotrestle/src/host/leader.rs
@@ -103,7 +103,8 @@
         job: &id::JobId,
         record: Arc<JobRecord>,
     ) -> Acceptance {
-        if cell.store_is_unreachable() || cell.store_is_unresponsive() {
+        let store_is_silent = cell.store_is_unreachable() || cell.store_is_unresponsive();
+        if store_is_silent && !lock(&self.state).knows(job) {
             return Acceptance::NotAccepted("the store is unreachable".to_owned());
         }
         let (sender, answered) = oneshot::channel();
--- a/crates/mangotrestle/tests/host/main.rs
+++ b/crates/mangotrestle/tests/host/main.rs
@@ -140,3 +140,20 @@
     assert_eq!(claims, 1, "claims of the pool within {waited:?}");
     assert!(waited < SLOW_TAKEOVER_TIME, "no leader within {waited:?}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn does_not_refuse_an_accepted_job_that_is_submitted_again_while_the_store_is_unresponsive() {
+    let platform = Platform::start().await;
+    let host = Host::start("front-a-1", &platform).await;
+    let caller = host.caller();
+    let mut number = submit_until_status(&caller, 1, 200).await;
+    while platform.summary_version() == 0 {
+        number = submit_until_status(&caller, number + 1, 200).await;
+    }
+
+    platform.set_unresponsive(true);
+    tokio::time::sleep(STORE_OUTAGE_DETECTION_TIME).await;
+    let resubmitted = caller.submit(number).await;
+
+    assert_eq!(resubmitted.status, 200, "{resubmitted:?}");
+}
