--- a/crates/mangotrestle-core/src/workflow/pool/rows.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/rows.rs
@@ -258,11 +258,10 @@
             }
             self.dirty.insert(id);
         }
-        self.removing.clear();
-        self.ending.clear();
-        // The next commit may not cover the ends that this one did.
         for worker in self.workers.values_mut() {
             worker.committing_end = worker.durable_end;
         }
+        self.removing.clear();
+        self.ending.clear();
     }
 }
--- a/crates/mangotrestle-core/tests/workflow/recovery.rs
+++ b/crates/mangotrestle-core/tests/workflow/recovery.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 
 use mangotrestle_core::time::TimeMs;
-use mangotrestle_core::workflow::pool::RowChange;
-use mangotrestle_core::workflow::record::JobState;
+use mangotrestle_core::workflow::pool::{Order, RowChange};
+use mangotrestle_core::workflow::record::{AssignmentRow, JobState, OccurrenceRow, UnitRow};
 
 use super::world::{Violations, World, job, record, step, worker};
 
@@ -255,3 +255,111 @@
 
     assert_eq!(world.violations, Violations::default());
 }
+
+#[test]
+fn ends_of_an_undone_commit_are_not_acknowledged_by_a_later_commit_without_them() {
+    let mut world = World::new(13, 1);
+    world.submit(&job(1), &record(0, vec![step(1, 1_000, 100, &[])]));
+    world.run_for(50);
+    world.store_up = false;
+    world.run_for(600);
+    let now = TimeMs(world.now);
+    let undone = world.pool.take_commit(now, 88);
+    world.pool.commit_undone();
+    for number in 100..140 {
+        let submitted = record(0, vec![step(1, 1_000, 100, &[])]);
+        world.pool.submit(now, &job(number), submitted);
+    }
+
+    let smaller = world.pool.take_commit(now, 88);
+    world.pool.committed(now);
+    world.pool.take_orders();
+    world.pool.tick(TimeMs(world.now + 1_000));
+
+    let ends_job = |change: &RowChange| matches!(change, RowChange::End { .. });
+    assert!(undone.changes.iter().any(ends_job), "{undone:?}");
+    assert!(!smaller.changes.iter().any(ends_job), "{smaller:?}");
+    let acknowledged = world.pool.take_orders().into_iter().map(|order| {
+        let Order::Hold { last_seen, .. } = order else {
+            return 0;
+        };
+        last_seen
+    });
+    assert_eq!(acknowledged.max().unwrap_or_default(), 0);
+}
+
+#[test]
+fn a_new_leader_does_not_start_a_withdrawn_run_of_a_unit_that_is_done() {
+    for gang in [false, true] {
+        let mut world = World::new(14, 2);
+        let mut done_step = step(1, 1_000, 300, &[]);
+        done_step.gang = gang;
+        let submitted = record(0, vec![done_step, step(1, 1_000, 300, &[0])]);
+        // The first run ended as done after the second was bound to w-0, where its start order was
+        // lost.
+        let done_unit = UnitRow {
+            done: true,
+            run: 2,
+            workers: vec![Some(worker("w-0"))],
+            ..UnitRow::default()
+        };
+        let occurrence = OccurrenceRow {
+            steps: vec![vec![done_unit], vec![UnitRow::default()]],
+            ..OccurrenceRow::default()
+        };
+        let row = AssignmentRow {
+            occurrences: [(0, occurrence)].into(),
+            begun: true,
+            end: None,
+        };
+
+        world.restore(&job(1), &submitted, row);
+        world.run_for(3_000);
+
+        assert_eq!(world.starts, 1, "starts with gang = {gang}");
+        assert_eq!(world.end_of(&job(1)), Some(JobState::Completed));
+        assert_eq!(world.unfinished(), Vec::new());
+    }
+}
+
+#[test]
+fn a_cancelled_job_does_not_begin_its_next_step_when_the_end_of_a_run_is_reported_late() {
+    let mut world = World::new(15, 1);
+    let steps = vec![step(1, 1_000, 200, &[]), step(2, 1_000, 5_000, &[0])];
+    world.submit(&job(1), &record(0, steps));
+    world.run_for(60);
+    let set_reachable = |world: &mut World, reachable| {
+        let model = world.workers.get_mut(&worker("w-0"));
+        model.expect("the worker").reachable = reachable;
+    };
+    set_reachable(&mut world, false);
+    world.run_for(400);
+
+    world.cancel(&job(1));
+    set_reachable(&mut world, true);
+    world.run_for(4_000);
+
+    assert_eq!(world.starts, 1);
+    assert_eq!(world.end_of(&job(1)), Some(JobState::Cancelled));
+    assert_eq!(world.unfinished(), Vec::new());
+}
+
+#[test]
+fn waiting_work_is_placed_once_its_only_worker_answers_a_new_leader_late() {
+    let mut world = World::new(16, 1);
+    let set_reachable = |world: &mut World, reachable| {
+        let model = world.workers.get_mut(&worker("w-0"));
+        model.expect("the worker").reachable = reachable;
+    };
+    // From here on the job's result is useless, so its rank does not change any more.
+    world.run_for(5_000);
+    set_reachable(&mut world, false);
+    world.change_leader();
+    world.submit(&job(1), &record(0, vec![step(1, 1_000, 200, &[])]));
+    world.run_for(1_000);
+
+    set_reachable(&mut world, true);
+    world.run_for(10_000);
+
+    assert_eq!(world.end_of(&job(1)), Some(JobState::Completed));
+}
