--- a/crates/mangotrestle-core/tests/workflow/placing.rs
+++ b/crates/mangotrestle-core/tests/workflow/placing.rs
@@ -6,7 +6,7 @@
 use mangotrestle_core::id::WorkerId;
 use mangotrestle_core::time::TimeMs;
 use mangotrestle_core::workflow::record::JobState;
-use mangotrestle_core::workflow::spec::JobRecord;
+use mangotrestle_core::workflow::spec::{AdvicePolicy, JobRecord};
 
 use super::world::{Violations, World, job, record, step, worker};
 
@@ -250,3 +250,93 @@
     let model = world.workers.get_mut(id).expect("the worker");
     model.fails_all_runs = fails;
 }
+
+/// Returns a job of one gang, of which each member takes a whole worker.
+fn whole_worker_gang(priority: u32, members: u32, label: Option<&str>) -> Arc<JobRecord> {
+    let mut gang = step(members, 8_000, 1_000, &[]);
+    gang.gang = true;
+    gang.constraint = label.map(str::to_owned);
+    record(priority, vec![gang])
+}
+
+#[test]
+fn gangs_that_cannot_be_placed_together_do_not_keep_free_workers_from_a_gang_that_fits() {
+    let mut world = World::new(21, 0);
+    for group in 0..3 {
+        for number in 0..4 {
+            add_labelled_worker(
+                &mut world,
+                &format!("w-{group}-{number}"),
+                &format!("g{group}"),
+            );
+        }
+    }
+    for group in 0..3 {
+        let mut occupying = step(1, 8_000, 60_000, &[]);
+        occupying.persistent = true;
+        occupying.constraint = Some(format!("g{group}"));
+        world.submit(&job(100 + group), &record(0, vec![occupying]));
+    }
+    world.run_for(500);
+    for group in 0..3 {
+        let label = format!("g{group}");
+        world.submit(&job(group), &whole_worker_gang(0, 4, Some(&label)));
+    }
+    world.run_for(100);
+    let starts_before = world.starts;
+
+    world.submit(&job(10), &whole_worker_gang(1, 4, None));
+    world.run_for(3_000);
+
+    assert_eq!(world.starts - starts_before, 4);
+}
+
+/// Adds a worker with one more label.
+fn add_labelled_worker(world: &mut World, name: &str, label: &str) {
+    world.add_worker(name);
+    let model = world.workers.get_mut(&worker(name)).expect("the worker");
+    model.entry.labels.insert(0, label.to_owned());
+    let entry = model.entry.clone();
+    world.pool.worker_listed(TimeMs(world.now), entry);
+}
+
+#[test]
+fn a_gang_whose_policy_allows_too_few_workers_does_not_keep_them_from_others() {
+    let mut world = World::new(22, 5);
+    world.denied_workers.extend([worker("w-3"), worker("w-4")]);
+    world.run_for(100);
+    let mut hopeless = whole_worker_gang(0, 4, None).as_ref().clone();
+    hopeless.policy.advice = Some(AdvicePolicy {
+        decide_ms: 715.0,
+        each_ms: 10.0,
+        valid_ms: 2_000,
+    });
+    world.submit(&job(1), &Arc::new(hopeless));
+    world.run_for(1_500);
+    let starts_before = world.starts;
+
+    world.submit(&job(2), &whole_worker_gang(1, 4, None));
+    world.run_for(3_000);
+
+    assert_eq!(world.starts - starts_before, 4);
+}
+
+#[test]
+fn work_waits_less_than_3_s_if_every_worker_that_fits_is_in_quarantine() {
+    let mut world = World::new(23, 1);
+    let only_worker = worker("w-0");
+    world.run_for(100);
+    set_failing(&mut world, &only_worker, true);
+    for number in 0..2 {
+        let mut failing = record(0, vec![step(1, 500, 300, &[])]).as_ref().clone();
+        failing.policy.max_attempts = 1;
+        world.submit(&job(number), &Arc::new(failing));
+    }
+    world.run_for(600);
+    set_failing(&mut world, &only_worker, false);
+    world.submit(&job(10), &record(0, vec![step(1, 500, 5_000, &[])]));
+
+    world.run_for(2_400);
+
+    assert_eq!(world.running_on(&only_worker).len(), 1);
+}
