Order no member of a unit of which a worker may get no order

Found by the review: between the assignment and the order of a unit there may now be the time of a ticket request, and the orders were checked member by member.

A unit without any order is now withdrawn as a whole if one of its workers drains, is gone or does not answer.

--- a/crates/mangotrestle-core/src/workflow/pool/orders.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/orders.rs
@@ -2,10 +2,11 @@
 
 use std::sync::Arc;
 
+use crate::collections::FastMap;
 use crate::id;
 use crate::time::{SpanMs, TimeMs, WorkerTimeMs};
 
-use super::super::job::{MemberKey, Phase};
+use super::super::job::{MemberKey, Phase, Unit};
 use super::super::message::{OrderAnswer, TaskName};
 use super::super::worker::Worker;
 use super::{Note, Order, Pool};
@@ -40,6 +41,10 @@
             return;
         };
         let unit = &mut step.units[key.unit.unit as usize];
+        if unit.is_unordered() && !can_start(unit, &self.workers) {
+            self.abort_run(now, &key.unit);
+            return;
+        }
         if unit.done {
             // An earlier leader bound this run before it learned that an earlier run is done.
             self.stop_member(now, key);
@@ -305,3 +310,11 @@
         }
     }
 }
+
+/// Whether all workers of a unit that is not ordered yet may get a start order.
+fn can_start(unit: &Unit, workers: &FastMap<id::WorkerId, Worker>) -> bool {
+    unit.unordered_workers().all(|id| {
+        let worker = workers.get(id);
+        worker.is_some_and(|worker| !worker.entry.draining && !worker.is_unresponsive())
+    })
+}
