Count a ticket request in flight once against the limit

Found by the review: a step whose request was in flight counted both as a request and as one that is still to be made, so units were assigned before their tickets for only half as many steps as the limit allows. Test, red before (10 of 16): ticket_requests_in_flight_do_not_keep_other_requests_within_the_limit_from_being_sent.

--- a/crates/mangotrestle-core/src/workflow/pool/placing.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/placing.rs
@@ -354,7 +354,11 @@
             reserved: false,
             added: SmallVec::new(),
         });
-        let expected_requests = self.ticket_requests_in_flight + self.steps_lacking_tickets.len();
+        let unrequested = self.steps_lacking_tickets.iter().filter(|key| {
+            let step = self.step(key);
+            step.is_some_and(|step| step.tickets.requested_at.is_none())
+        });
+        let expected_requests = self.ticket_requests_in_flight + unrequested.count();
         PlacementPass {
             slots: slots.collect(),
             last_placed: None,
