Reserve no workers for a gang that is not expected to start

What callers see: a gang that fits is not started although the workers are free, as long as other gangs wait (LOST). A gang reserved all workers that it could use, also if one that it lacks was held by a persistent task, or if its policy allows fewer workers than it has members, so that it could not start at all. Three of them can reserve a whole pool.

A reservation is now made only if the whole gang is expected to have capacity within a minute.

--- a/crates/mangotrestle-core/src/workflow/pool/placing.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/placing.rs
@@ -30,6 +30,9 @@
 /// hardly change the choice.
 const RESERVATION_LIFETIME: SpanMs = SpanMs(100);
 
+/// Maximum time until the expected start of a gang for which workers are kept free.
+const MAX_RESERVATION_WAIT: SpanMs = SpanMs(60_000);
+
 /// Preference among workers that fit; the highest is taken. The parts are, most important first:
 /// healthy and not avoided, no ticket to request first, in the affinity rack, undisturbed, in the
 /// zone of the step's other tasks, already chosen for the step in this pass, fewest accelerators
@@ -443,7 +446,7 @@
     }
 
     /// Returns the reservation of the workers that are expected to be the first with capacity for
-    /// a gang; a recent reservation is kept.
+    /// a gang, none if they are not expected to have it soon; a recent reservation is kept.
     fn reservation(
         &self,
         now: TimeMs,
@@ -472,13 +475,16 @@
         candidates.sort_by_key(|(at, worker, _)| (*at, &worker.entry.worker));
         let mut unassigned_members = request.spec.unit_size();
         let mut workers = Vec::new();
-        for (_, worker, count) in candidates {
-            if unassigned_members == 0 {
+        for (at, worker, count) in candidates {
+            if unassigned_members == 0 || at > now + MAX_RESERVATION_WAIT {
                 break;
             }
             workers.push(worker.entry.worker.clone());
             unassigned_members = unassigned_members.saturating_sub(count.max(1));
         }
+        if unassigned_members > 0 {
+            workers.clear();
+        }
         Reservation {
             unit: request.key.clone(),
             chosen_at: now,
