Request tickets for workers without a valid one first

Found by the review: a gang wider than one request names asked about the same first 60 workers each time, so the others never got a ticket and the gang never started, while it kept its workers. Test, red before: a_gang_with_more_workers_than_a_ticket_request_names_starts.

--- a/crates/mangotrestle-core/src/workflow/pool/ticket_requests.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/ticket_requests.rs
@@ -193,7 +193,8 @@
             .flat_map(Unit::unordered_workers)
             .cloned()
             .collect();
-        workers.sort_unstable();
+        // Those without a valid ticket go first, since a request may not name all.
+        workers.sort_unstable_by_key(|id| (step.tickets.valid(id, now).is_some(), id.clone()));
         workers.dedup();
         workers.truncate(MAX_REQUEST_WORKERS);
         workers
