Fall back to tickets first only after two failed requests in a row

Found by the review: one lost request brought the step back to the old order, in which nothing keeps workers free until the answer. A single loss is now retried for workers that are assigned. The time-out of a request by itself still takes 1.5 s beyond the expected time: a_lost_ticket_request_does_not_hold_up_a_step_for_3_s stays red and is listed.

--- a/crates/mangotrestle-core/src/workflow/pool/placing.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/placing.rs
@@ -121,7 +121,7 @@
     /// Whether the worker may be kept free for the unit. It is not for a unit whose tickets cannot
     /// be obtained.
     fn may_reserve(&self, now: TimeMs, worker: &Worker) -> bool {
-        let obtainable = !self.step.tickets.last_request_failed();
+        let obtainable = !self.step.tickets.are_unobtainable();
         self.permits(worker) && (obtainable || self.has_ticket(now, worker))
     }
 
--- a/crates/mangotrestle-core/src/workflow/tickets.rs
+++ b/crates/mangotrestle-core/src/workflow/tickets.rs
@@ -14,6 +14,8 @@
 const TICKET_DELIVERY_MARGIN: SpanMs = SpanMs(150);
 /// Time after which a request counts as lost.
 const REQUEST_TIMEOUT: SpanMs = SpanMs(4_000);
+/// Number of consecutive failed requests after which no workers are kept free for a step.
+const MAX_FAILED_REQUESTS: u32 = 2;
 /// Delay after a request that was refused or not answered.
 const RETRY_DELAY: SpanMs = SpanMs(120);
 
@@ -35,8 +37,8 @@
     pub requested_at: Option<TimeMs>,
     /// Time before which no further request is sent, after a failed one.
     retry_at: TimeMs,
-    /// Whether the last request was refused or not answered.
-    last_request_failed: bool,
+    /// Number of consecutive requests that were refused or not answered.
+    failed_requests: u32,
 }
 
 impl StepTickets {
@@ -49,7 +51,7 @@
         allowed: Vec<(id::WorkerId, String)>,
         validity: SpanMs,
     ) {
-        self.last_request_failed = false;
+        self.failed_requests = 0;
         self.decided.extend(asked.iter().cloned());
         for (worker, text) in allowed {
             let valid_until = now + validity - TICKET_DELIVERY_MARGIN;
@@ -74,7 +76,7 @@
 
     /// Records that a request was refused or not answered.
     pub fn record_failed_request(&mut self, now: TimeMs) {
-        self.last_request_failed = true;
+        self.failed_requests += 1;
         self.retry_at = now + RETRY_DELAY;
     }
 
@@ -87,18 +89,18 @@
         !in_flight && self.retry_at <= now
     }
 
-    /// Whether the last request was refused or not answered.
+    /// Whether so many consecutive requests failed that the next may fail as well.
     #[must_use]
-    pub const fn last_request_failed(&self) -> bool {
-        self.last_request_failed
+    pub const fn are_unobtainable(&self) -> bool {
+        self.failed_requests >= MAX_FAILED_REQUESTS
     }
 
-    /// Whether runs may be assigned to allowed workers before their tickets are requested. After a
-    /// failed request tickets come first, so that no worker is kept free for a service that does
-    /// not answer.
+    /// Whether runs may be assigned to allowed workers before their tickets are requested. After
+    /// several failed requests tickets come first, so that no worker is kept free for a service that
+    /// does not answer.
     #[must_use]
     pub fn may_assign_first(&self, now: TimeMs) -> bool {
-        self.may_request(now) && !self.last_request_failed
+        self.may_request(now) && !self.are_unobtainable()
     }
 
     /// Whether the policy allows the worker, with or without a valid ticket.
