Write an assignment only once there are tickets for it

A new leader cannot tell them from ordered ones, so if one of their workers was lost with the leader, the unit waited up to 22 s for leases that nobody had extended. Test, red before: a_gang_without_start_orders_starts_elsewhere_if_a_worker_is_lost_with_the_leader.

A unit without tickets stays planned in memory; the answer to the request makes the commit due.

--- a/crates/mangotrestle-core/src/workflow/job.rs
+++ b/crates/mangotrestle-core/src/workflow/job.rs
@@ -151,6 +151,13 @@
         unordered.filter_map(|member| member.worker.as_ref())
     }
 
+    /// Whether a member is assigned in memory only.
+    #[must_use]
+    pub fn has_planned_member(&self) -> bool {
+        let mut members = self.members.iter();
+        members.any(|member| member.phase == Phase::Planned)
+    }
+
     /// Whether members are assigned and no start order was sent for any of them.
     #[must_use]
     pub fn is_unordered(&self) -> bool {
@@ -348,6 +355,20 @@
         self.step_mut(&key.step)?.units.get_mut(key.unit as usize)
     }
 
+    /// Returns the keys of the steps of the occurrences that have begun.
+    pub fn step_keys(&self) -> impl Iterator<Item = StepKey> {
+        self.occurrences
+            .iter()
+            .flat_map(move |(&occurrence, state)| {
+                let steps = (0..).zip(&state.steps);
+                steps.map(move |(step, _)| StepKey {
+                    job: self.id.clone(),
+                    occurrence,
+                    step,
+                })
+            })
+    }
+
     /// Returns the step with this key for modification.
     pub fn step_mut(&mut self, key: &StepKey) -> Option<&mut Step> {
         let occurrence = self.occurrences.get_mut(&key.occurrence)?;
@@ -470,12 +491,15 @@
 }
 
 fn unit_row(unit: &Unit) -> record::UnitRow {
-    let workers = if unit.is_free() {
-        Vec::new()
-    } else {
-        let members = unit.members.iter();
-        members.map(|member| member.worker.clone()).collect()
+    // A planned member is assigned in memory only.
+    let stored_worker = |member: &Member| {
+        let stored = member.phase != Phase::Planned;
+        member.worker.clone().filter(|_| stored)
     };
+    let mut workers: Vec<_> = unit.members.iter().map(stored_worker).collect();
+    if workers.iter().all(Option::is_none) {
+        workers.clear();
+    }
     record::UnitRow {
         done: unit.done,
         run: unit.run,
--- a/crates/mangotrestle-core/src/workflow/pool/rows.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/rows.rs
@@ -101,6 +101,28 @@
     }
 }
 
+/// Moves the planned units of a job to the commit in flight. Units whose tickets are still to be
+/// requested stay planned, so that no row binds a run whose order may be long in coming. Returns
+/// whether there are any.
+fn plan_to_write(now: TimeMs, job: &mut Job) -> bool {
+    let needs_tickets = job.record.policy.advice.is_some();
+    let mut lacking = false;
+    let occurrences = job.occurrences.values_mut();
+    for step in occurrences.flat_map(|occurrence| &mut occurrence.steps) {
+        for unit in &mut step.units {
+            if needs_tickets && !step.tickets.cover(unit, now) {
+                lacking |= unit.has_planned_member();
+                continue;
+            }
+            let members = unit.members.iter_mut();
+            for member in members.filter(|member| member.phase == Phase::Planned) {
+                member.phase = Phase::Writing;
+            }
+        }
+    }
+    lacking
+}
+
 /// Returns the maximum number of rows that a job's changes touch.
 fn max_rows_of(job: &Job) -> usize {
     let acceptance = if job.accepted { 0 } else { ACCEPT_ROWS };
@@ -185,7 +207,9 @@
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
-        change_phase(job, Phase::Planned, Phase::Writing);
+        if plan_to_write(now, job) {
+            self.steps_lacking_tickets.extend(job.step_keys());
+        }
         if !job.accepted {
             commit.changes.push(RowChange::Accept {
                 job: id.clone(),
--- a/crates/mangotrestle-core/src/workflow/pool/ticket_requests.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/ticket_requests.rs
@@ -248,6 +248,9 @@
                 SpanMs(valid_ms)
             };
             step.tickets.learn(now, workers, allowed, validity);
+            if step.units.iter().any(Unit::has_planned_member) {
+                self.mark_dirty(&key.job);
+            }
             self.placing_due = true;
         } else {
             step.tickets.record_failed_request(now);
