Keep a listed run when the same attempt is lost on another worker

The new test failed before: the task was started while the other worker listed the run. A loss that the scheduler infers for one worker now leaves the runs of other workers alone.

--- a/crates/mangotrestle-core/src/scheduler/recovery.rs
+++ b/crates/mangotrestle-core/src/scheduler/recovery.rs
@@ -83,7 +83,7 @@
         for task in self.tasks_on(key) {
             let run = self.jobs[task.job].run_id(task.position);
             if !listed.contains(&run) {
-                self.run_ended(now_ms, &run, task::RunOutcome::Lost);
+                self.current_run_ended(now_ms, &run, task::RunOutcome::Lost);
             }
         }
     }
@@ -461,7 +461,7 @@
             return;
         }
         let run = self.jobs[task.job].run_id(task.position);
-        self.run_ended(now_ms, &run, task::RunOutcome::Lost);
+        self.current_run_ended(now_ms, &run, task::RunOutcome::Lost);
     }
 
     /// Removes a lost worker that has no runs and no tasks of unknown outcome left.
--- a/crates/mangotrestle-core/src/scheduler/run_ends.rs
+++ b/crates/mangotrestle-core/src/scheduler/run_ends.rs
@@ -94,9 +94,23 @@
         outcome: task::RunOutcome,
     ) {
         self.remove_unexpected_run(now_ms, run);
-        let Some(key) = self.task_of_current_run(run) else {
+        if self.task_of_current_run(run).is_none() {
             self.adopt_ended(now_ms, run, outcome);
             return;
+        }
+        self.current_run_ended(now_ms, run, outcome);
+    }
+
+    /// Handles the end of a run if it is its task's latest run. Another worker may list a run with
+    /// the same attempt number, which is not affected.
+    pub(super) fn current_run_ended(
+        &mut self,
+        now_ms: time::TimeMs,
+        run: &task::RunId,
+        outcome: task::RunOutcome,
+    ) {
+        let Some(key) = self.task_of_current_run(run) else {
+            return;
         };
         let Some(record) = self.jobs.record(key) else {
             return;
--- a/crates/mangotrestle-core/tests/scheduler/recovery.rs
+++ b/crates/mangotrestle-core/tests/scheduler/recovery.rs
@@ -31,6 +31,15 @@
     (start.run, start.worker)
 }
 
+/// Returns the name of the worker of [`pool`] that is not `worker`.
+fn other_worker(worker: &str) -> &'static str {
+    if worker == "worker-0" {
+        "worker-1"
+    } else {
+        "worker-0"
+    }
+}
+
 fn lost(worker: &str) -> scheduler::SchedulerEvent {
     scheduler::SchedulerEvent::WorkerLost {
         worker: worker_id(worker),
@@ -189,11 +198,7 @@
         run: run.clone(),
         need: amount(1, 1, 0),
     };
-    let other = if recorded == "worker-0" {
-        "worker-1"
-    } else {
-        "worker-0"
-    };
+    let other = other_worker(&recorded);
 
     let mut new_leader = scheduler::Scheduler::new(scheduler::SchedulerConfig::default(), 2);
     new_leader.restore(NOW, &snapshot);
@@ -236,14 +241,38 @@
 }
 
 #[test]
-fn an_ended_copy_on_another_worker_frees_its_capacity_and_leaves_the_task_running() {
+fn a_lost_run_is_not_repeated_while_another_worker_lists_the_same_attempt() {
     let mut pool = pool();
     let (run, worker) = start_single_task(&mut pool, batch("repeatable", 1));
-    let other = if worker == "worker-0" {
-        "worker-1"
-    } else {
-        "worker-0"
+    let other = other_worker(&worker);
+    let listed = scheduler::ListedRun {
+        run: run.clone(),
+        need: amount(1, 1, 0),
     };
+    for (name, running) in [(other, vec![listed]), (&worker, Vec::new())] {
+        let listing = listing(name, "rack-0", capacity(8, 64, 0), running);
+        pool.handle(NOW, listing);
+    }
+
+    let while_listed = starts(&decide_all(&mut pool, 600_000));
+    let worker = worker_id(other);
+    pool.handle(
+        NOW,
+        scheduler::SchedulerEvent::UnexpectedRunEnded { run, worker },
+    );
+    let after_end = starts(&decide_all(&mut pool, 600_000));
+
+    assert!(while_listed.is_empty());
+    assert_eq!(after_end.len(), 1);
+    assert_eq!(after_end[0].run.attempt, 2);
+    assert_eq!(pool.check_invariants(), Ok(()));
+}
+
+#[test]
+fn an_ended_copy_on_another_worker_frees_its_capacity_and_leaves_the_task_running() {
+    let mut pool = pool();
+    let (run, worker) = start_single_task(&mut pool, batch("repeatable", 1));
+    let other = other_worker(&worker);
     let listed = scheduler::ListedRun {
         run: run.clone(),
         need: amount(3, 1, 0),
