Answer callers in time when neither the store nor any peer answers

Callers see: a request for a job's state or a cancel ends without an answer.

Cause: only submissions were bound by the time for which the caller waits. A read that the store does not answer is relayed by up to six peers in turn, each with its own timeout of more than a second, and a cancel tries several times.

Evidence: a trial with the calls of the new test before the change, where the caller's deadline is 3 s and it gives up after 5 s (request, status, time; a status of 0 means no answer):

state 0 5.054494025s cancel 0 5.054763862s

State requests and cancels now get four fifths of the caller's time, as submissions do, and are answered 504 after that, which says that the outcome is unknown and that the caller may ask again.

--- a/crates/mangotrestle/src/host/front.rs
+++ b/crates/mangotrestle/src/host/front.rs
@@ -34,8 +34,8 @@
 /// Share of the time for accepting a job in which only the pool's leader is tried while the store
 /// is slow.
 const LEADER_TIME_SHARE: f64 = 0.6;
-/// Share of the caller's time that may be spent on accepting a job; the rest is for the answer.
-const ACCEPT_TIME_SHARE: f64 = 0.8;
+/// Share of the caller's time that may be spent on a request; the rest is for the answer.
+const ANSWER_TIME_SHARE: f64 = 0.8;
 /// Timeout for a leader's answer about a job, after which the store is used instead. While a job
 /// is submitted, a leader that still commits is waited for again.
 const LEADER_ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
@@ -108,14 +108,23 @@
         return StatusCode::NOT_FOUND.into_response();
     };
     let began = Instant::now();
+    let timeout = caller_timeout(&request).mul_f64(ANSWER_TIME_SHARE);
     match method {
         Method::POST => submit(&cell, &catalog, queue, &job, request, began).await,
-        Method::GET => state(&cell, queue, &job).await,
-        Method::DELETE => cancel(&cell, queue, &job).await,
+        Method::GET => answer_within(timeout, state(&cell, queue, &job)).await,
+        Method::DELETE => answer_within(timeout, cancel(&cell, queue, &job)).await,
         _ => StatusCode::METHOD_NOT_ALLOWED.into_response(),
     }
 }
 
+/// Answers that the outcome is unknown if there is no answer in time: calls to the store may be
+/// relayed by several peers in turn.
+async fn answer_within(timeout: Duration, answer: impl Future<Output = Response>) -> Response {
+    tokio::time::timeout(timeout, answer)
+        .await
+        .unwrap_or_else(|_| StatusCode::GATEWAY_TIMEOUT.into_response())
+}
+
 /// Returns the time for which the caller waits for an answer.
 fn caller_timeout(request: &Request) -> Duration {
     request
@@ -134,7 +143,7 @@
     request: Request,
     began: Instant,
 ) -> Response {
-    let timeout = caller_timeout(&request).mul_f64(ACCEPT_TIME_SHARE);
+    let timeout = caller_timeout(&request).mul_f64(ANSWER_TIME_SHARE);
     let max_bytes = match catalog.max_body_bytes {
         0 => DEFAULT_MAX_BODY_BYTES,
         configured => configured,
--- a/crates/mangotrestle/tests/host/main.rs
+++ b/crates/mangotrestle/tests/host/main.rs
@@ -19,6 +19,9 @@
 /// Time within which a pool whose leader was killed has a new one if reading its jobs takes 2 s.
 const SLOW_TAKEOVER_TIME: Duration = Duration::from_secs(12);
 
+/// Time within which every host has read a new row of a host.
+const REGISTRATION_TIME: Duration = Duration::from_millis(1_500);
+
 /// Submits new jobs, numbered from `first`, until one is answered with this status; returns its
 /// number.
 async fn submit_until_status(caller: &Caller, first: u64, status: u16) -> u64 {
@@ -157,3 +160,23 @@
 
     assert_eq!(resubmitted.status, 200, "{resubmitted:?}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_callers_while_neither_the_store_nor_any_peer_answers() {
+    let platform = Platform::start().await;
+    let host = Host::start("front-a-1", &platform).await;
+    let caller = host.caller();
+    let number = submit_until_status(&caller, 1, 200).await;
+    for index in 0..6 {
+        let name = format!("front-b-{index}");
+        platform.add_silent_host(&name).await;
+    }
+    tokio::time::sleep(REGISTRATION_TIME).await;
+
+    platform.set_unresponsive(true);
+    let (state, cancelled) = tokio::join!(caller.state(999_999), caller.cancel(number));
+
+    // A status of zero means that there was no answer within the caller's timeout.
+    assert_ne!(state.status, 0, "{state:?}");
+    assert_ne!(cancelled.status, 0, "{cancelled:?}");
+}
--- a/crates/mangotrestle/tests/host/platform.rs
+++ b/crates/mangotrestle/tests/host/platform.rs
@@ -232,6 +232,29 @@
             .store(unresponsive, Ordering::Relaxed);
     }
 
+    /// Registers a host that accepts connections and never answers.
+    pub async fn add_silent_host(&self, name: &str) {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        tokio::spawn(async move {
+            let mut connections = Vec::new();
+            while let Ok((connection, _)) = listener.accept().await {
+                connections.push(connection);
+            }
+        });
+        let row = json!({"address": address.to_string(), "zone": "a", "life": 1});
+        let value = StoredValue(row.to_string().into_bytes());
+        let value = serde_json::to_value(value).expect("a value");
+        let key = ("cell".to_owned(), String::new(), format!("host/{name}"));
+        {
+            let mut rows = self.store.rows.lock().expect("the rows");
+            rows.version += 1;
+            let version = rows.version;
+            rows.rows.insert(key, (version, Some(value)));
+        }
+        self.store.changed.notify_waiters();
+    }
+
     /// Sets the duration of a read, and the maximum number of rows in its answer.
     pub fn set_slow_reads(&self, duration: Duration, max_page_rows: usize) {
         let duration_ms = u64::try_from(duration.as_millis()).unwrap_or(u64::MAX);
