--- a/crates/mangotrestle-core/src/workflow/pool/ticket_requests.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/ticket_requests.rs
@@ -21,6 +21,9 @@
 /// Maximum number of waiting steps without free capacity, most urgent first, whose tickets are kept
 /// valid.
 const MAX_RENEWED_BLOCKED_STEPS: usize = 6;
+/// Divisor of the maximum number of requests in flight that gives the part for steps that no worker
+/// has room for yet.
+const ADVANCE_REQUESTS_DIVISOR: usize = 2;
 /// Remaining validity of a ticket at which it is renewed for a waiting step.
 const RENEWAL_MARGIN: SpanMs = SpanMs(100);
 
@@ -125,6 +128,11 @@
             .filter(|worker| step.tickets.is_undecided(&worker.entry.worker))
             .collect();
         if !undecided.is_empty() {
+            let has_room = undecided.iter().any(|worker| need.fits_in(&worker.free()));
+            let max_in_advance = self.settings.max_ticket_requests / ADVANCE_REQUESTS_DIVISOR;
+            if !has_room && self.ticket_requests_in_flight >= max_in_advance {
+                return Vec::new();
+            }
             undecided.sort_by_key(|worker| (!need.fits_in(&worker.free()), &worker.entry.worker));
             undecided.truncate(MAX_REQUEST_WORKERS);
             return ids(&undecided);
