Report planned runs that wait long for tickets as unsettled

A unit now waits for its tickets after it was assigned, and such a wait was in no line: step.blocked names waiting units, run.unsettled began with bound ones.

--- a/crates/mangotrestle-core/src/workflow/pool/placing.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/placing.rs
@@ -29,7 +29,6 @@
 /// Time after which the workers reserved for a gang are chosen again; the ends of runs within it
 /// hardly change the choice.
 const RESERVATION_LIFETIME: SpanMs = SpanMs(100);
-
 /// Maximum time until the expected start of a gang for which workers are kept free.
 const MAX_RESERVATION_WAIT: SpanMs = SpanMs(60_000);
 
--- a/crates/mangotrestle-core/src/workflow/pool/rows.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/rows.rs
@@ -104,7 +104,7 @@
 /// Moves the planned units of a job to the commit in flight. Units whose tickets are still to be
 /// requested stay planned, so that no row binds a run whose order may be long in coming. Returns
 /// whether there are any.
-fn plan_to_write(now: TimeMs, job: &mut Job) -> bool {
+fn begin_writing(now: TimeMs, job: &mut Job) -> bool {
     let needs_tickets = job.record.policy.advice.is_some();
     let mut lacking = false;
     let occurrences = job.occurrences.values_mut();
@@ -207,7 +207,7 @@
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
-        if plan_to_write(now, job) {
+        if begin_writing(now, job) {
             self.steps_lacking_tickets.extend(job.step_keys());
         }
         if !job.accepted {
@@ -282,6 +282,7 @@
             }
             self.dirty.insert(id);
         }
+        // The next commit may not cover the ends that this one did.
         for worker in self.workers.values_mut() {
             worker.committing_end = worker.durable_end;
         }
--- a/crates/mangotrestle-core/src/workflow/pool/stalls.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/stalls.rs
@@ -149,10 +149,7 @@
     fn report_unsettled_runs(&mut self, now: TimeMs) {
         let mut reports = Vec::new();
         for (key, member) in self.jobs.values().flat_map(Job::assigned_members) {
-            let in_between = matches!(
-                member.phase,
-                Phase::Bound | Phase::Ordered | Phase::Stopping | Phase::Stopped
-            );
+            let in_between = !matches!(member.phase, Phase::Free | Phase::Running);
             let since = now.since(member.phase_since);
             if !in_between || since < MIN_UNSETTLED_TIME {
                 continue;
