--- a/crates/mangotrestle-core/tests/workflow/placing.rs
+++ b/crates/mangotrestle-core/tests/workflow/placing.rs
@@ -226,17 +226,8 @@
 
 #[test]
 fn a_persistent_task_starts_once_its_only_worker_leaves_quarantine() {
-    let mut world = World::new(4, 1);
     let only_worker = worker("w-0");
-    world.run_for(100);
-    set_failing(&mut world, &only_worker, true);
-    for number in 0..2 {
-        let mut failing = record(0, vec![step(1, 500, 300, &[])]).as_ref().clone();
-        failing.policy.max_attempts = 1;
-        world.submit(&job(number), &Arc::new(failing));
-    }
-    world.run_for(1_000);
-    set_failing(&mut world, &only_worker, false);
+    let mut world = world_with_worker_in_quarantine(4, &only_worker, 1_000);
     let mut persistent = step(1, 500, 300, &[]);
     persistent.persistent = true;
     world.submit(&job(10), &record(0, vec![persistent]));
@@ -246,6 +237,22 @@
     assert_eq!(world.running_on(&only_worker).len(), 1);
 }
 
+/// Returns a simulation of which the only worker is sound again, and has been in quarantine since
+/// two jobs failed there within `span_ms`.
+fn world_with_worker_in_quarantine(seed: u64, only_worker: &WorkerId, span_ms: u64) -> World {
+    let mut world = World::new(seed, 1);
+    world.run_for(100);
+    set_failing(&mut world, only_worker, true);
+    for number in 0..2 {
+        let mut failing = record(0, vec![step(1, 500, 300, &[])]).as_ref().clone();
+        failing.policy.max_attempts = 1;
+        world.submit(&job(number), &Arc::new(failing));
+    }
+    world.run_for(span_ms);
+    set_failing(&mut world, only_worker, false);
+    world
+}
+
 fn set_failing(world: &mut World, id: &WorkerId, fails: bool) {
     let model = world.workers.get_mut(id).expect("the worker");
     model.fails_all_runs = fails;
@@ -323,17 +330,8 @@
 
 #[test]
 fn work_waits_less_than_3_s_if_every_worker_that_fits_is_in_quarantine() {
-    let mut world = World::new(23, 1);
     let only_worker = worker("w-0");
-    world.run_for(100);
-    set_failing(&mut world, &only_worker, true);
-    for number in 0..2 {
-        let mut failing = record(0, vec![step(1, 500, 300, &[])]).as_ref().clone();
-        failing.policy.max_attempts = 1;
-        world.submit(&job(number), &Arc::new(failing));
-    }
-    world.run_for(600);
-    set_failing(&mut world, &only_worker, false);
+    let mut world = world_with_worker_in_quarantine(23, &only_worker, 600);
     world.submit(&job(10), &record(0, vec![step(1, 500, 5_000, &[])]));
 
     world.run_for(2_400);
