--- a/crates/mangotrestle/tests/host/main.rs
+++ b/crates/mangotrestle/tests/host/main.rs
@@ -18,7 +18,6 @@
 const PAGE_READ_TIME: Duration = Duration::from_millis(70);
 /// Time within which a pool whose leader was killed has a new one if reading its jobs takes 2 s.
 const SLOW_TAKEOVER_TIME: Duration = Duration::from_secs(12);
-
 /// Time within which every host has read a new row of a host.
 const REGISTRATION_TIME: Duration = Duration::from_millis(1_500);
 
