Refuse jobs while the store is silent also where no host leads the pool

Callers of a host got 504 (outcome unknown) in place of 503 (not run, come back later) while the store answered nothing. A leader refuses new jobs once the store is unresponsive, but without a leader a host writes jobs itself, and that path only asked whether the store is unreachable, which holds for 0.4 s after each failed relay. In between it sent a transaction that nothing answered.

Both paths now ask the same question. Jobs that wait behind a batch that the store does not answer are refused when the silence is noticed, not when the batch has timed out. A job that an earlier attempt may have stored is never answered as not accepted: neither by a full queue nor by a leader that refuses the second attempt.

The new test keeps any host from loading the pool.

--- a/crates/mangotrestle/src/host/acceptor.rs
+++ b/crates/mangotrestle/src/host/acceptor.rs
@@ -17,6 +17,8 @@
 const MAX_BATCH_JOBS: usize = 30;
 /// Maximum number of jobs that wait for a transaction; more are refused.
 const MAX_QUEUED_JOBS: usize = 512;
+/// Interval between checks whether the store has become silent while a batch is written.
+const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Delay before a batch that the store refused is written again.
 const REFUSED_BATCH_RETRY_DELAY: Duration = Duration::from_millis(300);
 /// Delay before a batch is written again after a failure other than a refusal.
@@ -64,7 +66,7 @@
     ) -> Acceptance {
         let row = match serde_json::to_vec(record) {
             Ok(row) => row,
-            Err(error) => return Acceptance::NotAccepted(error.to_string()),
+            Err(error) => return refusal(uncertain, error.to_string()),
         };
         let (answer, answered) = oneshot::channel();
         let submission = Submission {
@@ -75,7 +77,7 @@
             answer,
         };
         if self.sender.try_send(submission).is_err() {
-            return Acceptance::NotAccepted("too many jobs wait for the store".to_owned());
+            return refusal(uncertain, "too many jobs wait for the store".to_owned());
         }
         match answered.await {
             Ok(acceptance) => acceptance,
@@ -86,7 +88,11 @@
 
 async fn run(cell: Arc<Cell>, pool: String, mut receiver: mpsc::Receiver<Submission>) {
     let mut batch: Vec<Submission> = Vec::new();
+    // Jobs that earlier attempts may have accepted, and that wait for the next batch.
+    let mut queued: Vec<Submission> = Vec::new();
     loop {
+        let room = MAX_BATCH_JOBS.saturating_sub(batch.len()).min(queued.len());
+        batch.extend(queued.drain(..room));
         if batch.is_empty() {
             match receiver.recv().await {
                 Some(submission) => batch.push(submission),
@@ -99,14 +105,43 @@
                 Err(_) => break,
             }
         }
-        batch = write_batch(&cell, &pool, batch).await;
+        // A batch that the store does not answer must not hold up the refusal of later jobs.
+        let mut written = std::pin::pin!(write_batch(&cell, &pool, batch));
+        batch = loop {
+            match tokio::time::timeout(SILENCE_CHECK_INTERVAL, &mut written).await {
+                Ok(unsettled) => break unsettled,
+                Err(_) if cell.store_is_silent() => refuse_queued(&mut receiver, &mut queued),
+                Err(_) => {}
+            }
+        };
+    }
+}
+
+/// Refuses the jobs that no attempt can have accepted; the others are added to `queued`.
+fn refuse_queued(receiver: &mut mpsc::Receiver<Submission>, queued: &mut Vec<Submission>) {
+    while let Ok(submission) = receiver.try_recv() {
+        if submission.uncertain {
+            queued.push(submission);
+        } else {
+            let reason = "the store is unresponsive".to_owned();
+            send_answer(submission, Acceptance::NotAccepted(reason));
+        }
+    }
+}
+
+/// Returns the answer for a job that is not written; an earlier attempt may have accepted it.
+fn refusal(uncertain: bool, reason: String) -> Acceptance {
+    if uncertain {
+        Acceptance::Unknown(reason)
+    } else {
+        Acceptance::NotAccepted(reason)
     }
 }
 
 /// Writes a batch in one transaction. Returns the jobs whose outcome is still open.
 async fn write_batch(cell: &Arc<Cell>, pool: &str, batch: Vec<Submission>) -> Vec<Submission> {
-    if cell.store_is_unreachable() {
-        let unsettled = answer_or_keep(batch, true, "the store is unreachable");
+    if cell.store_is_silent() {
+        let unsettled = answer_or_keep(batch, true, "the store is unreachable or unresponsive");
         if !unsettled.is_empty() {
             tokio::time::sleep(FAILED_BATCH_RETRY_DELAY).await;
         }
--- a/crates/mangotrestle/src/host/access.rs
+++ b/crates/mangotrestle/src/host/access.rs
@@ -279,6 +279,11 @@
         self.time_since_store_answer().as_duration() >= unresponsive_timeout
     }
 
+    /// Whether no call can be expected to reach the store now: new work is refused at once.
+    pub(super) fn store_is_silent(&self) -> bool {
+        self.store_is_unreachable() || self.store_is_unresponsive()
+    }
+
     /// Records that the store answered, directly or through a peer.
     fn record_store_answer(&self) {
         let now = self.clock.now().0;
--- a/crates/mangotrestle/src/host/front.rs
+++ b/crates/mangotrestle/src/host/front.rs
@@ -232,6 +232,9 @@
         {
             Ok(Some(Acceptance::Unknown(_))) => uncertain = true,
             Ok(Some(Acceptance::NotLeading) | None) => {}
+            Ok(Some(Acceptance::NotAccepted(reason))) if uncertain => {
+                return (Acceptance::Unknown(reason), true);
+            }
             Ok(Some(acceptance)) => return (acceptance, true),
             Err(_) => {
                 uncertain = true;
--- a/crates/mangotrestle/src/host/leader.rs
+++ b/crates/mangotrestle/src/host/leader.rs
@@ -104,8 +104,7 @@
         job: &id::JobId,
         record: Arc<JobRecord>,
     ) -> Acceptance {
-        let store_is_silent = cell.store_is_unreachable() || cell.store_is_unresponsive();
-        if store_is_silent && !lock(&self.state).knows(job) {
+        if cell.store_is_silent() && !lock(&self.state).knows(job) {
             return Acceptance::NotAccepted("the store is unreachable".to_owned());
         }
         let (sender, answered) = oneshot::channel();
@@ -662,7 +661,7 @@
                 break;
             }
         }
-        if cell.store_is_unreachable() || cell.store_is_unresponsive() {
+        if cell.store_is_silent() {
             refuse_unwritten_submissions(&leader, now);
         }
         lock(&leader.state).tick(now);
--- a/crates/mangotrestle/tests/host/main.rs
+++ b/crates/mangotrestle/tests/host/main.rs
@@ -96,6 +96,28 @@
     assert_eq!(accepted_before_return, 1);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn refuses_new_jobs_at_once_while_the_store_is_unresponsive_and_no_host_leads() {
+    let platform = Platform::start().await;
+    platform.prevent_leading();
+    let host = Host::start("front-a-1", &platform).await;
+    let caller = host.caller();
+    submit_until_status(&caller, 1, 200).await;
+
+    platform.set_unresponsive(true);
+    tokio::time::sleep(STORE_OUTAGE_DETECTION_TIME).await;
+
+    // Refused for as long as the outage lasts, whatever the host tries meanwhile.
+    for number in 1_000..1_040 {
+        let began = Instant::now();
+        let answer = caller.submit(number).await;
+        let took = began.elapsed();
+        assert_eq!(answer.status, 503, "{answer:?}");
+        assert!(took < MAX_REFUSAL_TIME, "the refusal took {took:?}");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn another_host_takes_over_a_killed_leader_with_its_jobs() {
     let platform = Platform::start().await;
