Bound relayed reads, and deny no route on an outdated configuration

The read of the configuration was being relayed: a peer that does not answer took the whole timeout of the call, 2.5 s, one peer after another, while nothing tried the direct path.

A relayed read now goes to the next peer as well after 150 ms without an answer, and the relay as a whole lasts no longer than the direct path counts as unavailable (1 s). Relayed transactions are unchanged, since they may have an effect.

The class: a host that cannot know whether its copy is new enough. It now remembers when the store last confirmed the configuration, and answers 503 instead of 404 (and instead of a count) once that is older than 0.9 of the time in which a change must be in force. Jobs are still shown, cancelled and submitted.

--- a/crates/mangotrestle/src/host/access.rs
+++ b/crates/mangotrestle/src/host/access.rs
@@ -8,8 +8,10 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
+use mangotrestle_core::id;
 use mangotrestle_core::time::{SpanMs, TimeMs};
 use mangotrestle_core::workflow::leadership;
+use mangotrestle_peer::cell::CellClient;
 use mangotrestle_platform::budget::Priority;
 use mangotrestle_users_platform::store::{
     FeedError, Row, RowName, Rows, Transaction, TransactionAnswer,
@@ -29,6 +31,11 @@
 const MAX_RELAY_ATTEMPTS: usize = 6;
 /// Time added to the timeout of a call when it is relayed.
 const RELAY_TIMEOUT_MARGIN: Duration = Duration::from_millis(100);
+/// Time beyond the requested wait after which a peer that relays a read counts as silent; less than
+/// the direct path counts as unavailable.
+const RELAYED_READ_TIMEOUT: Duration = Duration::from_millis(900);
+/// Time beyond the requested wait after which a relayed read is also sent to the next peer.
+const RELAY_HEDGE_DELAY: Duration = Duration::from_millis(150);
 
 /// Time beyond its usual duration after which a pending direct call marks the direct path as
 /// unavailable, if no direct call was answered since; long enough for a lost packet to be resent.
@@ -309,7 +316,7 @@
             transaction: transaction.clone(),
             within_ms: millis(timeout),
         };
-        match self.relay_through_peer(&call, timeout).await {
+        match self.relay_transaction(&call, timeout).await {
             Some(RelayedAnswer::Transact(result)) => {
                 if result.is_ok() {
                     self.record_store_answer();
@@ -458,7 +465,7 @@
             to: to.to_owned(),
             within_ms: millis(timeout),
         };
-        match self.relay_through_peer(&call, timeout).await {
+        match self.relay_read(&call, Duration::ZERO).await {
             Some(RelayedAnswer::Range(result)) => {
                 if result.is_ok() {
                     self.record_store_answer();
@@ -529,7 +536,7 @@
             wait_ms: millis(wait),
             within_ms: millis(timeout),
         };
-        match self.relay_through_peer(&call, timeout).await {
+        match self.relay_read(&call, wait).await {
             Some(RelayedAnswer::Feed(result)) => {
                 if result.is_ok() {
                     self.record_store_answer();
@@ -550,9 +557,9 @@
         }
     }
 
-    /// Has a peer relay a call; `None` if no peer could. The outcome of a transaction is unknown if
-    /// the peer does not answer, since it may have relayed the call.
-    async fn relay_through_peer(
+    /// Has a peer relay a transaction; `None` if no peer could. The outcome is unknown if the peer
+    /// does not answer, since it may have relayed the transaction.
+    async fn relay_transaction(
         self: &Arc<Self>,
         call: &RelayedCall,
         timeout: Duration,
@@ -561,37 +568,108 @@
             return None;
         }
         let value = serde_json::to_value(call).ok()?;
-        for candidate in self.relay_candidates(MAX_RELAY_ATTEMPTS) {
+        for (host, client) in self.relay_candidates(MAX_RELAY_ATTEMPTS) {
             let wait = timeout + RELAY_TIMEOUT_MARGIN;
-            let answer = tokio::time::timeout(wait, candidate.1.relay(value.clone())).await;
-            match answer {
+            match tokio::time::timeout(wait, client.relay(value.clone())).await {
                 Ok(Ok(answer)) => match serde_json::from_value(answer) {
-                    Ok(RelayedAnswer::Closed) => self.record_relay_result(&candidate.0, false),
+                    Ok(RelayedAnswer::Closed) => self.record_relay_result(&host, false),
                     Ok(answer) => {
-                        self.record_relay_result(&candidate.0, true);
+                        self.record_relay_result(&host, true);
                         return Some(answer);
                     }
-                    Err(error) => return Some(unknown_outcome(call, &error.to_string())),
+                    Err(error) => return Some(unknown_outcome(&error.to_string())),
                 },
                 Ok(Err(error)) => {
-                    self.record_peer_failure(&candidate.0);
-                    if matches!(call, RelayedCall::Transact { .. }) {
-                        return Some(unknown_outcome(call, &error.to_string()));
-                    }
+                    self.record_peer_failure(&host);
+                    return Some(unknown_outcome(&error.to_string()));
                 }
                 Err(_) => {
-                    self.record_peer_failure(&candidate.0);
-                    if matches!(call, RelayedCall::Transact { .. }) {
-                        return Some(unknown_outcome(call, "the peer did not answer in time"));
+                    self.record_peer_failure(&host);
+                    return Some(unknown_outcome("the peer did not answer in time"));
+                }
+            }
+        }
+        self.record_failed_relay();
+        None
+    }
+
+    /// Has a peer relay a read; `None` if no peer could. A read has no effect, so the next peer is
+    /// asked as well when one does not answer soon, and the whole relay takes no longer than the
+    /// direct path counts as unavailable: peers may be cut off while the direct path is back.
+    async fn relay_read(
+        self: &Arc<Self>,
+        call: &RelayedCall,
+        wait: Duration,
+    ) -> Option<RelayedAnswer> {
+        if self.clock.now().0 < self.direct.no_relay_until_ms.load(Ordering::Relaxed) {
+            return None;
+        }
+        let value = serde_json::to_value(call).ok()?;
+        let mut candidates = self.relay_candidates(MAX_RELAY_ATTEMPTS).into_iter();
+        let mut attempts = tokio::task::JoinSet::new();
+        let give_up = tokio::time::sleep(wait + Duration::from_millis(DIRECT_RETRY_DELAY_MS));
+        tokio::pin!(give_up);
+        loop {
+            match candidates.next() {
+                Some((host, client)) => {
+                    let (cell, value) = (Arc::clone(self), value.clone());
+                    let timeout = wait + RELAYED_READ_TIMEOUT;
+                    attempts.spawn(async move {
+                        cell.read_through(&host, &client, value, timeout).await
+                    });
+                }
+                None if attempts.is_empty() => break,
+                None => {}
+            }
+            tokio::select! {
+                Some(attempt) = attempts.join_next() => {
+                    if let Ok(Some(answer)) = attempt {
+                        return Some(answer);
                     }
                 }
+                () = tokio::time::sleep(wait + RELAY_HEDGE_DELAY), if candidates.len() > 0 => {}
+                () = &mut give_up => break,
             }
         }
+        self.record_failed_relay();
+        None
+    }
+
+    /// Has one peer relay a read; `None` if it did not.
+    async fn read_through(
+        &self,
+        host: &id::EntryHostId,
+        client: &CellClient,
+        call: serde_json::Value,
+        timeout: Duration,
+    ) -> Option<RelayedAnswer> {
+        let Ok(Ok(answer)) = tokio::time::timeout(timeout, client.relay(call)).await else {
+            self.record_peer_failure(host);
+            return None;
+        };
+        match serde_json::from_value(answer) {
+            Ok(RelayedAnswer::Closed) => {
+                self.record_relay_result(host, false);
+                None
+            }
+            Ok(answer) => {
+                self.record_relay_result(host, true);
+                Some(answer)
+            }
+            Err(error) => {
+                slog::warn!(self.log, "relay.malformed"; "peer" => host.as_str(),
+                    "error" => %error);
+                None
+            }
+        }
+    }
+
+    /// Records that no peer could relay a call, so that none is asked for a while.
+    fn record_failed_relay(&self) {
         let until = self.clock.now().0 + RELAY_RETRY_DELAY_MS;
         self.direct
             .no_relay_until_ms
             .store(until, Ordering::Relaxed);
-        None
     }
 
     /// Executes a call for a peer on the direct path; refuses it if that is unavailable.
@@ -637,13 +715,8 @@
     }
 }
 
-fn unknown_outcome(call: &RelayedCall, reason: &str) -> RelayedAnswer {
-    let error = CallError::Unknown(reason.to_owned());
-    match call {
-        RelayedCall::Transact { .. } => RelayedAnswer::Transact(Err(error)),
-        RelayedCall::Range { .. } => RelayedAnswer::Range(Err(error)),
-        RelayedCall::Feed { .. } => RelayedAnswer::Feed(Err(FeedError::Call(error))),
-    }
+fn unknown_outcome(reason: &str) -> RelayedAnswer {
+    RelayedAnswer::Transact(Err(CallError::Unknown(reason.to_owned())))
 }
 
 fn millis(span: Duration) -> u64 {
--- a/crates/mangotrestle/src/host/cell.rs
+++ b/crates/mangotrestle/src/host/cell.rs
@@ -35,6 +35,9 @@
 /// Maximum part of the store's rate limits that one host may use, as a multiple of the equal share
 /// of each host.
 const MAX_SHARES_PER_HOST: f64 = 3.0;
+/// Maximum age of the last read of the configuration, as a share of the time within which a new
+/// configuration must be in force; the rest covers the time that the read's answer took.
+const MAX_CONFIGURATION_AGE_SHARE: f64 = 0.9;
 /// Time for which a peer that did not answer gets no relays, advice requests or submitted jobs.
 const PEER_BACKOFF: SpanMs = SpanMs(1_500);
 
@@ -109,6 +112,8 @@
     pub(super) store_failed_at_ms: AtomicU64,
     /// The configuration in force.
     pub(super) catalog: ArcSwapOption<Catalog>,
+    /// When the store last confirmed that there is no newer configuration.
+    configuration_read_at_ms: AtomicU64,
     pools: Mutex<FastMap<String, PoolView>>,
     peers: Mutex<BTreeMap<id::EntryHostId, Peer>>,
     leaders: Mutex<FastMap<String, Arc<Leader>>>,
@@ -142,6 +147,7 @@
             store_answered_at_ms: AtomicU64::new(0),
             store_failed_at_ms: AtomicU64::new(0),
             catalog: ArcSwapOption::empty(),
+            configuration_read_at_ms: AtomicU64::new(0),
             pools: Mutex::default(),
             peers: Mutex::default(),
             leaders: Mutex::default(),
@@ -168,6 +174,20 @@
         !self.is_stopping() && self.catalog.load().is_some() && self.last_store_call_succeeded()
     }
 
+    /// Records that the store has just answered a read of the operator's configuration.
+    pub(super) fn record_configuration_read(&self) {
+        let now = self.clock.now().0;
+        self.configuration_read_at_ms.store(now, Ordering::Relaxed);
+    }
+
+    /// Whether a newer configuration that must be in force by now would be known here.
+    pub(super) fn configuration_is_current(&self) -> bool {
+        let read_at = TimeMs(self.configuration_read_at_ms.load(Ordering::Relaxed));
+        let max_age = self.settings.bounds.config_apply_time.as_duration();
+        let age = self.clock.now().since(read_at).as_duration();
+        age < max_age.mul_f64(MAX_CONFIGURATION_AGE_SHARE)
+    }
+
     /// Returns this host's row.
     pub(super) fn own_row(&self) -> HostRow {
         HostRow {
--- a/crates/mangotrestle/src/host/events.rs
+++ b/crates/mangotrestle/src/host/events.rs
@@ -27,6 +27,12 @@
     slog::info!(log, "host.stopped"; "all_answered" => all_answered);
 }
 
+/// Logs a request that was refused because a newer configuration may be in force.
+pub(super) fn configuration_outdated(log: &slog::Logger, version: u64, path: &str) {
+    metrics::counter!("mangotrestle_configuration_outdated_total").increment(1);
+    slog::info!(log, "configuration.outdated"; "version" => version, "path" => path);
+}
+
 /// Logs a submitted job that cannot be decoded or is not valid.
 pub(super) fn job_malformed(log: &slog::Logger, job: &id::JobId, error: &str) {
     metrics::counter!("mangotrestle_jobs_malformed_total").increment(1);
--- a/crates/mangotrestle/src/host/feeds.rs
+++ b/crates/mangotrestle/src/host/feeds.rs
@@ -55,6 +55,7 @@
                 for row in &rows.rows {
                     apply_operator_row(&cell, row);
                 }
+                cell.record_configuration_read();
             }
             Err(FeedError::HistoryLost) => {
                 slog::info!(cell.log, "configuration.history_lost"; "after" => ?version);
--- a/crates/mangotrestle/src/host/front.rs
+++ b/crates/mangotrestle/src/host/front.rs
@@ -96,14 +96,21 @@
         .unwrap_or_default()
         .to_owned();
     let path = request.uri().path().to_owned();
-    let Some(queue) = catalog.route(&host, &path) else {
+    let queue = catalog.route(&host, &path);
+    let method = request.method().clone();
+    let is_count = |queue: &Queue| method == Method::GET && path.len() == queue.path_prefix.len();
+    // A newer configuration may have added or removed the route.
+    if queue.is_none_or(is_count) && !cell.configuration_is_current() {
+        events::configuration_outdated(&cell.log, catalog.version, &path);
+        return refuse(StatusCode::SERVICE_UNAVAILABLE, MIN_RETRY_AFTER);
+    }
+    let Some(queue) = queue else {
         return StatusCode::NOT_FOUND.into_response();
     };
-    let rest = &path[queue.path_prefix.len()..];
-    let method = request.method().clone();
-    if method == Method::GET && rest.is_empty() {
+    if is_count(queue) {
         return pending(&cell, queue);
     }
+    let rest = &path[queue.path_prefix.len()..];
     let Some(job) = ingress::job_id(rest) else {
         return StatusCode::NOT_FOUND.into_response();
     };
--- a/crates/mangotrestle/tests/host/main.rs
+++ b/crates/mangotrestle/tests/host/main.rs
@@ -14,6 +14,10 @@
 /// Time in which a refusal counts as immediate.
 const MAX_REFUSAL_TIME: Duration = Duration::from_millis(500);
 
+/// Time within which a configuration must be in force; the default of the settings.
+const CONFIGURATION_APPLY_TIME: Duration = Duration::from_secs(2);
+/// Duration of an outage of the store in which all feeds are relayed.
+const STORE_SILENCE: Duration = Duration::from_millis(2_400);
 /// Duration of a read of one page that does not make the store count as slow.
 const PAGE_READ_TIME: Duration = Duration::from_millis(70);
 /// Time within which a pool whose leader was killed has a new one if reading its jobs takes 2 s.
@@ -118,6 +122,44 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silent_peer_does_not_delay_a_configuration_once_the_store_answers_again() {
+    let platform = Platform::start().await;
+    let host = Host::start("front-a-1", &platform).await;
+    let caller = host.caller();
+    submit_until_status(&caller, 1, 200).await;
+    for index in 0..6 {
+        platform.add_silent_host(&format!("front-b-{index}")).await;
+    }
+    tokio::time::sleep(REGISTRATION_TIME).await;
+
+    platform.set_unresponsive(true);
+    tokio::time::sleep(STORE_SILENCE).await;
+    platform.add_queue(2, "/new/");
+    platform.set_unresponsive(false);
+    tokio::time::sleep(CONFIGURATION_APPLY_TIME).await;
+    let answer = caller.count("/new/").await;
+
+    assert_eq!(answer.status, 200, "{answer:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn does_not_deny_a_route_that_a_newer_configuration_may_have() {
+    let platform = Platform::start().await;
+    let host = Host::start("front-a-1", &platform).await;
+    let caller = host.caller();
+    submit_until_status(&caller, 1, 200).await;
+    let without_route = caller.count("/new/").await;
+
+    platform.set_unresponsive(true);
+    tokio::time::sleep(CONFIGURATION_APPLY_TIME).await;
+    let uncertain = caller.count("/new/").await;
+
+    assert_eq!(without_route.status, 404, "{without_route:?}");
+    assert_eq!(uncertain.status, 503, "{uncertain:?}");
+    assert!(uncertain.retry_after_s.is_some(), "{uncertain:?}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn another_host_takes_over_a_killed_leader_with_its_jobs() {
     let platform = Platform::start().await;
