Repeat an overdue ticket request through another host

A step whose ticket request got no answer waited for the request's timeout, 1.5 s beyond the expected delay, before the next one was sent: with answers that take 0.7 s, two members started after 3 s although workers were free (the listed test, 0 of 2 within its bound).

A request that is 0.5 s overdue is now sent again, through the host with the fewest requests, while the first one stays in flight; at most one repeat for a step, and only while fewer than half of the allowed requests are in flight, so that a service that is slow for all is not asked twice. Runs that wait for tickets are given up when the last request in flight failed, or two failed in a row as before.

A first try, in which a failed request did not count while its repeat was in flight, kept workers for a service that answers nothing and failed a_step_without_tickets_does_not_keep_workers_from_others_when_its_request_fails.

--- a/crates/mangotrestle-core/src/workflow/pool/ticket_requests.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/ticket_requests.rs
@@ -9,7 +9,7 @@
 use crate::id;
 use crate::time::{SpanMs, TimeMs};
 
-use super::super::job::{Phase, StepKey, Unit, UnitKey};
+use super::super::job::{Phase, Step, StepKey, Unit, UnitKey};
 use super::super::rank::Rank;
 use super::super::worker::Worker;
 use super::{Note, Order, Pool};
@@ -24,6 +24,9 @@
 /// Divisor of the maximum number of requests in flight that gives the part for steps that no worker
 /// has room for yet.
 const ADVANCE_REQUESTS_DIVISOR: usize = 2;
+/// Divisor of the maximum number of requests in flight that gives the number up to which overdue
+/// requests are repeated; a service that is slow for all must not get each request twice.
+const REPEATED_REQUESTS_DIVISOR: usize = 2;
 /// Remaining validity of a ticket at which it is renewed for a waiting step.
 const RENEWAL_MARGIN: SpanMs = SpanMs(100);
 
@@ -93,7 +96,7 @@
         let Some(step) = job.step(key) else {
             return;
         };
-        if !step.tickets.may_request(now) {
+        if !self.may_request(now, step) {
             return;
         }
         let workers = self.workers_to_request(now, key, blocked_steps);
@@ -177,17 +180,24 @@
             if workers.is_empty() {
                 continue;
             }
-            let may_request = self.ticket_requests_in_flight < self.settings.max_ticket_requests
-                && self
-                    .step(&key)
-                    .is_some_and(|step| step.tickets.may_request(now));
-            if may_request {
+            let step = self.step(&key);
+            if step.is_some_and(|step| self.may_request(now, step)) {
                 self.send_request(now, &key, workers);
             }
             self.steps_lacking_tickets.insert(key);
         }
     }
 
+    /// Whether a request for a step may be sent now.
+    fn may_request(&self, now: TimeMs, step: &Step) -> bool {
+        let max_requests = if step.tickets.is_overdue(now) {
+            self.settings.max_ticket_requests / REPEATED_REQUESTS_DIVISOR
+        } else {
+            self.settings.max_ticket_requests
+        };
+        self.ticket_requests_in_flight < max_requests && step.tickets.may_request(now)
+    }
+
     /// Returns the workers for which tickets are needed before the assigned runs of a step can
     /// start. All members of a gang need valid tickets at the same time.
     fn workers_lacking_tickets(&self, now: TimeMs, key: &StepKey) -> Vec<id::WorkerId> {
@@ -217,7 +227,7 @@
         let Some(step) = job.step_mut(key) else {
             return;
         };
-        step.tickets.requested_at = Some(now);
+        step.tickets.record_request(now, expected_delay);
         self.ticket_requests_in_flight += 1;
         self.orders.push(Order::RequestTickets {
             step: key.clone(),
@@ -242,7 +252,7 @@
         let Some(step) = job.step_mut(key) else {
             return;
         };
-        let requested_at = step.tickets.requested_at.take();
+        let requested_at = step.tickets.record_request_end();
         self.notes.push(Note::Advised {
             step: key.clone(),
             asked: workers.len(),
@@ -260,8 +270,7 @@
                 self.mark_dirty(&key.job);
             }
             self.placing_due = true;
-        } else {
-            step.tickets.record_failed_request(now);
+        } else if step.tickets.record_failed_request(now) {
             self.withdraw_runs_lacking_tickets(now, key);
         }
         self.start_bound_runs(now, key);
--- a/crates/mangotrestle-core/src/workflow/tickets.rs
+++ b/crates/mangotrestle-core/src/workflow/tickets.rs
@@ -14,6 +14,10 @@
 const TICKET_DELIVERY_MARGIN: SpanMs = SpanMs(150);
 /// Time after which a request counts as lost.
 const REQUEST_TIMEOUT: SpanMs = SpanMs(4_000);
+/// Time beyond the expected one after which a request is repeated through another host.
+const OVERDUE_MARGIN: SpanMs = SpanMs(500);
+/// Maximum number of requests in flight for one step: one, and one that repeats it.
+const MAX_STEP_REQUESTS: u32 = 2;
 /// Number of consecutive failed requests after which no workers are kept free for a step.
 const MAX_FAILED_REQUESTS: u32 = 2;
 /// Delay after a request that was refused or not answered.
@@ -33,8 +37,12 @@
 pub struct StepTickets {
     allowed: FastMap<id::WorkerId, Ticket>,
     decided: FastSet<id::WorkerId>,
-    /// Time at which the ticket request in flight was handed out, if there is one.
+    /// Time at which the latest ticket request in flight was handed out, if there is one.
     pub requested_at: Option<TimeMs>,
+    /// Number of requests in flight.
+    requests_in_flight: u32,
+    /// Time from which the requests in flight are overdue.
+    overdue_at: TimeMs,
     /// Time before which no further request is sent, after a failed one.
     retry_at: TimeMs,
     /// Number of consecutive requests that were refused or not answered.
@@ -74,19 +82,47 @@
         }
     }
 
-    /// Records that a request was refused or not answered.
-    pub fn record_failed_request(&mut self, now: TimeMs) {
+    /// Records that a request was handed out whose answer usually takes `expected_delay`.
+    pub fn record_request(&mut self, now: TimeMs, expected_delay: SpanMs) {
+        self.requested_at = Some(now);
+        self.requests_in_flight += 1;
+        self.overdue_at = now + expected_delay + OVERDUE_MARGIN;
+    }
+
+    /// Records that a request was answered or has failed. Returns when the latest one was handed
+    /// out.
+    pub fn record_request_end(&mut self) -> Option<TimeMs> {
+        self.requests_in_flight = self.requests_in_flight.saturating_sub(1);
+        if self.requests_in_flight == 0 {
+            self.requested_at.take()
+        } else {
+            self.requested_at
+        }
+    }
+
+    /// Records that a request was refused or not answered. Returns whether the runs that wait for it
+    /// should be given up: no other request is in flight for them, or it may fail as well.
+    pub fn record_failed_request(&mut self, now: TimeMs) -> bool {
         self.failed_requests += 1;
         self.retry_at = now + RETRY_DELAY;
+        self.requests_in_flight == 0 || self.are_unobtainable()
     }
 
-    /// Whether a request may be sent: none is in flight, and the delay after a failed one is over.
+    /// Whether a request may be sent: none is in flight, or the only one is overdue, and the delay
+    /// after a failed one is over.
     #[must_use]
     pub fn may_request(&self, now: TimeMs) -> bool {
         let in_flight = self
             .requested_at
             .is_some_and(|at| now.since(at) < REQUEST_TIMEOUT);
-        !in_flight && self.retry_at <= now
+        (!in_flight || self.is_overdue(now)) && self.retry_at <= now
+    }
+
+    /// Whether the only request in flight is overdue, so that the next one would repeat it.
+    #[must_use]
+    pub fn is_overdue(&self, now: TimeMs) -> bool {
+        let in_flight = 1..MAX_STEP_REQUESTS;
+        in_flight.contains(&self.requests_in_flight) && now >= self.overdue_at
     }
 
     /// Whether so many consecutive requests failed that the next may fail as well.
