Try one run on a quarantined worker if no other worker could hold it

One second into the quarantine such a unit may be tried on the worker, one run at a time, and only if every worker that is listed, does not drain and could ever hold it is in quarantine. A success ends the quarantine, a failure starts it anew. Other work is placed as before.

--- a/crates/mangotrestle-core/src/workflow/pool/placing.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/placing.rs
@@ -72,6 +72,8 @@
     serving_tasks: u32,
     best_effort_tasks: u32,
     reserved: bool,
+    /// Whether the worker is in quarantine and may get one run, if no other worker could run it.
+    probe: bool,
     /// Steps of the tasks that the pass has placed here.
     added: SmallVec<[&'a StepKey; 4]>,
 }
@@ -88,6 +90,8 @@
 /// State of a placement pass over the workers that accept work.
 struct PlacementPass<'a> {
     slots: Vec<Slot<'a>>,
+    /// Whether any slot is that of a worker in quarantine.
+    has_probes: bool,
     /// Step and zone of the unit that was placed last.
     last_placed: Option<(&'a StepKey, &'a str)>,
     /// Number of steps for which the pass may still assign runs whose tickets are yet to be
@@ -106,6 +110,8 @@
     pub(super) need: Resources,
     /// Zone of another task of the step, if one is assigned.
     zone: Option<&'a str>,
+    /// Whether the unit may be tried on a worker in quarantine.
+    may_probe: bool,
     /// Whether the unit may be assigned to an allowed worker before its ticket is requested.
     may_request_ticket: bool,
 }
@@ -177,8 +183,10 @@
                 .filter_map(|(index, slot)| {
                     let already_here = chosen.iter().filter(|other| **other == index).count();
                     let left = capacity_left(slot, &request.need, already_here)?;
-                    let fits =
-                        !slot.reserved && slot_allowed(slot) && request.allows(now, slot.worker);
+                    let fits = !slot.reserved
+                        && (!slot.probe || request.may_probe)
+                        && slot_allowed(slot)
+                        && request.allows(now, slot.worker);
                     if !fits || exceeds_max_per_worker(slot, request, already_here) {
                         return None;
                     }
@@ -212,6 +220,7 @@
             slot.serving_tasks += u32::from(request.spec.persistent);
             slot.best_effort_tasks += u32::from(request.spec.best_effort);
             slot.added.push(&request.key.step);
+            slot.reserved |= slot.probe;
             self.last_placed = Some((&request.key.step, &slot.worker.entry.zone));
             workers.push(slot.worker.entry.worker.clone());
         }
@@ -325,7 +334,12 @@
             }
             request.may_request_ticket &=
                 pass.ticket_requests_left > 0 || pass.last_requesting == Some(&key.step);
-            if let Some(chosen) = pass.choose(now, &request) {
+            let mut chosen = pass.choose(now, &request);
+            if chosen.is_none() && pass.has_probes && self.only_quarantined_fit(now, &request) {
+                request.may_probe = true;
+                chosen = pass.choose(now, &request);
+            }
+            if let Some(chosen) = chosen {
                 let workers = pass.allocate(now, &request, &chosen);
                 decisions.assigned.push((*rank, key.clone(), workers));
                 continue;
@@ -343,12 +357,13 @@
     }
 
     fn begin_pass(&self, now: TimeMs) -> PlacementPass<'_> {
-        let accepting = self
-            .workers
-            .values()
-            .filter(|worker| worker.accepts_work(now));
-        let slots = accepting.map(|worker| Slot {
+        let accepting = self.workers.values().filter_map(|worker| {
+            let probe = worker.accepts_probe(now);
+            (probe || worker.accepts_work(now)).then_some((worker, probe))
+        });
+        let slots = accepting.map(|(worker, probe)| Slot {
             worker,
+            probe,
             free: worker.free(),
             healthy: !worker.is_last_resort(now) && !self.is_slow(now, worker),
             serving_tasks: worker.serving_tasks,
@@ -361,8 +376,10 @@
             step.is_some_and(|step| step.tickets.requested_at.is_none())
         });
         let expected_requests = self.ticket_requests_in_flight + unrequested.count();
+        let slots: Vec<Slot<'_>> = slots.collect();
         PlacementPass {
-            slots: slots.collect(),
+            has_probes: slots.iter().any(|slot| slot.probe),
+            slots,
             last_placed: None,
             ticket_requests_left: self
                 .settings
@@ -372,6 +389,18 @@
         }
     }
 
+    /// Whether every worker that could run a unit once its tasks have ended is in quarantine.
+    fn only_quarantined_fit(&self, now: TimeMs, request: &PlacementRequest<'_>) -> bool {
+        let mut fitting = self.workers.values().filter(|worker| {
+            !worker.ended
+                && !worker.entry.draining
+                && worker.missing_since.is_none()
+                && request.need.fits_in(&worker.entry.capacity)
+                && request.permits(worker)
+        });
+        fitting.all(|worker| worker.is_quarantined(now))
+    }
+
     pub(super) fn placement_request<'a>(
         &'a self,
         now: TimeMs,
@@ -387,6 +416,7 @@
             spec,
             need: spec.counted_need(),
             zone: self.zone_of(step),
+            may_probe: false,
             may_request_ticket: step.tickets.may_assign_first(now),
         })
     }
@@ -436,6 +466,9 @@
             });
             if let Some(worker) = self.workers.get_mut(worker) {
                 worker.add_task(member, &record.steps[key.step.step as usize]);
+                if worker.is_quarantined(now) {
+                    worker.note_probe();
+                }
             }
         }
         if record.policy.advice.is_some() {
--- a/crates/mangotrestle-core/src/workflow/worker.rs
+++ b/crates/mangotrestle-core/src/workflow/worker.rs
@@ -19,6 +19,8 @@
 /// Time in quarantine: about half of a short disruption, so that the first run after it shows
 /// whether the disruption has ended.
 const QUARANTINE_DURATION: SpanMs = SpanMs(3_000);
+/// Time in quarantine after which one run may be tried on the worker if no other could run it.
+const QUARANTINE_PROBE_DELAY: SpanMs = SpanMs(1_000);
 /// Time after a failed run for which a worker is used only when no other fits.
 const LAST_RESORT_DURATION: SpanMs = SpanMs(2_000);
 
@@ -113,6 +115,8 @@
     failures_in_row: u32,
     last_failed_job: Option<crate::id::JobId>,
     quarantined_until: TimeMs,
+    /// Whether a run was placed here during the quarantine and has not ended.
+    probed: bool,
     last_resort_until: TimeMs,
     /// Its measured speed.
     pub speed: super::pool::Speed,
@@ -159,6 +163,7 @@
             failures_in_row: 0,
             last_failed_job: None,
             quarantined_until: TimeMs(0),
+            probed: false,
             last_resort_until: TimeMs(0),
             speed: super::pool::Speed::default(),
             pace_level: FULL_PACE_LEVEL,
@@ -219,6 +224,24 @@
     /// Whether new work may be placed here.
     #[must_use]
     pub fn accepts_work(&self, now: TimeMs) -> bool {
+        self.is_usable(now) && !self.is_quarantined(now)
+    }
+
+    /// Whether one run may be tried here although the worker is in quarantine.
+    #[must_use]
+    pub fn accepts_probe(&self, now: TimeMs) -> bool {
+        let probe_at = self.quarantined_until - QUARANTINE_DURATION + QUARANTINE_PROBE_DELAY;
+        self.is_quarantined(now) && !self.probed && now >= probe_at && self.is_usable(now)
+    }
+
+    /// Whether the worker is in quarantine.
+    #[must_use]
+    pub fn is_quarantined(&self, now: TimeMs) -> bool {
+        now < self.quarantined_until
+    }
+
+    /// Whether new work may be placed here but for a quarantine.
+    fn is_usable(&self, now: TimeMs) -> bool {
         self.answered
             && !self.ended
             && !self.entry.draining
@@ -226,7 +249,11 @@
             && self.missing_since.is_none()
             && !self.is_unresponsive()
             && now >= self.suspect_until
-            && now >= self.quarantined_until
+    }
+
+    /// Records that a run was placed here while the worker is in quarantine.
+    pub fn note_probe(&mut self) {
+        self.probed = true;
     }
 
     /// Records that the incarnation has certainly ended.
@@ -273,11 +300,15 @@
         self.failures_in_row = 0;
         self.last_failed_job = None;
         self.last_resort_until = TimeMs(0);
+        if std::mem::take(&mut self.probed) {
+            self.quarantined_until = TimeMs(0);
+        }
     }
 
     /// Records that a run ended as failed. Returns whether the worker is in quarantine now.
     pub fn note_failure(&mut self, now: TimeMs, job: &crate::id::JobId) -> bool {
         self.last_resort_until = now + LAST_RESORT_DURATION;
+        self.probed = false;
         if self.last_failed_job.as_ref() != Some(job) {
             self.failures_in_row += 1;
             self.last_failed_job = Some(job.clone());
