Spread the ticket requests of different pools over different hosts

The advice service serves one call at a time for each calling host. Leaders chose the host with the fewest requests of their own, and among equals the first by name in their zone, so the leaders of two pools asked through the same hosts and their calls queued there: a likely reason for requests without an answer, read from the code and not shown by a run. Ties are now broken by the rendezvous score of pool and host.

--- a/crates/mangotrestle-core/src/membership/rendezvous.rs
+++ b/crates/mangotrestle-core/src/membership/rendezvous.rs
@@ -41,7 +41,8 @@
 
 /// Returns the score of a host for a key: FNV-1a over both, followed by a mixing step. It is stable
 /// across versions and machines, because all entry hosts must compute the same score.
-fn score(key: &str, host: &id::EntryHostId) -> u64 {
+#[must_use]
+pub fn score(key: &str, host: &id::EntryHostId) -> u64 {
     let separator = std::iter::once(0xff);
     let bytes = key.bytes().chain(separator).chain(host.as_str().bytes());
     mix(bytes.fold(FNV_OFFSET, |hash, byte| {
--- a/crates/mangotrestle/src/host/cell.rs
+++ b/crates/mangotrestle/src/host/cell.rs
@@ -1,5 +1,6 @@
 //! State that all parts of the process share.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -9,6 +10,7 @@
 use arc_swap::ArcSwapOption;
 use mangotrestle_core::collections::{FastMap, FastSet};
 use mangotrestle_core::id;
+use mangotrestle_core::membership::rendezvous;
 use mangotrestle_core::time::{SpanMs, TimeMs};
 use mangotrestle_core::workflow::catalog::Catalog;
 use mangotrestle_core::workflow::environment::HostSettings;
@@ -335,6 +337,7 @@
     /// host should send the request itself.
     pub(super) fn reserve_advice_peer(
         &self,
+        pool: &str,
         own_advice_requests: usize,
     ) -> Option<(id::EntryHostId, CellClient)> {
         let now = self.clock.now();
@@ -342,7 +345,9 @@
         let (host, peer) = peers
             .iter_mut()
             .filter(|(_, peer)| now >= peer.skipped_until)
-            .min_by_key(|(_, peer)| (peer.advice_requests, peer.row.zone != self.settings.zone))?;
+            .min_by_key(|(host, peer)| {
+                (peer.advice_requests, Reverse(rendezvous::score(pool, host)))
+            })?;
         if peer.advice_requests >= own_advice_requests && own_advice_requests == 0 {
             return None;
         }
--- a/crates/mangotrestle/src/host/orders.rs
+++ b/crates/mangotrestle/src/host/orders.rs
@@ -201,7 +201,7 @@
         within_ms: u64::try_from(timeout.as_millis()).unwrap_or(u64::MAX),
     };
     let own_requests = leader.own_advice_requests.load(Ordering::Relaxed);
-    let answer = if let Some((host, peer)) = cell.reserve_advice_peer(own_requests) {
+    let answer = if let Some((host, peer)) = cell.reserve_advice_peer(&leader.pool, own_requests) {
         let result =
             tokio::time::timeout(timeout + ADVICE_TIMEOUT_MARGIN, peer.ask(request.clone())).await;
         cell.release_advice_peer(&host);
