Wait briefly for the outcome of an earlier request that has just been answered

A resend through another entry host got 3001 (earlier outcome unknown) in place of the first answer, once in 184 runs of the test file beside eight busy processes. The outcome is recorded by a task of its own after the answer was sent, so a resend may find the record without it.

A request that finds an earlier one without an outcome now looks again every 50 ms, for 300 ms at most and within its own deadline. The first answer is not delayed, and nothing runs twice: the record is the same.

The new test delays the record by 100 ms: red before (3001), green after.

--- a/crates/mangotrestle-caller/src/forward.rs
+++ b/crates/mangotrestle-caller/src/forward.rs
@@ -1,6 +1,7 @@
 //! Handles one request: admission, its started record if it must not run twice, attempts, answer.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use axum::body::Body;
 use axum::response::Response;
@@ -11,6 +12,7 @@
 use mangotrestle_core::result_code::ResultCode;
 use mangotrestle_core::routing::{retry, router};
 use mangotrestle_core::time;
+use tokio::time::Instant;
 
 use crate::answer_body;
 use crate::dispatcher::SlotGuard;
@@ -32,6 +34,12 @@
 /// Delay after which a caller should ask again for the outcome of an earlier request.
 const EARLIER_RETRY_AFTER: time::SpanMs = time::SpanMs(1_000);
 
+/// Maximum time for which a repeated request waits for the outcome of the earlier one, which is
+/// recorded after its answer was sent.
+const MAX_OUTCOME_WAIT: Duration = Duration::from_millis(300);
+/// Interval between two looks for that outcome.
+const OUTCOME_POLL_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Delays between attempts.
 const RETRY_BACKOFF: retry::Backoff = retry::Backoff {
     base: time::SpanMs(5),
@@ -157,18 +165,24 @@
             return Err(unavailable(time::SpanMs::from_secs(5)));
         };
         let deadline = self.shared.dispatcher.to_instant(self.deadline);
-        let writing = records.record_started(&key, &self.head.request_id);
-        let started = tokio::time::timeout_at(deadline, writing).await;
-        match started {
-            Err(_) => Err(unavailable(time::SpanMs::from_secs(1))),
-            Ok(Err(error)) => Err(unavailable(error.retry_after)),
-            Ok(Ok(started::Started::Earlier(earlier))) => Ok(RecordStart::Earlier(
-                self.replay(earlier, records.kept_for()),
-            )),
-            Ok(Ok(started::Started::First)) => {
-                let request_id = Arc::clone(&self.head.request_id);
-                Ok(RecordStart::New(Record::new(records, key, request_id)))
+        let outcome_deadline = deadline.min(Instant::now() + MAX_OUTCOME_WAIT);
+        loop {
+            let writing = records.record_started(&key, &self.head.request_id);
+            match tokio::time::timeout_at(deadline, writing).await {
+                Err(_) => return Err(unavailable(time::SpanMs::from_secs(1))),
+                Ok(Err(error)) => return Err(unavailable(error.retry_after)),
+                Ok(Ok(started::Started::Earlier(earlier))) => {
+                    if earlier.answer.is_some() || Instant::now() >= outcome_deadline {
+                        let response = self.replay(earlier, records.kept_for());
+                        return Ok(RecordStart::Earlier(response));
+                    }
+                }
+                Ok(Ok(started::Started::First)) => {
+                    let request_id = Arc::clone(&self.head.request_id);
+                    return Ok(RecordStart::New(Record::new(records, key, request_id)));
+                }
             }
+            tokio::time::sleep(OUTCOME_POLL_INTERVAL).await;
         }
     }
 
--- a/crates/mangotrestle-caller/tests/outcomes.rs
+++ b/crates/mangotrestle-caller/tests/outcomes.rs
@@ -192,6 +192,51 @@
     assert_eq!(target.counters.runs(), 1);
 }
 
+#[tokio::test]
+async fn a_resend_that_comes_before_the_outcome_is_recorded_gets_the_first_answer() {
+    let target = support::target(Behaviour::Echo).await;
+    let records: Arc<dyn StartedRecords> = Arc::new(LateOutcomes(support::memory_records()));
+    let routes = support::routes(&[target.address], 8);
+    let first = support::entry_host_with(routes.clone(), Arc::clone(&records), |builder| builder);
+    let second = support::entry_host_with(routes, records, |builder| builder);
+
+    let response = support::pay(&first, "k", &[]).await;
+    let replayed = support::pay(&second, "k", &[]).await;
+
+    assert_eq!(replayed.body, response.body);
+    assert_eq!(replayed.header("x-replayed"), "true");
+    assert_eq!(target.counters.runs(), 1);
+}
+
+/// Records that take 100 ms to write the outcome of a request.
+struct LateOutcomes(Arc<dyn StartedRecords>);
+
+impl StartedRecords for LateOutcomes {
+    fn record_started<'a>(
+        &'a self,
+        key: &'a RecordKey,
+        request_id: &'a str,
+    ) -> BoxFuture<'a, Result<Started, StoreUnavailable>> {
+        self.0.record_started(key, request_id)
+    }
+
+    fn record_ended<'a>(
+        &'a self,
+        key: &'a RecordKey,
+        request_id: &'a str,
+        ended: Ended,
+    ) -> BoxFuture<'a, Result<(), StoreUnavailable>> {
+        Box::pin(async move {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            self.0.record_ended(key, request_id, ended).await
+        })
+    }
+
+    fn kept_for(&self) -> time::SpanMs {
+        self.0.kept_for()
+    }
+}
+
 #[tokio::test]
 async fn a_resend_after_a_killed_entry_host_does_not_run_again() {
     let target = support::target(Behaviour::Slow(Duration::from_millis(100))).await;
