Acknowledge ends of runs job by job, and do not poll before they are durable

Cause: ends were acknowledged only by a commit that covered every changed job. A commit holds 48 jobs; with more changed at a time no end was ever acknowledged. A worker answers a poll at once while it has ends that are not acknowledged, so each such worker was polled every 40 ms, and each of these answers carried the same ends again. Less processor time made commits later, more jobs changed in the meantime, and the leader did not return.

Now each worker's ends are acknowledged up to the first one whose job is not covered, and a worker with ends that are not durable is polled once they are, or 250 ms later.

--- a/crates/mangotrestle-core/src/workflow/pool/reports.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/reports.rs
@@ -18,6 +18,9 @@
 const POLLS_PER_OBJECTIVE: u64 = 50;
 /// Maximum time from a worker's report to the next poll.
 const MAX_POLL_INTERVAL: SpanMs = SpanMs(250);
+/// Maximum time for which a poll waits until the ends that the worker has listed are durable. An
+/// earlier poll could not acknowledge them, so the worker would answer at once and list them again.
+const MAX_POLL_DELAY_FOR_COMMIT: SpanMs = SpanMs(250);
 /// Minimum time between two stop orders for one unexpected run; longer than a stop takes.
 const UNEXPECTED_RUN_STOP_INTERVAL: SpanMs = SpanMs(1_000);
 
@@ -42,7 +45,12 @@
                 || (worker.is_unresponsive() && worker.missing_since.is_none())
                 || (!worker.answered && !worker.entry.draining && worker.missing_since.is_none());
             let has_unacknowledged_ends = worker.durable_end > worker.acknowledged_end;
-            let poll_allowed = worker.hold_sent_at.is_none() && now >= worker.next_hold_at;
+            let due_at = if worker.has_undurable_ends() {
+                worker.next_hold_at + MAX_POLL_DELAY_FOR_COMMIT
+            } else {
+                worker.next_hold_at
+            };
+            let poll_allowed = worker.hold_sent_at.is_none() && now >= due_at;
             if !(needs_poll || has_unacknowledged_ends)
                 || !poll_allowed
                 || worker.ended
@@ -141,6 +149,9 @@
         }
         for finished in &report.finished {
             if finished.number > previous_end {
+                if let Some(worker) = self.workers.get_mut(id) {
+                    worker.add_undurable_end(finished.number, &finished.task.job);
+                }
                 self.run_ended(
                     now,
                     id,
@@ -152,12 +163,10 @@
             }
         }
         self.settle_missing_runs(now, id, sent_at, &present);
-        let all_durable = self.dirty.is_empty() && self.writing.is_empty();
         if let Some(worker) = self.workers.get_mut(id) {
             worker.unexpected_runs = unexpected_runs;
-            if all_durable {
-                worker.durable_end = worker.received_end;
-            }
+            let is_open = |job: &id::JobId| self.dirty.contains(job) || self.writing.contains(job);
+            worker.record_durable_ends(worker.last_end_before(is_open));
         }
     }
 
--- a/crates/mangotrestle-core/src/workflow/pool/rows.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/rows.rs
@@ -160,17 +160,14 @@
         // A job that was removed meanwhile has no rows.
         self.dirty.retain(|id| self.jobs.contains_key(id));
         let jobs = self.jobs_to_commit(max_rows);
-        let all_covered = jobs.len() == self.dirty.len();
         let mut commit = Commit::default();
         for id in &jobs {
             self.dirty.remove(id);
             self.write_job(now, id, &mut commit);
         }
         self.writing = jobs;
-        if all_covered {
-            for worker in self.workers.values_mut() {
-                worker.committing_end = worker.received_end;
-            }
+        for worker in self.workers.values_mut() {
+            worker.committing_end = worker.last_end_before(|job| self.dirty.contains(job));
         }
         commit
     }
@@ -264,7 +261,7 @@
             }
         }
         for worker in self.workers.values_mut() {
-            worker.durable_end = worker.durable_end.max(worker.committing_end);
+            worker.record_durable_ends(worker.committing_end);
         }
         for id in std::mem::take(&mut self.removing) {
             if let Some(state) = self.jobs.remove(&id).and_then(|job| job.end) {
--- a/crates/mangotrestle-core/src/workflow/worker.rs
+++ b/crates/mangotrestle-core/src/workflow/worker.rs
@@ -1,7 +1,10 @@
 //! One incarnation of a worker as the pool's leader sees it: free resources, clock, lease and
 //! health.
 
+use std::collections::VecDeque;
+
 use crate::collections::FastMap;
+use crate::id;
 use crate::resources::Resources;
 use crate::time::{SpanMs, TimeMs, WorkerTimeMs};
 
@@ -102,6 +105,8 @@
     pub durable_end: u64,
     /// Number of the last ended run that was acknowledged to the worker.
     pub acknowledged_end: u64,
+    /// Numbers of the ended runs whose effects are not durable, oldest first, with their jobs.
+    undurable_ends: VecDeque<(u64, id::JobId)>,
     /// Time at which the hold order in flight was handed out, if there is one.
     pub hold_sent_at: Option<TimeMs>,
     /// Time at which the next hold order is due.
@@ -113,7 +118,7 @@
     suspect_until: TimeMs,
     unanswered_calls: u32,
     failures_in_row: u32,
-    last_failed_job: Option<crate::id::JobId>,
+    last_failed_job: Option<id::JobId>,
     quarantined_until: TimeMs,
     /// Whether a run was placed here during the quarantine and has not ended.
     probed: bool,
@@ -154,6 +159,7 @@
             committing_end: 0,
             durable_end: 0,
             acknowledged_end: 0,
+            undurable_ends: VecDeque::new(),
             hold_sent_at: None,
             next_hold_at: now,
             missing_since: None,
@@ -306,7 +312,7 @@
     }
 
     /// Records that a run ended as failed. Returns whether the worker is in quarantine now.
-    pub fn note_failure(&mut self, now: TimeMs, job: &crate::id::JobId) -> bool {
+    pub fn note_failure(&mut self, now: TimeMs, job: &id::JobId) -> bool {
         self.last_resort_until = now + LAST_RESORT_DURATION;
         self.probed = false;
         if self.last_failed_job.as_ref() != Some(job) {
@@ -337,6 +343,34 @@
             || (self.clock.is_known() && self.clock.min_reading(now) > self.latest_deadline)
     }
 
+    /// Records an ended run whose effect on its job is not durable.
+    pub fn add_undurable_end(&mut self, number: u64, job: &id::JobId) {
+        self.undurable_ends.push_back((number, job.clone()));
+    }
+
+    /// Returns the number of the last ended run before the first one of a job for which `is_open`
+    /// holds: whose effect is not durable, or not in a commit.
+    #[must_use]
+    pub fn last_end_before(&self, is_open: impl Fn(&id::JobId) -> bool) -> u64 {
+        let mut ends = self.undurable_ends.iter();
+        let first_open = ends.find(|(_, job)| is_open(job));
+        first_open.map_or(self.received_end, |(number, _)| number - 1)
+    }
+
+    /// Records that the effects of the ended runs up to a number are durable.
+    pub fn record_durable_ends(&mut self, number: u64) {
+        self.durable_end = self.durable_end.max(number);
+        let is_durable = |(number, _): &mut (u64, id::JobId)| *number <= self.durable_end;
+        while self.undurable_ends.pop_front_if(is_durable).is_some() {}
+    }
+
+    /// Whether it has listed ended runs whose effects are not durable. It lists them again in each
+    /// answer.
+    #[must_use]
+    pub const fn has_undurable_ends(&self) -> bool {
+        self.received_end > self.durable_end
+    }
+
     /// Whether it has the label; true if no label is required.
     #[must_use]
     pub fn matches(&self, label: Option<&str>) -> bool {
