Check waiting steps for ticket requests at intervals, and skip needs that fit nowhere

Every round compared all workers for each waiting step, to see whether a ticket request is due for it, and again to place it. Steps that have just become ready are still checked at once; all others every 50 ms. A placement pass remembers needs that no worker has the room for: free room only shrinks during a pass, so a greater need is skipped without looking at any worker.

--- a/crates/mangotrestle-core/src/workflow/pool/intake.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/intake.rs
@@ -242,6 +242,7 @@
             }
         }
         self.placing_due = true;
+        self.has_unchecked_steps = true;
     }
 
     /// Cancels a job for its caller. A job that has already ended keeps its final state.
--- a/crates/mangotrestle-core/src/workflow/pool/mod.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/mod.rs
@@ -301,6 +301,10 @@
     steps_lacking_tickets: FastSet<StepKey>,
     /// Steps for which tickets are requested before they are ready.
     steps_to_request_ahead: FastSet<StepKey>,
+    /// Time of the last check of all waiting steps for ticket requests.
+    tickets_checked_at: TimeMs,
+    /// Whether steps have become ready since the last check.
+    has_unchecked_steps: bool,
     /// Members whose order is due to be sent again, by time.
     retries: BTreeSet<(TimeMs, MemberKey)>,
     /// Time of the last stop order for each unexpected run.
@@ -349,6 +353,8 @@
             ticket_requests_in_flight: 0,
             steps_lacking_tickets: FastSet::default(),
             steps_to_request_ahead: FastSet::default(),
+            tickets_checked_at: TimeMs(0),
+            has_unchecked_steps: false,
             retries: BTreeSet::new(),
             unexpected_run_stops: FastMap::default(),
             orders: Vec::new(),
--- a/crates/mangotrestle-core/src/workflow/pool/placing.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/placing.rs
@@ -92,6 +92,9 @@
     slots: Vec<Slot<'a>>,
     /// Whether any slot is that of a worker in quarantine.
     has_probes: bool,
+    /// Needs that no slot has the free resources for. Resources only become fewer during a pass, so
+    /// a greater need fits nowhere either.
+    unfit_needs: Vec<Resources>,
     /// Step and zone of the unit that was placed last.
     last_placed: Option<(&'a StepKey, &'a str)>,
     /// Number of steps for which the pass may still assign runs whose tickets are yet to be
@@ -150,6 +153,19 @@
 }
 
 impl<'a> PlacementPass<'a> {
+    /// Whether a slot may have the free resources for one task; remembers a need that fits nowhere.
+    fn may_fit(&mut self, need: &Resources) -> bool {
+        if self.unfit_needs.iter().any(|unfit| unfit.fits_in(need)) {
+            return false;
+        }
+        let fits = self.slots.iter().any(|slot| need.fits_in(&slot.free));
+        if !fits {
+            self.unfit_needs.retain(|unfit| !need.fits_in(unfit));
+            self.unfit_needs.push(*need);
+        }
+        fits
+    }
+
     /// Chooses a slot for each member of a unit; all on one rack if the step asks for it and one
     /// has the capacity.
     fn choose(&self, now: TimeMs, request: &PlacementRequest<'_>) -> Option<Vec<usize>> {
@@ -334,8 +350,9 @@
             }
             request.may_request_ticket &=
                 pass.ticket_requests_left > 0 || pass.last_requesting == Some(&key.step);
-            let mut chosen = pass.choose(now, &request);
-            if chosen.is_none() && pass.has_probes && self.only_quarantined_fit(now, &request) {
+            let may_fit = pass.may_fit(&request.need);
+            let mut chosen = may_fit.then(|| pass.choose(now, &request)).flatten();
+            if chosen.is_none() && may_fit && pass.has_probes && self.only_quarantined_fit(now, &request) {
                 request.may_probe = true;
                 chosen = pass.choose(now, &request);
             }
@@ -379,6 +396,7 @@
         let slots: Vec<Slot<'_>> = slots.collect();
         PlacementPass {
             has_probes: slots.iter().any(|slot| slot.probe),
+            unfit_needs: Vec::new(),
             slots,
             last_placed: None,
             ticket_requests_left: self
--- a/crates/mangotrestle-core/src/workflow/pool/ticket_requests.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/ticket_requests.rs
@@ -14,6 +14,9 @@
 use super::super::worker::Worker;
 use super::{Note, Order, Pool};
 
+/// Interval between checks of all waiting steps for requests that are due. Each compares all
+/// workers; steps that have just become ready are checked at once.
+const CHECK_INTERVAL: SpanMs = SpanMs(50);
 /// Maximum number of workers in one request.
 const MAX_REQUEST_WORKERS: usize = 60;
 /// Maximum number of workers in a request that only renews tickets; more if a gang needs them.
@@ -37,8 +40,19 @@
         if self.ticket_requests_in_flight >= self.settings.max_ticket_requests {
             return;
         }
-        let mut blocked_steps = 0;
-        for step in self.steps_needing_tickets() {
+        let check_all = now.since(self.tickets_checked_at) >= CHECK_INTERVAL;
+        if check_all {
+            self.tickets_checked_at = now;
+        } else if !std::mem::take(&mut self.has_unchecked_steps) {
+            return;
+        }
+        // The rank among the blocked steps is known only if all are checked.
+        let mut blocked_steps = if check_all {
+            0
+        } else {
+            MAX_RENEWED_BLOCKED_STEPS
+        };
+        for step in self.steps_needing_tickets(check_all) {
             if self.ticket_requests_in_flight >= self.settings.max_ticket_requests {
                 return;
             }
@@ -52,12 +66,15 @@
         }
     }
 
-    /// Returns the waiting steps of queues with an advice policy, in the order of placement.
-    fn steps_needing_tickets(&self) -> Vec<StepKey> {
+    /// Returns the waiting steps of queues with an advice policy, in the order of placement: all,
+    /// or those that were never checked.
+    fn steps_needing_tickets(&self, all: bool) -> Vec<StepKey> {
         let steps = self.waiting_steps().map(|(_, step)| step);
-        let steps_with_policy = steps.filter(|step| {
-            let job = self.jobs.get(&step.job);
-            job.is_some_and(|job| job.record.policy.advice.is_some())
+        let steps_with_policy = steps.filter(|key| {
+            let job = self.jobs.get(&key.job);
+            let job = job.filter(|job| job.record.policy.advice.is_some());
+            let step = job.and_then(|job| job.step(key));
+            step.is_some_and(|step| all || !step.tickets.checked)
         });
         steps_with_policy.cloned().collect()
     }
@@ -81,6 +98,7 @@
                     .is_some_and(|step| !step.tickets.allows_any())
                 {
                     self.steps_to_request_ahead.insert(next);
+                    self.has_unchecked_steps = true;
                 }
             }
         }
@@ -100,6 +118,9 @@
             return;
         }
         let workers = self.workers_to_request(now, key, blocked_steps);
+        if let Some(step) = self.jobs.get_mut(&key.job).and_then(|job| job.step_mut(key)) {
+            step.tickets.checked = true;
+        }
         if !workers.is_empty() {
             self.send_request(now, key, workers);
         }
--- a/crates/mangotrestle-core/src/workflow/tickets.rs
+++ b/crates/mangotrestle-core/src/workflow/tickets.rs
@@ -43,6 +43,8 @@
     requests_in_flight: u32,
     /// Time from which the requests in flight are overdue.
     overdue_at: TimeMs,
+    /// Whether it was checked for which workers a request is due, since the step is ready.
+    pub checked: bool,
     /// Time before which no further request is sent, after a failed one.
     retry_at: TimeMs,
     /// Number of consecutive requests that were refused or not answered.
--- a/crates/mangotrestle-core/tests/workflow/placing.rs
+++ b/crates/mangotrestle-core/tests/workflow/placing.rs
@@ -338,3 +338,55 @@
 
     assert_eq!(world.running_on(&only_worker).len(), 1);
 }
+
+/// Maximum processor time of the decisions for one run in a pool of hundreds of workers: a host
+/// of a quarter of a core starts 800 runs a second with a third of its time.
+const MAX_DECISION_TIME_PER_RUN: Duration = Duration::from_micros(100);
+
+#[test]
+fn decisions_in_a_large_pool_with_a_backlog_stay_within_their_processor_time() {
+    let mut world = World::new(24, 350);
+    let advice = Some(AdvicePolicy {
+        decide_ms: 60.0,
+        each_ms: 1.0,
+        valid_ms: 2_000,
+    });
+    let advised = |priority, steps| {
+        let mut advised = record(priority, steps).as_ref().clone();
+        advised.policy.advice = advice;
+        Arc::new(advised)
+    };
+    let mut number = 0;
+    let mut submit = |world: &mut World, record: &Arc<JobRecord>| {
+        number += 1;
+        let mut record = record.as_ref().clone();
+        record.accepted_ms = world.now;
+        world.submit(&job(number), &Arc::new(record));
+    };
+    let short = advised(0, vec![step(3, 1_500, 640, &[])]);
+    let mut accelerated = step(20, 1_000, 6_000, &[]);
+    accelerated.need.accelerators = 4;
+    let long = advised(2, vec![accelerated]);
+    for _ in 0..60 {
+        submit(&mut world, &long);
+    }
+    world.run_for(1_000);
+    let (starts_before, time_before) = (world.starts, world.decision_time);
+
+    for _ in 0..40 {
+        for _ in 0..13 {
+            submit(&mut world, &short);
+        }
+        submit(&mut world, &long);
+        world.run_for(100);
+    }
+
+    let starts = world.starts - starts_before;
+    let per_run = (world.decision_time - time_before) / starts.max(1);
+    assert!(starts >= 1_400, "{starts} runs started");
+    assert!(
+        per_run < MAX_DECISION_TIME_PER_RUN,
+        "{per_run:?} for each of {starts} runs"
+    );
+    assert_eq!(world.violations, Violations::default());
+}
--- a/crates/mangotrestle-core/tests/workflow/world.rs
+++ b/crates/mangotrestle-core/tests/workflow/world.rs
@@ -3,6 +3,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use mangotrestle_core::id::{JobId, WorkerId};
 use mangotrestle_core::resources::Resources;
@@ -145,6 +146,8 @@
     random: u64,
     /// Number of starts that workers have carried out.
     pub starts: u32,
+    /// Real time that the leader's ticks have taken.
+    pub decision_time: Duration,
     /// Number of ticket requests that the leader has sent.
     pub ticket_requests: u32,
     /// Number of runs that ended because other members of their gang were missing.
@@ -247,6 +250,7 @@
             store_up: true,
             random: seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1,
             starts: 0,
+            decision_time: Duration::ZERO,
             ticket_requests: 0,
             alone_ends: 0,
             lost_ticket_requests_per_mille: 0,
@@ -399,7 +403,9 @@
             self.now += 5;
             self.advance_work();
             self.deliver_events();
+            let began = Instant::now();
             self.pool.tick(TimeMs(self.now));
+            self.decision_time += began.elapsed();
             self.commit();
             self.send_orders();
             self.pool.take_notes();
