Collect log lines in memory and write them out every 50 ms

Each line was a write to standard output and woke the writing thread first. A leader of the grown render deployment logs 1,400 lines a second (run.bound, run.ended, step.advised, job.answered), and on hosts with a share of a core each write and each wake-up is charged. Lines are now formatted where they are logged and appended to a buffer of 4 MiB at most; a thread that sleeps while nothing is logged writes it out every 50 ms, in one call. Beyond the limit lines are dropped and counted, as before. A process that is killed loses its last 50 ms.

slog-async has no way to write several records at a time, so it is no longer used.

--- a/crates/mangotrestle-dev/src/cell.rs
+++ b/crates/mangotrestle-dev/src/cell.rs
@@ -22,14 +22,18 @@
 use crate::stand_in::worker;
 
 /// Returns a logger to stderr if `verbose`, else one that discards everything. Lines are written
-/// until the guard is dropped.
-pub fn logger(verbose: bool) -> (slog::Logger, Option<slog_async::AsyncGuard>) {
-    if !verbose {
-        return (slog::Logger::root(slog::Discard, slog::o!()), None);
-    }
+/// until the guard is dropped. Without a thread for the lines they are discarded as well.
+pub fn logger(verbose: bool) -> (slog::Logger, Option<logging::WriterGuard>) {
     let level = settings::LogLevel(slog::Level::Info);
-    let (log, guard) = logging::start(level, settings::LogOutput::Stderr);
-    (log, Some(guard))
+    let started = verbose.then(|| logging::start(level, settings::LogOutput::Stderr));
+    match started {
+        Some(Ok((log, guard))) => (log, Some(guard)),
+        Some(Err(error)) => {
+            eprintln!("the log cannot be started: {error}");
+            (logging::discard(), None)
+        }
+        None => (logging::discard(), None),
+    }
 }
 
 /// Options of a [`Cell`].
--- a/crates/mangotrestle/src/command/host.rs
+++ b/crates/mangotrestle/src/command/host.rs
@@ -15,7 +15,13 @@
     let level = arguments
         .log_level
         .unwrap_or(settings::LogLevel(slog::Level::Info));
-    let (logger, guard) = logging::start(level, settings::LogOutput::Stdout);
+    let (logger, guard) = match logging::start(level, settings::LogOutput::Stdout) {
+        Ok(started) => started,
+        Err(error) => {
+            eprintln!("mangotrestle: the log cannot be started: {error}");
+            return ExitCode::Internal;
+        }
+    };
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build();
--- a/crates/mangotrestle/src/command/serve.rs
+++ b/crates/mangotrestle/src/command/serve.rs
@@ -38,7 +38,13 @@
 }
 
 fn serve(settings: settings::Settings) -> ExitCode {
-    let (logger, guard) = logging::start(settings.log_level, settings.log_output);
+    let (logger, guard) = match logging::start(settings.log_level, settings.log_output) {
+        Ok(started) => started,
+        Err(error) => {
+            eprintln!("mangotrestle: the log cannot be started: {error}");
+            return ExitCode::Internal;
+        }
+    };
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(settings.traffic_threads)
         .enable_all()
--- a/crates/mangotrestle/src/logging/mod.rs
+++ b/crates/mangotrestle/src/logging/mod.rs
@@ -11,45 +11,48 @@
 //! sentence. Values are quoted if they are empty or contain white space, a quote, `=` or a control
 //! character; line breaks within a value are escaped, so that one event is always one line.
 //!
-//! A separate thread writes the lines. If it falls behind, lines are dropped and their number is
-//! logged, because a slow reader of the logs must not delay scheduling.
+//! Lines are collected in memory, and a thread writes them out at a short interval: a write for
+//! each line, and waking the thread for it, would cost a busy host more than the line itself. If
+//! the thread falls behind, lines are dropped and their number is logged, because a slow reader of
+//! the logs must not delay scheduling.
 
 use std::fmt;
 use std::io::{self, Write};
 use std::sync::Mutex;
 use std::time::SystemTime;
 
+mod buffer;
+
+pub use buffer::WriterGuard;
+
 use slog::Drain;
 use slog::Serializer;
 
 use crate::settings;
 use crate::timestamp;
 
-/// Maximum number of lines queued for the writing thread; further ones are dropped.
-const MAX_QUEUED_LINES: usize = 16_384;
-
 /// Maximum length of one value in a line, before escaping; longer ones are cut off.
 pub const MAX_VALUE_BYTES: usize = 2_048;
 
-/// Starts the writing thread, and returns a logger for it and the guard that flushes the queue when
-/// dropped.
+/// Starts the writing thread, and returns a logger for it and the guard that writes out the
+/// collected lines when dropped.
 ///
 /// The guard must be dropped after everything else that logs.
+///
+/// # Errors
+///
+/// If the thread cannot be started.
 pub fn start(
     level: settings::LogLevel,
     output: settings::LogOutput,
-) -> (slog::Logger, slog_async::AsyncGuard) {
-    let drain = match output {
-        settings::LogOutput::Stdout => KeyValueDrain::new(StandardStream::Stdout(io::stdout())),
-        settings::LogOutput::Stderr => KeyValueDrain::new(StandardStream::Stderr(io::stderr())),
+) -> io::Result<(slog::Logger, WriterGuard)> {
+    let stream: Box<dyn Write + Send> = match output {
+        settings::LogOutput::Stdout => Box::new(io::stdout()),
+        settings::LogOutput::Stderr => Box::new(io::stderr()),
     };
-    let drain = slog::LevelFilter::new(drain, level.0);
-    let (queue, guard) = slog_async::Async::new(drain.ignore_res())
-        .chan_size(MAX_QUEUED_LINES)
-        .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
-        .thread_name("log-writer".to_owned())
-        .build_with_guard();
-    (slog::Logger::root(queue.ignore_res(), slog::o!()), guard)
+    let (lines, guard) = buffer::start(stream)?;
+    let drain = slog::LevelFilter::new(KeyValueDrain::new(lines), level.0);
+    Ok((slog::Logger::root(drain.ignore_res(), slog::o!()), guard))
 }
 
 /// Returns a logger that discards all lines, for tests and tools.
@@ -57,28 +60,6 @@
     slog::Logger::root(slog::Discard, slog::o!())
 }
 
-/// Standard output or standard error output of the process.
-enum StandardStream {
-    Stdout(io::Stdout),
-    Stderr(io::Stderr),
-}
-
-impl Write for StandardStream {
-    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        match self {
-            Self::Stdout(output) => output.write(bytes),
-            Self::Stderr(output) => output.write(bytes),
-        }
-    }
-
-    fn flush(&mut self) -> io::Result<()> {
-        match self {
-            Self::Stdout(output) => output.flush(),
-            Self::Stderr(output) => output.flush(),
-        }
-    }
-}
-
 /// Writes each record as one line.
 #[derive(Debug)]
 pub struct KeyValueDrain<W> {
--- a/crates/mangotrestle/src/logging/tests.rs
+++ b/crates/mangotrestle/src/logging/tests.rs
@@ -59,6 +59,37 @@
     );
 }
 
+#[test]
+fn collected_lines_are_written_in_order_when_the_guard_is_dropped() {
+    let output = MemoryOutput::default();
+    let (lines, guard) = buffer::start(output.clone()).unwrap();
+    let logger = slog::Logger::root(KeyValueDrain::new(lines).fuse(), slog::o!());
+
+    for index in 0..1_000 {
+        slog::info!(logger, "any"; "index" => index);
+    }
+    drop(guard);
+
+    let text = output.text();
+    let ends = text.lines().map(|line| line.rsplit_once('=').unwrap().1);
+    assert!(ends.eq((0..1_000).map(|index| index.to_string())), "{text}");
+}
+
+#[test]
+fn lines_are_written_while_the_process_runs() {
+    let output = MemoryOutput::default();
+    let (lines, _guard) = buffer::start(output.clone()).unwrap();
+    let logger = slog::Logger::root(KeyValueDrain::new(lines).fuse(), slog::o!());
+
+    slog::info!(logger, "any");
+    let began = std::time::Instant::now();
+    while output.text().is_empty() && began.elapsed() < std::time::Duration::from_secs(5) {
+        std::thread::sleep(std::time::Duration::from_millis(5));
+    }
+
+    assert!(output.text().ends_with("event=any\n"));
+}
+
 quickcheck! {
     fn one_event_is_one_line_of_bounded_length(value: String) -> bool {
         let output = MemoryOutput::default();
