--- a/crates/mangotrestle-core/src/workflow/pool/placing.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/placing.rs
@@ -87,9 +87,22 @@
     }
 }
 
+/// A slot whose worker may run a step.
+#[derive(Clone, Copy)]
+struct Candidate {
+    /// Index of the slot.
+    slot: usize,
+    /// Whether there is a valid ticket for the worker, or none is needed.
+    has_ticket: bool,
+}
+
 /// State of a placement pass over the workers that accept work.
 struct PlacementPass<'a> {
     slots: Vec<Slot<'a>>,
+    /// Slots that may run the units of one step, for which its policy need not be asked again.
+    candidates: Vec<Candidate>,
+    /// The step of the candidates.
+    candidates_of: Option<&'a StepKey>,
     /// Whether any slot is that of a worker in quarantine.
     has_probes: bool,
     /// Needs that no slot has the free resources for. Resources only become fewer during a pass, so
@@ -166,26 +179,44 @@
         fits
     }
 
+    /// Determines the candidates for a unit's step, unless it is the step of the last unit. Slots
+    /// without room for one task are left out, since their free resources only become fewer.
+    fn find_candidates(&mut self, now: TimeMs, request: &PlacementRequest<'a>) {
+        let step = &request.key.step;
+        if self.candidates_of == Some(step) {
+            return;
+        }
+        self.candidates_of = Some(step);
+        let slots = (0..).zip(&self.slots);
+        let permitted = slots.filter(|(_, slot)| {
+            request.need.fits_in(&slot.free) && request.permits(slot.worker)
+        });
+        let candidates = permitted.map(|(index, slot)| Candidate {
+            slot: index,
+            has_ticket: request.has_ticket(now, slot.worker),
+        });
+        self.candidates = candidates.collect();
+    }
+
     /// Chooses a slot for each member of a unit; all on one rack if the step asks for it and one
     /// has the capacity.
-    fn choose(&self, now: TimeMs, request: &PlacementRequest<'_>) -> Option<Vec<usize>> {
+    fn choose(&self, request: &PlacementRequest<'_>) -> Option<Vec<usize>> {
         if request.spec.gang && request.spec.rack_local {
             let mut racks: Vec<&str> = self.slots.iter().map(|slot| slot.worker.rack()).collect();
             racks.sort_unstable();
             racks.dedup();
             for rack in racks {
                 let in_rack = |slot: &Slot<'_>| slot.worker.rack() == rack;
-                if let Some(chosen) = self.choose_among(now, request, in_rack) {
+                if let Some(chosen) = self.choose_among(request, in_rack) {
                     return Some(chosen);
                 }
             }
         }
-        self.choose_among(now, request, |_| true)
+        self.choose_among(request, |_| true)
     }
 
     fn choose_among(
         &self,
-        now: TimeMs,
         request: &PlacementRequest<'_>,
         slot_allowed: impl Fn(&Slot<'_>) -> bool,
     ) -> Option<Vec<usize>> {
@@ -194,19 +225,23 @@
             let first = chosen.first().map(|&index| self.slots[index].worker);
             let zone = first.map(|worker| worker.entry.zone.as_str());
             let zone = zone.or(request.zone);
-            let best = (0..)
-                .zip(&self.slots)
-                .filter_map(|(index, slot)| {
+            let best = self
+                .candidates
+                .iter()
+                .filter_map(|candidate| {
+                    let index = candidate.slot;
+                    let slot = &self.slots[index];
                     let already_here = chosen.iter().filter(|other| **other == index).count();
                     let left = capacity_left(slot, &request.need, already_here)?;
                     let fits = !slot.reserved
                         && (!slot.probe || request.may_probe)
                         && slot_allowed(slot)
-                        && request.allows(now, slot.worker);
+                        && (candidate.has_ticket || request.may_request_ticket);
                     if !fits || exceeds_max_per_worker(slot, request, already_here) {
                         return None;
                     }
-                    Some((preference(now, request, slot, &left, zone), index, slot))
+                    let preference = preference(request, *candidate, slot, &left, zone);
+                    Some((preference, index, slot))
                 })
                 .max_by_key(|(preference, _, slot)| {
                     (*preference, Reverse(&slot.worker.entry.worker))
@@ -273,8 +308,8 @@
 /// Returns the preference of a slot on which `left` would remain; `zone` is that of the step's
 /// other tasks.
 fn preference(
-    now: TimeMs,
     request: &PlacementRequest<'_>,
+    candidate: Candidate,
     slot: &Slot<'_>,
     left: &Resources,
     zone: Option<&str>,
@@ -301,7 +336,7 @@
     };
     (
         slot.healthy && !request.avoids(&worker.entry.worker),
-        request.has_ticket(now, worker),
+        candidate.has_ticket,
         in_affinity_rack,
         undisturbed,
         spec.persistent || zone.is_none_or(|zone| zone == worker.entry.zone),
@@ -351,10 +386,17 @@
             request.may_request_ticket &=
                 pass.ticket_requests_left > 0 || pass.last_requesting == Some(&key.step);
             let may_fit = pass.may_fit(&request.need);
-            let mut chosen = may_fit.then(|| pass.choose(now, &request)).flatten();
-            if chosen.is_none() && may_fit && pass.has_probes && self.only_quarantined_fit(now, &request) {
+            if may_fit {
+                pass.find_candidates(now, &request);
+            }
+            let mut chosen = may_fit.then(|| pass.choose(&request)).flatten();
+            if chosen.is_none()
+                && may_fit
+                && pass.has_probes
+                && self.only_quarantined_fit(now, &request)
+            {
                 request.may_probe = true;
-                chosen = pass.choose(now, &request);
+                chosen = pass.choose(&request);
             }
             if let Some(chosen) = chosen {
                 let workers = pass.allocate(now, &request, &chosen);
@@ -395,6 +437,8 @@
         let expected_requests = self.ticket_requests_in_flight + unrequested.count();
         let slots: Vec<Slot<'_>> = slots.collect();
         PlacementPass {
+            candidates: Vec::new(),
+            candidates_of: None,
             has_probes: slots.iter().any(|slot| slot.probe),
             unfit_needs: Vec::new(),
             slots,
--- a/crates/mangotrestle-core/src/workflow/pool/ticket_requests.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/ticket_requests.rs
@@ -118,7 +118,11 @@
             return;
         }
         let workers = self.workers_to_request(now, key, blocked_steps);
-        if let Some(step) = self.jobs.get_mut(&key.job).and_then(|job| job.step_mut(key)) {
+        if let Some(step) = self
+            .jobs
+            .get_mut(&key.job)
+            .and_then(|job| job.step_mut(key))
+        {
             step.tickets.checked = true;
         }
         if !workers.is_empty() {
--- a/crates/mangotrestle-core/tests/workflow/main.rs
+++ b/crates/mangotrestle-core/tests/workflow/main.rs
@@ -4,6 +4,7 @@
 mod estimates;
 mod leadership;
 mod placing;
+mod polling;
 mod preempting;
 mod random_faults;
 mod recovery;
--- a/crates/mangotrestle-core/tests/workflow/world.rs
+++ b/crates/mangotrestle-core/tests/workflow/world.rs
@@ -146,6 +146,8 @@
     random: u64,
     /// Number of starts that workers have carried out.
     pub starts: u32,
+    /// Number of polls of workers that the leader has sent.
+    pub polls: u32,
     /// Real time that the leader's ticks have taken.
     pub decision_time: Duration,
     /// Number of ticket requests that the leader has sent.
@@ -250,6 +252,7 @@
             store_up: true,
             random: seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1,
             starts: 0,
+            polls: 0,
             decision_time: Duration::ZERO,
             ticket_requests: 0,
             alone_ends: 0,
@@ -374,6 +377,12 @@
         }
     }
 
+    /// Returns the number of ended runs that are not acknowledged to their workers.
+    pub fn unacknowledged_ends(&self) -> usize {
+        let models = self.workers.values();
+        models.map(|model| model.finished.len()).sum()
+    }
+
     /// Sets whether the platform lists a worker, and informs the leader.
     pub fn set_listed(&mut self, id: &WorkerId, listed: bool) {
         let now = TimeMs(self.now);
@@ -441,6 +450,7 @@
     fn send_orders(&mut self) {
         for order in self.pool.take_orders() {
             let term = self.term;
+            self.polls += u32::from(matches!(order, Order::Hold { .. }));
             if let Order::RequestTickets { expected_delay, .. } = order {
                 self.send_ticket_request(order, expected_delay);
                 continue;
