Poll workers with serving and best-effort tasks less often while targets are kept

At the large fleet most workers of the booking service run serving tasks beside best-effort ones, and each was polled every 400 ms: 2,000 polls a second of one leader, more than the ends of runs. The wait is now a quarter of the time for which a target may be missed (1 s of 4 s), and 400 ms only while the last report showed a task over its target.

--- a/crates/mangotrestle-core/src/workflow/pool/reports.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/reports.rs
@@ -11,8 +11,12 @@
 
 /// Time between two polls of a worker that does not answer.
 const UNRESPONSIVE_POLL_INTERVAL: SpanMs = SpanMs(400);
-/// Maximum wait of a poll at a worker where best-effort tasks may harm serving tasks.
-const SHARED_HOLD_WAIT: SpanMs = SpanMs(400);
+/// Maximum wait of a poll at a worker where a serving task beside best-effort tasks exceeds its
+/// target latency.
+const OVERRUN_HOLD_WAIT: SpanMs = SpanMs(400);
+/// Divisor of the maximum overrun time that gives the maximum wait of a poll at a worker where
+/// best-effort tasks run beside serving tasks that are within their targets.
+const SHARED_HOLD_WAIT_DIVISOR: u64 = 4;
 /// Number of polls of a worker in the time of the shortest objective of a job there, within the
 /// bounds of the poll interval.
 const POLLS_PER_OBJECTIVE: u64 = 50;
@@ -60,7 +64,13 @@
             }
             let wait = match () {
                 () if worker.tasks.is_empty() || !worker.answered => SpanMs(0),
-                () if worker.serving_tasks > 0 && worker.best_effort_tasks > 0 => SHARED_HOLD_WAIT,
+                () if worker.serving_tasks > 0 && worker.best_effort_tasks > 0 => {
+                    if worker.over_target {
+                        OVERRUN_HOLD_WAIT
+                    } else {
+                        SpanMs(settings.max_target_overrun.0 / SHARED_HOLD_WAIT_DIVISOR)
+                    }
+                }
                 () => settings.max_hold_wait,
             };
             // The lease of an unresponsive worker is left to expire, since only then may its runs
@@ -163,8 +173,13 @@
             }
         }
         self.settle_missing_runs(now, id, sent_at, &present);
+        let over_target = present.iter().any(|key| {
+            let member = self.member(key);
+            member.is_some_and(|member| member.over_target_since.is_some())
+        });
         if let Some(worker) = self.workers.get_mut(id) {
             worker.unexpected_runs = unexpected_runs;
+            worker.over_target = over_target;
             let is_open = |job: &id::JobId| self.dirty.contains(job) || self.writing.contains(job);
             worker.record_durable_ends(worker.last_end_before(is_open));
         }
--- a/crates/mangotrestle-core/src/workflow/worker.rs
+++ b/crates/mangotrestle-core/src/workflow/worker.rs
@@ -133,6 +133,8 @@
     pub pace_ordered_at: TimeMs,
     /// Whether best-effort tasks here run at less than full speed.
     pub paced: bool,
+    /// Whether a serving task here exceeded its target latency in the last report.
+    pub over_target: bool,
     /// Number of unexpected runs in its last report.
     pub unexpected_runs: u32,
 }
@@ -176,6 +178,7 @@
             pace_changed_at: TimeMs(0),
             pace_ordered_at: TimeMs(0),
             paced: false,
+            over_target: false,
             unexpected_runs: 0,
         }
     }
