Find candidates by the workers that a step's policy allows; wait longer for a late commit

A placement pass looked through all workers for each waiting step, also while its first ticket request was in flight and no worker was allowed yet. It now goes through the allowed workers.

A poll waited at most 250 ms for the commit that makes a worker's ends durable. The limit is now 1 s, a tenth of a lease.

--- a/crates/mangotrestle-core/src/workflow/pool/placing.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/placing.rs
@@ -14,6 +14,7 @@
 
 use smallvec::SmallVec;
 
+use crate::collections::FastMap;
 use crate::id;
 use crate::resources::Resources;
 use crate::time::{SpanMs, TimeMs};
@@ -99,6 +100,8 @@
 /// State of a placement pass over the workers that accept work.
 struct PlacementPass<'a> {
     slots: Vec<Slot<'a>>,
+    /// Index of each worker's slot.
+    slot_of: FastMap<&'a id::WorkerId, usize>,
     /// Slots that may run the units of one step, for which its policy need not be asked again.
     candidates: Vec<Candidate>,
     /// The step of the candidates.
@@ -187,15 +190,25 @@
             return;
         }
         self.candidates_of = Some(step);
-        let slots = (0..).zip(&self.slots);
-        let permitted = slots.filter(|(_, slot)| {
-            request.need.fits_in(&slot.free) && request.permits(slot.worker)
-        });
-        let candidates = permitted.map(|(index, slot)| Candidate {
-            slot: index,
-            has_ticket: request.has_ticket(now, slot.worker),
-        });
-        self.candidates = candidates.collect();
+        self.candidates.clear();
+        let slots = &self.slots;
+        let candidate = |index: usize| {
+            let slot = &slots[index];
+            let suitable = request.need.fits_in(&slot.free) && request.permits(slot.worker);
+            suitable.then(|| Candidate {
+                slot: index,
+                has_ticket: request.has_ticket(now, slot.worker),
+            })
+        };
+        if request.job.record.policy.advice.is_some() {
+            // The policy allows far fewer workers than there are.
+            let allowed = request.step.tickets.allowed_workers();
+            let indices = allowed.filter_map(|worker| self.slot_of.get(worker).copied());
+            self.candidates.extend(indices.filter_map(candidate));
+        } else {
+            self.candidates
+                .extend((0..slots.len()).filter_map(candidate));
+        }
     }
 
     /// Chooses a slot for each member of a unit; all on one rack if the step asks for it and one
@@ -436,7 +449,9 @@
         });
         let expected_requests = self.ticket_requests_in_flight + unrequested.count();
         let slots: Vec<Slot<'_>> = slots.collect();
+        let workers = slots.iter().map(|slot| &slot.worker.entry.worker);
         PlacementPass {
+            slot_of: workers.zip(0..).collect(),
             candidates: Vec::new(),
             candidates_of: None,
             has_probes: slots.iter().any(|slot| slot.probe),
--- a/crates/mangotrestle-core/src/workflow/pool/reports.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/reports.rs
@@ -23,8 +23,9 @@
 /// Maximum time from a worker's report to the next poll.
 const MAX_POLL_INTERVAL: SpanMs = SpanMs(250);
 /// Maximum time for which a poll waits until the ends that the worker has listed are durable. An
-/// earlier poll could not acknowledge them, so the worker would answer at once and list them again.
-const MAX_POLL_DELAY_FOR_COMMIT: SpanMs = SpanMs(250);
+/// earlier poll could not acknowledge them, so the worker would answer at once and list them again:
+/// a leader whose commits are late would poll most. A tenth of a lease.
+const MAX_POLL_DELAY_FOR_COMMIT: SpanMs = SpanMs(1_000);
 /// Minimum time between two stop orders for one unexpected run; longer than a stop takes.
 const UNEXPECTED_RUN_STOP_INTERVAL: SpanMs = SpanMs(1_000);
 
--- a/crates/mangotrestle-core/src/workflow/tickets.rs
+++ b/crates/mangotrestle-core/src/workflow/tickets.rs
@@ -170,6 +170,11 @@
             .unwrap_or_default()
     }
 
+    /// Returns the workers that the policy allows, in no particular order.
+    pub fn allowed_workers(&self) -> impl Iterator<Item = &id::WorkerId> {
+        self.allowed.keys()
+    }
+
     /// Whether any worker is allowed.
     #[must_use]
     pub fn allows_any(&self) -> bool {
--- a/crates/mangotrestle-core/tests/workflow/placing.rs
+++ b/crates/mangotrestle-core/tests/workflow/placing.rs
@@ -381,7 +381,8 @@
         submit(&mut world, &long);
         world.run_for(100);
         let starts = world.starts - starts_before;
-        times_per_run.push((world.decision_time - time_before) / starts.max(1));
+        let decisions = world.decision_time.saturating_sub(time_before);
+        times_per_run.push(decisions / starts.max(1));
     }
 
     times_per_run.sort_unstable();
--- a/crates/mangotrestle/src/host/access.rs
+++ b/crates/mangotrestle/src/host/access.rs
@@ -598,15 +598,15 @@
     /// direct path counts as unavailable: peers may be cut off while the direct path is back.
     async fn relay_read(
         self: &Arc<Self>,
-        call: &RelayedCall,
+        read: &RelayedCall,
         wait: Duration,
     ) -> Option<RelayedAnswer> {
         if self.clock.now().0 < self.direct.no_relay_until_ms.load(Ordering::Relaxed) {
             return None;
         }
-        let value = serde_json::to_value(call).ok()?;
+        let value = serde_json::to_value(read).ok()?;
         let mut candidates = self.relay_candidates(MAX_RELAY_ATTEMPTS).into_iter();
-        let mut attempts = tokio::task::JoinSet::new();
+        let mut running = tokio::task::JoinSet::new();
         let give_up = tokio::time::sleep(wait + Duration::from_millis(DIRECT_RETRY_DELAY_MS));
         tokio::pin!(give_up);
         loop {
@@ -614,16 +614,16 @@
                 Some((host, client)) => {
                     let (cell, value) = (Arc::clone(self), value.clone());
                     let timeout = wait + RELAYED_READ_TIMEOUT;
-                    attempts.spawn(async move {
+                    running.spawn(async move {
                         cell.read_through(&host, &client, value, timeout).await
                     });
                 }
-                None if attempts.is_empty() => break,
+                None if running.is_empty() => break,
                 None => {}
             }
             tokio::select! {
-                Some(attempt) = attempts.join_next() => {
-                    if let Ok(Some(answer)) = attempt {
+                Some(result) = running.join_next() => {
+                    if let Ok(Some(answer)) = result {
                         return Some(answer);
                     }
                 }
--- a/crates/mangotrestle/tests/host/platform.rs
+++ b/crates/mangotrestle/tests/host/platform.rs
@@ -32,17 +32,17 @@
 type RowKey = (String, String, String);
 
 #[derive(Default)]
-struct Rows {
+struct Tables {
     version: u64,
     rows: BTreeMap<RowKey, (u64, Option<Value>)>,
     /// Keys of all rows that the inbox ever had.
-    inbox_history: BTreeSet<String>,
+    past_inbox_keys: BTreeSet<String>,
 }
 
 /// The stand-in for the store.
 #[derive(Default)]
 struct Store {
-    rows: Mutex<Rows>,
+    rows: Mutex<Tables>,
     changed: Notify,
     unresponsive: AtomicBool,
     calls: AtomicU64,
@@ -120,7 +120,7 @@
     for entry in array_field(&body, "set_keys") {
         let value = entry["value"].clone();
         if string_field(&entry, "table") == "inbox" {
-            rows.inbox_history.insert(string_field(&entry, "key"));
+            rows.past_inbox_keys.insert(string_field(&entry, "key"));
         }
         rows.rows.insert(row_key(&entry), (version, Some(value)));
     }
@@ -327,7 +327,7 @@
     pub fn jobs_ever_accepted(&self) -> usize {
         let rows = self.store.rows.lock().expect("the rows");
         let is_job = |key: &&String| key.len() == job_id(0).len();
-        rows.inbox_history.iter().filter(is_job).count()
+        rows.past_inbox_keys.iter().filter(is_job).count()
     }
 
     /// Returns the number of jobs in the pool's inbox.
