--- a/crates/mangotrestle-core/src/workflow/pool/reports.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/reports.rs
@@ -7,7 +7,7 @@
 use super::super::job::{MemberKey, Phase};
 use super::super::message::{RunningTask, WorkerReport};
 use super::super::worker::Worker;
-use super::{Note, Order, Pool};
+use super::{Note, Order, Pool, PoolSettings};
 
 /// Time between two polls of a worker that does not answer.
 const UNRESPONSIVE_POLL_INTERVAL: SpanMs = SpanMs(400);
@@ -40,6 +40,17 @@
     NoAnswer,
 }
 
+/// Returns the maximum time for which a worker may delay the answer to a poll.
+fn hold_wait(settings: &PoolSettings, worker: &Worker) -> SpanMs {
+    let is_shared = worker.serving_tasks > 0 && worker.best_effort_tasks > 0;
+    match () {
+        () if worker.tasks.is_empty() || !worker.answered => SpanMs(0),
+        () if is_shared && worker.over_target => OVERRUN_HOLD_WAIT,
+        () if is_shared => SpanMs(settings.max_target_overrun.0 / SHARED_HOLD_WAIT_DIVISOR),
+        () => settings.max_hold_wait,
+    }
+}
+
 impl Pool {
     /// Polls every worker whose poll is due.
     pub(super) fn poll_workers(&mut self, now: TimeMs) {
@@ -63,17 +74,7 @@
             {
                 continue;
             }
-            let wait = match () {
-                () if worker.tasks.is_empty() || !worker.answered => SpanMs(0),
-                () if worker.serving_tasks > 0 && worker.best_effort_tasks > 0 => {
-                    if worker.over_target {
-                        OVERRUN_HOLD_WAIT
-                    } else {
-                        SpanMs(settings.max_target_overrun.0 / SHARED_HOLD_WAIT_DIVISOR)
-                    }
-                }
-                () => settings.max_hold_wait,
-            };
+            let wait = hold_wait(settings, worker);
             // The lease of an unresponsive worker is left to expire, since only then may its runs
             // start elsewhere.
             let extends_lease = worker.clock.is_known() && !worker.is_unresponsive();
--- a/crates/mangotrestle/src/host/leader.rs
+++ b/crates/mangotrestle/src/host/leader.rs
@@ -3,7 +3,7 @@
 
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use mangotrestle_core::collections::FastMap;
@@ -26,6 +26,7 @@
 use super::liveness;
 use super::names;
 use super::orders;
+use super::pacing::{self, Pacing};
 
 /// Maximum time for which releasing leadership may delay a planned stop.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(1_200);
@@ -45,13 +46,6 @@
 const MIN_COMMIT_INTERVAL: SpanMs = SpanMs(12);
 /// Maximum number of changed rows in a commit, besides the rows of the leadership and the summary.
 const MAX_COMMIT_ROWS: usize = 88;
-/// Minimum time between two rounds of the leader.
-const MIN_ROUND_INTERVAL: Duration = Duration::from_millis(4);
-/// Time between two rounds as a multiple of the duration of the first; so much of the processor
-/// time is left for calls.
-const ROUND_REST_FACTOR: u32 = 3;
-/// Maximum time between two rounds of the leader.
-const MAX_ROUND_INTERVAL: Duration = Duration::from_millis(25);
 /// Minimum interval between two writes of the summary.
 const MIN_SUMMARY_INTERVAL: SpanMs = SpanMs(500);
 /// Interval between reads of the feed of workers' entries.
@@ -617,34 +611,6 @@
     Deposed,
 }
 
-/// Spaces out the rounds of a leader. A round goes over all workers of the pool, whatever caused it,
-/// so a round for each of thousands of answers a second would take all of the processor time in a
-/// large pool. Answers that arrive in between are handled together.
-#[derive(Default)]
-struct Pacing {
-    round_began: Option<Instant>,
-    next_round: Option<Instant>,
-}
-
-impl Pacing {
-    /// Waits until the next round is due, and begins it.
-    async fn wait_for_round(&mut self) {
-        if let Some(at) = self.next_round {
-            tokio::time::sleep_until(at.into()).await;
-        }
-        self.round_began = Some(Instant::now());
-    }
-
-    /// Ends a round; the next one is due after a time in proportion to this one's duration.
-    fn end_round(&mut self) {
-        let now = Instant::now();
-        let took = self.round_began.map_or(Duration::ZERO, |began| now - began);
-        metrics::histogram!("mangotrestle_round_seconds").record(took.as_secs_f64());
-        let rest = (took * ROUND_REST_FACTOR).clamp(MIN_ROUND_INTERVAL, MAX_ROUND_INTERVAL);
-        self.next_round = Some(now + rest);
-    }
-}
-
 /// Runs the rounds of a leader until another host leads the pool or this one has released it.
 async fn run_leader(cell: Arc<Cell>, leader: Arc<Leader>) {
     let mut commit: Option<tokio::task::JoinHandle<CommitOutcome>> = None;
@@ -654,7 +620,7 @@
     let mut pacing = Pacing::default();
     loop {
         // After the timeout the round runs without a notification.
-        let _ = tokio::time::timeout(MAX_ROUND_INTERVAL, leader.wake.notified()).await;
+        let _ = tokio::time::timeout(pacing::MAX_ROUND_INTERVAL, leader.wake.notified()).await;
         pacing.wait_for_round().await;
         let now = cell.clock.now();
         if now.since(last_round) > STALL_THRESHOLD {
--- a/crates/mangotrestle/src/host/mod.rs
+++ b/crates/mangotrestle/src/host/mod.rs
@@ -12,7 +12,7 @@
 //! - `cell`: the state of the process, with what it knows of the cell's hosts and pools;
 //! - `front`: the server for callers; `acceptor` makes their jobs durable;
 //! - `feeds`: follows the configuration and the rows of hosts and leaderships;
-//! - `leader`: leads a pool; `orders` sends the pool's orders;
+//! - `leader`: leads a pool; `pacing` spaces out its rounds; `orders` sends the pool's orders;
 //! - `liveness`: finds out whether a worker that does not answer has ended;
 //! - `peers`: the server for the other hosts;
 //! - `events`: log events and metrics.
@@ -36,6 +36,7 @@
 mod liveness;
 mod names;
 mod orders;
+mod pacing;
 mod peers;
 
 use cell::Cell;
