--- a/crates/mangotrestle-core/tests/workflow/placing.rs
+++ b/crates/mangotrestle-core/tests/workflow/placing.rs
@@ -373,6 +373,7 @@
     }
     world.run_for(1_000);
 
+    let all_starts_before = world.starts;
     let mut times_per_run: Vec<Duration> = Vec::new();
     for _ in 0..40 {
         let (starts_before, time_before) = (world.starts, world.decision_time);
@@ -386,6 +387,8 @@
         times_per_run.push(decisions / starts.max(1));
     }
 
+    let all_starts = world.starts - all_starts_before;
+    assert!(all_starts >= 1_400, "{all_starts} runs started");
     let quickest = times_per_run.into_iter().min().expect("a window");
     assert!(
         quickest < MAX_DECISION_TIME_PER_RUN,
