--- a/crates/mangotrestle-caller/tests/outcomes.rs
+++ b/crates/mangotrestle-caller/tests/outcomes.rs
@@ -174,16 +174,26 @@
     assert_eq!(working.counters.runs(), 0);
 }
 
-#[tokio::test]
-async fn a_resend_through_another_entry_host_gets_the_first_answer() {
-    let target = support::target(Behaviour::Echo).await;
-    let records = support::memory_records();
+/// Sends a payment through one entry host and again, with the same key, through another; returns
+/// both responses.
+async fn pay_through_two_entry_hosts(
+    target: &support::TestTarget,
+    records: Arc<dyn StartedRecords>,
+) -> (support::CallerResponse, support::CallerResponse) {
     let routes = support::routes(&[target.address], 8);
     let first = support::entry_host_with(routes.clone(), Arc::clone(&records), |builder| builder);
     let second = support::entry_host_with(routes, records, |builder| builder);
-
     let response = support::pay(&first, "k", &[]).await;
     let replayed = support::pay(&second, "k", &[]).await;
+    (response, replayed)
+}
+
+#[tokio::test]
+async fn a_resend_through_another_entry_host_gets_the_first_answer() {
+    let target = support::target(Behaviour::Echo).await;
+
+    let (response, replayed) =
+        pay_through_two_entry_hosts(&target, support::memory_records()).await;
 
     assert_eq!(replayed.body, response.body);
     assert_eq!(replayed.status, response.status);
@@ -195,13 +205,9 @@
 #[tokio::test]
 async fn a_resend_that_comes_before_the_outcome_is_recorded_gets_the_first_answer() {
     let target = support::target(Behaviour::Echo).await;
-    let records: Arc<dyn StartedRecords> = Arc::new(LateOutcomes(support::memory_records()));
-    let routes = support::routes(&[target.address], 8);
-    let first = support::entry_host_with(routes.clone(), Arc::clone(&records), |builder| builder);
-    let second = support::entry_host_with(routes, records, |builder| builder);
+    let records = Arc::new(LateOutcomes(support::memory_records()));
 
-    let response = support::pay(&first, "k", &[]).await;
-    let replayed = support::pay(&second, "k", &[]).await;
+    let (response, replayed) = pay_through_two_entry_hosts(&target, records).await;
 
     assert_eq!(replayed.body, response.body);
     assert_eq!(replayed.header("x-replayed"), "true");
