--- a/crates/mangotrestle/tests/host/main.rs
+++ b/crates/mangotrestle/tests/host/main.rs
@@ -1,6 +1,9 @@
 //! Tests of a host process against a stand-in for the store of the users' platform.
 
 mod platform;
+mod proxy;
+mod silent_connections;
+mod worker;
 
 use std::time::{Duration, Instant};
 
--- a/crates/mangotrestle/tests/host/platform.rs
+++ b/crates/mangotrestle/tests/host/platform.rs
@@ -244,6 +244,11 @@
         self.write_configuration(version, &[QUEUE_PATH, path_prefix]);
     }
 
+    /// Writes a configuration without the queue that every other one has.
+    pub fn remove_queue(&self, version: u64) {
+        self.write_configuration(version, &["/other/"]);
+    }
+
     fn write_configuration(&self, version: u64, path_prefixes: &[&str]) {
         let route = |path_prefix: &&str| {
             json!({"name": format!("r{path_prefix}"), "host": CALLER_HOST,
@@ -256,17 +261,33 @@
             "services": [{"name": "pool", "rejects_overload": false}],
             "limits": {"max_body_bytes": 262_144},
         });
-        let value = StoredValue(configuration.to_string().into_bytes());
+        self.write_row("op", "config", &configuration);
+    }
+
+    /// Writes a row of the empty part.
+    fn write_row(&self, table: &str, key: &str, value: &Value) {
+        let value = StoredValue(value.to_string().into_bytes());
         let value = serde_json::to_value(value).expect("a value");
-        let key = ("op".to_owned(), String::new(), "config".to_owned());
-        let mut rows = self.store.rows.lock().expect("the rows");
-        rows.version += 1;
-        let row_version = rows.version;
-        rows.rows.insert(key, (row_version, Some(value)));
-        drop(rows);
+        let key = (table.to_owned(), String::new(), key.to_owned());
+        {
+            let mut rows = self.store.rows.lock().expect("the rows");
+            rows.version += 1;
+            let version = rows.version;
+            rows.rows.insert(key, (version, Some(value)));
+        }
         self.store.changed.notify_waiters();
     }
 
+    /// Returns the address of the store.
+    pub const fn store_address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Writes a worker's entry, or any other value in its place; returns once it is acknowledged.
+    pub fn write_worker(&self, worker: &str, entry: &Value) {
+        self.write_row("servers", worker, entry);
+    }
+
     /// Registers a host that accepts connections and never answers.
     pub async fn add_silent_host(&self, name: &str) {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
@@ -278,16 +299,7 @@
             }
         });
         let row = json!({"address": address.to_string(), "zone": "a", "life": 1});
-        let value = StoredValue(row.to_string().into_bytes());
-        let value = serde_json::to_value(value).expect("a value");
-        let key = ("cell".to_owned(), String::new(), format!("host/{name}"));
-        {
-            let mut rows = self.store.rows.lock().expect("the rows");
-            rows.version += 1;
-            let version = rows.version;
-            rows.rows.insert(key, (version, Some(value)));
-        }
-        self.store.changed.notify_waiters();
+        self.write_row("cell", &format!("host/{name}"), &row);
     }
 
     /// Sets the duration of a read, and the maximum number of rows in its answer.
@@ -364,6 +376,11 @@
 impl Host {
     /// Starts a host.
     pub async fn start(name: &str, platform: &Platform) -> Self {
+        Self::start_with_store(name, platform.address).await
+    }
+
+    /// Starts a host that reaches the store at an address.
+    pub async fn start_with_store(name: &str, store: SocketAddr) -> Self {
         let port = free_ports().await;
         let (readiness, peers) = (port + 1, port + 2);
         let front = SocketAddr::from(([127, 0, 0, 1], port));
@@ -372,7 +389,7 @@
             "listen": {"front": front.to_string(), "readiness": format!("127.0.0.1:{readiness}")},
             "internal_ports": [peers, peers],
             "limits": {"cpu_share": 0.25, "cores": 1, "memory_mb": 260},
-            "platform": {"address": platform.address.to_string()},
+            "platform": {"address": store.to_string()},
         });
         let file = format!("mangotrestle-{}-{}.json", std::process::id(), port);
         let path = std::env::temp_dir().join(file);
--- /dev/null
+++ b/crates/mangotrestle/tests/host/silent_connections.rs
@@ -0,0 +1,132 @@
+//! Tests of a host whose open connections to the store go silent while new ones work.
+
+use std::time::{Duration, Instant};
+
+use super::platform::{Caller, Host, Platform};
+use super::proxy::Proxy;
+use super::worker::Worker;
+use super::{CONFIGURATION_APPLY_TIME, REGISTRATION_TIME, STATUS_TIMEOUT, submit_until_status};
+
+/// Time within which no more tasks start on a worker that drains; the default of the settings.
+const DRAIN_TIME: Duration = Duration::from_secs(2);
+/// Part of a request that reads the changes of the operator's table.
+const CONFIGURATION_FEED: &str = "/rows-feed?table=op&";
+/// Part of a request that reads the changes of the workers' table.
+const WORKER_FEED: &str = "/rows-feed?table=servers&";
+/// Interval between submitted jobs.
+const SUBMISSION_INTERVAL: Duration = Duration::from_millis(20);
+/// Time between a fault and a change that is made after it.
+const CHANGE_DELAYS_MS: [u64; 4] = [0, 250, 500, 750];
+
+/// Adds a queue, and requests its count as soon as it must be in force.
+async fn add_queue_and_count(platform: &Platform, caller: &Caller, version: u64) -> u16 {
+    let path_prefix = format!("/new-{version}/");
+    platform.add_queue(version, &path_prefix);
+    tokio::time::sleep(CONFIGURATION_APPLY_TIME).await;
+    caller.count(&path_prefix).await.status
+}
+
+/// Registers peers that accept connections and never answer, and waits until every host knows them.
+async fn add_silent_peers(platform: &Platform) {
+    for index in 0..6 {
+        platform.add_silent_host(&format!("front-b-{index}")).await;
+    }
+    tokio::time::sleep(REGISTRATION_TIME).await;
+}
+
+/// Makes the connection silent that waits for changes of a table.
+async fn silence_feed(proxy: &Proxy, feed: &str) {
+    while proxy.silence_connections_with(feed) == 0 {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_configuration_is_in_force_in_time_after_all_open_store_connections_went_silent() {
+    let platform = Platform::start().await;
+    let proxy = Proxy::start(platform.store_address()).await;
+    let host = Host::start_with_store("front-a-1", proxy.address()).await;
+    let caller = host.caller();
+    submit_until_status(&caller, 1, 200).await;
+
+    let mut statuses = Vec::new();
+    for (version, delay_ms) in (2..).zip(CHANGE_DELAYS_MS) {
+        proxy.silence_open_connections();
+        tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+        statuses.push(add_queue_and_count(&platform, &caller, version).await);
+    }
+
+    assert_eq!(statuses, [200; CHANGE_DELAYS_MS.len()]);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_configuration_is_in_force_in_time_although_its_feed_and_all_peers_are_silent() {
+    let platform = Platform::start().await;
+    let proxy = Proxy::start(platform.store_address()).await;
+    let host = Host::start_with_store("front-a-1", proxy.address()).await;
+    let caller = host.caller();
+    submit_until_status(&caller, 1, 200).await;
+    add_silent_peers(&platform).await;
+
+    let mut statuses = Vec::new();
+    for (version, delay_ms) in (2..).zip(CHANGE_DELAYS_MS) {
+        silence_feed(&proxy, CONFIGURATION_FEED).await;
+        tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+        statuses.push(add_queue_and_count(&platform, &caller, version).await);
+    }
+
+    assert_eq!(statuses, [200; CHANGE_DELAYS_MS.len()]);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn no_job_is_accepted_for_a_removed_queue_although_the_configuration_feed_is_silent() {
+    let platform = Platform::start().await;
+    let proxy = Proxy::start(platform.store_address()).await;
+    let host = Host::start_with_store("front-a-1", proxy.address()).await;
+    let caller = host.caller();
+    let number = submit_until_status(&caller, 1, 200).await + 1;
+    add_silent_peers(&platform).await;
+
+    silence_feed(&proxy, CONFIGURATION_FEED).await;
+    platform.remove_queue(2);
+    tokio::time::sleep(CONFIGURATION_APPLY_TIME).await;
+    let answer = caller.submit(number).await;
+
+    assert_eq!(answer.status, 404, "{answer:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn no_task_starts_on_a_drained_worker_although_the_feed_of_workers_and_all_peers_are_silent()
+{
+    let platform = Platform::start().await;
+    let proxy = Proxy::start(platform.store_address()).await;
+    let workers = [Worker::start().await, Worker::start().await];
+    platform.write_worker("i-0", &workers[0].entry("ready"));
+    platform.write_worker("i-1", &workers[1].entry("ready"));
+    let host = Host::start_with_store("front-a-1", proxy.address()).await;
+    let caller = host.caller();
+    let began = Instant::now();
+    let mut number = 1;
+    let mut preferred = None;
+    while preferred.is_none() && began.elapsed() < STATUS_TIMEOUT {
+        number = submit_until_status(&caller, number, 200).await + 1;
+        preferred = workers
+            .iter()
+            .position(|worker| worker.starts_since(began) > 0);
+    }
+    let preferred = preferred.expect("a worker that is given tasks");
+    add_silent_peers(&platform).await;
+    let (leaves, stays) = (&workers[preferred], &workers[1 - preferred]);
+
+    silence_feed(&proxy, WORKER_FEED).await;
+    platform.write_worker(&format!("i-{preferred}"), &leaves.entry("draining"));
+    let drained_at = Instant::now() + DRAIN_TIME;
+    while Instant::now() < drained_at + DRAIN_TIME {
+        caller.submit(number).await;
+        number += 1;
+        tokio::time::sleep(SUBMISSION_INTERVAL).await;
+    }
+
+    assert_eq!(leaves.starts_since(drained_at), 0);
+    assert!(stays.starts_since(drained_at) > 0, "nothing starts");
+}
--- /dev/null
+++ b/crates/mangotrestle/tests/host/worker.rs
@@ -0,0 +1,96 @@
+//! A stand-in for a worker: it carries out every start at once, and its task ends at once.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use axum::Json;
+use axum::extract::State;
+use axum::routing::post;
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+
+#[derive(Default)]
+struct Runs {
+    /// Ends that are not acknowledged.
+    finished: Vec<(u64, Value)>,
+    last_end: u64,
+    started_at: Vec<Instant>,
+}
+
+#[derive(Default)]
+struct Shared {
+    runs: Mutex<Runs>,
+    ended: Notify,
+}
+
+/// The stand-in.
+pub struct Worker {
+    address: SocketAddr,
+    shared: Arc<Shared>,
+}
+
+impl Worker {
+    /// Starts a worker.
+    pub async fn start() -> Self {
+        let shared = Arc::new(Shared::default());
+        let routes = axum::Router::new()
+            .route("/run-start", post(start_run))
+            .route("/run-stop", post(|| async { clock() }))
+            .route("/hold", post(hold))
+            .with_state(Arc::clone(&shared));
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        tokio::spawn(async move { axum::serve(listener, routes).await });
+        Self { address, shared }
+    }
+
+    /// Returns the worker's entry in the platform's registry.
+    pub fn entry(&self, state: &str) -> Value {
+        json!({"service": "pool", "address": self.address.to_string(), "zone": "a",
+            "version": "1", "slots": 8, "state": state, "cold_left_ms": 0, "seq": 1,
+            "capacity": {"cpu": 64_000, "mem_mb": 64_000, "gpu": 0}, "labels": [], "clock_ms": 1})
+    }
+
+    /// Returns the number of tasks started since a moment.
+    pub fn starts_since(&self, moment: Instant) -> usize {
+        let runs = self.shared.runs.lock().expect("the runs");
+        runs.started_at.iter().filter(|at| **at >= moment).count()
+    }
+}
+
+fn clock() -> Json<Value> {
+    Json(json!({"clock_ms": 1_000}))
+}
+
+async fn start_run(State(worker): State<Arc<Shared>>, Json(order): Json<Value>) -> Json<Value> {
+    {
+        let mut runs = worker.runs.lock().expect("the runs");
+        runs.started_at.push(Instant::now());
+        runs.last_end += 1;
+        let number = runs.last_end;
+        let end = json!([number, order["task"], order["run"], "done", ""]);
+        runs.finished.push((number, end));
+    }
+    worker.ended.notify_waiters();
+    clock()
+}
+
+async fn hold(State(worker): State<Arc<Shared>>, Json(order): Json<Value>) -> Json<Value> {
+    let last_seen = order["last_seen"].as_u64().unwrap_or_default();
+    let wait = Duration::from_millis(order["wait_ms"].as_u64().unwrap_or_default());
+    let ended = worker.ended.notified();
+    let nothing_to_report = {
+        let mut runs = worker.runs.lock().expect("the runs");
+        runs.finished.retain(|(number, _)| *number > last_seen);
+        runs.finished.is_empty()
+    };
+    if nothing_to_report {
+        // Ends with an end of a run or at the end of the wait.
+        let _ = tokio::time::timeout(wait, ended).await;
+    }
+    let runs = worker.runs.lock().expect("the runs");
+    let finished: Vec<&Value> = runs.finished.iter().map(|(_, end)| end).collect();
+    Json(json!({"clock_ms": 1_000, "running": [], "finished": finished}))
+}
