Send overdue reads of the store again over another path, within the bound that they serve

Callers saw a job accepted for a queue that a newer configuration had removed, new queues refused at 2 s after the change, and tasks started on workers up to 3 s after their leaving was acknowledged.

Cause: a read of a feed waited for one connection until its timeout, 2,400 ms for the configuration and 1,900 ms for workers, as long as the bounds themselves. What gave unanswered calls up after 500 ms was off for good once any other call had been answered after the read began. Then came peers, for 1,900 and 1,400 ms more. One open connection that passes nothing was enough.

Change: a read that is overdue by 300 ms at most is sent again over a new connection and then through peers, while the earlier attempts go on; the first answer counts. The times are parts of the bound (FeedTiming), and a test adds them up for every bound. All open connections are replaced when one gave no answer, since they go silent together. The age of a configuration is counted from when its read was sent. New: store.connection_silent, feed.late and four metrics, which tell a silent connection from a host that reads too much.

--- a/crates/mangotrestle-core/src/workflow/environment.rs
+++ b/crates/mangotrestle-core/src/workflow/environment.rs
@@ -23,6 +23,8 @@
     pub max_lease: SpanMs,
     /// Time within which a new configuration must be in force.
     pub config_apply_time: SpanMs,
+    /// Time from when the store acknowledges that a worker drains until no task starts on it.
+    pub drain_time: SpanMs,
     /// Time from the start of a planned stop until the process is killed.
     pub stop_grace: SpanMs,
     /// Time for which callers may query a job's state after its end.
--- a/crates/mangotrestle-core/src/workflow/mod.rs
+++ b/crates/mangotrestle-core/src/workflow/mod.rs
@@ -15,6 +15,7 @@
 //! - [`estimate`] corrects callers' estimates by the run times observed so far;
 //! - [`rank`] orders waiting work;
 //! - [`tickets`] remembers which workers a queue's policy allows for a step;
+//! - [`feed_timing`] derives from users' bounds when feeds are read and how old they may be;
 //! - [`leadership`] is the leadership of a pool and its chain of conditional commits;
 //! - [`pool`] makes the decisions: it takes events and returns orders and rows, without I/O and
 //!   without a clock.
@@ -23,6 +24,7 @@
 pub mod catalog;
 pub mod environment;
 pub mod estimate;
+pub mod feed_timing;
 pub mod job;
 pub mod leadership;
 pub mod message;
--- a/crates/mangotrestle-core/tests/workflow/main.rs
+++ b/crates/mangotrestle-core/tests/workflow/main.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod estimates;
+mod feed_timing;
 mod leadership;
 mod placing;
 mod polling;
--- a/crates/mangotrestle/src/host/cell.rs
+++ b/crates/mangotrestle/src/host/cell.rs
@@ -14,11 +14,11 @@
 use mangotrestle_core::time::{SpanMs, TimeMs};
 use mangotrestle_core::workflow::catalog::Catalog;
 use mangotrestle_core::workflow::environment::HostSettings;
+use mangotrestle_core::workflow::feed_timing::FeedTiming;
 use mangotrestle_core::workflow::leadership::{self, Candidate, LeadRow, PoolSummary, Watch};
 use mangotrestle_peer::cell::CellClient;
 use mangotrestle_platform::budget::Budget;
 use mangotrestle_users_platform::machines::MachineClient;
-use mangotrestle_users_platform::store::StoreClient;
 use mangotrestle_users_platform::transport::Transport;
 use mangotrestle_users_platform::worker::WorkerClient;
 use rand::RngExt;
@@ -27,7 +27,9 @@
 use super::acceptor::Acceptor;
 use super::access::DirectPath;
 use super::clock::Clock;
+use super::events;
 use super::leader::Leader;
+use super::store_connections::StoreConnections;
 
 /// Maximum timeout for a call to a peer; most calls have a shorter timeout of their own.
 const MAX_PEER_CALL_TIMEOUT: Duration = Duration::from_secs(4);
@@ -37,9 +39,6 @@
 /// Maximum part of the store's rate limits that one host may use, as a multiple of the equal share
 /// of each host.
 const MAX_SHARES_PER_HOST: f64 = 3.0;
-/// Maximum age of the last read of the configuration, as a share of the time within which a new
-/// configuration must be in force; the rest covers the time that the read's answer took.
-const MAX_CONFIGURATION_AGE_SHARE: f64 = 0.9;
 /// Time for which a peer that did not answer gets no relays, advice requests or submitted jobs.
 const PEER_BACKOFF: SpanMs = SpanMs(1_500);
 
@@ -95,7 +94,7 @@
     /// Incarnation of this process, chosen at random.
     pub(super) incarnation: u64,
     /// Client for the store.
-    pub(super) store: StoreClient,
+    pub(super) store: StoreConnections,
     /// Rate limiter for this host's writing calls to the store.
     pub(super) writes: Budget,
     /// Rate limiter for this host's reading calls to the store.
@@ -114,8 +113,8 @@
     pub(super) store_failed_at_ms: AtomicU64,
     /// The configuration in force.
     pub(super) catalog: ArcSwapOption<Catalog>,
-    /// When the store last confirmed that there is no newer configuration.
-    configuration_read_at_ms: AtomicU64,
+    /// Moment as of which the configuration is known to be the newest.
+    configuration_as_of_ms: AtomicU64,
     pools: Mutex<FastMap<String, PoolView>>,
     peers: Mutex<BTreeMap<id::EntryHostId, Peer>>,
     leaders: Mutex<FastMap<String, Arc<Leader>>>,
@@ -135,7 +134,7 @@
         Self {
             writes: Budget::new(settings.store_limits.writes_per_s * STORE_RATE_SHARE),
             reads: Budget::new(settings.store_limits.reads_per_s * STORE_RATE_SHARE),
-            store: StoreClient::new(Transport::new(), settings.store),
+            store: StoreConnections::new(settings.store),
             workers: WorkerClient::new(Transport::new()),
             machines: settings
                 .machines
@@ -149,7 +148,7 @@
             store_answered_at_ms: AtomicU64::new(0),
             store_failed_at_ms: AtomicU64::new(0),
             catalog: ArcSwapOption::empty(),
-            configuration_read_at_ms: AtomicU64::new(0),
+            configuration_as_of_ms: AtomicU64::new(0),
             pools: Mutex::default(),
             peers: Mutex::default(),
             leaders: Mutex::default(),
@@ -176,18 +175,27 @@
         !self.is_stopping() && self.catalog.load().is_some() && self.last_store_call_succeeded()
     }
 
-    /// Records that the store has just answered a read of the operator's configuration.
-    pub(super) fn record_configuration_read(&self) {
-        let now = self.clock.now().0;
-        self.configuration_read_at_ms.store(now, Ordering::Relaxed);
+    /// Returns the times at which the configuration is read.
+    pub(super) fn configuration_timing(&self) -> FeedTiming {
+        FeedTiming::configuration(self.settings.bounds.config_apply_time)
+    }
+
+    /// Records that the configuration was the newest at a moment.
+    pub(super) fn confirm_configuration(&self, as_of: TimeMs) {
+        let previous = TimeMs(
+            self.configuration_as_of_ms
+                .fetch_max(as_of.0, Ordering::Relaxed),
+        );
+        if previous != TimeMs(0) {
+            let age = self.clock.now().since(previous);
+            events::feed_confirmed(&self.log, "configuration", age, self.configuration_timing());
+        }
     }
 
     /// Whether a newer configuration that must be in force by now would be known here.
     pub(super) fn configuration_is_current(&self) -> bool {
-        let read_at = TimeMs(self.configuration_read_at_ms.load(Ordering::Relaxed));
-        let max_age = self.settings.bounds.config_apply_time.as_duration();
-        let age = self.clock.now().since(read_at).as_duration();
-        age < max_age.mul_f64(MAX_CONFIGURATION_AGE_SHARE)
+        let as_of = TimeMs(self.configuration_as_of_ms.load(Ordering::Relaxed));
+        self.clock.now().since(as_of) < self.configuration_timing().max_age
     }
 
     /// Returns this host's row.
--- a/crates/mangotrestle/src/host/events.rs
+++ b/crates/mangotrestle/src/host/events.rs
@@ -4,9 +4,11 @@
 use std::time::Duration;
 
 use mangotrestle_core::id;
+use mangotrestle_core::time::SpanMs;
 use mangotrestle_core::workflow::admission::Admission;
 use mangotrestle_core::workflow::catalog::Queue;
 use mangotrestle_core::workflow::environment::HostSettings;
+use mangotrestle_core::workflow::feed_timing::FeedTiming;
 use mangotrestle_core::workflow::pool::{BlockedStep, Note, UnsettledRun};
 use mangotrestle_core::workflow::record::JobState;
 use mangotrestle_peer::cell::Acceptance;
@@ -33,6 +35,40 @@
     slog::info!(log, "configuration.outdated"; "version" => version, "path" => path);
 }
 
+/// Logs a connection to the store that gave no answer to a read which another path answered.
+pub(super) fn store_connection_silent(
+    log: &slog::Logger,
+    table: &str,
+    answered_by: &'static str,
+    waited: SpanMs,
+) {
+    metrics::counter!("mangotrestle_store_reads_resent_total", "answered_by" => answered_by)
+        .increment(1);
+    slog::info!(log, "store.connection_silent"; "table" => table, "answered_by" => answered_by,
+        "waited_ms" => waited.0);
+}
+
+/// Records the time for which a read waited for this host's share of the store's rate.
+pub(super) fn store_read_delayed(waited: Duration) {
+    metrics::histogram!("mangotrestle_store_read_delay_seconds").record(waited.as_secs_f64());
+}
+
+/// Records how old a feed's rows were when they were confirmed, and logs it if they could no longer
+/// be relied on.
+pub(super) fn feed_confirmed(
+    log: &slog::Logger,
+    feed: &'static str,
+    age: SpanMs,
+    timing: FeedTiming,
+) {
+    metrics::histogram!("mangotrestle_feed_age_seconds", "feed" => feed)
+        .record(age.as_duration().as_secs_f64());
+    if age >= timing.max_age {
+        slog::warn!(log, "feed.late"; "feed" => feed, "age_ms" => age.0,
+            "max_age_ms" => timing.max_age.0);
+    }
+}
+
 /// Logs a submitted job that cannot be decoded or is not valid.
 pub(super) fn job_malformed(log: &slog::Logger, job: &id::JobId, error: &str) {
     metrics::counter!("mangotrestle_jobs_malformed_total").increment(1);
--- a/crates/mangotrestle/src/host/feeds.rs
+++ b/crates/mangotrestle/src/host/feeds.rs
@@ -13,11 +13,8 @@
 use super::cell::{Cell, HostRow};
 use super::leader;
 use super::names;
+use super::reads::{DEFAULT_RESEND_DELAY, ReadRows};
 
-/// Maximum time for which the store may hold back the configuration feed, as a share of the time
-/// within which a new configuration must be in force. Below half, so that an unresponsive
-/// connection is noticed in time.
-const MAX_CONFIGURATION_WAIT_SHARE: f64 = 0.45;
 /// Interval between reads of the feed of hosts and leaderships.
 const CELL_FEED_INTERVAL: Duration = Duration::from_millis(400);
 /// Maximum time for which the store may hold back the feed of hosts and leaderships.
@@ -34,28 +31,30 @@
 
 /// Follows the operator's configuration until the process ends.
 pub(super) async fn follow_configuration(cell: Arc<Cell>) {
-    let wait = cell
-        .settings
-        .bounds
-        .config_apply_time
-        .as_duration()
-        .mul_f64(MAX_CONFIGURATION_WAIT_SHARE);
+    let timing = cell.configuration_timing();
+    let resend_delay = timing.resend_delay.as_duration();
     let mut version = None;
     loop {
         let result = match version {
-            None => cell
-                .read_part(OPERATOR_TABLE, "", ROW_CALL_TIMEOUT)
-                .await
-                .map_err(FeedError::Call),
-            Some(after) => cell.read_changes(OPERATOR_TABLE, after, wait).await,
+            None => read_whole_part(&cell, OPERATOR_TABLE, ROW_CALL_TIMEOUT).await,
+            Some(after) => {
+                // An outdated configuration is confirmed at once.
+                let wait = if cell.configuration_is_current() {
+                    timing.wait.as_duration()
+                } else {
+                    Duration::ZERO
+                };
+                cell.read_changes(OPERATOR_TABLE, after, wait, resend_delay)
+                    .await
+            }
         };
         match result {
-            Ok(rows) => {
+            Ok(ReadRows { rows, as_of }) => {
                 version = Some(rows.version.max(version.unwrap_or_default()));
                 for row in &rows.rows {
                     apply_operator_row(&cell, row);
                 }
-                cell.record_configuration_read();
+                cell.confirm_configuration(as_of);
             }
             Err(FeedError::HistoryLost) => {
                 slog::info!(cell.log, "configuration.history_lost"; "after" => ?version);
@@ -69,6 +68,18 @@
     }
 }
 
+/// Reads the empty part of a table.
+pub(super) async fn read_whole_part(
+    cell: &Arc<Cell>,
+    table: &str,
+    page_timeout: Duration,
+) -> Result<ReadRows, FeedError> {
+    let as_of = cell.clock.now();
+    let rows = cell.read_part(table, "", page_timeout).await;
+    rows.map(|rows| ReadRows { rows, as_of })
+        .map_err(FeedError::Call)
+}
+
 fn apply_operator_row(cell: &Cell, row: &Row) {
     if row.name.key != operator::CONFIGURATION_KEY {
         slog::info!(cell.log, "operator.row_ignored"; "key" => &row.name.key,
@@ -109,8 +120,10 @@
         let result = match version {
             None => read_cell(&cell).await.map_err(FeedError::Call),
             Some(after) => {
-                cell.read_changes(names::CELL_TABLE, after, MAX_CELL_FEED_WAIT)
-                    .await
+                let wait = MAX_CELL_FEED_WAIT;
+                let changes =
+                    cell.read_changes(names::CELL_TABLE, after, wait, DEFAULT_RESEND_DELAY);
+                changes.await.map(|changes| changes.rows)
             }
         };
         match result {
--- a/crates/mangotrestle/src/host/leader.rs
+++ b/crates/mangotrestle/src/host/leader.rs
@@ -9,6 +9,7 @@
 use mangotrestle_core::collections::FastMap;
 use mangotrestle_core::id;
 use mangotrestle_core::time::{SpanMs, TimeMs};
+use mangotrestle_core::workflow::feed_timing::FeedTiming;
 use mangotrestle_core::workflow::leadership::{self, LeadRow, PoolSummary};
 use mangotrestle_core::workflow::pool::{Commit, Pool, PoolSettings, RowChange};
 use mangotrestle_core::workflow::record::{AssignmentRow, JobState};
@@ -23,10 +24,12 @@
 
 use super::cell::{Cell, lock};
 use super::events;
+use super::feeds;
 use super::liveness;
 use super::names;
 use super::orders;
 use super::pacing::{self, Pacing};
+use super::reads::{DEFAULT_RESEND_DELAY, ReadRows};
 
 /// Maximum time for which releasing leadership may delay a planned stop.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(1_200);
@@ -48,11 +51,9 @@
 const MAX_COMMIT_ROWS: usize = 88;
 /// Minimum interval between two writes of the summary.
 const MIN_SUMMARY_INTERVAL: SpanMs = SpanMs(500);
-/// Interval between reads of the feed of workers' entries.
-const WORKER_FEED_INTERVAL: Duration = Duration::from_millis(400);
 /// Interval between reads of the inbox feed; hosts also notify the leader of the jobs they accept.
 const INBOX_FEED_INTERVAL: Duration = Duration::from_millis(350);
-/// Maximum time for which the store may hold back a feed.
+/// Maximum time for which the store may hold back the inbox feed.
 const MAX_FEED_WAIT: Duration = Duration::from_millis(400);
 /// Maximum time for which a worker may hold back a report.
 const MAX_HOLD_WAIT: SpanMs = SpanMs(1_500);
@@ -503,19 +504,22 @@
 }
 
 async fn follow_workers(cell: Arc<Cell>, leader: Arc<Leader>, from: u64) {
+    let timing = FeedTiming::workers(cell.settings.bounds.drain_time);
+    let wait = timing.wait.as_duration();
+    let resend_delay = timing.resend_delay.as_duration();
     let mut version = Some(from);
     let mut store_failed = false;
     while !leader.has_ended() {
         let began = tokio::time::Instant::now();
         let result = match version {
-            Some(after) => cell.read_changes(WORKERS_TABLE, after, MAX_FEED_WAIT).await,
-            None => cell
-                .read_part(WORKERS_TABLE, "", PART_READ_TIMEOUT)
-                .await
-                .map_err(FeedError::Call),
+            Some(after) => {
+                cell.read_changes(WORKERS_TABLE, after, wait, resend_delay)
+                    .await
+            }
+            None => feeds::read_whole_part(&cell, WORKERS_TABLE, PART_READ_TIMEOUT).await,
         };
         match result {
-            Ok(rows) => {
+            Ok(ReadRows { rows, .. }) => {
                 let now = cell.clock.now();
                 let is_whole_table = version.is_none();
                 version = Some(rows.version.max(version.unwrap_or_default()));
@@ -537,7 +541,8 @@
             }
         }
         leader.wake.notify_one();
-        tokio::time::sleep(WORKER_FEED_INTERVAL.saturating_sub(began.elapsed())).await;
+        let interval = timing.interval.as_duration();
+        tokio::time::sleep(interval.saturating_sub(began.elapsed())).await;
     }
 }
 
@@ -547,8 +552,10 @@
         let began = tokio::time::Instant::now();
         let result = match version {
             Some(after) => {
-                cell.read_changes(names::INBOX_TABLE, after, MAX_FEED_WAIT)
-                    .await
+                let wait = MAX_FEED_WAIT;
+                let changes =
+                    cell.read_changes(names::INBOX_TABLE, after, wait, DEFAULT_RESEND_DELAY);
+                changes.await.map(|changes| changes.rows)
             }
             None => cell
                 .read_part(names::INBOX_TABLE, &leader.pool, PART_READ_TIMEOUT)
--- a/crates/mangotrestle/src/host/mod.rs
+++ b/crates/mangotrestle/src/host/mod.rs
@@ -8,7 +8,9 @@
 //!
 //! - `clock`: the monotonic clock, and a wall clock without jumps;
 //! - `names`: the names of the system's own tables and rows;
-//! - `access`: calls to the store, relayed by a peer while the direct path is unavailable;
+//! - `access`: the direct path to the store, transactions, and calls relayed by peers; `reads`: reads
+//!   that are sent again over another path when they are overdue; `store_connections`: the open
+//!   connections;
 //! - `cell`: the state of the process, with what it knows of the cell's hosts and pools;
 //! - `front`: the server for callers; `acceptor` makes their jobs durable;
 //! - `feeds`: follows the configuration and the rows of hosts and leaderships;
@@ -38,6 +40,8 @@
 mod orders;
 mod pacing;
 mod peers;
+mod reads;
+mod store_connections;
 
 use cell::Cell;
 
--- a/crates/mangotrestle/tests/host/proxy.rs
+++ b/crates/mangotrestle/tests/host/proxy.rs
@@ -61,10 +61,11 @@
             let last_request = connection.last_request.lock().expect("a request");
             !*connection.silent.borrow() && last_request.contains(text)
         };
-        let silenced = connections.iter().filter(is_meant);
-        silenced
-            .map(|connection| connection.silent.send_replace(true))
-            .count()
+        let silenced: Vec<&Connection> = connections.iter().filter(is_meant).collect();
+        for connection in &silenced {
+            connection.silent.send_replace(true);
+        }
+        silenced.len()
     }
 }
 
