Start nothing on workers whose list is too old, and nothing again on one that drains

Callers' tasks started on a worker later than drain_ms after its leaving was acknowledged, if the leader could not read the list of workers while its commits and orders went on: nothing asked how old the list was. A start without an answer was sent again to a worker that had begun to drain.

Change: a start is sent only while the list is younger than three quarters of drain_ms, the order has the last quarter; a list that is too old is read at once. A start for a worker that drains is withdrawn with a stop and the run placed elsewhere.

--- a/crates/mangotrestle-core/src/workflow/pool/intake.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/intake.rs
@@ -350,6 +350,17 @@
         }
     }
 
+    /// Records that all changes of the platform's list up to a moment have been applied.
+    pub fn worker_list_confirmed(&mut self, as_of: TimeMs) {
+        self.list_as_of = self.list_as_of.max(as_of);
+    }
+
+    /// Returns the time since all changes of the platform's list were last known.
+    #[must_use]
+    pub fn worker_list_age(&self, now: TimeMs) -> SpanMs {
+        now.since(self.list_as_of)
+    }
+
     /// Records that the store is available again; entries that expired meanwhile may reappear.
     pub fn store_returned(&mut self, now: TimeMs) {
         self.list_unsettled_until = now + LIST_SETTLE_TIME;
--- a/crates/mangotrestle-core/src/workflow/pool/mod.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/mod.rs
@@ -72,6 +72,8 @@
     pub pace_delay: SpanMs,
     /// Maximum time that a worker takes to stop a run.
     pub max_stop_time: SpanMs,
+    /// Age of the platform's list of workers from which no run is started.
+    pub max_list_age: SpanMs,
 }
 
 /// An order to a worker, or a ticket request.
@@ -321,6 +323,8 @@
     placing_due: bool,
     /// Time until which workers that vanished from the list may reappear.
     list_unsettled_until: TimeMs,
+    /// Moment as of which the list of workers is known.
+    list_as_of: TimeMs,
     /// Unix time minus the reading of this host's steady clock, for due times.
     epoch_offset_ms: u64,
     /// Time until which leases that earlier leaders extended may last.
@@ -364,6 +368,7 @@
             stalls_checked_at: now,
             placing_due: false,
             list_unsettled_until: TimeMs(0),
+            list_as_of: TimeMs(0),
             epoch_offset_ms,
             previous_lease_until,
         }
--- a/crates/mangotrestle-core/src/workflow/pool/orders.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/orders.rs
@@ -32,6 +32,11 @@
     /// Sends the start order of a member whose assignment is durable. If the queue needs tickets, the
     /// order waits until there are valid ones for all members of the unit.
     pub(super) fn send_start(&mut self, now: TimeMs, key: &MemberKey) {
+        if self.worker_list_age(now) >= self.settings.max_list_age {
+            // The worker may have begun to drain.
+            self.retries.insert((now + RETRY_DELAY, key.clone()));
+            return;
+        }
         let Some(job) = self.jobs.get_mut(&key.unit.step.job) else {
             return;
         };
@@ -60,6 +65,10 @@
         if worker.entry.address.is_empty() || !worker.clock.is_known() {
             return;
         }
+        if worker.entry.draining {
+            self.withdraw(now, key);
+            return;
+        }
         if worker.is_unresponsive() {
             // An order would extend the lease, and only its expiry lets the run start elsewhere.
             if member.unanswered == 0 {
--- a/crates/mangotrestle-core/tests/workflow/random_faults.rs
+++ b/crates/mangotrestle-core/tests/workflow/random_faults.rs
@@ -28,6 +28,7 @@
     world.network = Network {
         lost_answers_per_mille: 30,
         late_orders_per_mille: if seed.is_multiple_of(2) { 20 } else { 0 },
+        list_reads_fail: false,
     };
     for number in 0..JOBS_PER_SEED {
         let steps = random_steps(&mut world);
--- a/crates/mangotrestle-core/tests/workflow/world.rs
+++ b/crates/mangotrestle-core/tests/workflow/world.rs
@@ -26,6 +26,8 @@
 const ORDER_LATENCY_MS: u64 = 4;
 /// Time that a worker takes to stop a run.
 pub const STOP_DURATION_MS: u64 = 400;
+/// Age of the list of workers from which nothing is started.
+pub const MAX_LIST_AGE_MS: u64 = 1_500;
 /// Time that a gang waits for its members.
 const GANG_TIMEOUT_MS: u64 = 3_000;
 /// Time beyond the expected one after which a ticket request counts as failed.
@@ -66,13 +68,15 @@
     pub fails_all_runs: bool,
 }
 
-/// Faults of the network for orders.
+/// Faults of the network.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Network {
     /// Orders per thousand that are carried out and not answered.
     pub lost_answers_per_mille: u64,
     /// Orders per thousand that are not answered, and are carried out seconds later.
     pub late_orders_per_mille: u64,
+    /// Whether the leader cannot read the platform's list of workers.
+    pub list_reads_fail: bool,
 }
 
 /// An event that is due later.
@@ -224,6 +228,7 @@
         max_target_overrun: SpanMs(4_000),
         pace_delay: SpanMs(100),
         max_stop_time: SpanMs(STOP_DURATION_MS),
+        max_list_age: SpanMs(MAX_LIST_AGE_MS),
     }
 }
 
@@ -398,6 +403,12 @@
         }
     }
 
+    /// Sets whether messages reach a worker.
+    pub fn set_reachable(&mut self, id: &WorkerId, reachable: bool) {
+        let model = self.workers.get_mut(id).expect("the worker");
+        model.reachable = reachable;
+    }
+
     /// Stores a job with its assignments and replaces the leader, so that the new one restores them.
     pub fn restore(&mut self, id: &JobId, record: &Arc<JobRecord>, row: AssignmentRow) {
         self.inbox.insert(id.clone(), Arc::clone(record));
@@ -412,6 +423,9 @@
             self.now += 5;
             self.advance_work();
             self.deliver_events();
+            if !self.network.list_reads_fail {
+                self.pool.worker_list_confirmed(TimeMs(self.now));
+            }
             let began = Instant::now();
             self.pool.tick(TimeMs(self.now));
             self.decision_time += began.elapsed();
--- a/crates/mangotrestle/src/host/leader.rs
+++ b/crates/mangotrestle/src/host/leader.rs
@@ -389,6 +389,7 @@
 }
 
 async fn load(cell: &Arc<Cell>, pool: &str) -> Result<(Pool, FeedVersions), CallError> {
+    let began_at = cell.clock.now();
     let (inbox, assignments, workers) = tokio::try_join!(
         cell.read_part(names::INBOX_TABLE, pool, PART_READ_TIMEOUT),
         cell.read_part(names::ASSIGN_TABLE, pool, PART_READ_TIMEOUT),
@@ -396,6 +397,7 @@
     )?;
     let now = cell.clock.now();
     let mut state = Pool::new(now, pool_settings(cell), cell.clock.epoch_offset_ms());
+    state.worker_list_confirmed(began_at);
     apply_worker_rows(cell, pool, &mut state, now, &workers.rows);
     restore_jobs(cell, &mut state, now, &inbox, &assignments);
     let feeds = FeedVersions {
@@ -439,6 +441,7 @@
         max_target_overrun: bounds.max_target_overrun,
         pace_delay: bounds.pace_delay,
         max_stop_time: bounds.max_stop_time,
+        max_list_age: FeedTiming::workers(bounds.drain_time).max_age,
     }
 }
 
@@ -505,7 +508,6 @@
 
 async fn follow_workers(cell: Arc<Cell>, leader: Arc<Leader>, from: u64) {
     let timing = FeedTiming::workers(cell.settings.bounds.drain_time);
-    let wait = timing.wait.as_duration();
     let resend_delay = timing.resend_delay.as_duration();
     let mut version = Some(from);
     let mut store_failed = false;
@@ -513,13 +515,20 @@
         let began = tokio::time::Instant::now();
         let result = match version {
             Some(after) => {
+                let age = lock(&leader.state).worker_list_age(cell.clock.now());
+                // A list that is too old is confirmed at once.
+                let wait = if age < timing.max_age {
+                    timing.wait.as_duration()
+                } else {
+                    Duration::ZERO
+                };
                 cell.read_changes(WORKERS_TABLE, after, wait, resend_delay)
                     .await
             }
             None => feeds::read_whole_part(&cell, WORKERS_TABLE, PART_READ_TIMEOUT).await,
         };
         match result {
-            Ok(ReadRows { rows, .. }) => {
+            Ok(ReadRows { rows, as_of }) => {
                 let now = cell.clock.now();
                 let is_whole_table = version.is_none();
                 version = Some(rows.version.max(version.unwrap_or_default()));
@@ -528,6 +537,9 @@
                     state.store_returned(now);
                 }
                 apply_worker_rows(&cell, &leader.pool, &mut state, now, &rows.rows);
+                let age = state.worker_list_age(now);
+                events::feed_confirmed(&cell.log, "workers", age, timing);
+                state.worker_list_confirmed(as_of);
                 if is_whole_table {
                     let listed: Vec<&str> =
                         rows.rows.iter().map(|row| row.name.key.as_str()).collect();
--- a/crates/mangotrestle/src/host/orders.rs
+++ b/crates/mangotrestle/src/host/orders.rs
@@ -7,6 +7,7 @@
 
 use mangotrestle_core::id;
 use mangotrestle_core::time::SpanMs;
+use mangotrestle_core::workflow::feed_timing::FeedTiming;
 use mangotrestle_core::workflow::job::StepKey;
 use mangotrestle_core::workflow::leadership;
 use mangotrestle_core::workflow::message::OrderAnswer;
@@ -64,6 +65,13 @@
     !leader.fenced.load(Ordering::Relaxed) && !leader.has_ended()
 }
 
+/// Returns the timeout for a start: the worker may have begun to drain since its list was read.
+fn start_timeout(cell: &Cell) -> Duration {
+    let drain_time = cell.settings.bounds.drain_time.as_duration();
+    let max_list_age = FeedTiming::workers(cell.settings.bounds.drain_time).max_age;
+    ORDER_TIMEOUT.min(drain_time.saturating_sub(max_list_age.as_duration()))
+}
+
 fn record_fenced(cell: &Cell, leader: &Leader, worker: &id::WorkerId) {
     if !leader.fenced.swap(true, Ordering::Relaxed) {
         slog::warn!(cell.log, "leader.fenced"; "pool" => &leader.pool, "term" => leader.term,
@@ -95,7 +103,7 @@
             };
             let (answer, clock) = if may_send_orders(leader) {
                 cell.workers
-                    .start(&worker, &address, &start, ORDER_TIMEOUT)
+                    .start(&worker, &address, &start, start_timeout(cell))
                     .await
             } else {
                 (OrderAnswer::NotSent, None)
--- a/crates/mangotrestle/tests/host/platform.rs
+++ b/crates/mangotrestle/tests/host/platform.rs
@@ -63,6 +63,14 @@
             std::future::pending::<()>().await;
         }
     }
+
+    /// Never returns if reads of a table stay unanswered.
+    async fn hang_if_unanswered(&self, table: &str) {
+        let unanswered = self.unanswered_table.lock().expect("the table").clone();
+        if unanswered.as_deref() == Some(table) {
+            std::future::pending::<()>().await;
+        }
+    }
 }
 
 fn string_field(entry: &Value, field: &str) -> String {
@@ -142,10 +150,7 @@
     let max_page_rows = store.max_page_rows.load(Ordering::Relaxed);
     let field = |name: &str| query.get(name).cloned().unwrap_or_default();
     let (table, part, from, to) = (field("table"), field("part"), field("from"), field("to"));
-    let unanswered = store.unanswered_table.lock().expect("the table").clone();
-    if unanswered.as_ref() == Some(&table) {
-        std::future::pending::<()>().await;
-    }
+    store.hang_if_unanswered(&table).await;
     let rows = store.rows.lock().expect("the rows");
     let mut found: Vec<Value> = rows
         .rows
@@ -176,6 +181,7 @@
     let after: u64 = number("after").unwrap_or_default();
     let wait = Duration::from_millis(number("wait_ms").unwrap_or_default());
     let table = query.get("table").cloned().unwrap_or_default();
+    store.hang_if_unanswered(&table).await;
     let deadline = tokio::time::Instant::now() + wait;
     loop {
         let changed = store.changed.notified();
@@ -235,8 +241,13 @@
 
     /// Leaves reads of the assignments unanswered, so that no host can load the pool and lead it.
     pub fn prevent_leading(&self) {
-        let mut table = self.store.unanswered_table.lock().expect("the table");
-        *table = Some("assign".to_owned());
+        self.leave_reads_unanswered("assign");
+    }
+
+    /// Leaves all reads of a table unanswered from now on.
+    pub fn leave_reads_unanswered(&self, table: &str) {
+        let mut unanswered = self.store.unanswered_table.lock().expect("the table");
+        *unanswered = Some(table.to_owned());
     }
 
     /// Writes a configuration with one more queue.
--- a/crates/mangotrestle/tests/host/silent_connections.rs
+++ b/crates/mangotrestle/tests/host/silent_connections.rs
@@ -13,6 +13,9 @@
 const CONFIGURATION_FEED: &str = "/rows-feed?table=op&";
 /// Part of a request that reads the changes of the workers' table.
 const WORKER_FEED: &str = "/rows-feed?table=servers&";
+/// Time after which a read of a feed that was in flight is answered; longer than the store holds
+/// any back.
+const MAX_FEED_TIME: Duration = Duration::from_secs(1);
 /// Interval between submitted jobs.
 const SUBMISSION_INTERVAL: Duration = Duration::from_millis(20);
 /// Time between a fault and a change that is made after it.
@@ -96,37 +99,85 @@
 }
 
 #[tokio::test(flavor = "multi_thread")]
-async fn no_task_starts_on_a_drained_worker_although_the_feed_of_workers_and_all_peers_are_silent()
-{
+async fn no_job_is_accepted_for_a_removed_queue_while_no_configuration_can_be_read() {
     let platform = Platform::start().await;
-    let proxy = Proxy::start(platform.store_address()).await;
-    let workers = [Worker::start().await, Worker::start().await];
-    platform.write_worker("i-0", &workers[0].entry("ready"));
-    platform.write_worker("i-1", &workers[1].entry("ready"));
-    let host = Host::start_with_store("front-a-1", proxy.address()).await;
+    let host = Host::start("front-a-1", &platform).await;
     let caller = host.caller();
+    let number = submit_until_status(&caller, 1, 200).await;
+
+    platform.leave_reads_unanswered("op");
+    tokio::time::sleep(MAX_FEED_TIME).await;
+    platform.remove_queue(2);
+    tokio::time::sleep(CONFIGURATION_APPLY_TIME).await;
+    let submitted = caller.submit(number + 1).await;
+    let state = caller.state(number).await;
+
+    assert_eq!(submitted.status, 503, "{submitted:?}");
+    assert!(submitted.retry_after_s.is_some(), "{submitted:?}");
+    assert_eq!(state.status, 503, "{state:?}");
+}
+
+/// Starts two workers, of which one is given all tasks while both are free; returns that one first,
+/// with its name.
+async fn start_workers(platform: &Platform, caller: &Caller) -> (Worker, String, Worker) {
+    let (first, second) = (Worker::start().await, Worker::start().await);
+    platform.write_worker("i-1", &first.entry("ready"));
+    platform.write_worker("i-2", &second.entry("ready"));
     let began = Instant::now();
     let mut number = 1;
-    let mut preferred = None;
-    while preferred.is_none() && began.elapsed() < STATUS_TIMEOUT {
-        number = submit_until_status(&caller, number, 200).await + 1;
-        preferred = workers
-            .iter()
-            .position(|worker| worker.starts_since(began) > 0);
+    while began.elapsed() < STATUS_TIMEOUT {
+        number = submit_until_status(caller, number, 200).await + 1;
+        if first.starts_since(began) > 0 {
+            return (first, "i-1".to_owned(), second);
+        }
+        if second.starts_since(began) > 0 {
+            return (second, "i-2".to_owned(), first);
+        }
     }
-    let preferred = preferred.expect("a worker that is given tasks");
-    add_silent_peers(&platform).await;
-    let (leaves, stays) = (&workers[preferred], &workers[1 - preferred]);
+    panic!("nothing starts");
+}
 
-    silence_feed(&proxy, WORKER_FEED).await;
-    platform.write_worker(&format!("i-{preferred}"), &leaves.entry("draining"));
-    let drained_at = Instant::now() + DRAIN_TIME;
-    while Instant::now() < drained_at + DRAIN_TIME {
+/// Submits jobs until a moment.
+async fn submit_until(caller: &Caller, end: Instant) {
+    let mut number = 1_000_000;
+    while Instant::now() < end {
         caller.submit(number).await;
         number += 1;
         tokio::time::sleep(SUBMISSION_INTERVAL).await;
     }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn no_task_starts_on_a_drained_worker_although_the_feed_of_workers_and_all_peers_are_silent()
+{
+    let platform = Platform::start().await;
+    let proxy = Proxy::start(platform.store_address()).await;
+    let host = Host::start_with_store("front-a-1", proxy.address()).await;
+    let caller = host.caller();
+    let (leaves, name, stays) = start_workers(&platform, &caller).await;
+    add_silent_peers(&platform).await;
+
+    silence_feed(&proxy, WORKER_FEED).await;
+    platform.write_worker(&name, &leaves.entry("draining"));
+    let drained_at = Instant::now() + DRAIN_TIME;
+    submit_until(&caller, drained_at + DRAIN_TIME).await;
 
     assert_eq!(leaves.starts_since(drained_at), 0);
     assert!(stays.starts_since(drained_at) > 0, "nothing starts");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn no_task_starts_on_a_drained_worker_while_the_list_of_workers_cannot_be_read() {
+    let platform = Platform::start().await;
+    let host = Host::start("front-a-1", &platform).await;
+    let caller = host.caller();
+    let (leaves, name, _stays) = start_workers(&platform, &caller).await;
+
+    platform.leave_reads_unanswered("servers");
+    tokio::time::sleep(MAX_FEED_TIME).await;
+    platform.write_worker(&name, &leaves.entry("draining"));
+    let drained_at = Instant::now() + DRAIN_TIME;
+    submit_until(&caller, drained_at + DRAIN_TIME).await;
+
+    assert_eq!(leaves.starts_since(drained_at), 0);
+}
