Accept no job and show no state by a configuration that may be outdated

Callers: a job for a queue that a newer version had removed was accepted (200) by a host that could not read the configuration, although its other calls worked. Only 404 and counts asked for the age of the configuration.

Change: every request waits up to 250 ms until the configuration is known to be the newest, and is refused with Retry-After if it is not. While the store answers nothing at all, states and resends of jobs that the leader knows are answered as before: no change can be acknowledged to this host's callers then that it could learn of, and they need the answer.

--- a/crates/mangotrestle/src/host/cell.rs
+++ b/crates/mangotrestle/src/host/cell.rs
@@ -23,6 +23,7 @@
 use mangotrestle_users_platform::worker::WorkerClient;
 use rand::RngExt;
 use serde::{Deserialize, Serialize};
+use tokio::sync::Notify;
 
 use super::acceptor::Acceptor;
 use super::access::DirectPath;
@@ -115,6 +116,7 @@
     pub(super) catalog: ArcSwapOption<Catalog>,
     /// Moment as of which the configuration is known to be the newest.
     configuration_as_of_ms: AtomicU64,
+    configuration_confirmed: Notify,
     pools: Mutex<FastMap<String, PoolView>>,
     peers: Mutex<BTreeMap<id::EntryHostId, Peer>>,
     leaders: Mutex<FastMap<String, Arc<Leader>>>,
@@ -149,6 +151,7 @@
             store_failed_at_ms: AtomicU64::new(0),
             catalog: ArcSwapOption::empty(),
             configuration_as_of_ms: AtomicU64::new(0),
+            configuration_confirmed: Notify::new(),
             pools: Mutex::default(),
             peers: Mutex::default(),
             leaders: Mutex::default(),
@@ -190,6 +193,7 @@
             let age = self.clock.now().since(previous);
             events::feed_confirmed(&self.log, "configuration", age, self.configuration_timing());
         }
+        self.configuration_confirmed.notify_waiters();
     }
 
     /// Whether a newer configuration that must be in force by now would be known here.
@@ -198,6 +202,20 @@
         self.clock.now().since(as_of) < self.configuration_timing().max_age
     }
 
+    /// Waits until the configuration is current; returns whether it is.
+    pub(super) async fn wait_for_current_configuration(&self, timeout: Duration) -> bool {
+        let current = async {
+            loop {
+                let confirmed = self.configuration_confirmed.notified();
+                if self.configuration_is_current() {
+                    return;
+                }
+                confirmed.await;
+            }
+        };
+        tokio::time::timeout(timeout, current).await.is_ok()
+    }
+
     /// Returns this host's row.
     pub(super) fn own_row(&self) -> HostRow {
         HostRow {
--- a/crates/mangotrestle/src/host/front.rs
+++ b/crates/mangotrestle/src/host/front.rs
@@ -36,6 +36,8 @@
 const LEADER_TIME_SHARE: f64 = 0.6;
 /// Share of the caller's time that may be spent on a request; the rest is for the answer.
 const ANSWER_TIME_SHARE: f64 = 0.8;
+/// Time for which a request waits until the configuration is known to be the newest.
+const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(250);
 /// Timeout for a leader's answer about a job, after which the store is used instead. While a job
 /// is submitted, a leader that still commits is waited for again.
 const LEADER_ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
@@ -86,6 +88,11 @@
 }
 
 async fn handle_request(State(cell): State<Arc<Cell>>, request: Request) -> Response {
+    let is_current = cell.configuration_is_current()
+        || (!cell.store_is_silent()
+            && cell
+                .wait_for_current_configuration(CONFIRMATION_TIMEOUT)
+                .await);
     let Some(catalog) = cell.catalog.load_full() else {
         return refuse(StatusCode::SERVICE_UNAVAILABLE, MIN_RETRY_AFTER);
     };
@@ -99,10 +106,10 @@
     let queue = catalog.route(&host, &path);
     let method = request.method().clone();
     let is_count = |queue: &Queue| method == Method::GET && path.len() == queue.path_prefix.len();
-    // A newer configuration may have added or removed the route.
-    if queue.is_none_or(is_count) && !cell.configuration_is_current() {
-        events::configuration_outdated(&cell.log, catalog.version, &path);
-        return refuse(StatusCode::SERVICE_UNAVAILABLE, MIN_RETRY_AFTER);
+    // A newer configuration may have added or removed the route. While the store answers nothing,
+    // states of jobs are still shown as their leader knows them.
+    if !is_current && (queue.is_none_or(is_count) || !cell.store_is_silent()) {
+        return refuse_as_outdated(&cell, &catalog, &path);
     }
     let Some(queue) = queue else {
         return StatusCode::NOT_FOUND.into_response();
@@ -117,13 +124,23 @@
     let began = Instant::now();
     let timeout = caller_timeout(&request).mul_f64(ANSWER_TIME_SHARE);
     match method {
-        Method::POST => submit(&cell, &catalog, queue, &job, request, began).await,
+        Method::POST if is_current => submit(&cell, &catalog, queue, &job, request, began).await,
+        Method::POST => match leader_state(&cell, &queue.pool, &job).await {
+            Some(_) => StatusCode::OK.into_response(),
+            None => refuse_as_outdated(&cell, &catalog, &path),
+        },
         Method::GET => answer_within(timeout, state(&cell, queue, &job)).await,
         Method::DELETE => answer_within(timeout, cancel(&cell, queue, &job)).await,
         _ => StatusCode::METHOD_NOT_ALLOWED.into_response(),
     }
 }
 
+/// Refuses a request that a newer configuration may answer otherwise.
+fn refuse_as_outdated(cell: &Cell, catalog: &Catalog, path: &str) -> Response {
+    events::configuration_outdated(&cell.log, catalog.version, path);
+    refuse(StatusCode::SERVICE_UNAVAILABLE, MIN_RETRY_AFTER)
+}
+
 /// Answers that the outcome is unknown if there is no answer in time: calls to the store may be
 /// relayed by several peers in turn.
 async fn answer_within(timeout: Duration, answer: impl Future<Output = Response>) -> Response {
@@ -360,25 +377,32 @@
     pool: &str,
     job: &id::JobId,
 ) -> Result<Option<JobState>, String> {
+    if let Some(state) = leader_state(cell, pool, job).await {
+        return Ok(Some(state));
+    }
+    stored_state(cell, pool, job).await
+}
+
+/// Returns the state of a job from its leader; `None` if the leader does not know it or does not
+/// answer.
+async fn leader_state(cell: &Arc<Cell>, pool: &str, job: &id::JobId) -> Option<JobState> {
     if let Some(leader) = cell.leader(pool)
         && let Some(state) = leader.state(job)
     {
-        return Ok(Some(state));
+        return Some(state);
     }
-    if let Some(row) = cell.lead_row(pool)
-        && let Some(peer) = cell.peer(&row.holder)
-    {
-        let name = JobName {
-            pool: pool.to_owned(),
-            job: job.clone(),
-        };
-        match tokio::time::timeout(LEADER_ANSWER_TIMEOUT, peer.state(name)).await {
-            Ok(Ok(JobStateAnswer::State(state))) => return Ok(Some(state)),
-            Ok(Ok(JobStateAnswer::NotKnown | JobStateAnswer::NotLeading)) => {}
-            _ => cell.record_peer_failure(&row.holder),
-        }
+    let row = cell.lead_row(pool)?;
+    let peer = cell.peer(&row.holder)?;
+    let name = JobName {
+        pool: pool.to_owned(),
+        job: job.clone(),
+    };
+    match tokio::time::timeout(LEADER_ANSWER_TIMEOUT, peer.state(name)).await {
+        Ok(Ok(JobStateAnswer::State(state))) => return Some(state),
+        Ok(Ok(JobStateAnswer::NotKnown | JobStateAnswer::NotLeading)) => {}
+        _ => cell.record_peer_failure(&row.holder),
     }
-    stored_state(cell, pool, job).await
+    None
 }
 
 /// Returns the state of a job from the store. A job moves from the inbox to the ended jobs, so the
--- a/crates/mangotrestle/src/host/reads.rs
+++ b/crates/mangotrestle/src/host/reads.rs
@@ -297,8 +297,8 @@
         }
         let unanswered_for = self.clock.now().since(began_at);
         let error = CallError::Unknown(format!("no answer within {} ms", unanswered_for.0));
-        for path in unanswered {
-            self.record_silent_path(path, &error);
+        if unanswered.iter().any(|path| *path != Path::Peers) {
+            self.record_direct_result(Some(&error));
         }
         Err(FeedError::Call(error))
     }
@@ -313,15 +313,7 @@
         events::store_connection_silent(&self.log, read.table(), path.name(), waited);
         if path == Path::Peers {
             let error = CallError::Unknown(DIRECT_CALLS_UNANSWERED.to_owned());
-            for path in unanswered {
-                self.record_silent_path(*path, &error);
-            }
-        }
-    }
-
-    fn record_silent_path(&self, path: Path, error: &CallError) {
-        if path != Path::Peers {
-            self.record_direct_result(Some(error));
+            self.record_direct_result(Some(&error));
         }
     }
 
