Soak of real hosts: configurations and drains through overlapping faults

Four host processes, each behind its own proxy to the store, under silent connections, SIGSTOP, SIGHUP, repeated SIGTERM, kills and an unresponsive store, while queues come and go and workers drain and leave; clients keep their connections. No answer may show a configuration older than its bound, no start a worker that drained longer ago than its bound or a task whose end was known, and every accepted job must be completed.

--- a/crates/mangotrestle/tests/host/main.rs
+++ b/crates/mangotrestle/tests/host/main.rs
@@ -3,6 +3,7 @@
 mod platform;
 mod proxy;
 mod silent_connections;
+mod soak;
 mod worker;
 
 use std::time::{Duration, Instant};
--- a/crates/mangotrestle/tests/host/platform.rs
+++ b/crates/mangotrestle/tests/host/platform.rs
@@ -15,6 +15,7 @@
 use http::StatusCode;
 use mangotrestle_core::workflow::leadership::LeadRow;
 use mangotrestle_users_platform::store::Value as StoredValue;
+use rustix::process::{self, Pid, Signal};
 use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -23,10 +24,10 @@
 /// Timeout for an answer to a caller.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
 /// Value of the callers' `Host` header.
-const CALLER_HOST: &str = "jobs.example";
+pub const CALLER_HOST: &str = "jobs.example";
 
 /// Path prefix of the queue that every configuration has.
-const QUEUE_PATH: &str = "/q/";
+pub const QUEUE_PATH: &str = "/q/";
 
 /// Table, part and key of a row.
 type RowKey = (String, String, String);
@@ -260,6 +261,15 @@
         self.write_configuration(version, &["/other/"]);
     }
 
+    /// Writes a configuration with the usual queue and these others.
+    pub fn set_queues(&self, version: u64, others: &[&str]) {
+        let path_prefixes: Vec<&str> = [QUEUE_PATH]
+            .into_iter()
+            .chain(others.iter().copied())
+            .collect();
+        self.write_configuration(version, &path_prefixes);
+    }
+
     fn write_configuration(&self, version: u64, path_prefixes: &[&str]) {
         let route = |path_prefix: &&str| {
             json!({"name": format!("r{path_prefix}"), "host": CALLER_HOST,
@@ -299,6 +309,18 @@
         self.write_row("servers", worker, entry);
     }
 
+    /// Removes a worker's entry.
+    pub fn remove_worker(&self, worker: &str) {
+        let key = ("servers".to_owned(), String::new(), worker.to_owned());
+        {
+            let mut rows = self.store.rows.lock().expect("the rows");
+            rows.version += 1;
+            let version = rows.version;
+            rows.rows.insert(key, (version, None));
+        }
+        self.store.changed.notify_waiters();
+    }
+
     /// Registers a host that accepts connections and never answers.
     pub async fn add_silent_host(&self, name: &str) {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
@@ -373,7 +395,8 @@
     }
 }
 
-fn job_id(number: u64) -> String {
+/// Returns the identifier of a job.
+pub fn job_id(number: u64) -> String {
     format!("{number:016x}")
 }
 
@@ -424,6 +447,23 @@
         Caller { front: self.front }
     }
 
+    /// Returns the address for callers.
+    pub const fn address(&self) -> SocketAddr {
+        self.front
+    }
+
+    /// Sends a signal to the process.
+    pub fn signal(&self, signal: Signal) {
+        let process = Pid::from_child(&self.process);
+        // Fails only if the process has already ended.
+        let _ = process::kill_process(process, signal);
+    }
+
+    /// Whether the process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        matches!(self.process.try_wait(), Ok(Some(_)))
+    }
+
     /// Kills the process without a planned stop.
     pub fn kill(self) {
         drop(self);
@@ -469,6 +509,12 @@
     }
 }
 
+/// Returns a job with one task.
+pub fn job_body() -> String {
+    let step = json!({"count": 1, "cpu": 500, "mem_mb": 10, "estimate_ms": 100});
+    json!({"spec": "work", "steps": [step]}).to_string()
+}
+
 /// A host's answer to a caller.
 #[derive(Debug)]
 pub struct Answer {
@@ -486,11 +532,14 @@
 }
 
 impl Caller {
+    /// Returns a caller of the host at an address.
+    pub const fn new(front: SocketAddr) -> Self {
+        Self { front }
+    }
+
     /// Submits a job with one task.
     pub async fn submit(&self, number: u64) -> Answer {
-        let step = json!({"count": 1, "cpu": 500, "mem_mb": 10, "estimate_ms": 100});
-        let job = json!({"spec": "work", "steps": [step]});
-        self.call("POST", number, &job.to_string()).await
+        self.call("POST", number, &job_body()).await
     }
 
     /// Requests the number of pending jobs of the queue with a path prefix.
--- a/crates/mangotrestle/tests/host/worker.rs
+++ b/crates/mangotrestle/tests/host/worker.rs
@@ -11,12 +11,23 @@
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
 
+/// A start that the worker has carried out.
+#[derive(Clone, Debug)]
+pub struct Start {
+    /// When it arrived.
+    pub at: Instant,
+    /// The task.
+    pub task: String,
+}
+
 #[derive(Default)]
 struct Runs {
     /// Ends that are not acknowledged.
     finished: Vec<(u64, Value)>,
     last_end: u64,
-    started_at: Vec<Instant>,
+    starts: Vec<Start>,
+    /// Tasks whose end was acknowledged, and when.
+    acknowledged: Vec<(String, Instant)>,
 }
 
 #[derive(Default)]
@@ -56,7 +67,19 @@
     /// Returns the number of tasks started since a moment.
     pub fn starts_since(&self, moment: Instant) -> usize {
         let runs = self.shared.runs.lock().expect("the runs");
-        runs.started_at.iter().filter(|at| **at >= moment).count()
+        let since = runs.starts.iter().filter(|start| start.at >= moment);
+        since.count()
+    }
+
+    /// Returns all starts.
+    pub fn starts(&self) -> Vec<Start> {
+        self.shared.runs.lock().expect("the runs").starts.clone()
+    }
+
+    /// Returns the tasks whose end was acknowledged, and when.
+    pub fn acknowledged(&self) -> Vec<(String, Instant)> {
+        let runs = self.shared.runs.lock().expect("the runs");
+        runs.acknowledged.clone()
     }
 }
 
@@ -64,10 +87,17 @@
     Json(json!({"clock_ms": 1_000}))
 }
 
+fn task_name(value: &Value) -> String {
+    value.as_str().unwrap_or_default().to_owned()
+}
+
 async fn start_run(State(worker): State<Arc<Shared>>, Json(order): Json<Value>) -> Json<Value> {
     {
         let mut runs = worker.runs.lock().expect("the runs");
-        runs.started_at.push(Instant::now());
+        runs.starts.push(Start {
+            at: Instant::now(),
+            task: task_name(&order["task"]),
+        });
         runs.last_end += 1;
         let number = runs.last_end;
         let end = json!([number, order["task"], order["run"], "done", ""]);
@@ -83,7 +113,11 @@
     let ended = worker.ended.notified();
     let nothing_to_report = {
         let mut runs = worker.runs.lock().expect("the runs");
-        runs.finished.retain(|(number, _)| *number > last_seen);
+        let is_acknowledged = |end: &mut (u64, Value)| end.0 <= last_seen;
+        let acknowledged: Vec<_> = runs.finished.extract_if(.., is_acknowledged).collect();
+        let now = Instant::now();
+        let tasks = acknowledged.iter().map(|(_, end)| task_name(&end[1]));
+        runs.acknowledged.extend(tasks.map(|task| (task, now)));
         runs.finished.is_empty()
     };
     if nothing_to_report {
