Give no new work to a worker whose entry became malformed or names another pool

The last good entry stayed in force, so tasks went on to start on a worker that the platform no longer described. Such an entry names no worker: it now counts as removed, and a good one brings it back.

--- a/crates/mangotrestle/src/host/leader.rs
+++ b/crates/mangotrestle/src/host/leader.rs
@@ -487,20 +487,22 @@
     }
 }
 
+/// Applies entries of workers. A worker whose entry is removed, malformed or names another pool gets
+/// no new work.
 fn apply_worker_rows(cell: &Cell, pool: &str, state: &mut Pool, now: TimeMs, rows: &[Row]) {
     for row in rows {
-        let Some(value) = &row.value else {
-            if let Ok(worker) = id::WorkerId::new(&row.name.key) {
-                state.worker_gone(now, &worker);
-            }
-            continue;
-        };
-        match registry::decode(&row.name.key, &value.0) {
+        let value = row.value.as_ref();
+        let entry = value.and_then(|value| registry::decode(&row.name.key, &value.0));
+        if value.is_some() && entry.is_none() {
+            slog::info!(cell.log, "worker.malformed"; "worker" => &row.name.key,
+                "row_version" => row.version);
+        }
+        match entry {
             Some(entry) if entry.pool == pool => state.worker_listed(now, entry),
-            Some(_) => {}
-            None => {
-                slog::info!(cell.log, "worker.malformed"; "worker" => &row.name.key,
-                    "row_version" => row.version);
+            _ => {
+                if let Ok(worker) = id::WorkerId::new(&row.name.key) {
+                    state.worker_gone(now, &worker);
+                }
             }
         }
     }
--- a/crates/mangotrestle/tests/host/silent_connections.rs
+++ b/crates/mangotrestle/tests/host/silent_connections.rs
@@ -181,3 +181,18 @@
 
     assert_eq!(leaves.starts_since(drained_at), 0);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn no_task_starts_on_a_worker_whose_entry_became_malformed() {
+    let platform = Platform::start().await;
+    let host = Host::start("front-a-1", &platform).await;
+    let caller = host.caller();
+    let (malformed, name, stays) = start_workers(&platform, &caller).await;
+
+    platform.write_worker(&name, &serde_json::json!({"state": "ready"}));
+    let known_at = Instant::now() + DRAIN_TIME;
+    submit_until(&caller, known_at + DRAIN_TIME).await;
+
+    assert_eq!(malformed.starts_since(known_at), 0);
+    assert!(stays.starts_since(known_at) > 0, "nothing starts");
+}
