Have a leader read a newer configuration before it acts on a peer's job

A leader whose configuration's feed was held up took a job that a peer had accepted by a newer version, started it, and then answered 404 for the queue of that very job: it had shown a version and come back to an older one. Hosts learned of versions from the store only.

Change: a submission says by which version it was accepted; a leader that has an older one reads the configuration at once over another connection and waits for it for 250 ms at most.

Before: 404 for the queue of the job just taken. Hosts of the tests now show their exit status when they end at once, and write logs to MANGOTRESTLE_TEST_LOG_DIR.

--- a/crates/mangotrestle-peer/src/cell.rs
+++ b/crates/mangotrestle-peer/src/cell.rs
@@ -36,6 +36,9 @@
     pub record: JobRecord,
     /// Version of the job's row in the store.
     pub version: u64,
+    /// Version of the configuration by which the job was accepted; zero from hosts that do not say.
+    #[serde(default)]
+    pub configuration: u64,
 }
 
 /// Request to a leader to make a job durable.
@@ -47,6 +50,9 @@
     pub job: id::JobId,
     /// Record of the submitted job.
     pub record: JobRecord,
+    /// Version of the configuration that allows the job; zero from hosts that do not say.
+    #[serde(default)]
+    pub configuration: u64,
 }
 
 /// Outcome of a submission.
--- a/crates/mangotrestle/src/host/cell.rs
+++ b/crates/mangotrestle/src/host/cell.rs
@@ -40,6 +40,8 @@
 /// Maximum part of the store's rate limits that one host may use, as a multiple of the equal share
 /// of each host.
 const MAX_SHARES_PER_HOST: f64 = 3.0;
+/// Time for which a call of a peer waits until this host has the peer's configuration.
+const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time for which a peer that did not answer gets no relays, advice requests or submitted jobs.
 const PEER_BACKOFF: SpanMs = SpanMs(1_500);
 
@@ -117,6 +119,8 @@
     /// Moment as of which the configuration is known to be the newest.
     configuration_as_of_ms: AtomicU64,
     configuration_confirmed: Notify,
+    /// Wakes the reader of the configuration when a peer has a newer one.
+    pub(super) newer_configuration: Notify,
     pools: Mutex<FastMap<String, PoolView>>,
     peers: Mutex<BTreeMap<id::EntryHostId, Peer>>,
     leaders: Mutex<FastMap<String, Arc<Leader>>>,
@@ -152,6 +156,7 @@
             catalog: ArcSwapOption::empty(),
             configuration_as_of_ms: AtomicU64::new(0),
             configuration_confirmed: Notify::new(),
+            newer_configuration: Notify::new(),
             pools: Mutex::default(),
             peers: Mutex::default(),
             leaders: Mutex::default(),
@@ -202,6 +207,32 @@
         self.clock.now().since(as_of) < self.configuration_timing().max_age
     }
 
+    /// Returns the version of the configuration in force; zero if there is none.
+    pub(super) fn configuration_version(&self) -> u64 {
+        let catalog = self.catalog.load();
+        catalog.as_ref().map_or(0, |catalog| catalog.version)
+    }
+
+    /// Reads the configuration at once if a peer has a newer version, and waits for it briefly: what
+    /// this host does for the peer shows that version, and may not be followed by an older one.
+    pub(super) async fn catch_up_with_configuration(&self, version: u64) {
+        if self.configuration_version() >= version {
+            return;
+        }
+        self.newer_configuration.notify_one();
+        let caught_up = async {
+            loop {
+                let confirmed = self.configuration_confirmed.notified();
+                if self.configuration_version() >= version {
+                    return;
+                }
+                confirmed.await;
+            }
+        };
+        let in_time = tokio::time::timeout(CATCH_UP_TIMEOUT, caught_up).await;
+        events::configuration_behind_peer(&self.log, version, in_time.is_ok());
+    }
+
     /// Waits until the configuration is current; returns whether it is.
     pub(super) async fn wait_for_current_configuration(&self, timeout: Duration) -> bool {
         let current = async {
--- a/crates/mangotrestle/src/host/events.rs
+++ b/crates/mangotrestle/src/host/events.rs
@@ -69,6 +69,11 @@
     }
 }
 
+/// Logs that a peer had a newer configuration, and whether this host had it soon after.
+pub(super) fn configuration_behind_peer(log: &slog::Logger, version: u64, caught_up: bool) {
+    slog::info!(log, "configuration.behind_peer"; "version" => version, "caught_up" => caught_up);
+}
+
 /// Logs a submitted job that cannot be decoded or is not valid.
 pub(super) fn job_malformed(log: &slog::Logger, job: &id::JobId, error: &str) {
     metrics::counter!("mangotrestle_jobs_malformed_total").increment(1);
--- a/crates/mangotrestle/src/host/feeds.rs
+++ b/crates/mangotrestle/src/host/feeds.rs
@@ -34,20 +34,31 @@
     let timing = cell.configuration_timing();
     let resend_delay = timing.resend_delay.as_duration();
     let mut version = None;
+    let mut is_outdated = false;
     loop {
-        let result = match version {
-            None => read_whole_part(&cell, OPERATOR_TABLE, ROW_CALL_TIMEOUT).await,
-            Some(after) => {
-                // An outdated configuration is confirmed at once.
-                let wait = if cell.configuration_is_current() {
-                    timing.wait.as_duration()
-                } else {
-                    Duration::ZERO
-                };
-                cell.read_changes(OPERATOR_TABLE, after, wait, resend_delay)
-                    .await
+        let wait = if is_outdated || !cell.configuration_is_current() {
+            Duration::ZERO
+        } else {
+            timing.wait.as_duration()
+        };
+        let read = async {
+            match version {
+                None => read_whole_part(&cell, OPERATOR_TABLE, ROW_CALL_TIMEOUT).await,
+                Some(after) => {
+                    cell.read_changes(OPERATOR_TABLE, after, wait, resend_delay)
+                        .await
+                }
+            }
+        };
+        let result = tokio::select! {
+            result = read => result,
+            // A read that a peer is ahead of may be held up.
+            () = cell.newer_configuration.notified() => {
+                is_outdated = true;
+                continue;
             }
         };
+        is_outdated = false;
         match result {
             Ok(ReadRows { rows, as_of }) => {
                 version = Some(rows.version.max(version.unwrap_or_default()));
--- a/crates/mangotrestle/src/host/front.rs
+++ b/crates/mangotrestle/src/host/front.rs
@@ -300,6 +300,7 @@
         pool: queue.pool.clone(),
         job: job.clone(),
         record: record.as_ref().clone(),
+        configuration: cell.configuration_version(),
     };
     let mut answer = std::pin::pin!(peer.accept(submission));
     loop {
@@ -343,6 +344,7 @@
         job: job.clone(),
         record: record.as_ref().clone(),
         version,
+        configuration: cell.configuration_version(),
     };
     let cell = Arc::clone(cell);
     tokio::spawn(async move {
--- a/crates/mangotrestle/src/host/peers.rs
+++ b/crates/mangotrestle/src/host/peers.rs
@@ -28,6 +28,9 @@
 
 impl CellBackend for Backend {
     async fn accept(&self, submission: Submission) -> Acceptance {
+        self.cell
+            .catch_up_with_configuration(submission.configuration)
+            .await;
         match self.cell.leader(&submission.pool) {
             None => Acceptance::NotLeading,
             Some(leader) => {
@@ -38,6 +41,9 @@
     }
 
     async fn submitted(&self, submitted: Submitted) -> bool {
+        self.cell
+            .catch_up_with_configuration(submitted.configuration)
+            .await;
         let Some(leader) = self.cell.leader(&submitted.pool) else {
             return false;
         };
--- a/crates/mangotrestle/tests/host/platform.rs
+++ b/crates/mangotrestle/tests/host/platform.rs
@@ -6,7 +6,7 @@
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use axum::Json;
 use axum::extract::{Query, State};
@@ -21,6 +21,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 
+/// Time within which a host accepts callers; generous, for a busy machine.
+const START_TIMEOUT: Duration = Duration::from_secs(20);
 /// Timeout for an answer to a caller.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
 /// Value of the callers' `Host` header.
@@ -432,13 +434,32 @@
             .arg("host")
             .arg("--settings-file")
             .arg(&path)
-            .stdout(Stdio::null())
+            .stdout(log_output(name, port))
             .spawn()
             .expect("a process");
-        Self {
+        let mut host = Self {
             process,
             front,
             settings: path,
+        };
+        host.wait_until_it_listens(name).await;
+        host
+    }
+
+    /// Waits until the host accepts callers, so that one that cannot start is told from one that
+    /// does not answer.
+    async fn wait_until_it_listens(&mut self, name: &str) {
+        let began = Instant::now();
+        while TcpStream::connect(self.front).await.is_err() {
+            let status = self.process.try_wait().expect("a status");
+            assert!(
+                status.is_none(),
+                "{name} at {} ended: {status:?}",
+                self.front
+            );
+            let waited = began.elapsed();
+            assert!(waited < START_TIMEOUT, "{name} does not listen");
+            tokio::time::sleep(Duration::from_millis(5)).await;
         }
     }
 
@@ -479,6 +500,16 @@
     }
 }
 
+/// Returns where a host's log goes: to a file of its own in the directory that
+/// `MANGOTRESTLE_TEST_LOG_DIR` names, if it is set.
+fn log_output(name: &str, port: u16) -> Stdio {
+    let Some(directory) = std::env::var_os("MANGOTRESTLE_TEST_LOG_DIR") else {
+        return Stdio::null();
+    };
+    let path = std::path::Path::new(&directory).join(format!("{name}-{port}.log"));
+    std::fs::File::create(path).expect("a log file").into()
+}
+
 /// First port for hosts. The ports lie below those that the kernel gives to outgoing connections,
 /// one of which could otherwise take a port between its choice and the start of the host.
 const FIRST_PORT: u16 = 20_000;
@@ -542,6 +573,12 @@
         self.call("POST", number, &job_body()).await
     }
 
+    /// Submits a job with one task to the queue with a path prefix.
+    pub async fn submit_to(&self, path_prefix: &str, number: u64) -> Answer {
+        let path = format!("{path_prefix}{}", job_id(number));
+        self.call_path("POST", &path, &job_body()).await
+    }
+
     /// Requests the number of pending jobs of the queue with a path prefix.
     pub async fn count(&self, path_prefix: &str) -> Answer {
         self.call_path("GET", path_prefix, "").await
--- a/crates/mangotrestle/tests/host/silent_connections.rs
+++ b/crates/mangotrestle/tests/host/silent_connections.rs
@@ -196,3 +196,26 @@
     assert_eq!(malformed.starts_since(known_at), 0);
     assert!(stays.starts_since(known_at) > 0, "nothing starts");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leader_that_takes_a_job_of_a_newer_configuration_answers_by_that_configuration() {
+    let platform = Platform::start().await;
+    let proxy = Proxy::start(platform.store_address()).await;
+    let leader = Host::start_with_store("front-a-1", proxy.address()).await;
+    submit_until_status(&leader.caller(), 1, 200).await;
+    let other = Host::start("front-a-2", &platform).await;
+    submit_until_status(&other.caller(), 1_000, 200).await;
+    // Until the other host knows the leader, it accepts jobs without it.
+    tokio::time::sleep(REGISTRATION_TIME).await;
+
+    silence_feed(&proxy, CONFIGURATION_FEED).await;
+    platform.add_queue(2, "/new/");
+    while other.caller().count("/new/").await.status != 200 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let submitted = other.caller().submit_to("/new/", 2_000).await;
+    let counted = leader.caller().count("/new/").await;
+
+    assert_eq!(submitted.status, 200, "{submitted:?}");
+    assert_eq!(counted.status, 200, "{counted:?}");
+}
