Derive the times of the feed of jobs and cancels from the bound for cancels

The same class as the feeds of configurations and workers: with the feed's connection and then a peer silent it could take 1,900 + 1,400 ms until a leader knew a cancel whose notice was lost, more than cancel_ms (3,000 ms) together with one order. A property holds the sums for every bound; on a healthy host the times are as before.

--- a/crates/mangotrestle-core/src/workflow/environment.rs
+++ b/crates/mangotrestle-core/src/workflow/environment.rs
@@ -25,6 +25,8 @@
     pub config_apply_time: SpanMs,
     /// Time from when the store acknowledges that a worker drains until no task starts on it.
     pub drain_time: SpanMs,
+    /// Time from when a cancel is acknowledged until no task of its job starts.
+    pub cancel_time: SpanMs,
     /// Time from the start of a planned stop until the process is killed.
     pub stop_grace: SpanMs,
     /// Time for which callers may query a job's state after its end.
--- a/crates/mangotrestle-core/src/workflow/feed_timing.rs
+++ b/crates/mangotrestle-core/src/workflow/feed_timing.rs
@@ -7,8 +7,12 @@
 
 use crate::time::SpanMs;
 
-/// Maximum time between two reads of the workers' feed, in milliseconds; with small bounds less.
-const MAX_WORKER_FEED_WAIT_MS: u64 = 400;
+/// Maximum time for which the store may hold back a feed that a pool's leader reads, in
+/// milliseconds; with small bounds less.
+const MAX_LEADER_FEED_WAIT_MS: u64 = 400;
+/// Maximum interval between two reads of the feed of jobs and cancels, in milliseconds; with small
+/// bounds less.
+const MAX_CANCEL_FEED_INTERVAL_MS: u64 = 350;
 /// Maximum time for which a read may be overdue until it is sent again, in milliseconds; with small
 /// bounds less. Answers take a few milliseconds, and tens on a busy host.
 const MAX_RESEND_DELAY_MS: u64 = 300;
@@ -44,7 +48,7 @@
     /// after they began to drain. A quarter of the bound is left for the order to start.
     #[must_use]
     pub fn workers(bound: SpanMs) -> Self {
-        let wait = SpanMs(percent(bound, 20).0.min(MAX_WORKER_FEED_WAIT_MS));
+        let wait = SpanMs(percent(bound, 20).0.min(MAX_LEADER_FEED_WAIT_MS));
         Self {
             interval: wait,
             wait,
@@ -53,6 +57,19 @@
         }
     }
 
+    /// Returns the times for the feed of jobs and cancels. No task of a job may start later than
+    /// `bound` after its cancel; half of the bound is left for the order to start, which may be sent
+    /// again.
+    #[must_use]
+    pub fn cancels(bound: SpanMs) -> Self {
+        Self {
+            interval: SpanMs(percent(bound, 12).0.min(MAX_CANCEL_FEED_INTERVAL_MS)),
+            wait: SpanMs(percent(bound, 14).0.min(MAX_LEADER_FEED_WAIT_MS)),
+            resend_delay: SpanMs(percent(bound, 10).0.min(MAX_RESEND_DELAY_MS)),
+            max_age: percent(bound, 50),
+        }
+    }
+
     /// Returns the maximum age that the feed's rows reach while the first `silent_paths` over which
     /// a read is sent give no answer, apart from the time that an answer takes.
     #[must_use]
--- a/crates/mangotrestle-core/tests/workflow/feed_timing.rs
+++ b/crates/mangotrestle-core/tests/workflow/feed_timing.rs
@@ -36,6 +36,18 @@
         let known_in_time = timing.worst_age(SILENT_PATHS) < timing.max_age;
         TestResult::from_bool(known_in_time && timing.max_age < bound)
     }
+
+    fn a_cancel_is_known_while_orders_may_still_be_stopped(bound_ms: u16) -> TestResult {
+        if is_too_small(bound_ms) {
+            return TestResult::discard();
+        }
+        let bound = SpanMs(bound_ms.into());
+
+        let timing = FeedTiming::cancels(bound);
+
+        let known_in_time = timing.worst_age(SILENT_PATHS) < timing.max_age;
+        TestResult::from_bool(known_in_time && timing.max_age < bound)
+    }
 }
 
 #[test]
@@ -44,8 +56,11 @@
 
     let configuration = FeedTiming::configuration(two_seconds);
     let workers = FeedTiming::workers(two_seconds);
+    let cancels = FeedTiming::cancels(SpanMs(3_000));
 
     assert_eq!(configuration.wait, SpanMs(900));
     assert_eq!(workers.wait, SpanMs(400));
     assert_eq!(workers.interval, SpanMs(400));
+    assert_eq!(cancels.wait, SpanMs(400));
+    assert_eq!(cancels.interval, SpanMs(350));
 }
--- a/crates/mangotrestle/src/host/leader.rs
+++ b/crates/mangotrestle/src/host/leader.rs
@@ -29,7 +29,7 @@
 use super::names;
 use super::orders;
 use super::pacing::{self, Pacing};
-use super::reads::{DEFAULT_RESEND_DELAY, ReadRows};
+use super::reads::ReadRows;
 
 /// Maximum time for which releasing leadership may delay a planned stop.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(1_200);
@@ -51,10 +51,6 @@
 const MAX_COMMIT_ROWS: usize = 88;
 /// Minimum interval between two writes of the summary.
 const MIN_SUMMARY_INTERVAL: SpanMs = SpanMs(500);
-/// Interval between reads of the inbox feed; hosts also notify the leader of the jobs they accept.
-const INBOX_FEED_INTERVAL: Duration = Duration::from_millis(350);
-/// Maximum time for which the store may hold back the inbox feed.
-const MAX_FEED_WAIT: Duration = Duration::from_millis(400);
 /// Maximum time for which a worker may hold back a report.
 const MAX_HOLD_WAIT: SpanMs = SpanMs(1_500);
 /// Minimum interval between two polls of a worker, in which ends of runs accumulate.
@@ -560,15 +556,17 @@
     }
 }
 
+/// Follows the pool's accepted jobs and cancels; hosts also notify the leader of those that they accept.
 async fn follow_inbox(cell: Arc<Cell>, leader: Arc<Leader>, from: u64) {
+    let timing = FeedTiming::cancels(cell.settings.bounds.cancel_time);
+    let wait = timing.wait.as_duration();
+    let resend_delay = timing.resend_delay.as_duration();
     let mut version = Some(from);
     while !leader.has_ended() {
         let began = tokio::time::Instant::now();
         let result = match version {
             Some(after) => {
-                let wait = MAX_FEED_WAIT;
-                let changes =
-                    cell.read_changes(names::INBOX_TABLE, after, wait, DEFAULT_RESEND_DELAY);
+                let changes = cell.read_changes(names::INBOX_TABLE, after, wait, resend_delay);
                 changes.await.map(|changes| changes.rows)
             }
             None => cell
@@ -584,7 +582,8 @@
             Err(FeedError::HistoryLost) => version = None,
             Err(FeedError::Call(_)) => tokio::time::sleep(STORE_RETRY_DELAY).await,
         }
-        tokio::time::sleep(INBOX_FEED_INTERVAL.saturating_sub(began.elapsed())).await;
+        let interval = timing.interval.as_duration();
+        tokio::time::sleep(interval.saturating_sub(began.elapsed())).await;
     }
 }
 
