Load a pool although the store refuses reads as too many, and slow reads down when it does

Cause: each host may use three equal shares of the store's rate. Without a leader all hosts ask the store for every job's state, each uses its three shares, and the store refuses most reads, those of the load among them. A load began again at its first refused page, a refused read was sent once more through a peer, and the pages waited behind callers' reads. So the state kept itself up.

Change: a refused read lowers the host's rate, down to its equal share, and is not sent through a peer; a refused page is read again; feeds, loads and probes go before callers' reads.

--- a/crates/mangotrestle-platform/src/budget.rs
+++ b/crates/mangotrestle-platform/src/budget.rs
@@ -11,6 +11,12 @@
 
 /// Fraction of the burst that only urgent requests may use.
 const URGENT_RESERVE_FRACTION: f64 = 0.2;
+/// Factor by which the rate falls when the store refuses a request as one too many.
+const SLOW_DOWN_FACTOR: f64 = 0.5;
+/// Minimum time between two such falls; requests that were sent together are refused together.
+const SLOW_DOWN_INTERVAL: Duration = Duration::from_millis(100);
+/// Fraction of the maximum rate by which the rate rises again per second.
+const RECOVERY_PER_S: f64 = 0.1;
 
 /// Priority of a request for a token.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -31,6 +37,9 @@
 #[derive(Debug)]
 struct Bucket {
     rate_per_s: f64,
+    min_rate_per_s: f64,
+    max_rate_per_s: f64,
+    slowed_down_at: Option<Instant>,
     burst: f64,
     tokens: f64,
     refilled_at: Instant,
@@ -39,11 +48,19 @@
 impl Bucket {
     fn refill(&mut self, now: Instant) {
         let elapsed = now.saturating_duration_since(self.refilled_at);
+        let recovered = self.max_rate_per_s * RECOVERY_PER_S * elapsed.as_secs_f64();
+        self.set_rate((self.rate_per_s + recovered).min(self.max_rate_per_s));
         let added_tokens = elapsed.as_secs_f64() * self.rate_per_s;
         self.tokens = (self.tokens + added_tokens).min(self.burst);
         self.refilled_at = now;
     }
 
+    fn set_rate(&mut self, rate_per_s: f64) {
+        self.rate_per_s = rate_per_s.max(1.0);
+        self.burst = burst_of(self.rate_per_s);
+        self.tokens = self.tokens.min(self.burst);
+    }
+
     /// Takes a token, or returns the time until one is available.
     fn take(&mut self, now: Instant, priority: Priority) -> Result<(), Duration> {
         self.refill(now);
@@ -71,6 +88,9 @@
         let burst = burst_of(rate_per_s);
         let bucket = Bucket {
             rate_per_s,
+            min_rate_per_s: rate_per_s,
+            max_rate_per_s: rate_per_s,
+            slowed_down_at: None,
             burst,
             tokens: burst,
             refilled_at: Instant::now(),
@@ -82,11 +102,33 @@
 
     /// Changes the rate, for instance when the number of live entry hosts changes.
     pub fn set_rate_per_s(&self, rate_per_s: f64) {
+        self.set_rate_range_per_s(rate_per_s, rate_per_s);
+    }
+
+    /// Sets the range of the rate, which is at its maximum unless requests are refused. The minimum
+    /// should be a share that all clients can use together.
+    pub fn set_rate_range_per_s(&self, min: f64, max: f64) {
         let mut bucket = self.lock();
         bucket.refill(Instant::now());
-        bucket.rate_per_s = rate_per_s.max(1.0);
-        bucket.burst = burst_of(bucket.rate_per_s);
-        bucket.tokens = bucket.tokens.min(bucket.burst);
+        bucket.min_rate_per_s = min.min(max);
+        bucket.max_rate_per_s = max;
+        bucket.set_rate(max);
+    }
+
+    /// Lowers the rate, since the store refused a request as one too many; it rises again by itself.
+    pub fn slow_down(&self) {
+        let mut bucket = self.lock();
+        let now = Instant::now();
+        bucket.refill(now);
+        let too_soon = bucket
+            .slowed_down_at
+            .is_some_and(|at| now.saturating_duration_since(at) < SLOW_DOWN_INTERVAL);
+        if too_soon {
+            return;
+        }
+        bucket.slowed_down_at = Some(now);
+        let rate_per_s = (bucket.rate_per_s * SLOW_DOWN_FACTOR).max(bucket.min_rate_per_s);
+        bucket.set_rate(rate_per_s);
     }
 
     /// The current rate, in requests a second.
--- a/crates/mangotrestle/src/host/access.rs
+++ b/crates/mangotrestle/src/host/access.rs
@@ -45,7 +45,7 @@
 /// path counts as unavailable; higher because a busy part of the store refuses a few calls.
 const DIRECT_REFUSAL_THRESHOLD: u64 = 6;
 /// HTTP status with which the store refuses calls while it is overloaded.
-const OVERLOAD_CODE: u16 = 429;
+pub(super) const OVERLOAD_CODE: u16 = 429;
 /// Time after no peer could relay a call in which no relay is tried, in milliseconds.
 const RELAY_RETRY_DELAY_MS: u64 = 400;
 /// Timeout for a transaction.
@@ -338,12 +338,13 @@
             }
             let probe_started = std::time::Instant::now();
             let end = format!("{}\u{1}", probe.key);
+            let range = (probe.key.as_str(), end.as_str());
             let rows = self
-                .read_range(
+                .read_range_with(
+                    Priority::Urgent,
                     &probe.table,
                     &probe.part,
-                    &probe.key,
-                    &end,
+                    range,
                     PROBE_READ_TIMEOUT,
                 )
                 .await;
--- a/crates/mangotrestle/src/host/cell.rs
+++ b/crates/mangotrestle/src/host/cell.rs
@@ -300,10 +300,14 @@
         // A leader makes many more calls than the other hosts, most of which use far less than an
         // equal share.
         let hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
-        let share = STORE_RATE_SHARE * (MAX_SHARES_PER_HOST / f64::from(hosts)).min(1.0);
+        let equal_share = STORE_RATE_SHARE / f64::from(hosts);
+        let max_share = STORE_RATE_SHARE * (MAX_SHARES_PER_HOST / f64::from(hosts)).min(1.0);
         let limits = &self.settings.store_limits;
-        self.writes.set_rate_per_s(limits.writes_per_s * share);
-        self.reads.set_rate_per_s(limits.reads_per_s * share);
+        self.writes.set_rate_per_s(limits.writes_per_s * max_share);
+        self.reads.set_rate_range_per_s(
+            limits.reads_per_s * equal_share,
+            limits.reads_per_s * max_share,
+        );
     }
 
     /// Records that this host's row is durable.
--- a/crates/mangotrestle/src/host/reads.rs
+++ b/crates/mangotrestle/src/host/reads.rs
@@ -18,8 +18,8 @@
 use tokio::time::Instant;
 
 use super::access::{
-    DIRECT_CALLS_UNANSWERED, DIRECT_RETRY_DELAY_MS, MAX_RELAY_ATTEMPTS, RelayedAnswer, RelayedCall,
-    millis,
+    DIRECT_CALLS_UNANSWERED, DIRECT_RETRY_DELAY_MS, MAX_RELAY_ATTEMPTS, OVERLOAD_CODE,
+    RelayedAnswer, RelayedCall, millis,
 };
 use super::cell::Cell;
 use super::events;
@@ -31,6 +31,8 @@
 const NEXT_PEER_DELAY: Duration = Duration::from_millis(150);
 /// Time beyond the requested wait after which a read that no bound depends on is sent again.
 pub(super) const DEFAULT_RESEND_DELAY: Duration = Duration::from_millis(300);
+/// Delay before a page is read again that the store refused as one read too many.
+const REFUSED_PAGE_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Part of the requested wait that is requested from a peer: the answer shows the store's state at
 /// some moment after the request, not at the end of the wait.
 const RELAYED_WAIT_SHARE: f64 = 0.5;
@@ -102,15 +104,17 @@
     }
 }
 
-/// How long a read may take.
+/// How long a read may take, and its priority.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct ReadTiming {
+struct ReadTiming {
+    /// Its priority for this host's share of the store's rate.
+    priority: Priority,
     /// Time for which the store may hold the read back.
-    pub(super) wait: Duration,
+    wait: Duration,
     /// Time beyond the wait after which the read is sent again over another path.
-    pub(super) resend_delay: Duration,
+    resend_delay: Duration,
     /// Time beyond the wait after which the read fails.
-    pub(super) timeout: Duration,
+    timeout: Duration,
 }
 
 /// Rows, and a moment as of which they were complete in the store.
@@ -123,7 +127,7 @@
 }
 
 impl Cell {
-    /// Reads the rows of a part from key `from` up to but excluding key `to`.
+    /// Reads the rows of a part from key `from` up to but excluding key `to`, for a caller.
     pub(super) async fn read_range(
         self: &Arc<Self>,
         table: &str,
@@ -131,6 +135,19 @@
         from: &str,
         to: &str,
         timeout: Duration,
+    ) -> Result<Rows, CallError> {
+        self.read_range_with(Priority::Normal, table, part, (from, to), timeout)
+            .await
+    }
+
+    /// Reads the rows of a part from one key up to but excluding another.
+    pub(super) async fn read_range_with(
+        self: &Arc<Self>,
+        priority: Priority,
+        table: &str,
+        part: &str,
+        (from, to): (&str, &str),
+        timeout: Duration,
     ) -> Result<Rows, CallError> {
         let read = Read::Range {
             table: table.to_owned(),
@@ -139,6 +156,7 @@
             to: to.to_owned(),
         };
         let timing = ReadTiming {
+            priority,
             wait: Duration::ZERO,
             resend_delay: DEFAULT_RESEND_DELAY,
             timeout,
@@ -154,7 +172,7 @@
         part: &str,
         timeout: Duration,
     ) -> Result<Rows, CallError> {
-        let mut all = self.read_range(table, part, "", "", timeout).await?;
+        let mut all = self.read_page(table, part, "", timeout).await?;
         while all.truncated {
             // A key that sorts right after the last one read.
             let from = all
@@ -162,13 +180,36 @@
                 .last()
                 .map(|row| format!("{}\u{1}", row.name.key))
                 .unwrap_or_default();
-            let page = self.read_range(table, part, &from, "", timeout).await?;
+            let page = self.read_page(table, part, &from, timeout).await?;
             all.truncated = page.truncated && !page.rows.is_empty();
             all.rows.extend(page.rows);
         }
         Ok(all)
     }
 
+    /// Reads the rows of a part from key `from` on. A page that the store refuses as one read too many
+    /// is read again until the timeout: what was read so far would be lost, and read again.
+    async fn read_page(
+        self: &Arc<Self>,
+        table: &str,
+        part: &str,
+        from: &str,
+        timeout: Duration,
+    ) -> Result<Rows, CallError> {
+        let began = Instant::now();
+        loop {
+            let urgent = Priority::Urgent;
+            let result = self
+                .read_range_with(urgent, table, part, (from, ""), timeout)
+                .await;
+            let is_refused = matches!(result, Err(CallError::Refused(OVERLOAD_CODE)));
+            if !is_refused || began.elapsed() >= timeout {
+                return result;
+            }
+            tokio::time::sleep(REFUSED_PAGE_RETRY_DELAY).await;
+        }
+    }
+
     /// Returns the changes of a table after a version; the store waits up to `wait` for the first.
     pub(super) async fn read_changes(
         self: &Arc<Self>,
@@ -182,6 +223,7 @@
             after,
         };
         let timing = ReadTiming {
+            priority: Priority::Urgent,
             wait,
             resend_delay,
             timeout: self.transaction_timeout(),
@@ -216,6 +258,11 @@
             } => (Read::Feed { table, after }, wait_ms, within_ms, true),
         };
         let timing = ReadTiming {
+            priority: if is_feed {
+                Priority::Urgent
+            } else {
+                Priority::Normal
+            },
             wait: Duration::from_millis(wait_ms),
             resend_delay: DEFAULT_RESEND_DELAY,
             timeout: Duration::from_millis(within_ms.saturating_sub(wait_ms)),
@@ -279,6 +326,9 @@
                             self.record_read_answer(&read, path, &unanswered, began_at);
                             return result;
                         }
+                        // All hosts share the store's rate, so no peer would help.
+                        Err(FeedError::Call(CallError::Refused(OVERLOAD_CODE)))
+                            if self.has_direct_path() => return result,
                         Err(FeedError::Call(reason)) => {
                             if path == Path::OpenConnection && reason.had_no_effect() {
                                 paths.retain(|path| *path != Path::NewConnection);
@@ -336,7 +386,7 @@
 
     async fn read_directly(&self, read: &Read, timing: ReadTiming) -> Result<ReadRows, FeedError> {
         let asked_at = Instant::now();
-        self.reads.acquire(Priority::Normal).await;
+        self.reads.acquire(timing.priority).await;
         events::store_read_delayed(asked_at.elapsed());
         let sent_at = self.clock.now();
         let began = Instant::now();
@@ -365,6 +415,12 @@
             () = self.wait_until_unresponsive(timing.wait) =>
                 Err(FeedError::Call(CallError::Unknown(DIRECT_CALLS_UNANSWERED.to_owned()))),
         };
+        if matches!(
+            result,
+            Err(FeedError::Call(CallError::Refused(OVERLOAD_CODE)))
+        ) {
+            self.reads.slow_down();
+        }
         match &result {
             Err(FeedError::Call(error)) => self.record_direct_result(Some(error)),
             Ok(_) | Err(FeedError::HistoryLost) => self.record_direct_result(None),
--- a/crates/mangotrestle/tests/host/platform.rs
+++ b/crates/mangotrestle/tests/host/platform.rs
@@ -6,7 +6,7 @@
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use axum::Json;
 use axum::extract::{Query, State};
@@ -31,6 +31,9 @@
 /// Path prefix of the queue that every configuration has.
 pub const QUEUE_PATH: &str = "/q/";
 
+/// Reads per second that the hosts' settings allow all of them together.
+pub const READS_PER_S: u64 = 400;
+
 /// Table, part and key of a row.
 type RowKey = (String, String, String);
 
@@ -53,6 +56,10 @@
     max_page_rows: AtomicUsize,
     /// Duration of a read, in milliseconds.
     read_duration_ms: AtomicU64,
+    /// Maximum number of reads per second, all others are refused; zero for no limit.
+    max_reads_per_s: AtomicU64,
+    /// Number of reads in each second of the store's life.
+    reads_in_second: Mutex<BTreeMap<u64, u64>>,
     /// Table of which reads stay unanswered, if any.
     unanswered_table: Mutex<Option<String>>,
 }
@@ -67,6 +74,17 @@
         }
     }
 
+    /// Counts a read; returns whether it is within the maximum rate.
+    fn admits_read(&self) -> bool {
+        let max = self.max_reads_per_s.load(Ordering::Relaxed);
+        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+        let second = since_epoch.expect("a time").as_secs();
+        let mut reads = self.reads_in_second.lock().expect("the counts");
+        let count = reads.entry(second).or_default();
+        *count += 1;
+        max == 0 || *count <= max
+    }
+
     /// Never returns if reads of a table stay unanswered.
     async fn hang_if_unanswered(&self, table: &str) {
         let unanswered = self.unanswered_table.lock().expect("the table").clone();
@@ -146,8 +164,11 @@
 async fn read(
     State(store): State<Arc<Store>>,
     Query(query): Query<BTreeMap<String, String>>,
-) -> Json<Value> {
+) -> Response {
     store.hang_if_unresponsive().await;
+    if !store.admits_read() {
+        return StatusCode::TOO_MANY_REQUESTS.into_response();
+    }
     let duration_ms = store.read_duration_ms.load(Ordering::Relaxed);
     tokio::time::sleep(Duration::from_millis(duration_ms)).await;
     let max_page_rows = store.max_page_rows.load(Ordering::Relaxed);
@@ -172,14 +193,19 @@
     if truncated {
         found.truncate(max_page_rows);
     }
-    Json(json!({"rows": found, "truncated": truncated, "ver": rows.version, "now_ms": 1}))
+    let version = rows.version;
+    Json(json!({"rows": found, "truncated": truncated, "ver": version, "now_ms": 1}))
+        .into_response()
 }
 
 async fn feed(
     State(store): State<Arc<Store>>,
     Query(query): Query<BTreeMap<String, String>>,
-) -> Json<Value> {
+) -> Response {
     store.hang_if_unresponsive().await;
+    if !store.admits_read() {
+        return StatusCode::TOO_MANY_REQUESTS.into_response();
+    }
     let number = |name: &str| query.get(name).and_then(|text| text.parse().ok());
     let after: u64 = number("after").unwrap_or_default();
     let wait = Duration::from_millis(number("wait_ms").unwrap_or_default());
@@ -205,7 +231,7 @@
         };
         if let Some(answer) = answer {
             store.hang_if_unresponsive().await;
-            return Json(answer);
+            return Json(answer).into_response();
         }
         // Ends with a change or at the deadline.
         let _ = tokio::time::timeout_at(deadline, changed).await;
@@ -348,6 +374,13 @@
             .store(max_page_rows, Ordering::Relaxed);
     }
 
+    /// Sets the maximum number of reads per second; the others are refused as too many.
+    pub fn set_max_reads_per_s(&self, reads_per_s: u64) {
+        self.store
+            .max_reads_per_s
+            .store(reads_per_s, Ordering::Relaxed);
+    }
+
     /// Returns the term of the pool's leadership row; zero if there is none.
     pub fn term(&self) -> u64 {
         let row = self.cell_row("lead").and_then(|(_, value)| value);
@@ -425,7 +458,7 @@
             "listen": {"front": front.to_string(), "readiness": format!("127.0.0.1:{readiness}")},
             "internal_ports": [peers, peers],
             "limits": {"cpu_share": 0.25, "cores": 1, "memory_mb": 260},
-            "platform": {"address": store.to_string()},
+            "platform": {"address": store.to_string(), "reads_per_s": READS_PER_S},
         });
         let file = format!("mangotrestle-{}-{}.json", std::process::id(), port);
         let path = std::env::temp_dir().join(file);
