Let a leader send more ticket requests as it learns of more hosts

Change: the maximum follows the number of known hosts. Test in the simulation: 1 request before, 16 after.

--- a/crates/mangotrestle-core/src/workflow/pool/ticket_requests.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/ticket_requests.rs
@@ -34,6 +34,11 @@
 const RENEWAL_MARGIN: SpanMs = SpanMs(100);
 
 impl Pool {
+    /// Changes the maximum number of requests in flight, as hosts that send them come and go.
+    pub fn set_max_ticket_requests(&mut self, max: usize) {
+        self.settings.max_ticket_requests = max;
+    }
+
     /// Sends the requests that are due.
     pub(super) fn request_tickets(&mut self, now: TimeMs) {
         self.request_for_assigned_runs(now);
--- a/crates/mangotrestle-core/tests/workflow/tickets.rs
+++ b/crates/mangotrestle-core/tests/workflow/tickets.rs
@@ -96,6 +96,23 @@
     record(0, vec![occupying])
 }
 
+#[test]
+fn a_leader_that_learns_of_more_hosts_sends_more_ticket_requests_at_a_time() {
+    let mut world = World::new(14, 40);
+    world.pool.set_max_ticket_requests(1);
+    for number in 0..16 {
+        world.submit(&job(number), &advised_gang(2));
+    }
+    world.run_for(500);
+    let requests_with_one_host = world.ticket_requests;
+
+    world.pool.set_max_ticket_requests(16);
+    world.run_for(500);
+
+    assert_eq!(requests_with_one_host, 1);
+    assert!(world.ticket_requests >= 16, "{}", world.ticket_requests);
+}
+
 #[test]
 fn gangs_with_expired_tickets_start_within_3_s_of_enough_workers_becoming_free() {
     let mut world = World::new(1, 40);
--- a/crates/mangotrestle/src/host/leader.rs
+++ b/crates/mangotrestle/src/host/leader.rs
@@ -426,13 +426,19 @@
     }
 }
 
+/// Returns the number of ticket requests that all known hosts handle at a time: one each, and one that
+/// waits here.
+fn max_ticket_requests(cell: &Cell) -> usize {
+    cell.host_count() + 1
+}
+
 fn pool_settings(cell: &Cell) -> PoolSettings {
     let bounds = &cell.settings.bounds;
     PoolSettings {
         max_lease: bounds.max_lease,
         max_hold_wait: MAX_HOLD_WAIT,
         min_poll_interval: MIN_POLL_INTERVAL,
-        max_ticket_requests: cell.host_count() + 1,
+        max_ticket_requests: max_ticket_requests(cell),
         job_end_retention: bounds.job_end_retention,
         max_target_overrun: bounds.max_target_overrun,
         pace_delay: bounds.pace_delay,
@@ -689,7 +695,11 @@
         if cell.store_is_silent() {
             refuse_unwritten_submissions(&leader, now);
         }
-        lock(&leader.state).tick(now);
+        {
+            let mut state = lock(&leader.state);
+            state.set_max_ticket_requests(max_ticket_requests(&cell));
+            state.tick(now);
+        }
         if commit.is_none() {
             let releasing = leader.releasing.load(Ordering::Relaxed);
             let changed = lock(&leader.state).has_changes();
