--- a/crates/mangotrestle/src/host/reads.rs
+++ b/crates/mangotrestle/src/host/reads.rs
@@ -292,6 +292,18 @@
         timing: ReadTiming,
         mut paths: VecDeque<Path>,
     ) -> Result<ReadRows, FeedError> {
+        let give_up = tokio::time::sleep(timing.wait + timing.timeout);
+        tokio::pin!(give_up);
+        if paths.front() == Some(&Path::OpenConnection) {
+            // Not in the attempt: a read that waits here is not overdue.
+            tokio::select! {
+                () = self.wait_for_share(timing.priority) => {}
+                () = &mut give_up => {
+                    let reason = "this host's share of the store's rate is used up".to_owned();
+                    return Err(FeedError::Call(CallError::NotSent(reason)));
+                }
+            }
+        }
         let began_at = self.clock.now();
         let mut attempts = JoinSet::new();
         let mut unanswered = Vec::new();
@@ -301,8 +313,6 @@
             _ => timing.wait,
         };
         let mut send_at = Instant::now();
-        let give_up = tokio::time::sleep(timing.wait + timing.timeout);
-        tokio::pin!(give_up);
         loop {
             if Instant::now() >= send_at
                 && let Some(path) = paths.pop_front()
@@ -367,6 +377,13 @@
         }
     }
 
+    /// Waits until this host's share of the store's rate allows one more read.
+    async fn wait_for_share(&self, priority: Priority) {
+        let asked_at = Instant::now();
+        self.reads.acquire(priority).await;
+        events::store_read_delayed(asked_at.elapsed());
+    }
+
     async fn attempt_read(
         self: Arc<Self>,
         path: Path,
@@ -377,6 +394,7 @@
         match path {
             Path::OpenConnection => self.read_directly(&read, timing).await,
             Path::NewConnection => {
+                self.wait_for_share(timing.priority).await;
                 self.store.renew(self.clock.now(), began_at);
                 self.read_directly(&read, timing).await
             }
@@ -385,11 +403,7 @@
     }
 
     async fn read_directly(&self, read: &Read, timing: ReadTiming) -> Result<ReadRows, FeedError> {
-        let asked_at = Instant::now();
-        self.reads.acquire(timing.priority).await;
-        events::store_read_delayed(asked_at.elapsed());
-        let sent_at = self.clock.now();
-        let began = Instant::now();
+        let (sent_at, began) = (self.clock.now(), Instant::now());
         let store = self.store.client();
         let timeout = timing.wait + timing.timeout;
         let call = async {
--- a/crates/mangotrestle/tests/host/overload.rs
+++ b/crates/mangotrestle/tests/host/overload.rs
@@ -10,6 +10,9 @@
 const HOSTS: usize = 8;
 /// Number of callers of each host that ask for states one after another.
 const CALLERS_PER_HOST: usize = 12;
+/// Number of callers of one host whose reads wait for its share of the store's rate for most of a
+/// second.
+const WAITING_CALLERS: usize = 300;
 /// Number of jobs that a new leader has to load.
 const JOBS: usize = 60;
 /// Number of rows in one answer to a read, so that a load takes many reads.
@@ -58,3 +61,24 @@
     let waited = killed_at.elapsed();
     assert!(waited < TAKEOVER_TIME, "no leader within {waited:?}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn reads_that_wait_for_the_hosts_share_of_the_rate_are_not_sent_twice() {
+    let platform = Platform::start().await;
+    let host = Host::start("front-a-1", &platform).await;
+    submit_until_status(&host.caller(), 1, 200).await;
+    let mut callers = tokio::task::JoinSet::new();
+    for first in (1..=WAITING_CALLERS).map(|number| number as u64 * 1_000_000) {
+        callers.spawn(ask_for_unknown_jobs(host.caller(), first));
+    }
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    callers.shutdown().await;
+
+    let resent = host.metric("mangotrestle_store_reads_resent_total").await;
+    let renewed = host
+        .metric("mangotrestle_store_connections_renewed_total")
+        .await;
+
+    assert!(resent < 1.0, "{resent} reads sent again");
+    assert!(renewed < 1.0, "connections renewed {renewed} times");
+}
--- a/crates/mangotrestle/tests/host/platform.rs
+++ b/crates/mangotrestle/tests/host/platform.rs
@@ -506,6 +506,17 @@
         self.front
     }
 
+    /// Returns the sum of the host's metrics with a name; zero if there is none.
+    pub async fn metric(&self, name: &str) -> f64 {
+        let metrics = SocketAddr::new(self.front.ip(), self.front.port() + PORTS_PER_HOST - 1);
+        let answer = Caller::new(metrics).call_path("GET", "/metrics", "").await;
+        assert_eq!(answer.status, 200, "{answer:?}");
+        let lines = answer.body.lines().filter(|line| line.starts_with(name));
+        lines
+            .filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok())
+            .sum()
+    }
+
     /// Sends a signal to the process.
     pub fn signal(&self, signal: Signal) {
         let process = Pid::from_child(&self.process);
