Begin the timeout of a read when it is sent

A read that had waited for its host's share of the store's rate for most of its timeout was sent and given up at once, which counted as an unanswered call: store.lost "no answer within 0 ms", the direct path unavailable, all connections renewed.

--- a/crates/mangotrestle/src/host/reads.rs
+++ b/crates/mangotrestle/src/host/reads.rs
@@ -292,18 +292,16 @@
         timing: ReadTiming,
         mut paths: VecDeque<Path>,
     ) -> Result<ReadRows, FeedError> {
-        let give_up = tokio::time::sleep(timing.wait + timing.timeout);
-        tokio::pin!(give_up);
         if paths.front() == Some(&Path::OpenConnection) {
-            // Not in the attempt: a read that waits here is not overdue.
-            tokio::select! {
-                () = self.wait_for_share(timing.priority) => {}
-                () = &mut give_up => {
-                    let reason = "this host's share of the store's rate is used up".to_owned();
-                    return Err(FeedError::Call(CallError::NotSent(reason)));
-                }
+            // Before the read begins: one that waits here is neither overdue nor unanswered.
+            let share = self.wait_for_share(timing.priority);
+            if tokio::time::timeout(timing.timeout, share).await.is_err() {
+                let reason = "this host's share of the store's rate is used up".to_owned();
+                return Err(FeedError::Call(CallError::NotSent(reason)));
             }
         }
+        let give_up = tokio::time::sleep(timing.wait + timing.timeout);
+        tokio::pin!(give_up);
         let began_at = self.clock.now();
         let mut attempts = JoinSet::new();
         let mut unanswered = Vec::new();
