--- a/crates/mangotrestle/src/host/leader.rs
+++ b/crates/mangotrestle/src/host/leader.rs
@@ -22,6 +22,7 @@
 use mangotrestle_users_platform::transport::CallError;
 use tokio::sync::{Notify, oneshot};
 
+use super::access::OVERLOAD_CODE;
 use super::cell::{Cell, lock};
 use super::events;
 use super::feeds;
@@ -37,8 +38,6 @@
 /// interval at which the host checks whether a successor may be notified; ten times this is the
 /// timeout for the successor's answer.
 const STORE_RETRY_DELAY: Duration = Duration::from_millis(50);
-/// HTTP status with which the store refuses calls while it is overloaded.
-const OVERLOAD_CODE: u16 = 429;
 /// Timeout for each page when a whole part is read.
 const PART_READ_TIMEOUT: Duration = Duration::from_secs(2);
 /// Maximum number of attempts to write a claim; only attempts with unknown outcome are repeated.
