Measure what a host spends its time on, and how late its tasks are

Nothing told a late leader from one without room, or said what its time goes to. Each host now adds up the time inside of its tasks by kind of work, and a probe measures by how much a task that is due is delayed. One line a second on hosts that lead pools, a histogram of the lag and a counter of the time.

--- a/crates/mangotrestle/src/host/cell.rs
+++ b/crates/mangotrestle/src/host/cell.rs
@@ -30,6 +30,7 @@
 use super::clock::Clock;
 use super::events;
 use super::leader::Leader;
+use super::load::Load;
 use super::store_connections::StoreConnections;
 
 /// Maximum timeout for a call to a peer; most calls have a shorter timeout of their own.
@@ -94,6 +95,8 @@
     pub(super) log: slog::Logger,
     /// Clocks of this process.
     pub(super) clock: Clock,
+    /// What this process spends its time on, and how late it is.
+    pub(super) load: Load,
     /// Incarnation of this process, chosen at random.
     pub(super) incarnation: u64,
     /// Client for the store.
@@ -149,6 +152,7 @@
             settings,
             log,
             clock: Clock::start(),
+            load: Load::default(),
             incarnation: rand::rng().random(),
             direct: DirectPath::default(),
             store_answered_at_ms: AtomicU64::new(0),
--- a/crates/mangotrestle/src/host/events.rs
+++ b/crates/mangotrestle/src/host/events.rs
@@ -13,6 +13,11 @@
 use mangotrestle_core::workflow::record::JobState;
 use mangotrestle_peer::cell::Acceptance;
 
+use super::load::{LoadReport, Work};
+
+/// Lag from which a host that leads no pool logs its load.
+const MIN_LOGGED_LAG: Duration = Duration::from_millis(100);
+
 /// Logs that the process starts.
 pub(super) fn started(log: &slog::Logger, settings: &HostSettings) {
     slog::info!(log, "host.started"; "zone" => &settings.zone, "front" => %settings.front,
@@ -80,6 +85,27 @@
     slog::info!(log, "job.malformed"; "job" => job.as_str(), "error" => error);
 }
 
+/// Records what a host did since the last report, and logs it if the host leads pools or is late.
+pub(super) fn host_load(log: &slog::Logger, pools_led: usize, report: &LoadReport) {
+    metrics::histogram!("mangotrestle_host_lag_seconds").record(report.max_lag.as_secs_f64());
+    let per_mille = |spent: Duration| spent.as_micros() * 1_000 / report.span.as_micros().max(1);
+    for (work, spent) in Work::ALL.iter().zip(report.spent) {
+        metrics::counter!("mangotrestle_work_microseconds_total", "work" => work.name())
+            .increment(u64::try_from(spent.as_micros()).unwrap_or(u64::MAX));
+    }
+    if pools_led == 0 && report.max_lag < MIN_LOGGED_LAG {
+        return;
+    }
+    let spent = Work::ALL.iter().zip(report.spent).map(|(work, spent)| {
+        let share = per_mille(spent);
+        format!("{}:{share}", work.name())
+    });
+    let spent: Vec<String> = spent.collect();
+    slog::info!(log, "host.load"; "pools_led" => pools_led,
+        "busy_per_mille" => per_mille(report.busy), "work_per_mille" => spent.join(","),
+        "lag_ms" => millis(report.lag), "max_lag_ms" => millis(report.max_lag));
+}
+
 /// Logs a job that admission refused.
 pub(super) fn job_refused(
     log: &slog::Logger,
--- a/crates/mangotrestle/src/host/front.rs
+++ b/crates/mangotrestle/src/host/front.rs
@@ -23,6 +23,7 @@
 
 use super::cell::Cell;
 use super::events;
+use super::load::Work;
 use super::names;
 
 /// Maximum size of a request's body if the configuration sets none, in bytes.
@@ -88,6 +89,11 @@
 }
 
 async fn handle_request(State(cell): State<Arc<Cell>>, request: Request) -> Response {
+    let answer = answer_request(&cell, request);
+    cell.load.measure(Work::Caller, answer).await
+}
+
+async fn answer_request(cell: &Arc<Cell>, request: Request) -> Response {
     let is_current = cell.configuration_is_current()
         || (!cell.store_is_silent()
             && cell
@@ -109,13 +115,13 @@
     // A newer configuration may have added or removed the route. While the store answers nothing,
     // states of jobs are still shown as their leader knows them.
     if !is_current && (queue.is_none_or(is_count) || !cell.store_is_silent()) {
-        return refuse_as_outdated(&cell, &catalog, &path);
+        return refuse_as_outdated(cell, &catalog, &path);
     }
     let Some(queue) = queue else {
         return StatusCode::NOT_FOUND.into_response();
     };
     if is_count(queue) {
-        return pending(&cell, queue);
+        return pending(cell, queue);
     }
     let rest = &path[queue.path_prefix.len()..];
     let Some(job) = ingress::job_id(rest) else {
@@ -124,13 +130,13 @@
     let began = Instant::now();
     let timeout = caller_timeout(&request).mul_f64(ANSWER_TIME_SHARE);
     match method {
-        Method::POST if is_current => submit(&cell, &catalog, queue, &job, request, began).await,
-        Method::POST => match leader_state(&cell, &queue.pool, &job).await {
+        Method::POST if is_current => submit(cell, &catalog, queue, &job, request, began).await,
+        Method::POST => match leader_state(cell, &queue.pool, &job).await {
             Some(_) => StatusCode::OK.into_response(),
-            None => refuse_as_outdated(&cell, &catalog, &path),
+            None => refuse_as_outdated(cell, &catalog, &path),
         },
-        Method::GET => answer_within(timeout, state(&cell, queue, &job)).await,
-        Method::DELETE => answer_within(timeout, cancel(&cell, queue, &job)).await,
+        Method::GET => answer_within(timeout, state(cell, queue, &job)).await,
+        Method::DELETE => answer_within(timeout, cancel(cell, queue, &job)).await,
         _ => StatusCode::METHOD_NOT_ALLOWED.into_response(),
     }
 }
--- a/crates/mangotrestle/src/host/leader.rs
+++ b/crates/mangotrestle/src/host/leader.rs
@@ -27,6 +27,7 @@
 use super::events;
 use super::feeds;
 use super::liveness;
+use super::load::Work;
 use super::names;
 use super::orders;
 use super::pacing::{self, Pacing};
@@ -255,16 +256,11 @@
                 if cell.is_stopping() {
                     leader.releasing.store(true, Ordering::Relaxed);
                 }
-                tokio::spawn(follow_workers(
-                    Arc::clone(cell),
-                    Arc::clone(&leader),
-                    feeds.workers,
-                ));
-                tokio::spawn(follow_inbox(
-                    Arc::clone(cell),
-                    Arc::clone(&leader),
-                    feeds.inbox,
-                ));
+                let workers_feed =
+                    follow_workers(Arc::clone(cell), Arc::clone(&leader), feeds.workers);
+                spawn_feed(cell, workers_feed);
+                let inbox_feed = follow_inbox(Arc::clone(cell), Arc::clone(&leader), feeds.inbox);
+                spawn_feed(cell, inbox_feed);
                 tokio::spawn(liveness::poll_machines(
                     Arc::clone(cell),
                     Arc::clone(&leader),
@@ -509,6 +505,12 @@
     }
 }
 
+/// Follows a feed in a task of its own, and measures its time.
+pub(super) fn spawn_feed(cell: &Arc<Cell>, feed: impl Future<Output = ()> + Send + 'static) {
+    let cell = Arc::clone(cell);
+    tokio::spawn(async move { cell.load.measure(Work::Feed, feed).await });
+}
+
 async fn follow_workers(cell: Arc<Cell>, leader: Arc<Leader>, from: u64) {
     let timing = FeedTiming::workers(cell.settings.bounds.drain_time);
     let resend_delay = timing.resend_delay.as_duration();
@@ -716,7 +718,7 @@
             }
         }
         orders::execute_orders(&cell, &leader);
-        pacing.end_round();
+        cell.load.add(Work::Round, pacing.end_round());
     }
     cell.remove_leader(&leader.pool);
     {
@@ -763,8 +765,8 @@
     tokio::spawn(async move {
         let began = cell.clock.now();
         let rows = commit.changes.len();
-        let result =
-            commit_until_settled(&cell, &leader, &commit, summary.as_ref(), releasing).await;
+        let commit = commit_until_settled(&cell, &leader, &commit, summary.as_ref(), releasing);
+        let result = cell.load.measure(Work::Commit, commit).await;
         let took = cell.clock.now().since(began);
         metrics::histogram!("mangotrestle_commit_seconds").record(took.as_duration().as_secs_f64());
         slog::debug!(cell.log, "commit.settled"; "pool" => &leader.pool, "rows" => rows,
--- a/crates/mangotrestle/src/host/mod.rs
+++ b/crates/mangotrestle/src/host/mod.rs
@@ -17,6 +17,7 @@
 //! - `leader`: leads a pool; `pacing` spaces out its rounds; `orders` sends the pool's orders;
 //! - `liveness`: finds out whether a worker that does not answer has ended;
 //! - `peers`: the server for the other hosts;
+//! - `load`: measures what the process spends its time on, and how late it is;
 //! - `events`: log events and metrics.
 
 use std::sync::Arc;
@@ -36,6 +37,7 @@
 mod front;
 mod leader;
 mod liveness;
+mod load;
 mod names;
 mod orders;
 mod pacing;
@@ -105,8 +107,9 @@
         caller_listener,
         stop_receiver,
     ));
-    tokio::spawn(feeds::follow_configuration(Arc::clone(&cell)));
-    tokio::spawn(feeds::follow_cell(Arc::clone(&cell)));
+    tokio::spawn(load::watch(Arc::clone(&cell)));
+    leader::spawn_feed(&cell, feeds::follow_configuration(Arc::clone(&cell)));
+    leader::spawn_feed(&cell, feeds::follow_cell(Arc::clone(&cell)));
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
--- a/crates/mangotrestle/src/host/orders.rs
+++ b/crates/mangotrestle/src/host/orders.rs
@@ -18,6 +18,7 @@
 use super::cell::{Cell, lock};
 use super::events;
 use super::leader::Leader;
+use super::load::Work;
 use super::peers;
 
 /// Timeout for an order; answers come within milliseconds, from slow machines later.
@@ -45,15 +46,23 @@
 }
 
 async fn execute_order(cell: &Arc<Cell>, leader: &Arc<Leader>, order: Order) {
+    let load = &cell.load;
     match order {
         Order::RequestTickets {
             step,
             workers,
             expected_delay,
-        } => request_tickets(cell, leader, &step, workers, expected_delay).await,
-        Order::Hold { .. } => poll_worker(cell, leader, order).await,
+        } => {
+            let request = request_tickets(cell, leader, &step, workers, expected_delay);
+            load.measure(Work::Ticket, request).await;
+        }
+        Order::Hold { .. } => {
+            load.measure(Work::Poll, poll_worker(cell, leader, order))
+                .await;
+        }
         Order::Start { .. } | Order::Stop { .. } | Order::Pace { .. } => {
-            send_order(cell, leader, order).await;
+            load.measure(Work::Order, send_order(cell, leader, order))
+                .await;
         }
     }
     leader.wake.notify_one();
--- a/crates/mangotrestle/src/host/pacing.rs
+++ b/crates/mangotrestle/src/host/pacing.rs
@@ -30,12 +30,13 @@
         self.round_began = Some(Instant::now());
     }
 
-    /// Ends a round; the next one is due after a time in proportion to this one's duration.
-    pub(super) fn end_round(&mut self) {
+    /// Ends a round and returns its duration; the next one is due after a time in proportion to it.
+    pub(super) fn end_round(&mut self) -> Duration {
         let now = Instant::now();
         let took = self.round_began.map_or(Duration::ZERO, |began| now - began);
         metrics::histogram!("mangotrestle_round_seconds").record(took.as_secs_f64());
         let rest = (took * ROUND_REST_FACTOR).clamp(MIN_ROUND_INTERVAL, MAX_ROUND_INTERVAL);
         self.next_round = Some(now + rest);
+        took
     }
 }
--- a/crates/mangotrestle/src/host/peers.rs
+++ b/crates/mangotrestle/src/host/peers.rs
@@ -13,6 +13,7 @@
 use super::access::{RelayedAnswer, RelayedCall};
 use super::cell::Cell;
 use super::leader;
+use super::load::Work;
 
 /// Starts the server for calls of other hosts.
 pub(super) async fn serve(cell: &Arc<Cell>) -> std::io::Result<ServerHandle> {
@@ -35,7 +36,8 @@
             None => Acceptance::NotLeading,
             Some(leader) => {
                 let record = Arc::new(submission.record);
-                leader.accept(&self.cell, &submission.job, record).await
+                let acceptance = leader.accept(&self.cell, &submission.job, record);
+                self.cell.load.measure(Work::Submission, acceptance).await
             }
         }
     }
@@ -74,7 +76,8 @@
     }
 
     async fn ask(&self, request: AdviceRequest) -> Option<Advice> {
-        request_advice(&self.cell, &request).await
+        let advice = request_advice(&self.cell, &request);
+        self.cell.load.measure(Work::Advice, advice).await
     }
 
     async fn relay(&self, call: serde_json::Value) -> serde_json::Value {
