--- a/crates/mangotrestle-core/tests/workflow/main.rs
+++ b/crates/mangotrestle-core/tests/workflow/main.rs
@@ -6,6 +6,7 @@
 mod draining;
 mod estimates;
 mod feed_timing;
+mod large_service;
 mod leadership;
 mod placing;
 mod polling;
--- a/crates/mangotrestle-core/tests/workflow/world.rs
+++ b/crates/mangotrestle-core/tests/workflow/world.rs
@@ -2,6 +2,7 @@
 //! delays messages. It counts every violation of the invariants.
 
 mod faults;
+pub mod processor;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -214,6 +215,8 @@
     late_starts: BTreeMap<String, u32>,
     /// Number of runs of other tasks that crashed workers took with them.
     pub runs_lost_beside: u32,
+    /// Processor of the leader's host; without one, the leader's work takes no time.
+    pub processor: Option<processor::Processor>,
 }
 
 /// Returns a worker identifier.
@@ -319,6 +322,7 @@
             crashes: BTreeMap::new(),
             late_starts: BTreeMap::new(),
             runs_lost_beside: 0,
+            processor: None,
         };
         for number in 0..workers {
             world.add_worker(&format!("w-{number}"));
@@ -473,17 +477,51 @@
             if !self.network.list_reads_fail {
                 self.pool.worker_list_confirmed(TimeMs(self.now));
             }
-            let began = Instant::now();
-            self.pool.tick(TimeMs(self.now));
-            let took = began.elapsed();
-            self.decision_time += took;
-            self.longest_round = self.longest_round.max(took);
-            self.commit();
+            self.handle_answers();
+            if self.begins_round() {
+                let began = Instant::now();
+                self.pool.tick(TimeMs(self.now));
+                let took = began.elapsed();
+                self.decision_time += took;
+                self.longest_round = self.longest_round.max(took);
+                self.commit();
+            }
             self.send_orders();
             self.pool.take_notes();
         }
     }
 
+    /// Whether the leader has the time for a round.
+    fn begins_round(&mut self) -> bool {
+        let (workers, waiting) = (self.workers.len(), self.pool.waiting_count());
+        let now = self.now;
+        let processor = self.processor.as_mut();
+        processor.is_none_or(|processor| processor.begins_round(now, workers, waiting))
+    }
+
+    /// Handles the answers for which the leader's processor has the time.
+    fn handle_answers(&mut self) {
+        while let Some((term, answer)) = self
+            .processor
+            .as_mut()
+            .and_then(|processor| processor.next_answer(self.now))
+        {
+            if term == self.term {
+                self.take_answer(answer);
+            }
+        }
+    }
+
+    /// Returns the orders that the leader sends now.
+    fn orders_to_send(&mut self) -> Vec<Order> {
+        let orders = self.pool.take_orders();
+        let Some(processor) = &mut self.processor else {
+            return orders;
+        };
+        processor.push_orders(orders);
+        std::iter::from_fn(|| processor.next_order(self.now)).collect()
+    }
+
     fn schedule(&mut self, at: u64, event: Event) {
         self.last_event_number += 1;
         self.pending_events
@@ -511,7 +549,7 @@
     }
 
     fn send_orders(&mut self) {
-        for order in self.pool.take_orders() {
+        for order in self.orders_to_send() {
             let term = self.term;
             self.polls += u32::from(matches!(order, Order::Hold { .. }));
             if let Order::RequestTickets { expected_delay, .. } = order {
@@ -594,7 +632,10 @@
                         self.schedule(self.now + ORDER_LATENCY_MS, Event::Answer { term, answer });
                     }
                 }
-                Event::Answer { term, answer } if term == self.term => self.take_answer(answer),
+                Event::Answer { term, answer } if term == self.term => match &mut self.processor {
+                    Some(processor) => processor.push_answer(term, answer),
+                    None => self.take_answer(answer),
+                },
                 Event::Commit { term, commit } if term == self.term => {
                     self.apply_commit(commit);
                     let answer = Answer::Committed;
