Divide a large service into pools, and hand jobs over between them: the decisions

A job's identity is in its home pool, by its identifier; its record says if others run it, so a hand-over needs no commit of its own and every later leader decides the same.

--- a/crates/mangotrestle-core/src/membership/rendezvous.rs
+++ b/crates/mangotrestle-core/src/membership/rendezvous.rs
@@ -44,7 +44,16 @@
 #[must_use]
 pub fn score(key: &str, host: &id::EntryHostId) -> u64 {
     let separator = std::iter::once(0xff);
-    let bytes = key.bytes().chain(separator).chain(host.as_str().bytes());
+    hash_bytes(key.bytes().chain(separator).chain(host.as_str().bytes()))
+}
+
+/// Returns the hash of a text by the same function, stable in the same way.
+#[must_use]
+pub fn hash(text: &str) -> u64 {
+    hash_bytes(text.bytes())
+}
+
+fn hash_bytes(bytes: impl Iterator<Item = u8>) -> u64 {
     mix(bytes.fold(FNV_OFFSET, |hash, byte| {
         (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME)
     }))
--- a/crates/mangotrestle-core/src/workflow/admission.rs
+++ b/crates/mangotrestle-core/src/workflow/admission.rs
@@ -52,12 +52,7 @@
     if record.schedule.is_some() || record.steps.iter().any(|step| step.persistent) {
         return Admission::Accept;
     }
-    let wait_ms = summary
-        .wait_ms
-        .get(&record.policy.priority)
-        .copied()
-        .unwrap_or_default();
-    let expected_ms = wait_ms + record.critical_path_ms();
+    let expected_ms = wait_ms(record, summary) + record.critical_path_ms();
     if expected_ms <= USEFUL_OBJECTIVE_FACTOR * record.objective_ms() {
         return Admission::Accept;
     }
@@ -67,6 +62,20 @@
     }
 }
 
+/// Returns the expected time until work of a job that arrives now starts, in milliseconds.
+#[must_use]
+pub fn wait_ms(record: &spec::JobRecord, summary: &leadership::PoolSummary) -> u64 {
+    // A priority without waiting work of its own waits for the more urgent ones.
+    let mut waits = summary.wait_ms.range(..=record.policy.priority);
+    waits.next_back().map_or(0, |(_, &wait_ms)| wait_ms)
+}
+
+/// Whether the tasks of each step fit a worker of the pool, as far as its workers are known.
+#[must_use]
+pub fn fits_workers(record: &spec::JobRecord, summary: &leadership::PoolSummary) -> bool {
+    first_unplaceable_step(record, summary).is_none()
+}
+
 fn retry_delay(excess_ms: u64, spread: u64) -> SpanMs {
     let base_ms = excess_ms.clamp(MIN_RETRY_AFTER.0, MAX_RETRY_AFTER.0);
     SpanMs(base_ms + base_ms * spread / 2_000)
--- a/crates/mangotrestle-core/src/workflow/job.rs
+++ b/crates/mangotrestle-core/src/workflow/job.rs
@@ -235,6 +235,21 @@
     }
 }
 
+/// Another pool that runs units of a job for its home.
+#[derive(Clone, Debug)]
+pub struct Delegate {
+    /// Its name.
+    pub pool: String,
+    /// Whether it is known to have accepted the job durably.
+    pub accepted: bool,
+    /// State in which its part has ended.
+    pub end: Option<record::JobState>,
+    /// Whether an order to it is in flight.
+    pub in_flight: bool,
+    /// Time at which the next order is due.
+    pub due_at: TimeMs,
+}
+
 /// A job that the pool has not removed.
 #[derive(Clone, Debug)]
 pub struct Job {
@@ -257,18 +272,32 @@
     epoch_offset_ms: u64,
     /// Time at which this leader learned of it.
     pub known_at: TimeMs,
+    /// The part of it that this pool runs.
+    share: spec::Share,
+    /// The other pools to which this pool hands it over.
+    pub delegates: Vec<Delegate>,
 }
 
 impl Job {
-    /// Returns a job of which no task has started.
+    /// Returns a job of which no task has started, as the pool of this name has it.
     #[must_use]
     pub fn new(
         id: id::JobId,
         record: Arc<spec::JobRecord>,
         now: TimeMs,
         epoch_offset_ms: u64,
+        pool: &str,
     ) -> Self {
+        let delegates = record.delegates_of(pool).map(|pool| Delegate {
+            pool: pool.to_owned(),
+            accepted: false,
+            end: None,
+            in_flight: false,
+            due_at: now,
+        });
         Self {
+            delegates: delegates.collect(),
+            share: record.share_of(pool),
             id,
             record,
             occurrences: BTreeMap::new(),
@@ -281,6 +310,32 @@
         }
     }
 
+    /// Whether this pool runs no unit of it.
+    #[must_use]
+    pub fn runs_nothing_here(&self) -> bool {
+        self.share == spec::Share::Nothing
+    }
+
+    /// Whether the parts that other pools run have ended.
+    #[must_use]
+    pub fn has_ended_elsewhere(&self) -> bool {
+        self.delegates.iter().all(|delegate| delegate.end.is_some())
+    }
+
+    /// Returns another pool that runs units of it.
+    pub fn delegate_mut(&mut self, pool: &str) -> Option<&mut Delegate> {
+        let mut delegates = self.delegates.iter_mut();
+        delegates.find(|delegate| delegate.pool == pool)
+    }
+
+    /// Whether it has ended as far as this pool's own part goes, or there is none.
+    #[must_use]
+    pub fn is_done_here(&self) -> bool {
+        let occurrences = self.occurrences.values();
+        let done = occurrences.filter(|occurrence| occurrence.done).count();
+        self.runs_nothing_here() || done >= self.occurrence_count() as usize
+    }
+
     /// Returns the total number of occurrences.
     #[must_use]
     pub fn occurrence_count(&self) -> u32 {
@@ -301,17 +356,23 @@
     /// Returns an occurrence with new units.
     #[must_use]
     pub fn new_occurrence(&self) -> Occurrence {
-        let steps = self.record.steps.iter().map(|step| Step {
-            units: (0..step.unit_count())
-                .map(|_| new_unit(step.unit_size()))
-                .collect(),
-            open_units: step.unit_count(),
-            ready: false,
-            tickets: tickets::StepTickets::default(),
-            queued_at: TimeMs(0),
-            expedited: false,
-            rank: rank::Rank::default(),
-            blocked_since: None,
+        let steps = self.record.steps.iter().map(|step| {
+            let units = (0..step.unit_count()).map(|index| Unit {
+                // Other pools run the rest.
+                done: !self.share.includes(index),
+                ..new_unit(step.unit_size())
+            });
+            let units: Vec<Unit> = units.collect();
+            Step {
+                open_units: count_open_units(&units),
+                units,
+                ready: false,
+                tickets: tickets::StepTickets::default(),
+                queued_at: TimeMs(0),
+                expedited: false,
+                rank: rank::Rank::default(),
+                blocked_since: None,
+            }
         });
         Occurrence {
             steps: steps.collect(),
--- a/crates/mangotrestle-core/src/workflow/message.rs
+++ b/crates/mangotrestle-core/src/workflow/message.rs
@@ -91,6 +91,14 @@
     pub born_ms: Option<u64>,
 }
 
+impl WorkerEntry {
+    /// Returns its rack; empty if the platform does not say.
+    #[must_use]
+    pub fn rack(&self) -> &str {
+        self.labels.last().map_or("", String::as_str)
+    }
+}
+
 /// How a run ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RunEnd {
--- a/crates/mangotrestle-core/src/workflow/mod.rs
+++ b/crates/mangotrestle-core/src/workflow/mod.rs
@@ -7,6 +7,7 @@
 //! modules:
 //!
 //! - [`environment`] and [`catalog`] hold a host's settings and the operator's configuration;
+//! - [`division`] divides a large service into pools, and chooses the pools that run a job;
 //! - [`admission`] decides whether a job is accepted;
 //! - [`spec`] describes a job as its caller submitted it;
 //! - [`job`] is a job in the leader's memory, [`record`] holds its stored rows;
@@ -24,6 +25,7 @@
 pub mod admission;
 pub mod catalog;
 pub mod crash_evidence;
+pub mod division;
 pub mod environment;
 pub mod estimate;
 pub mod feed_timing;
--- a/crates/mangotrestle-core/src/workflow/pool/intake.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/intake.rs
@@ -110,12 +110,20 @@
     }
 
     fn new_job(&self, now: TimeMs, id: &id::JobId, record: Arc<JobRecord>) -> Job {
-        Job::new(id.clone(), record, now, self.epoch_offset_ms)
+        let pool = &self.settings.name;
+        Job::new(id.clone(), record, now, self.epoch_offset_ms, pool)
     }
 
     /// Adds a job and queues what is due.
     fn begin_job(&mut self, now: TimeMs, mut job: Job) {
         let id = job.id.clone();
+        if !job.delegates.is_empty() {
+            self.delegating.insert(id.clone());
+        }
+        if job.runs_nothing_here() {
+            self.jobs.insert(id, job);
+            return;
+        }
         if job.record.schedule.is_none() && job.occurrences.is_empty() {
             let occurrence = job.new_occurrence();
             job.occurrences.insert(0, occurrence);
@@ -261,6 +269,9 @@
             return;
         }
         job.end = Some(state);
+        for delegate in &mut job.delegates {
+            delegate.due_at = now;
+        }
         let after = now.since(job.known_at);
         self.notes.push(Note::JobEnded {
             job: id.clone(),
@@ -279,12 +290,7 @@
         let Some(job) = self.jobs.get(id) else {
             return;
         };
-        let done = job
-            .occurrences
-            .values()
-            .filter(|occurrence| occurrence.done)
-            .count();
-        if done >= job.occurrence_count() as usize {
+        if job.is_done_here() && job.has_ended_elsewhere() {
             self.end_job(now, id, JobState::Completed);
         }
     }
--- a/crates/mangotrestle-core/src/workflow/pool/mod.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/mod.rs
@@ -17,6 +17,7 @@
 //! - `lives` tells the lives of a worker apart that starts again under its identifier;
 //! - `progress` detects slow workers and moves runs away from them;
 //! - `release` settles ended runs and frees their resources;
+//! - `handover` hands jobs over to the other pools that run them;
 //! - `sharing` slows best-effort tasks that harm serving tasks;
 //! - `stalls` reports work that does not proceed although nothing it needs is missing;
 //! - `queries` answers questions about the pool.
@@ -33,9 +34,11 @@
 use super::job::{Job, Member, MemberKey, Phase, Step, StepKey, Unit, UnitKey};
 use super::message;
 use super::record;
+use super::spec;
 use super::worker::Worker;
 
 mod crashes;
+mod handover;
 mod intake;
 mod lives;
 mod orders;
@@ -59,6 +62,8 @@
 /// Limits of a pool that the platform and the settings fix.
 #[derive(Clone, Debug)]
 pub struct PoolSettings {
+    /// Name of the pool.
+    pub name: String,
     /// Maximum lease that a worker grants.
     pub max_lease: SpanMs,
     /// Maximum time for which a worker may delay the answer to a poll until a run ends.
@@ -156,6 +161,29 @@
         /// Expected time until the answer, by the queue's policy.
         expected_delay: SpanMs,
     },
+    /// Have another pool accept a job that it runs for this one.
+    HandOver {
+        /// The other pool.
+        pool: String,
+        /// The job.
+        job: id::JobId,
+        /// Its record.
+        record: Arc<spec::JobRecord>,
+    },
+    /// Make the cancellation of a job durable in another pool that runs it.
+    CancelElsewhere {
+        /// The other pool.
+        pool: String,
+        /// The job.
+        job: id::JobId,
+    },
+    /// Ask another pool for the states of jobs that it runs for this one.
+    QueryElsewhere {
+        /// The other pool.
+        pool: String,
+        /// The jobs.
+        jobs: Vec<id::JobId>,
+    },
 }
 
 /// A decision or observation of the pool, for the log.
@@ -339,6 +367,8 @@
     ticket_turn: Option<queueing::QueueEntry>,
     /// Occurrences that are due later, by their due time.
     scheduled: BTreeSet<(TimeMs, id::JobId, u32)>,
+    /// Jobs of which other pools run units for this one, as long as their ends there are not known.
+    delegating: FastSet<id::JobId>,
     /// Jobs whose stored row is out of date.
     dirty: FastSet<id::JobId>,
     /// Jobs that the commit in flight covers.
@@ -410,6 +440,7 @@
             rank_turn: None,
             ticket_turn: None,
             scheduled: BTreeSet::new(),
+            delegating: FastSet::default(),
             dirty: FastSet::default(),
             writing: Vec::new(),
             ending: Vec::new(),
@@ -444,6 +475,7 @@
     /// Does everything that is due at `now`: polls, expired leases, due occurrences, placement and
     /// ticket requests.
     pub fn tick(&mut self, now: TimeMs) {
+        self.follow_delegates(now);
         self.begin_due_occurrences(now);
         self.resend_orders(now);
         self.remove_unlisted_workers(now);
--- a/crates/mangotrestle-core/src/workflow/pool/queries.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/queries.rs
@@ -69,10 +69,12 @@
 
     fn pending(&self) -> BTreeMap<String, u32> {
         let mut pending = BTreeMap::new();
-        let not_begun = self
-            .jobs
-            .values()
-            .filter(|job| !job.begun && job.end.is_none() && job.record.schedule.is_none());
+        let not_begun = self.jobs.values().filter(|job| {
+            !job.begun
+                && job.end.is_none()
+                && job.record.schedule.is_none()
+                && job.record.is_counted_by(&self.settings.name)
+        });
         for job in not_begun {
             *pending.entry(job.record.policy.queue.clone()).or_default() += 1;
         }
--- a/crates/mangotrestle-core/src/workflow/pool/rows.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/rows.rs
@@ -213,7 +213,10 @@
                 record: Arc::clone(&job.record),
             });
         }
-        let settled = job.occurrences.values().all(Occurrence::is_free);
+        // Rows that this commit writes cannot be removed by it as well.
+        let settled = job.accepted
+            && job.has_ended_elsewhere()
+            && job.occurrences.values().all(Occurrence::is_free);
         if let Some(state) = job.end
             && !job.end_durable
         {
@@ -250,6 +253,9 @@
             let Some(job) = self.jobs.get_mut(&id) else {
                 continue;
             };
+            if !job.accepted && job.end.is_some() {
+                self.dirty.insert(id.clone());
+            }
             job.accepted = true;
             let written = job
                 .assigned_members()
--- a/crates/mangotrestle-core/src/workflow/spec.rs
+++ b/crates/mangotrestle-core/src/workflow/spec.rs
@@ -166,6 +166,63 @@
     /// Acceptance time in milliseconds since the Unix epoch, by the accepting host's corrected
     /// clock.
     pub accepted_ms: u64,
+    /// Pools that run the job; unset if its home pool does.
+    #[serde(default, skip_serializing_if = "is_default")]
+    pub pools: Option<JobPools>,
+}
+
+/// Pools of a job whose home does not run all of it.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct JobPools {
+    /// Pool that holds the job's identity.
+    pub home: String,
+    /// Pools that run it, each the units whose index leaves its own position as the remainder when
+    /// divided by the number of pools.
+    pub pools: Vec<String>,
+}
+
+impl JobPools {
+    /// Returns the share of a pool.
+    #[must_use]
+    pub fn share_of(&self, pool: &str) -> Share {
+        let position = self.pools.iter().position(|other| other == pool);
+        match position {
+            Some(position) => Share::Units {
+                first: u32::try_from(position).unwrap_or(u32::MAX),
+                every: u32::try_from(self.pools.len()).unwrap_or(u32::MAX),
+            },
+            None => Share::Nothing,
+        }
+    }
+}
+
+/// The part of a job's units that one pool runs.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Share {
+    /// All units.
+    #[default]
+    All,
+    /// The units from an index on, one in every so many.
+    Units {
+        /// Index of the first.
+        first: u32,
+        /// Difference of the indices.
+        every: u32,
+    },
+    /// No unit.
+    Nothing,
+}
+
+impl Share {
+    /// Whether the share includes a unit.
+    #[must_use]
+    pub const fn includes(self, unit: u32) -> bool {
+        match self {
+            Self::All => true,
+            Self::Units { first, every } => unit % every == first,
+            Self::Nothing => false,
+        }
+    }
 }
 
 impl JobRecord {
@@ -226,6 +283,35 @@
         (self.policy.stretch * critical_path_ms as f64) as u64 + self.policy.target_latency_ms
     }
 
+    /// Whether each unit may run in another pool: the tasks of a service, which do not wait for each
+    /// other and never end.
+    #[must_use]
+    pub fn is_divisible(&self) -> bool {
+        let independent = |step: &StepSpec| step.persistent && !step.gang;
+        self.schedule.is_none() && self.steps.len() == 1 && self.steps.iter().all(independent)
+    }
+
+    /// Returns the part of the job that a pool runs.
+    #[must_use]
+    pub fn share_of(&self, pool: &str) -> Share {
+        let pools = self.pools.as_ref();
+        pools.map_or(Share::All, |pools| pools.share_of(pool))
+    }
+
+    /// Returns the other pools to which a pool hands the job over; none unless it is the job's home.
+    pub fn delegates_of<'a>(&'a self, pool: &'a str) -> impl Iterator<Item = &'a str> {
+        let pools = self.pools.iter().filter(move |pools| pools.home == pool);
+        let pools = pools.flat_map(|pools| &pools.pools).map(String::as_str);
+        pools.filter(move |other| *other != pool)
+    }
+
+    /// Whether a pool counts the job among those that have not begun: one of its pools does.
+    #[must_use]
+    pub fn is_counted_by(&self, pool: &str) -> bool {
+        let first = self.pools.as_ref().and_then(|pools| pools.pools.first());
+        first.is_none_or(|first| first == pool)
+    }
+
     /// Checks the numbers of steps and tasks and the order of the steps.
     ///
     /// # Errors
--- a/crates/mangotrestle-core/src/workflow/worker.rs
+++ b/crates/mangotrestle-core/src/workflow/worker.rs
@@ -536,6 +536,6 @@
     /// Returns its rack, which is the last of its labels.
     #[must_use]
     pub fn rack(&self) -> &str {
-        self.entry.labels.last().map_or("", String::as_str)
+        self.entry.rack()
     }
 }
--- a/crates/mangotrestle-core/tests/workflow/large_service.rs
+++ b/crates/mangotrestle-core/tests/workflow/large_service.rs
@@ -1,24 +1,30 @@
 //! Tests of a service with hundreds of workers whose leaders' hosts have little processor time.
 
 use std::collections::BTreeMap;
-use std::sync::Arc;
 
 use mangotrestle_core::id::JobId;
+use mangotrestle_core::workflow::division::Division;
+use mangotrestle_core::workflow::record::JobState;
 use mangotrestle_core::workflow::spec::{AdvicePolicy, JobRecord};
 
+use super::world::divided::{self, DividedService};
 use super::world::processor::Processor;
-use super::world::{Violations, World, job, record, step};
+use super::world::{job, record, step};
+
+/// Name of the service.
+const SERVICE: &str = "service";
 
 /// A service, led by hosts of one kind.
 struct Service {
-    worlds: Vec<World>,
+    division: Division,
+    divided: DividedService,
     submitted: BTreeMap<JobId, Submitted>,
     last_job: u64,
 }
 
 /// A job that was submitted, with the time from which its result is late.
 struct Submitted {
-    world: usize,
+    home: String,
     queue: String,
     due_at: u64,
     /// Whether its end became known before that.
@@ -28,10 +34,15 @@
 impl Service {
     /// Returns a service whose leaders have a part of a core each.
     fn new(workers: u32, processor_share: f64) -> Self {
-        let mut world = World::new(41, workers);
-        world.processor = Some(Processor::new(processor_share));
+        let entries = divided::entries(workers);
+        let division = Division::plan(&entries);
+        let mut divided = DividedService::of(41, SERVICE, &division, entries);
+        for world in divided.pools.values_mut() {
+            world.processor = Some(Processor::new(processor_share));
+        }
         Self {
-            worlds: vec![world],
+            division,
+            divided,
             submitted: BTreeMap::new(),
             last_job: 0,
         }
@@ -40,15 +51,20 @@
     fn submit(&mut self, record: &JobRecord) {
         self.last_job += 1;
         let id = job(self.last_job);
-        let world = usize::try_from(self.last_job).expect("few jobs") % self.worlds.len();
-        let now = self.worlds[world].now;
-        let record = Arc::new(JobRecord {
+        let now = self.divided.now();
+        let record = JobRecord {
             accepted_ms: now,
             ..record.clone()
-        });
-        self.worlds[world].submit(&id, &record);
+        };
+        let home = self.division.home_of(SERVICE, &id);
+        let random = self.divided.random_below(u64::MAX);
+        let summary_of = |pool: &str| self.divided.summary(pool);
+        let pools = self
+            .division
+            .choose(SERVICE, &id, &record, summary_of, random);
+        self.divided.submit(&home, &id, &record, pools);
         let submitted = Submitted {
-            world,
+            home,
             queue: record.policy.queue.clone(),
             // Tasks take up to half as long again as their estimates.
             due_at: now + record.objective_ms_for(record.critical_path_ms() * 3 / 2),
@@ -58,13 +74,15 @@
     }
 
     fn run_for(&mut self, span_ms: u64) {
-        for world in &mut self.worlds {
-            world.run_for(span_ms);
-        }
+        self.divided.run_for(span_ms);
+        let now = self.divided.now();
         for (id, submitted) in &mut self.submitted {
-            let world = &self.worlds[submitted.world];
-            if submitted.in_time.is_none() && world.end_of(id).is_some() {
-                submitted.in_time = Some(world.now <= submitted.due_at);
+            if submitted.in_time.is_some() {
+                continue;
+            }
+            let state = self.divided.state(&submitted.home, id);
+            if state.is_some_and(JobState::is_final) {
+                submitted.in_time = Some(now <= submitted.due_at);
             }
         }
     }
@@ -80,12 +98,6 @@
         f64::from(u32::try_from(in_time).expect("few jobs"))
             / f64::from(u32::try_from(jobs.len()).expect("few jobs"))
     }
-
-    fn assert_no_violations(&self) {
-        for world in &self.worlds {
-            assert_eq!(world.violations, Violations::default());
-        }
-    }
 }
 
 /// Returns a job of a queue that asks for tickets.
@@ -145,7 +157,7 @@
 
     let in_time = service.share_in_time("reservation");
     assert!(in_time >= 0.9, "{in_time:.2} in time");
-    service.assert_no_violations();
+    service.divided.assert_no_violations();
 }
 
 #[test]
@@ -157,5 +169,5 @@
 
     let in_time = service.share_in_time("reservation");
     assert!(in_time >= 0.9, "{in_time:.2} in time");
-    service.assert_no_violations();
+    service.divided.assert_no_violations();
 }
--- a/crates/mangotrestle-core/tests/workflow/main.rs
+++ b/crates/mangotrestle-core/tests/workflow/main.rs
@@ -3,9 +3,11 @@
 mod admission;
 mod crash_evidence;
 mod crashing_tasks;
+mod division;
 mod draining;
 mod estimates;
 mod feed_timing;
+mod handover;
 mod large_service;
 mod leadership;
 mod placing;
--- a/crates/mangotrestle-core/tests/workflow/world.rs
+++ b/crates/mangotrestle-core/tests/workflow/world.rs
@@ -1,6 +1,7 @@
 //! A simple simulation: workers with clocks and leases, durable rows, and a network that loses and
 //! delays messages. It counts every violation of the invariants.
 
+pub mod divided;
 mod faults;
 pub mod processor;
 
@@ -215,6 +216,13 @@
     late_starts: BTreeMap<String, u32>,
     /// Number of runs of other tasks that crashed workers took with them.
     pub runs_lost_beside: u32,
+    /// Orders to the leaders of other pools, for those who simulate them.
+    pub orders_to_pools: Vec<Order>,
+    /// Names of all tasks that workers have started.
+    pub started_tasks: BTreeSet<String>,
+    name: String,
+    /// Submissions of the commit that was undone which had been accepted earlier.
+    duplicates: Vec<JobId>,
     /// Processor of the leader's host; without one, the leader's work takes no time.
     pub processor: Option<processor::Processor>,
 }
@@ -224,6 +232,28 @@
     WorkerId::new(name).expect("a valid worker identifier")
 }
 
+/// Returns the entry of a worker of 8 cores.
+pub fn entry(name: &str, zone: &str, rack: &str) -> WorkerEntry {
+    WorkerEntry {
+        worker: worker(name),
+        pool: "pool".to_owned(),
+        address: format!("{name}:1"),
+        zone: zone.to_owned(),
+        capacity: Resources {
+            cpu_millicores: 8_000,
+            memory_mib: 10_000,
+            accelerators: 4,
+            slots: 0,
+        },
+        labels: vec!["a".to_owned(), rack.to_owned()],
+        draining: false,
+        remaining_ms: None,
+        cold_left_ms: 0,
+        clock: None,
+        born_ms: None,
+    }
+}
+
 /// Returns a job identifier.
 pub fn job(number: u64) -> JobId {
     JobId::new(&format!("{number:016x}")).expect("a valid job identifier")
@@ -262,12 +292,14 @@
             advice: None,
         },
         accepted_ms: 1_000_000,
+        pools: None,
     })
 }
 
-/// Returns the settings of the leader's pool.
-pub fn settings() -> PoolSettings {
+/// Returns the settings of the leader of a pool.
+fn settings_of(name: &str) -> PoolSettings {
     PoolSettings {
+        name: name.to_owned(),
         max_lease: MAX_LEASE,
         max_hold_wait: SpanMs(200),
         min_poll_interval: SpanMs(20),
@@ -283,10 +315,23 @@
 impl World {
     /// Returns a simulation with workers of 8 cores each.
     pub fn new(seed: u64, workers: u32) -> Self {
+        let mut world = Self::without_workers(seed, "pool");
+        for number in 0..workers {
+            world.add_worker(&format!("w-{number}"));
+        }
+        world
+    }
+
+    /// Returns a simulation of a pool without workers.
+    pub fn without_workers(seed: u64, name: &str) -> Self {
         let now = 1_000_000;
-        let mut world = Self {
+        Self {
             now,
-            pool: Pool::new(TimeMs(now), settings(), 0),
+            pool: Pool::new(TimeMs(now), settings_of(name), 0),
+            name: name.to_owned(),
+            duplicates: Vec::new(),
+            orders_to_pools: Vec::new(),
+            started_tasks: BTreeSet::new(),
             term: TERM_STEP,
             commit_in_flight: false,
             pending_events: BTreeMap::new(),
@@ -323,11 +368,7 @@
             late_starts: BTreeMap::new(),
             runs_lost_beside: 0,
             processor: None,
-        };
-        for number in 0..workers {
-            world.add_worker(&format!("w-{number}"));
         }
-        world
     }
 
     /// Adds a worker in the availability zone `zone`.
@@ -337,25 +378,14 @@
 
     /// Adds a worker in an availability zone.
     pub fn add_worker_in(&mut self, name: &str, zone: &str) {
-        let id = worker(name);
-        let entry = WorkerEntry {
-            worker: id.clone(),
-            pool: "pool".to_owned(),
-            address: format!("{name}:1"),
-            zone: zone.to_owned(),
-            capacity: Resources {
-                cpu_millicores: 8_000,
-                memory_mib: 10_000,
-                accelerators: 4,
-                slots: 0,
-            },
-            labels: vec!["a".to_owned(), "r1".to_owned()],
-            draining: false,
-            remaining_ms: None,
-            cold_left_ms: 0,
-            clock: Some(WorkerTimeMs(self.now)),
-            born_ms: Some(self.now),
-        };
+        self.add_worker_entry(entry(name, zone, "r1"));
+    }
+
+    /// Adds a worker that the platform lists by this entry.
+    pub fn add_worker_entry(&mut self, mut entry: WorkerEntry) {
+        let id = entry.worker.clone();
+        entry.clock = Some(WorkerTimeMs(self.now));
+        entry.born_ms = Some(self.now);
         self.pool.worker_listed(TimeMs(self.now), entry.clone());
         let model = ModelWorker {
             entry,
@@ -405,7 +435,8 @@
         }
         self.term += TERM_STEP;
         self.commit_in_flight = false;
-        self.pool = Pool::new(TimeMs(self.now), settings(), 0);
+        self.orders_to_pools.clear();
+        self.pool = Pool::new(TimeMs(self.now), settings_of(&self.name), 0);
         let now = TimeMs(self.now);
         for (id, model) in &self.workers {
             if model.alive && !self.unlisted.contains(id) {
@@ -552,9 +583,18 @@
         for order in self.orders_to_send() {
             let term = self.term;
             self.polls += u32::from(matches!(order, Order::Hold { .. }));
-            if let Order::RequestTickets { expected_delay, .. } = order {
-                self.send_ticket_request(order, expected_delay);
-                continue;
+            match order {
+                Order::RequestTickets { expected_delay, .. } => {
+                    self.send_ticket_request(order, expected_delay);
+                    continue;
+                }
+                Order::HandOver { .. }
+                | Order::CancelElsewhere { .. }
+                | Order::QueryElsewhere { .. } => {
+                    self.orders_to_pools.push(order);
+                    continue;
+                }
+                _ => {}
             }
             let chance = self.random_below(1_000);
             let late = matches!(order, Order::Start { .. } | Order::Stop { .. })
@@ -636,6 +676,12 @@
                     Some(processor) => processor.push_answer(term, answer),
                     None => self.take_answer(answer),
                 },
+                Event::Commit { term, commit }
+                    if term == self.term && self.drop_duplicates(&commit) =>
+                {
+                    let answer = Answer::Undone;
+                    self.schedule(self.now + ORDER_LATENCY_MS, Event::Answer { term, answer });
+                }
                 Event::Commit { term, commit } if term == self.term => {
                     self.apply_commit(commit);
                     let answer = Answer::Committed;
@@ -684,6 +730,9 @@
             Answer::Undone => {
                 self.commit_in_flight = false;
                 self.pool.commit_undone();
+                for job in std::mem::take(&mut self.duplicates) {
+                    self.pool.drop_submission(now, &job);
+                }
             }
             Answer::Committed => {
                 self.commit_in_flight = false;
@@ -694,6 +743,26 @@
         }
     }
 
+    /// Drops the submissions of a commit that were accepted earlier. Returns whether there are any;
+    /// the commit then has no effect.
+    fn drop_duplicates(&mut self, commit: &Commit) -> bool {
+        let submitted = commit.changes.iter().filter_map(|change| match change {
+            RowChange::Accept { job, .. } => Some(job),
+            _ => None,
+        });
+        let duplicates: Vec<JobId> = submitted
+            .filter(|job| self.has_accepted(job))
+            .cloned()
+            .collect();
+        self.duplicates.extend(duplicates.iter().cloned());
+        !duplicates.is_empty()
+    }
+
+    /// Whether a job was durably accepted.
+    pub fn has_accepted(&self, id: &JobId) -> bool {
+        self.inbox.contains_key(id) || self.ended.contains_key(id)
+    }
+
     fn apply_commit(&mut self, commit: Commit) {
         for change in commit.changes {
             match change {
@@ -753,6 +822,9 @@
                 let tickets = self.tickets(&step, &workers);
                 Some(Answer::Advice(step, workers, Some(tickets)))
             }
+            Order::HandOver { .. }
+            | Order::CancelElsewhere { .. }
+            | Order::QueryElsewhere { .. } => None,
         }
     }
 
@@ -901,6 +973,7 @@
     fn begin_run(&mut self, worker: &WorkerId, task: &TaskName, run: u32) {
         let name = task.to_string();
         self.starts += 1;
+        self.started_tasks.insert(name.clone());
         let record = self.inbox.get(&task.job).cloned();
         let Some(record) = record else {
             // Its rows are removed, so the job has ended; starting it is a second run.
@@ -1162,7 +1235,10 @@
         | Order::Stop { worker, life, .. }
         | Order::Hold { worker, life, .. }
         | Order::Pace { worker, life, .. } => (Some(worker), *life),
-        Order::RequestTickets { .. } => (None, 0),
+        Order::RequestTickets { .. }
+        | Order::HandOver { .. }
+        | Order::CancelElsewhere { .. }
+        | Order::QueryElsewhere { .. } => (None, 0),
     }
 }
 
@@ -1193,6 +1269,10 @@
         Order::Hold { worker, .. } => {
             Some(Answer::Hold(worker.clone(), Err(PollFailure::NoAnswer)))
         }
-        Order::Pace { .. } | Order::RequestTickets { .. } => None,
+        Order::Pace { .. }
+        | Order::RequestTickets { .. }
+        | Order::HandOver { .. }
+        | Order::CancelElsewhere { .. }
+        | Order::QueryElsewhere { .. } => None,
     }
 }
--- a/crates/mangotrestle-core/tests/workflow/world/processor.rs
+++ b/crates/mangotrestle-core/tests/workflow/world/processor.rs
@@ -84,14 +84,14 @@
 
     /// Whether a round begins now, over so many workers and waiting units.
     pub(super) fn begins_round(&mut self, now_ms: u64, workers: usize, waiting: usize) -> bool {
-        let now_us = micros(now_ms);
-        if !self.is_idle(now_ms) || now_us < self.next_round_us {
+        let began_us = micros(now_ms);
+        if !self.is_idle(now_ms) || began_us < self.next_round_us {
             return false;
         }
         let units = waiting.min(MAX_UNITS_PER_ROUND);
         let core_us =
             count(workers) * ROUND_TIME_PER_WORKER_US + count(units) * ROUND_TIME_PER_UNIT_US;
-        self.spend(now_us, core_us);
+        self.spend(began_us, core_us);
         let (shortest, longest) = ROUND_REST_BOUNDS_US;
         let rest_us = (core_us / self.share * ROUND_REST_FACTOR).clamp(shortest, longest);
         self.next_round_us = self.busy_until_us + rest_us;
