Let several hosts lead a large service, each a pool of its workers

Callers saw most reservations of the large fleet completed late. Cause: one host led all 792 workers; its rounds stood at their limit of a quarter of its time, and each wait of a step took as long as they do.

The host that ranks first for a service writes its division once the platform's list of workers has settled; hosts then lead, accept, look up, cancel and count by pool. Looking up, accepting and cancelling jobs moves from front.rs to jobs.rs.

--- a/crates/mangotrestle-peer/src/cell.rs
+++ b/crates/mangotrestle-peer/src/cell.rs
@@ -82,8 +82,17 @@
     pub job: id::JobId,
 }
 
+/// Names of jobs of one pool.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct JobNames {
+    /// Pool of the jobs.
+    pub pool: String,
+    /// Identifiers of the jobs.
+    pub jobs: Vec<id::JobId>,
+}
+
 /// Answer to a query for a job's state.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub enum JobStateAnswer {
     /// The host does not lead the pool.
     NotLeading,
@@ -91,6 +100,8 @@
     NotKnown,
     /// State of the job.
     State(JobState),
+    /// This pool runs the job, and its leader knows the state.
+    HandedOver(String),
 }
 
 /// Request to a peer to ask the advice service which workers may run a step.
@@ -132,6 +143,11 @@
     /// Returns the state of a job.
     fn state(&self, name: JobName) -> impl Future<Output = JobStateAnswer> + Send;
 
+    /// Returns the states of jobs, in their order, `None` for each that is not known; `None` for all
+    /// if this host does not lead the pool.
+    fn states(&self, names: JobNames)
+    -> impl Future<Output = Option<Vec<Option<JobState>>>> + Send;
+
     /// Requests tickets from the advice service. Returns `None` if the service refused or did not
     /// answer.
     fn ask(&self, request: AdviceRequest) -> impl Future<Output = Option<Advice>> + Send;
@@ -170,6 +186,10 @@
         Ok(self.backend.state(message).await)
     }
 
+    async fn states(&self, message: JobNames) -> RpcResult<Option<Vec<Option<JobState>>>> {
+        Ok(self.backend.states(message).await)
+    }
+
     async fn ask(&self, message: AdviceRequest) -> RpcResult<Option<Advice>> {
         Ok(self.backend.ask(message).await)
     }
@@ -272,6 +292,19 @@
         self.client.state(name).await.map_err(no_answer)
     }
 
+    /// Asks the leader for the states of jobs, in their order. Returns `None` if the host does not
+    /// lead the pool.
+    ///
+    /// # Errors
+    ///
+    /// [`PeerError`] if the host did not answer.
+    pub async fn states(
+        &self,
+        names: JobNames,
+    ) -> Result<Option<Vec<Option<JobState>>>, PeerError> {
+        self.client.states(names).await.map_err(no_answer)
+    }
+
     /// Asks the host to request tickets from the advice service. Returns `None` if the service
     /// refused or did not answer.
     ///
--- a/crates/mangotrestle-peer/src/cell_rpc.rs
+++ b/crates/mangotrestle-peer/src/cell_rpc.rs
@@ -2,9 +2,10 @@
 
 use jsonrpsee::core::RpcResult;
 use jsonrpsee::proc_macros::rpc;
+use mangotrestle_core::workflow::record::JobState;
 
 use crate::cell::{
-    Acceptance, Advice, AdviceRequest, JobName, JobStateAnswer, Submission, Submitted,
+    Acceptance, Advice, AdviceRequest, JobName, JobNames, JobStateAnswer, Submission, Submitted,
 };
 
 #[rpc(server, client, namespace = "cell")]
@@ -24,6 +25,9 @@
     #[method(name = "state")]
     async fn state(&self, message: JobName) -> RpcResult<JobStateAnswer>;
 
+    #[method(name = "states")]
+    async fn states(&self, message: JobNames) -> RpcResult<Option<Vec<Option<JobState>>>>;
+
     #[method(name = "ask")]
     async fn ask(&self, message: AdviceRequest) -> RpcResult<Option<Advice>>;
 
--- a/crates/mangotrestle/src/host/cell.rs
+++ b/crates/mangotrestle/src/host/cell.rs
@@ -7,15 +7,17 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use arc_swap::ArcSwapOption;
+use arc_swap::{ArcSwap, ArcSwapOption};
 use mangotrestle_core::collections::{FastMap, FastSet};
 use mangotrestle_core::id;
 use mangotrestle_core::membership::rendezvous;
 use mangotrestle_core::time::{SpanMs, TimeMs};
 use mangotrestle_core::workflow::catalog::Catalog;
+use mangotrestle_core::workflow::division::Division;
 use mangotrestle_core::workflow::environment::HostSettings;
 use mangotrestle_core::workflow::feed_timing::FeedTiming;
 use mangotrestle_core::workflow::leadership::{self, Candidate, LeadRow, PoolSummary, Watch};
+use mangotrestle_core::workflow::message::WorkerEntry;
 use mangotrestle_peer::cell::CellClient;
 use mangotrestle_platform::budget::Budget;
 use mangotrestle_users_platform::machines::MachineClient;
@@ -124,6 +126,8 @@
     configuration_confirmed: Notify,
     /// Wakes the reader of the configuration when a peer has a newer one.
     pub(super) newer_configuration: Notify,
+    /// Divisions of the services into pools, as far as they are known.
+    divisions: ArcSwap<FastMap<String, Arc<Division>>>,
     pools: Mutex<FastMap<String, PoolView>>,
     peers: Mutex<BTreeMap<id::EntryHostId, Peer>>,
     leaders: Mutex<FastMap<String, Arc<Leader>>>,
@@ -161,6 +165,7 @@
             configuration_as_of_ms: AtomicU64::new(0),
             configuration_confirmed: Notify::new(),
             newer_configuration: Notify::new(),
+            divisions: ArcSwap::default(),
             pools: Mutex::default(),
             peers: Mutex::default(),
             leaders: Mutex::default(),
@@ -482,6 +487,46 @@
         pools_led
     }
 
+    /// Returns the division of a service; `None` until it is known.
+    pub(super) fn division(&self, service: &str) -> Option<Arc<Division>> {
+        self.divisions.load().get(service).cloned()
+    }
+
+    /// Records the division of a service, which never changes.
+    pub(super) fn set_division(&self, service: &str, division: Division) {
+        if self.divisions.load().contains_key(service) {
+            return;
+        }
+        let division = Arc::new(division);
+        slog::info!(self.log, "division.known"; "service" => service,
+            "pools" => division.pool_names(service).count());
+        self.divisions.rcu(|divisions| {
+            let mut divisions = FastMap::clone(divisions);
+            divisions.insert(service.to_owned(), Arc::clone(&division));
+            divisions
+        });
+    }
+
+    /// Returns the pool of a worker; `None` until the division of its service is known.
+    pub(super) fn pool_of(&self, entry: &WorkerEntry) -> Option<String> {
+        let division = self.division(&entry.pool)?;
+        Some(division.pool_of(&entry.pool, entry))
+    }
+
+    /// Returns the names of the pools of all services whose division is known.
+    pub(super) fn configured_pools(&self) -> Vec<String> {
+        let Some(catalog) = self.catalog.load_full() else {
+            return Vec::new();
+        };
+        let mut pools = Vec::new();
+        for service in &catalog.pools {
+            if let Some(division) = self.division(&service.name) {
+                pools.extend(division.pool_names(&service.name));
+            }
+        }
+        pools
+    }
+
     /// Calls a function with what is known of a pool, under the lock.
     pub(super) fn with_pool<T>(&self, pool: &str, apply: impl FnOnce(&mut PoolView) -> T) -> T {
         let mut pools = lock(&self.pools);
--- a/crates/mangotrestle/src/host/feeds.rs
+++ b/crates/mangotrestle/src/host/feeds.rs
@@ -11,6 +11,7 @@
 };
 
 use super::cell::{Cell, HostRow};
+use super::dividing::Dividing;
 use super::leader;
 use super::names;
 use super::reads::{DEFAULT_RESEND_DELAY, ReadRows};
@@ -123,6 +124,7 @@
     let mut version = None;
     let mut answered_at = Instant::now();
     let mut registered = false;
+    let mut dividing = Dividing::default();
     loop {
         let began = Instant::now();
         if !registered {
@@ -143,6 +145,7 @@
                 answered_at = Instant::now();
                 version = Some(rows.version.max(version.unwrap_or_default()));
                 apply_cell_rows(&cell, &rows, after_gap);
+                dividing.divide_if_due(&cell);
                 claim_due_pools(&cell);
             }
             Err(FeedError::HistoryLost) => version = None,
@@ -181,10 +184,11 @@
     let mut all = cell
         .read_part(names::CELL_TABLE, "", ROW_CALL_TIMEOUT)
         .await?;
-    let mut pools: Vec<String> = cell.known_pools();
-    if let Some(catalog) = cell.catalog.load_full() {
-        pools.extend(catalog.pools.iter().map(|pool| pool.name.clone()));
+    for row in &all.rows {
+        apply_division_row(cell, row);
     }
+    let mut pools: Vec<String> = cell.known_pools();
+    pools.extend(cell.configured_pools());
     pools.sort_unstable();
     pools.dedup();
     for pool in pools {
@@ -201,6 +205,7 @@
     for row in &rows.rows {
         if row.name.part.is_empty() {
             apply_host_row(cell, row);
+            apply_division_row(cell, row);
         } else if row.name.key == names::LEAD_KEY {
             apply_lead_row(cell, row);
         } else if row.name.key == names::SUMMARY_KEY {
@@ -208,9 +213,7 @@
         }
     }
     let mut pools = cell.known_pools();
-    if let Some(catalog) = cell.catalog.load_full() {
-        pools.extend(catalog.pools.iter().map(|pool| pool.name.clone()));
-    }
+    pools.extend(cell.configured_pools());
     for pool in pools {
         cell.with_pool(&pool, |view| {
             if after_gap {
@@ -239,6 +242,21 @@
     }
 }
 
+fn apply_division_row(cell: &Cell, row: &Row) {
+    let Some(service) = row.name.key.strip_prefix(names::DIVISION_PREFIX) else {
+        return;
+    };
+    let Some(value) = &row.value else {
+        return;
+    };
+    match serde_json::from_slice(&value.0) {
+        Ok(division) => cell.set_division(service, division),
+        Err(error) => {
+            slog::error!(cell.log, "division.malformed"; "service" => service, "error" => %error);
+        }
+    }
+}
+
 fn apply_lead_row(cell: &Cell, row: &Row) {
     let Some(value) = &row.value else {
         return;
@@ -317,21 +335,18 @@
     if cell.is_stopping() {
         return;
     }
-    let Some(catalog) = cell.catalog.load_full() else {
-        return;
-    };
-    for pool in &catalog.pools {
-        probe_leader_if_needed(cell, &pool.name);
-        let rank = cell.rank(&pool.name);
+    for pool in cell.configured_pools() {
+        probe_leader_if_needed(cell, &pool);
+        let rank = cell.rank(&pool);
         let (claim_stagger, slow) = (cell.claim_stagger(), cell.store_is_slow());
-        let ended = cell.leader_has_ended(&pool.name);
-        let replaceable = ended || cell.leader_is_unresponsive(&pool.name);
-        let due = cell.with_pool(&pool.name, |view| {
+        let ended = cell.leader_has_ended(&pool);
+        let replaceable = ended || cell.leader_is_unresponsive(&pool);
+        let due = cell.with_pool(&pool, |view| {
             view.watch
                 .is_claim_due(rank, claim_stagger, replaceable, slow)
         });
-        if due && cell.leader(&pool.name).is_none() {
-            leader::begin_claim(cell, &pool.name);
+        if due && cell.leader(&pool).is_none() {
+            leader::begin_claim(cell, &pool);
         }
     }
 }
--- a/crates/mangotrestle/src/host/front.rs
+++ b/crates/mangotrestle/src/host/front.rs
@@ -8,49 +8,37 @@
 use axum::response::{IntoResponse, Response};
 use axum::serve::ListenerExt;
 use http::{HeaderValue, Method, StatusCode, header};
+use mangotrestle_core::collections::FastMap;
 use mangotrestle_core::id;
 use mangotrestle_core::time::SpanMs;
 use mangotrestle_core::workflow::admission::{self, Admission};
 use mangotrestle_core::workflow::catalog::{Catalog, Queue};
-use mangotrestle_core::workflow::record::{AssignmentRow, EndRow, JobState};
-use mangotrestle_core::workflow::spec::JobRecord;
-use mangotrestle_peer::cell::{Acceptance, JobName, JobStateAnswer, Submission, Submitted};
+use mangotrestle_core::workflow::division::Division;
+use mangotrestle_core::workflow::leadership::PoolSummary;
+use mangotrestle_core::workflow::spec::{JobPools, JobRecord};
+use mangotrestle_peer::cell::Acceptance;
 use mangotrestle_users_platform::ingress;
-use mangotrestle_users_platform::store::{Transaction, TransactionAnswer, Value};
 use rand::RngExt;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
 use super::cell::Cell;
 use super::events;
+use super::jobs;
 use super::load::Work;
-use super::names;
 
 /// Maximum size of a request's body if the configuration sets none, in bytes.
 const DEFAULT_MAX_BODY_BYTES: usize = 262_144;
 /// Time for which a caller is assumed to wait if its request does not say.
 const DEFAULT_CALLER_TIMEOUT: Duration = Duration::from_secs(3);
-/// Interval between attempts to reach a pool's leader while the store is slow.
-const LEADER_RETRY_INTERVAL: Duration = Duration::from_millis(150);
-/// Share of the time for accepting a job in which only the pool's leader is tried while the store
-/// is slow.
-const LEADER_TIME_SHARE: f64 = 0.6;
 /// Share of the caller's time that may be spent on a request; the rest is for the answer.
 const ANSWER_TIME_SHARE: f64 = 0.8;
 /// Time for which a request waits until the configuration is known to be the newest.
 const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(250);
-/// Timeout for a leader's answer about a job, after which the store is used instead. While a job
-/// is submitted, a leader that still commits is waited for again.
-const LEADER_ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
-/// Timeout for a store call on behalf of a caller.
-const CALLER_STORE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Minimum time after which a caller whose job could not be stored should retry.
 const MIN_RETRY_AFTER: SpanMs = SpanMs(1_000);
 /// Maximum time after which a caller should retry while the store is unreachable.
 const MAX_RETRY_AFTER: SpanMs = SpanMs(4_000);
-/// Maximum number of attempts to write a cancel request if the job's row changes meanwhile or the
-/// outcome is unknown.
-const MAX_CANCEL_ATTEMPTS: u32 = 4;
 
 /// Answers the load balancer's readiness checks.
 pub(super) async fn serve_readiness(cell: Arc<Cell>, listener: TcpListener) {
@@ -120,23 +108,34 @@
     let Some(queue) = queue else {
         return StatusCode::NOT_FOUND.into_response();
     };
+    let Some(division) = cell.division(&queue.pool) else {
+        return refuse(StatusCode::SERVICE_UNAVAILABLE, MIN_RETRY_AFTER);
+    };
     if is_count(queue) {
-        return pending(cell, queue);
+        return pending(cell, queue, &division);
     }
     let rest = &path[queue.path_prefix.len()..];
     let Some(job) = ingress::job_id(rest) else {
         return StatusCode::NOT_FOUND.into_response();
     };
-    let began = Instant::now();
+    let home = division.home_of(&queue.pool, &job);
     let timeout = caller_timeout(&request).mul_f64(ANSWER_TIME_SHARE);
     match method {
-        Method::POST if is_current => submit(cell, &catalog, queue, &job, request, began).await,
-        Method::POST => match leader_state(cell, &queue.pool, &job).await {
-            Some(_) => StatusCode::OK.into_response(),
-            None => refuse_as_outdated(cell, &catalog, &path),
-        },
-        Method::GET => answer_within(timeout, state(cell, queue, &job)).await,
-        Method::DELETE => answer_within(timeout, cancel(cell, queue, &job)).await,
+        Method::POST if is_current => {
+            let target = Target {
+                catalog: &catalog,
+                queue,
+                division: &division,
+                home: &home,
+            };
+            submit(cell, &target, &job, request).await
+        }
+        Method::POST if jobs::is_known_to_leader(cell, &home, &job).await => {
+            StatusCode::OK.into_response()
+        }
+        Method::POST => refuse_as_outdated(cell, &catalog, &path),
+        Method::GET => answer_within(timeout, state(cell, queue, &home, &job)).await,
+        Method::DELETE => answer_within(timeout, cancel(cell, queue, &home, &job)).await,
         _ => StatusCode::METHOD_NOT_ALLOWED.into_response(),
     }
 }
@@ -165,16 +164,24 @@
         .map_or(DEFAULT_CALLER_TIMEOUT, Duration::from_millis)
 }
 
+/// What a submitted job is for.
+struct Target<'a> {
+    catalog: &'a Catalog,
+    queue: &'a Queue,
+    division: &'a Division,
+    /// The job's home pool.
+    home: &'a str,
+}
+
 async fn submit(
     cell: &Arc<Cell>,
-    catalog: &Catalog,
-    queue: &Queue,
+    target: &Target<'_>,
     job: &id::JobId,
     request: Request,
-    began: Instant,
 ) -> Response {
+    let began = Instant::now();
     let timeout = caller_timeout(&request).mul_f64(ANSWER_TIME_SHARE);
-    let max_bytes = match catalog.max_body_bytes {
+    let max_bytes = match target.catalog.max_body_bytes {
         0 => DEFAULT_MAX_BODY_BYTES,
         configured => configured,
     };
@@ -185,7 +192,8 @@
             return StatusCode::PAYLOAD_TOO_LARGE.into_response();
         }
     };
-    let record = match ingress::decode_job(&body, &queue.policy, cell.clock.epoch_ms()) {
+    let policy = &target.queue.policy;
+    let mut record = match ingress::decode_job(&body, policy, cell.clock.epoch_ms()) {
         Ok(record) => record,
         Err(error) => {
             events::job_malformed(&cell.log, job, &error.to_string());
@@ -196,48 +204,21 @@
         events::job_malformed(&cell.log, job, &error.to_string());
         return StatusCode::BAD_REQUEST.into_response();
     }
-    let summary = cell.summary(&queue.pool);
-    let spread = rand::rng().random_range(0..1_000);
-    let admission = admission::decide(&record, summary.as_deref(), spread);
-    match admission {
-        Admission::Accept => {}
-        Admission::Busy { retry_after } => {
-            // A job that was accepted earlier stays accepted, even if the pool is busy now.
-            return match find_state(cell, &queue.pool, job).await {
-                Ok(Some(_)) => StatusCode::OK.into_response(),
-                Ok(None) => {
-                    events::job_refused(&cell.log, job, queue, &admission, catalog.version);
-                    refuse(StatusCode::TOO_MANY_REQUESTS, retry_after)
-                }
-                Err(reason) => {
-                    events::job_unknown(&cell.log, job, queue, &reason);
-                    StatusCode::GATEWAY_TIMEOUT.into_response()
-                }
-            };
-        }
-        Admission::NeverFits { .. } => {
-            events::job_refused(&cell.log, job, queue, &admission, catalog.version);
-            return refuse(StatusCode::SERVICE_UNAVAILABLE, SpanMs::from_secs(60));
-        }
+    record.pools = choose_pools(cell, target, job, &record);
+    if let Some(refusal) = refuse_if_hopeless(cell, target, job, &record).await {
+        return refusal;
     }
-    let record = Arc::new(record);
-    let (acceptance, by_leader) = accept(cell, queue, job, &record, timeout).await;
+    let acceptance = jobs::accept(cell, target.home, job, &Arc::new(record), timeout).await;
     events::job_answered(
         &cell.log,
         job,
-        queue,
+        target.queue,
         &acceptance,
-        catalog.version,
+        target.catalog.version,
         began.elapsed(),
     );
     match acceptance {
-        Acceptance::Accepted { version } => {
-            if !by_leader {
-                notify_leader_of_job(cell, queue, job, record, version);
-            }
-            StatusCode::OK.into_response()
-        }
-        Acceptance::Known => StatusCode::OK.into_response(),
+        Acceptance::Accepted { .. } | Acceptance::Known => StatusCode::OK.into_response(),
         Acceptance::NotAccepted(_) | Acceptance::NotLeading => {
             refuse(StatusCode::SERVICE_UNAVAILABLE, store_retry_after(cell))
         }
@@ -245,124 +226,59 @@
     }
 }
 
-/// Makes a job durable: through the pool's leader, whose commits carry many changes, or directly if
-/// the leader does not answer. Also returns whether the leader did it.
-async fn accept(
-    cell: &Arc<Cell>,
-    queue: &Queue,
+/// Chooses the pools that run a job, if its home does not run it alone.
+fn choose_pools(
+    cell: &Cell,
+    target: &Target<'_>,
     job: &id::JobId,
-    record: &Arc<JobRecord>,
-    timeout: Duration,
-) -> (Acceptance, bool) {
-    let began = Instant::now();
-    let mut uncertain = false;
-    while began.elapsed() < timeout {
-        let leader_acceptance = accept_by_leader(cell, queue, job, record);
-        match tokio::time::timeout(timeout.saturating_sub(began.elapsed()), leader_acceptance).await
-        {
-            Ok(Some(Acceptance::Unknown(_))) => uncertain = true,
-            Ok(Some(Acceptance::NotLeading) | None) => {}
-            Ok(Some(Acceptance::NotAccepted(reason))) if uncertain => {
-                return (Acceptance::Unknown(reason), true);
-            }
-            Ok(Some(acceptance)) => return (acceptance, true),
-            Err(_) => {
-                uncertain = true;
-                break;
-            }
-        }
-        // A slow store must not get many small transactions while a new leader is taking over.
-        let wait_for_leader = cell.store_is_slow() && !cell.store_is_unreachable();
-        if !wait_for_leader || began.elapsed() > timeout.mul_f64(LEADER_TIME_SHARE) {
-            break;
-        }
-        tokio::time::sleep(LEADER_RETRY_INTERVAL).await;
-    }
-    let remaining = timeout.saturating_sub(began.elapsed());
-    let acceptor = cell.acceptor(&queue.pool);
-    let direct_acceptance = acceptor.accept(job, record, remaining, uncertain);
-    let acceptance = match tokio::time::timeout(remaining, direct_acceptance).await {
-        Ok(acceptance) => acceptance,
-        Err(_) => {
-            Acceptance::Unknown("the store did not answer the transaction in time".to_owned())
-        }
-    };
-    (acceptance, false)
+    record: &JobRecord,
+) -> Option<JobPools> {
+    let service = &target.queue.pool;
+    let names = target.division.pool_names(service);
+    let summaries: FastMap<String, Arc<PoolSummary>> = names
+        .filter_map(|name| {
+            let summary = cell.summary(&name)?;
+            Some((name, summary))
+        })
+        .collect();
+    let summary_of = |pool: &str| summaries.get(pool).map(AsRef::as_ref);
+    let random = rand::rng().random();
+    let division = target.division;
+    division.choose(service, job, record, summary_of, random)
 }
 
-/// Has the pool's leader make a job durable; `None` if no leader could be asked.
-async fn accept_by_leader(
+/// Refuses a job that admission does not accept, unless it was accepted earlier: then it stays
+/// accepted, even if its pool is busy now.
+async fn refuse_if_hopeless(
     cell: &Arc<Cell>,
-    queue: &Queue,
+    target: &Target<'_>,
     job: &id::JobId,
-    record: &Arc<JobRecord>,
-) -> Option<Acceptance> {
-    if let Some(leader) = cell.leader(&queue.pool) {
-        return Some(leader.accept(cell, job, Arc::clone(record)).await);
-    }
-    let row = cell.lead_row(&queue.pool)?;
-    let peer = cell.responsive_peer(&row.holder)?;
-    let submission = Submission {
-        pool: queue.pool.clone(),
-        job: job.clone(),
-        record: record.as_ref().clone(),
-        configuration: cell.configuration_version(),
-    };
-    let mut answer = std::pin::pin!(peer.accept(submission));
-    loop {
-        let answered = tokio::time::timeout(LEADER_ANSWER_TIMEOUT, &mut answer).await;
-        match answered {
-            Ok(Ok(acceptance)) => return Some(acceptance),
-            Ok(Err(error)) => {
-                cell.record_peer_failure(&row.holder);
-                return Some(Acceptance::Unknown(error.to_string()));
-            }
-            // A leader that still commits is waited for, however slow the store is.
-            Err(_) if cell.leader_is_committing(&queue.pool) => {}
-            Err(_) => {
-                cell.record_peer_failure(&row.holder);
-                return Some(Acceptance::Unknown("the leader does not answer".to_owned()));
+    record: &JobRecord,
+) -> Option<Response> {
+    let pools = record.pools.as_ref();
+    let pool = pools.and_then(|pools| pools.pools.first());
+    let summary = cell.summary(pool.map_or(target.home, String::as_str));
+    let spread = rand::rng().random_range(0..1_000);
+    let admission = admission::decide(record, summary.as_deref(), spread);
+    let (status, retry_after) = match admission {
+        Admission::Accept => return None,
+        Admission::NeverFits { .. } => (StatusCode::SERVICE_UNAVAILABLE, SpanMs::from_secs(60)),
+        Admission::Busy { retry_after } => match jobs::find_state(cell, target.home, job).await {
+            Ok(None) => (StatusCode::TOO_MANY_REQUESTS, retry_after),
+            Ok(Some(_)) => return Some(StatusCode::OK.into_response()),
+            Err(reason) => {
+                events::job_unknown(&cell.log, job, target.queue, &reason);
+                return Some(StatusCode::GATEWAY_TIMEOUT.into_response());
             }
-        }
-    }
-}
-
-/// Notifies the pool's leader of an accepted job, so that it need not wait for the inbox feed.
-fn notify_leader_of_job(
-    cell: &Arc<Cell>,
-    queue: &Queue,
-    job: &id::JobId,
-    record: Arc<JobRecord>,
-    version: u64,
-) {
-    if let Some(leader) = cell.leader(&queue.pool) {
-        leader.add_stored_job(cell, job, record, version);
-        return;
-    }
-    let Some(row) = cell.lead_row(&queue.pool) else {
-        return;
-    };
-    let Some(peer) = cell.peer(&row.holder) else {
-        return;
-    };
-    let message = Submitted {
-        pool: queue.pool.clone(),
-        job: job.clone(),
-        record: record.as_ref().clone(),
-        version,
-        configuration: cell.configuration_version(),
+        },
     };
-    let cell = Arc::clone(cell);
-    tokio::spawn(async move {
-        let notified = tokio::time::timeout(LEADER_ANSWER_TIMEOUT, peer.submitted(message)).await;
-        if !matches!(notified, Ok(Ok(_))) {
-            cell.record_peer_failure(&row.holder);
-        }
-    });
+    let version = target.catalog.version;
+    events::job_refused(&cell.log, job, target.queue, &admission, version);
+    Some(refuse(status, retry_after))
 }
 
-async fn state(cell: &Arc<Cell>, queue: &Queue, job: &id::JobId) -> Response {
-    match find_state(cell, &queue.pool, job).await {
+async fn state(cell: &Arc<Cell>, queue: &Queue, home: &str, job: &id::JobId) -> Response {
+    match jobs::find_state(cell, home, job).await {
         Ok(Some(state)) => {
             events::job_shown(&cell.log, job, Some(state));
             json_response(ingress::encode_state(state))
@@ -378,199 +294,29 @@
     }
 }
 
-/// Returns the state of a job from its leader, or from the store if the leader does not know it or
-/// does not answer; `None` if the store has no such job.
-async fn find_state(
-    cell: &Arc<Cell>,
-    pool: &str,
-    job: &id::JobId,
-) -> Result<Option<JobState>, String> {
-    if let Some(state) = leader_state(cell, pool, job).await {
-        return Ok(Some(state));
-    }
-    stored_state(cell, pool, job).await
-}
-
-/// Returns the state of a job from its leader; `None` if the leader does not know it or does not
-/// answer.
-async fn leader_state(cell: &Arc<Cell>, pool: &str, job: &id::JobId) -> Option<JobState> {
-    if let Some(leader) = cell.leader(pool)
-        && let Some(state) = leader.state(job)
-    {
-        return Some(state);
-    }
-    let row = cell.lead_row(pool)?;
-    let peer = cell.peer(&row.holder)?;
-    let name = JobName {
-        pool: pool.to_owned(),
-        job: job.clone(),
-    };
-    match tokio::time::timeout(LEADER_ANSWER_TIMEOUT, peer.state(name)).await {
-        Ok(Ok(JobStateAnswer::State(state))) => return Some(state),
-        Ok(Ok(JobStateAnswer::NotKnown | JobStateAnswer::NotLeading)) => {}
-        _ => cell.record_peer_failure(&row.holder),
-    }
-    None
-}
-
-/// Returns the state of a job from the store. A job moves from the inbox to the ended jobs, so the
-/// inbox is read first.
-async fn stored_state(
-    cell: &Arc<Cell>,
-    pool: &str,
-    job: &id::JobId,
-) -> Result<Option<JobState>, String> {
-    let end = names::job_rows_end(job);
-    let inbox = cell
-        .read_range(
-            names::INBOX_TABLE,
-            pool,
-            job.as_str(),
-            &end,
-            CALLER_STORE_TIMEOUT,
-        )
-        .await
-        .map_err(|error| error.to_string())?;
-    let ended = cell
-        .read_range(
-            names::ENDED_TABLE,
-            pool,
-            job.as_str(),
-            &end,
-            CALLER_STORE_TIMEOUT,
-        )
-        .await
-        .map_err(|error| error.to_string())?;
-    if let Some(value) = ended.rows.first().and_then(|row| row.value.as_ref()) {
-        let row: EndRow = serde_json::from_slice(&value.0).map_err(|error| error.to_string())?;
-        return Ok(Some(row.state));
-    }
-    let accepted = inbox.rows.iter().any(|row| row.name.key == job.as_str());
-    let cancelled = inbox.rows.len() > usize::from(accepted);
-    match (accepted, cancelled) {
-        (false, _) => Ok(None),
-        (true, true) => Ok(Some(JobState::Cancelled)),
-        (true, false) => stored_progress(cell, pool, job).await.map(Some),
-    }
-}
-
-/// Returns the state of an accepted job from its assignments in the store: running once a task has
-/// started.
-async fn stored_progress(
-    cell: &Arc<Cell>,
-    pool: &str,
-    job: &id::JobId,
-) -> Result<JobState, String> {
-    let assigned = cell
-        .read_range(
-            names::ASSIGN_TABLE,
-            pool,
-            job.as_str(),
-            &names::job_rows_end(job),
-            CALLER_STORE_TIMEOUT,
-        )
-        .await
-        .map_err(|error| error.to_string())?;
-    let Some(value) = assigned.rows.first().and_then(|row| row.value.as_ref()) else {
-        return Ok(JobState::Queued);
-    };
-    let row: AssignmentRow = serde_json::from_slice(&value.0).map_err(|error| error.to_string())?;
-    Ok(if row.begun {
-        JobState::Running
-    } else {
-        JobState::Queued
-    })
-}
-
-async fn cancel(cell: &Arc<Cell>, queue: &Queue, job: &id::JobId) -> Response {
-    let pool = &queue.pool;
-    let end = names::job_rows_end(job);
-    for _ in 0..MAX_CANCEL_ATTEMPTS {
-        let inbox = match cell
-            .read_range(
-                names::INBOX_TABLE,
-                pool,
-                job.as_str(),
-                &end,
-                CALLER_STORE_TIMEOUT,
-            )
-            .await
-        {
-            Ok(inbox) => inbox,
-            Err(error) => return cancel_failed(cell, queue, job, &error.to_string()),
-        };
-        let accepted = inbox.rows.iter().find(|row| row.name.key == job.as_str());
-        let Some(accepted) = accepted else {
-            return match stored_state(cell, pool, job).await {
-                Ok(Some(state)) => {
-                    events::job_cancelled(&cell.log, job, queue, Some(state));
-                    StatusCode::OK.into_response()
-                }
-                Ok(None) => {
-                    events::job_cancelled(&cell.log, job, queue, None);
-                    StatusCode::GONE.into_response()
-                }
-                Err(reason) => cancel_failed(cell, queue, job, &reason),
-            };
-        };
-        let transaction = Transaction {
-            expect: vec![(names::inbox_row(pool, job), accepted.version)],
-            set: vec![(names::cancel_row(pool, job), Value(b"{}".to_vec()))],
-            remove: Vec::new(),
-        };
-        match cell.transact(&transaction, CALLER_STORE_TIMEOUT).await {
-            Ok(TransactionAnswer::Done { .. }) => {
-                events::job_cancelled(&cell.log, job, queue, Some(JobState::Cancelled));
-                notify_leader_of_cancel(cell, queue, job);
-                return StatusCode::OK.into_response();
+async fn cancel(cell: &Arc<Cell>, queue: &Queue, home: &str, job: &id::JobId) -> Response {
+    match jobs::cancel(cell, home, job).await {
+        Ok(state) => {
+            events::job_cancelled(&cell.log, job, queue, state);
+            match state {
+                Some(_) => StatusCode::OK.into_response(),
+                None => StatusCode::GONE.into_response(),
             }
-            Ok(TransactionAnswer::Conflict(_)) => {}
-            // The outcome is unknown; writing the cancel request again does no harm.
-            Err(error) if !error.had_no_effect() => {}
-            Err(error) => return cancel_failed(cell, queue, job, &error.to_string()),
+        }
+        Err(reason) => {
+            events::job_unknown(&cell.log, job, queue, &reason);
+            refuse(StatusCode::SERVICE_UNAVAILABLE, MIN_RETRY_AFTER)
         }
     }
-    cancel_failed(
-        cell,
-        queue,
-        job,
-        "the cancel request could not be written to the store",
-    )
 }
 
-fn cancel_failed(cell: &Arc<Cell>, queue: &Queue, job: &id::JobId, reason: &str) -> Response {
-    events::job_unknown(&cell.log, job, queue, reason);
-    refuse(StatusCode::SERVICE_UNAVAILABLE, MIN_RETRY_AFTER)
-}
-
-fn notify_leader_of_cancel(cell: &Arc<Cell>, queue: &Queue, job: &id::JobId) {
-    if let Some(leader) = cell.leader(&queue.pool) {
-        leader.cancel_job(cell, job);
-        return;
-    }
-    let Some(row) = cell.lead_row(&queue.pool) else {
-        return;
-    };
-    let Some(peer) = cell.peer(&row.holder) else {
-        return;
-    };
-    let name = JobName {
-        pool: queue.pool.clone(),
-        job: job.clone(),
-    };
-    let cell = Arc::clone(cell);
-    tokio::spawn(async move {
-        let notified = tokio::time::timeout(LEADER_ANSWER_TIMEOUT, peer.cancelled(name)).await;
-        if !matches!(notified, Ok(Ok(_))) {
-            cell.record_peer_failure(&row.holder);
-        }
+fn pending(cell: &Arc<Cell>, queue: &Queue, division: &Division) -> Response {
+    let pools = division.pool_names(&queue.pool);
+    let counts = pools.filter_map(|pool| {
+        let summary = cell.summary(&pool)?;
+        summary.pending.get(&queue.policy.queue).copied()
     });
-}
-
-fn pending(cell: &Arc<Cell>, queue: &Queue) -> Response {
-    let summary = cell.summary(&queue.pool);
-    let count = summary.and_then(|summary| summary.pending.get(&queue.policy.queue).copied());
-    json_response(ingress::encode_pending(count.unwrap_or_default()))
+    json_response(ingress::encode_pending(counts.sum()))
 }
 
 fn json_response(body: Vec<u8>) -> Response {
--- a/crates/mangotrestle/src/host/leader.rs
+++ b/crates/mangotrestle/src/host/leader.rs
@@ -14,7 +14,7 @@
 use mangotrestle_core::workflow::pool::{Commit, Pool, PoolSettings, RowChange};
 use mangotrestle_core::workflow::record::{AssignmentRow, JobState};
 use mangotrestle_core::workflow::spec::JobRecord;
-use mangotrestle_peer::cell::Acceptance;
+use mangotrestle_peer::cell::{Acceptance, JobStateAnswer};
 use mangotrestle_users_platform::registry;
 use mangotrestle_users_platform::store::{
     FeedError, Row, RowName, Rows, Transaction, TransactionAnswer, Value, WORKERS_TABLE,
@@ -151,9 +151,20 @@
         self.wake.notify_one();
     }
 
-    /// Returns the state of a job as callers see it; `None` if the leader does not have the job.
-    pub(super) fn state(&self, job: &id::JobId) -> Option<JobState> {
-        lock(&self.state).state(job)
+    /// Returns the state of a job as callers see it, or the pool that knows it.
+    pub(super) fn state(&self, job: &id::JobId) -> JobStateAnswer {
+        let state = lock(&self.state);
+        match (state.handed_over_to(job), state.state(job)) {
+            (Some(pool), _) => JobStateAnswer::HandedOver(pool.to_owned()),
+            (None, Some(state)) => JobStateAnswer::State(state),
+            (None, None) => JobStateAnswer::NotKnown,
+        }
+    }
+
+    /// Returns the states of jobs, in their order; `None` for each that the leader does not have.
+    pub(super) fn states(&self, jobs: &[id::JobId]) -> Vec<Option<JobState>> {
+        let state = lock(&self.state);
+        jobs.iter().map(|job| state.state(job)).collect()
     }
 
     /// Returns the summary that was last published to all hosts.
@@ -387,7 +398,7 @@
         cell.read_part(WORKERS_TABLE, "", PART_READ_TIMEOUT),
     )?;
     let now = cell.clock.now();
-    let mut state = Pool::new(now, pool_settings(cell), cell.clock.epoch_offset_ms());
+    let mut state = Pool::new(now, pool_settings(cell, pool), cell.clock.epoch_offset_ms());
     state.worker_list_confirmed(began_at);
     apply_worker_rows(cell, pool, &mut state, now, &workers.rows);
     restore_jobs(cell, &mut state, now, &inbox, &assignments);
@@ -427,9 +438,10 @@
     cell.host_count() + 1
 }
 
-fn pool_settings(cell: &Cell) -> PoolSettings {
+fn pool_settings(cell: &Cell, pool: &str) -> PoolSettings {
     let bounds = &cell.settings.bounds;
     PoolSettings {
+        name: pool.to_owned(),
         max_lease: bounds.max_lease,
         max_hold_wait: MAX_HOLD_WAIT,
         min_poll_interval: MIN_POLL_INTERVAL,
@@ -495,7 +507,9 @@
                 "row_version" => row.version);
         }
         match entry {
-            Some(entry) if entry.pool == pool => state.worker_listed(now, entry),
+            Some(entry) if cell.pool_of(&entry).as_deref() == Some(pool) => {
+                state.worker_listed(now, entry);
+            }
             _ => {
                 if let Ok(worker) = id::WorkerId::new(&row.name.key) {
                     state.worker_gone(now, &worker);
--- a/crates/mangotrestle/src/host/load.rs
+++ b/crates/mangotrestle/src/host/load.rs
@@ -35,6 +35,8 @@
     Advice,
     /// Jobs that peers submit to this host as their leader.
     Submission,
+    /// Jobs that are handed over to other pools, and queries for them.
+    HandOver,
     /// Requests of callers.
     Caller,
     /// Feeds of the configuration, of workers, of jobs and of the cell.
@@ -43,7 +45,7 @@
 
 impl Work {
     /// All kinds of work.
-    pub(super) const ALL: [Self; 9] = [
+    pub(super) const ALL: [Self; 10] = [
         Self::Round,
         Self::Commit,
         Self::Order,
@@ -51,6 +53,7 @@
         Self::Ticket,
         Self::Advice,
         Self::Submission,
+        Self::HandOver,
         Self::Caller,
         Self::Feed,
     ];
@@ -65,6 +68,7 @@
             Self::Ticket => "ticket",
             Self::Advice => "advice",
             Self::Submission => "submission",
+            Self::HandOver => "hand_over",
             Self::Caller => "caller",
             Self::Feed => "feed",
         }
--- a/crates/mangotrestle/src/host/mod.rs
+++ b/crates/mangotrestle/src/host/mod.rs
@@ -12,7 +12,9 @@
 //!   that are sent again over another path when they are overdue; `store_connections`: the open
 //!   connections;
 //! - `cell`: the state of the process, with what it knows of the cell's hosts and pools;
-//! - `front`: the server for callers; `acceptor` makes their jobs durable;
+//! - `front`: the server for callers; `jobs` has their jobs accepted, finds and cancels them in
+//!   whatever pool they are; `acceptor` makes jobs durable without a leader;
+//! - `dividing`: divides services into pools;
 //! - `feeds`: follows the configuration and the rows of hosts and leaderships;
 //! - `leader`: leads a pool; `pacing` spaces out its rounds; `orders` sends the pool's orders;
 //! - `liveness`: finds out whether a worker that does not answer has ended;
@@ -32,9 +34,11 @@
 mod access;
 mod cell;
 mod clock;
+mod dividing;
 mod events;
 mod feeds;
 mod front;
+mod jobs;
 mod leader;
 mod liveness;
 mod load;
--- a/crates/mangotrestle/src/host/names.rs
+++ b/crates/mangotrestle/src/host/names.rs
@@ -3,6 +3,7 @@
 //! | table | part | key | row |
 //! |---|---|---|---|
 //! | `cell` | empty | `host/NAME` | a host, with the address for its peers |
+//! | `cell` | empty | `division/SERVICE` | the division of a service into pools |
 //! | `cell` | pool | `lead` | the pool's leadership |
 //! | `cell` | pool | `view` | the summary that the leader publishes to all hosts |
 //! | `inbox` | pool | job | an accepted job |
@@ -27,6 +28,8 @@
 pub(super) const SUMMARY_KEY: &str = "view";
 /// Prefix of the keys of hosts.
 pub(super) const HOST_PREFIX: &str = "host/";
+/// Prefix of the keys of divisions of services.
+pub(super) const DIVISION_PREFIX: &str = "division/";
 /// Suffix of the key of a cancel request.
 const CANCEL_SUFFIX: char = '!';
 
@@ -50,6 +53,11 @@
     RowName::new(ENDED_TABLE, pool, job.as_str())
 }
 
+/// Name of the row with the division of a service.
+pub(super) fn division_row(service: &str) -> RowName {
+    RowName::new(CELL_TABLE, "", &format!("{DIVISION_PREFIX}{service}"))
+}
+
 /// Name of a pool's leadership row.
 pub(super) fn lead_row(pool: &str) -> RowName {
     RowName::new(CELL_TABLE, pool, LEAD_KEY)
--- a/crates/mangotrestle/src/host/orders.rs
+++ b/crates/mangotrestle/src/host/orders.rs
@@ -12,17 +12,20 @@
 use mangotrestle_core::workflow::leadership;
 use mangotrestle_core::workflow::message::OrderAnswer;
 use mangotrestle_core::workflow::pool::{Order, PollFailure};
-use mangotrestle_peer::cell::AdviceRequest;
+use mangotrestle_peer::cell::{Acceptance, AdviceRequest};
 use mangotrestle_users_platform::worker::{HoldRequest, StartOrder};
 
 use super::cell::{Cell, lock};
 use super::events;
+use super::jobs;
 use super::leader::Leader;
 use super::load::Work;
 use super::peers;
 
 /// Timeout for an order; answers come within milliseconds, from slow machines later.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(500);
+/// Timeout for handing a job over to another pool.
+const HAND_OVER_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time added to the wait that a poll requests, to get the poll's timeout.
 const HOLD_TIMEOUT_MARGIN: Duration = Duration::from_millis(700);
 /// Time added to the duration of an advice request that the queue's policy states, to get the
@@ -64,6 +67,10 @@
             load.measure(Work::Order, send_order(cell, leader, order))
                 .await;
         }
+        Order::HandOver { .. } | Order::CancelElsewhere { .. } | Order::QueryElsewhere { .. } => {
+            load.measure(Work::HandOver, call_other_pool(cell, leader, order))
+                .await;
+        }
     }
     leader.wake.notify_one();
 }
@@ -175,7 +182,35 @@
             let done = answer == OrderAnswer::Done;
             lock(&leader.state).pace_answered(&member, run, percent, done);
         }
-        Order::RequestTickets { .. } | Order::Hold { .. } => {}
+        _ => {}
+    }
+}
+
+/// Carries out an order to the leader of another pool.
+async fn call_other_pool(cell: &Arc<Cell>, leader: &Arc<Leader>, order: Order) {
+    match order {
+        Order::HandOver { pool, job, record } => {
+            let acceptance = jobs::accept(cell, &pool, &job, &record, HAND_OVER_TIMEOUT).await;
+            slog::info!(cell.log, "job.handed_over"; "job" => job.as_str(),
+                "home" => &leader.pool, "pool" => &pool, "outcome" => ?acceptance);
+            let accepted = matches!(acceptance, Acceptance::Accepted { .. } | Acceptance::Known);
+            let now = cell.clock.now();
+            lock(&leader.state).handed_over(now, &job, &pool, accepted);
+        }
+        Order::CancelElsewhere { pool, job } => {
+            let result = jobs::cancel(cell, &pool, &job).await;
+            slog::info!(cell.log, "job.cancelled_elsewhere"; "job" => job.as_str(),
+                "home" => &leader.pool, "pool" => &pool, "result" => ?result);
+            let cancelled = matches!(result, Ok(Some(_)));
+            let now = cell.clock.now();
+            lock(&leader.state).cancelled_elsewhere(now, &job, &pool, cancelled);
+        }
+        Order::QueryElsewhere { pool, jobs } => {
+            let states = jobs::states_in(cell, &pool, jobs).await;
+            let now = cell.clock.now();
+            lock(&leader.state).states_elsewhere(now, &pool, &states);
+        }
+        _ => {}
     }
 }
 
--- a/crates/mangotrestle/src/host/peers.rs
+++ b/crates/mangotrestle/src/host/peers.rs
@@ -4,9 +4,10 @@
 use std::time::Duration;
 
 use jsonrpsee::server::ServerHandle;
+use mangotrestle_core::workflow::record::JobState;
 use mangotrestle_peer::cell::{
-    self, Acceptance, Advice, AdviceRequest, CellBackend, JobName, JobStateAnswer, Submission,
-    Submitted,
+    self, Acceptance, Advice, AdviceRequest, CellBackend, JobName, JobNames, JobStateAnswer,
+    Submission, Submitted,
 };
 use mangotrestle_users_platform::advice;
 
@@ -69,12 +70,15 @@
     async fn state(&self, name: JobName) -> JobStateAnswer {
         match self.cell.leader(&name.pool) {
             None => JobStateAnswer::NotLeading,
-            Some(leader) => leader
-                .state(&name.job)
-                .map_or(JobStateAnswer::NotKnown, JobStateAnswer::State),
+            Some(leader) => leader.state(&name.job),
         }
     }
 
+    async fn states(&self, names: JobNames) -> Option<Vec<Option<JobState>>> {
+        let leader = self.cell.leader(&names.pool)?;
+        Some(leader.states(&names.jobs))
+    }
+
     async fn ask(&self, request: AdviceRequest) -> Option<Advice> {
         let advice = request_advice(&self.cell, &request);
         self.cell.load.measure(Work::Advice, advice).await
