Run a job in the pools of its stored record; measure a leader's lag and let admission know it

Cause: two hosts take the same job and choose different pools; the one's record is stored, the other's is in the leader's memory, and the leader took the acceptance of the former for that of the latter. The next leader then read the stored record and ran the job in its pools. Now the stored record replaces the one in memory. Test: a_resent_job_runs_in_the_pools_of_the_record_that_was_stored_first (5 tasks in two pools before).

Admission knew waiting work and workers only. The leader now measures how long it takes to make a job durable or to handle a start, and by how much tickets exceed what the policy states; both are in the summary, with the lag of the host. They count for each step, and a late leader refuses the least urgent bands first. Test: reservations_are_in_time_again_soon_after_leaders_were_late.

--- a/crates/mangotrestle-core/src/workflow/admission.rs
+++ b/crates/mangotrestle-core/src/workflow/admission.rs
@@ -5,6 +5,9 @@
 //! so long that the result would be useless to the caller. The refusal says after what time enough
 //! of that work is expected to be done for a result to be useful, plus a random delay so that
 //! callers refused together do not retry together.
+//!
+//! The same holds for a leader that is late: its lag is part of the expected time, and while the lag
+//! is long only urgent work is accepted, so that the urgent work is not late for the rest.
 
 use crate::resources::Resources;
 use crate::time::SpanMs;
@@ -18,6 +21,14 @@
 /// Maximum time after which a refused caller is asked to retry, before the random spread.
 const MAX_RETRY_AFTER: SpanMs = SpanMs(30_000);
 
+/// Lag of a leader from which jobs of the second most urgent band are refused; those of each further
+/// band at a fraction of it.
+const MAX_LAG: SpanMs = SpanMs(1_000);
+/// Time after which a late leader is expected to have caught up with what it was sent.
+const LAG_RECOVERY: SpanMs = SpanMs(2_000);
+/// Number of times that a step waits for its leader: to be bound, to be started, and for its end.
+const WAITS_PER_STEP: u64 = 3;
+
 /// Decision on a job.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Admission {
@@ -52,7 +63,12 @@
     if record.schedule.is_some() || record.steps.iter().any(|step| step.persistent) {
         return Admission::Accept;
     }
-    let expected_ms = wait_ms(record, summary) + record.critical_path_ms();
+    if summary.lag_ms >= max_lag_ms(record.policy.priority) {
+        let retry_after = retry_delay(LAG_RECOVERY.0, spread);
+        return Admission::Busy { retry_after };
+    }
+    let delays_ms = u64::from(record.path_steps()) * step_delay_ms(record, summary);
+    let expected_ms = wait_ms(record, summary) + record.critical_path_ms() + delays_ms;
     if expected_ms <= USEFUL_OBJECTIVE_FACTOR * record.objective_ms() {
         return Admission::Accept;
     }
@@ -62,6 +78,25 @@
     }
 }
 
+/// Returns the lag of a leader from which jobs of a priority are refused. Work of the most urgent band
+/// is refused only if its result would be useless.
+const fn max_lag_ms(priority: u32) -> u64 {
+    match priority {
+        0 => u64::MAX,
+        priority => MAX_LAG.0 / priority as u64,
+    }
+}
+
+/// Returns the time that the leader and the tickets add to each step.
+fn step_delay_ms(record: &spec::JobRecord, summary: &leadership::PoolSummary) -> u64 {
+    let ticket_ms = if record.policy.advice.is_some() {
+        summary.ticket_lag_ms
+    } else {
+        0
+    };
+    WAITS_PER_STEP * summary.lag_ms + ticket_ms
+}
+
 /// Returns the expected time until work of a job that arrives now starts, in milliseconds.
 #[must_use]
 pub fn wait_ms(record: &spec::JobRecord, summary: &leadership::PoolSummary) -> u64 {
--- a/crates/mangotrestle-core/src/workflow/leadership.rs
+++ b/crates/mangotrestle-core/src/workflow/leadership.rs
@@ -61,6 +61,11 @@
     pub pending: BTreeMap<String, u32>,
     /// Expected time in milliseconds until work that arrives now starts, by priority.
     pub wait_ms: BTreeMap<u32, u64>,
+    /// Time in milliseconds until the leader has made a submitted job durable; its other work takes as
+    /// long.
+    pub lag_ms: u64,
+    /// Time in milliseconds by which the answers to ticket requests exceed what the policies state.
+    pub ticket_lag_ms: u64,
     /// Each set of labels that the pool's workers have, with the maximum capacity of the workers
     /// that have it.
     pub shapes: Vec<(crate::resources::Resources, Vec<String>)>,
--- a/crates/mangotrestle-core/src/workflow/message.rs
+++ b/crates/mangotrestle-core/src/workflow/message.rs
@@ -188,3 +188,11 @@
     /// There was no answer; the order may still be carried out.
     Unknown,
 }
+
+impl OrderAnswer {
+    /// Whether a worker gave the answer.
+    #[must_use]
+    pub const fn is_of_worker(&self) -> bool {
+        !matches!(self, Self::NotSent | Self::Unknown)
+    }
+}
--- a/crates/mangotrestle-core/src/workflow/mod.rs
+++ b/crates/mangotrestle-core/src/workflow/mod.rs
@@ -18,6 +18,7 @@
 //! - [`crash_evidence`] tells tasks that crash their workers from those beside them;
 //! - [`tickets`] remembers which workers a queue's policy allows for a step;
 //! - [`feed_timing`] derives from users' bounds when feeds are read and how old they may be;
+//! - [`lag`] measures how late a leader is;
 //! - [`leadership`] is the leadership of a pool and its chain of conditional commits;
 //! - [`pool`] makes the decisions: it takes events and returns orders and rows, without I/O and
 //!   without a clock.
@@ -30,6 +31,7 @@
 pub mod estimate;
 pub mod feed_timing;
 pub mod job;
+pub mod lag;
 pub mod leadership;
 pub mod message;
 pub mod pool;
--- a/crates/mangotrestle-core/src/workflow/pool/intake.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/intake.rs
@@ -21,9 +21,14 @@
     /// Adds an accepted job. If it was submitted to this leader, its acceptance is now durable; a
     /// job that is already known is otherwise unchanged.
     pub fn accept(&mut self, now: TimeMs, id: &id::JobId, record: Arc<JobRecord>) {
-        if let Some(job) = self.jobs.get_mut(id) {
-            // The job was submitted to this leader, and a host has made it durable.
-            job.accepted = true;
+        if let Some(job) = self.jobs.get_mut(id).filter(|job| !job.accepted) {
+            if job.record.pools == record.pools {
+                // The job was submitted to this leader, and a host has made it durable.
+                job.accepted = true;
+            } else {
+                // The stored record decides which pools run the job.
+                self.drop_submission(now, id);
+            }
         }
         if self.knows(id) {
             return;
--- a/crates/mangotrestle-core/src/workflow/pool/mod.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/mod.rs
@@ -32,6 +32,7 @@
 use super::crash_evidence::Suspicion;
 use super::estimate::Estimates;
 use super::job::{Job, Member, MemberKey, Phase, Step, StepKey, Unit, UnitKey};
+use super::lag::Lag;
 use super::message;
 use super::record;
 use super::spec;
@@ -418,6 +419,12 @@
     list_as_of: TimeMs,
     /// Unix time minus the reading of this host's steady clock, for due times.
     epoch_offset_ms: u64,
+    /// Time until a submitted job was durable.
+    acceptance_lag: Lag,
+    /// Time until the answer to a start was handled.
+    order_lag: Lag,
+    /// Time by which the answers to ticket requests exceeded what the policies state.
+    ticket_lag: Lag,
     /// Time until which leases that earlier leaders extended may last.
     previous_lease_until: TimeMs,
     /// Number of the last life that began, of any worker.
@@ -467,6 +474,9 @@
             list_unsettled_until: TimeMs(0),
             list_as_of: TimeMs(0),
             epoch_offset_ms,
+            acceptance_lag: Lag::default(),
+            order_lag: Lag::default(),
+            ticket_lag: Lag::default(),
             previous_lease_until,
             last_life: 0,
         }
--- a/crates/mangotrestle-core/src/workflow/pool/orders.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/orders.rs
@@ -113,6 +113,9 @@
         clock: Option<WorkerTimeMs>,
     ) {
         let sent_at = self.ordered_at(key, run, Phase::Ordered);
+        if let Some(sent_at) = sent_at.filter(|_| answer.is_of_worker()) {
+            self.order_lag.record(now, now.since(sent_at));
+        }
         self.record_order_answer(now, worker, sent_at, answer, clock);
         let has_ended = self.workers.get(worker).is_none_or(|worker| worker.ended);
         let Some(job) = self.jobs.get_mut(&key.unit.step.job) else {
--- a/crates/mangotrestle-core/src/workflow/pool/queries.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/queries.rs
@@ -4,6 +4,7 @@
 
 use crate::id;
 use crate::resources::Resources;
+use crate::time::{SpanMs, TimeMs};
 
 use super::super::leadership::PoolSummary;
 use super::super::record::JobState;
@@ -59,14 +60,26 @@
 
     /// Returns the summary that is published to all hosts.
     #[must_use]
-    pub fn summary(&self) -> PoolSummary {
+    pub fn summary(&self, now: TimeMs) -> PoolSummary {
         PoolSummary {
             pending: self.pending(),
             wait_ms: self.wait_ms(),
+            lag_ms: self.lag(now).0,
+            ticket_lag_ms: self.ticket_lag.at(now).0,
             shapes: self.shapes(),
         }
     }
 
+    /// Returns the time that this leader takes for one thing: to make a submitted job durable, or to
+    /// send a start and handle its answer. Submissions that still wait count as well.
+    fn lag(&self, now: TimeMs) -> SpanMs {
+        let submitted = self.jobs.values().filter(|job| !job.accepted);
+        let waits = submitted.map(|job| now.since(job.known_at));
+        let longest = waits.max().unwrap_or_default();
+        let measured = self.acceptance_lag.at(now).max(self.order_lag.at(now));
+        longest.max(measured)
+    }
+
     fn pending(&self) -> BTreeMap<String, u32> {
         let mut pending = BTreeMap::new();
         let not_begun = self.jobs.values().filter(|job| {
--- a/crates/mangotrestle-core/src/workflow/pool/rows.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/rows.rs
@@ -256,6 +256,9 @@
             if !job.accepted && job.end.is_some() {
                 self.dirty.insert(id.clone());
             }
+            if !job.accepted {
+                self.acceptance_lag.record(now, now.since(job.known_at));
+            }
             job.accepted = true;
             let written = job
                 .assigned_members()
--- a/crates/mangotrestle-core/src/workflow/pool/ticket_requests.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/ticket_requests.rs
@@ -284,22 +284,25 @@
         let Some(job) = self.jobs.get_mut(&key.job) else {
             return;
         };
-        let valid_ms = job.record.policy.advice.map_or(0, |advice| advice.valid_ms);
+        let policy = job.record.policy.advice.unwrap_or_default();
         let Some(step) = job.step_mut(key) else {
             return;
         };
         let requested_at = step.tickets.record_request_end();
+        let after = now.since(requested_at.unwrap_or(now));
+        let excess = SpanMs(after.0.saturating_sub(policy.answer_delay(workers.len()).0));
+        self.ticket_lag.record(now, excess);
         self.notes.push(Note::Advised {
             step: key.clone(),
             asked: workers.len(),
             allowed: answer.as_ref().map(|(allowed, _)| allowed.len()),
-            after: now.since(requested_at.unwrap_or(now)),
+            after,
         });
         if let Some((allowed, validity)) = answer {
             let validity = if validity.0 > 0 {
                 validity
             } else {
-                SpanMs(valid_ms)
+                SpanMs(policy.valid_ms)
             };
             step.tickets.learn(now, workers, allowed, validity);
             if step.units.iter().any(Unit::has_planned_member) {
--- a/crates/mangotrestle-core/src/workflow/spec.rs
+++ b/crates/mangotrestle-core/src/workflow/spec.rs
@@ -243,6 +243,14 @@
         path_ms
     }
 
+    /// Returns the number of steps on the longest chain of steps.
+    #[must_use]
+    pub fn path_steps(&self) -> u32 {
+        let counts = self.remaining_path_ms(|_| 1);
+        let longest = counts.into_iter().max().unwrap_or_default();
+        u32::try_from(longest).unwrap_or(u32::MAX)
+    }
+
     /// Returns the length of the critical path by the caller's estimates, in milliseconds.
     #[must_use]
     pub fn critical_path_ms(&self) -> u64 {
--- a/crates/mangotrestle-core/tests/workflow/admission.rs
+++ b/crates/mangotrestle-core/tests/workflow/admission.rs
@@ -4,6 +4,7 @@
 use mangotrestle_core::time::SpanMs;
 use mangotrestle_core::workflow::admission::{self, Admission};
 use mangotrestle_core::workflow::leadership::PoolSummary;
+use mangotrestle_core::workflow::spec::AdvicePolicy;
 
 use super::world::{record, step};
 
@@ -77,3 +78,72 @@
 
     assert_eq!(admission::decide(&job, None, 0), Admission::Accept);
 }
+
+fn late(lag_ms: u64) -> PoolSummary {
+    PoolSummary {
+        lag_ms,
+        ..summary(0)
+    }
+}
+
+#[test]
+fn urgent_work_goes_on_while_a_late_leader_refuses_the_rest() {
+    let decide = |priority, lag_ms| {
+        let job = record(priority, vec![step(2, 1_000, 1_000, &[])]);
+        admission::decide(&job, Some(&late(lag_ms)), 0)
+    };
+
+    let of_a_leader_in_time = [0, 1, 2].map(|priority| decide(priority, 100));
+    let of_a_late_leader = [0, 1, 2].map(|priority| decide(priority, 600));
+
+    assert_eq!(of_a_leader_in_time, [Admission::Accept; 3]);
+    let refused = Admission::Busy {
+        retry_after: SpanMs(2_000),
+    };
+    assert_eq!(
+        of_a_late_leader,
+        [Admission::Accept, Admission::Accept, refused]
+    );
+}
+
+#[test]
+fn urgent_work_is_refused_at_once_if_the_leader_is_so_late_that_its_result_is_useless() {
+    let job = record(0, vec![step(2, 1_000, 1_000, &[])]);
+
+    // Three waits for the leader and 1 s of work take longer than three objectives of 2.5 s.
+    let decision = admission::decide(&job, Some(&late(2_500)), 0);
+
+    assert!(matches!(decision, Admission::Busy { .. }), "{decision:?}");
+}
+
+#[test]
+fn the_tasks_of_a_service_are_accepted_by_a_late_leader() {
+    let mut lasting = step(2, 1_000, 1_000, &[]);
+    lasting.persistent = true;
+    let job = record(1, vec![lasting]);
+
+    assert_eq!(
+        admission::decide(&job, Some(&late(5_000)), 0),
+        Admission::Accept
+    );
+}
+
+#[test]
+fn tickets_that_take_long_count_for_each_step_that_needs_them() {
+    let slow = PoolSummary {
+        ticket_lag_ms: 4_000,
+        ..summary(0)
+    };
+    let mut job = record(0, vec![step(1, 1_000, 400, &[]), step(1, 1_000, 400, &[0])])
+        .as_ref()
+        .clone();
+    let without_tickets = admission::decide(&job, Some(&slow), 0);
+    job.policy.advice = Some(AdvicePolicy::default());
+    let with_tickets = admission::decide(&job, Some(&slow), 0);
+
+    assert_eq!(without_tickets, Admission::Accept);
+    assert!(
+        matches!(with_tickets, Admission::Busy { .. }),
+        "{with_tickets:?}"
+    );
+}
--- a/crates/mangotrestle-core/tests/workflow/handover.rs
+++ b/crates/mangotrestle-core/tests/workflow/handover.rs
@@ -9,7 +9,7 @@
 use quickcheck::quickcheck;
 
 use super::world::divided::DividedService;
-use super::world::{World, job, record, step};
+use super::world::{Violations, World, job, record, step};
 
 const HOME: &str = "service/0";
 const OTHER: &str = "service/1";
@@ -249,7 +249,12 @@
             "in {pool}, seed {seed}"
         );
     }
-    service.assert_no_violations();
+    let (violations, in_several) = service.violations();
+    let is_kept = in_several == 0 && violations.iter().all(|kept| *kept == Violations::default());
+    assert!(
+        is_kept,
+        "seed {seed}: {violations:?}, {in_several} tasks started in several pools"
+    );
     true
 }
 
@@ -258,3 +263,24 @@
         each_job_runs_once(u64::from(seed))
     }
 }
+
+#[test]
+fn a_resent_job_runs_in_the_pools_of_the_record_that_was_stored_first() {
+    for after_ms in [0, 5, 10, 20] {
+        let mut service = service(6);
+        service.submit_to_leader(HOME, &job(1), &two_steps(), None);
+        service.run_for(after_ms);
+        // Another host takes the resent job and chooses another pool.
+        service.submit_if_new(HOME, &job(1), &two_steps(), job_in(&[OTHER]));
+        service.run_for(500);
+        service.change_leader(HOME);
+
+        service.run_for(5_000);
+
+        service.assert_no_violations();
+        assert_eq!(
+            service.pools[HOME].end_of(&job(1)),
+            Some(JobState::Completed)
+        );
+    }
+}
--- a/crates/mangotrestle-core/tests/workflow/world.rs
+++ b/crates/mangotrestle-core/tests/workflow/world.rs
@@ -164,6 +164,8 @@
     /// Workers that the platform does not list although they may be alive.
     pub unlisted: BTreeSet<WorkerId>,
     inbox: BTreeMap<JobId, Arc<JobRecord>>,
+    /// Jobs that were submitted to leaders.
+    submitted: BTreeMap<JobId, Arc<JobRecord>>,
     cancels: BTreeSet<JobId>,
     assignments: BTreeMap<JobId, AssignmentRow>,
     /// Durable ends.
@@ -339,6 +341,7 @@
             workers: BTreeMap::new(),
             unlisted: BTreeSet::new(),
             inbox: BTreeMap::new(),
+            submitted: BTreeMap::new(),
             cancels: BTreeSet::new(),
             assignments: BTreeMap::new(),
             ended: BTreeMap::new(),
@@ -419,6 +422,12 @@
         self.pool.accept(TimeMs(self.now), id, Arc::clone(record));
     }
 
+    /// Submits a job to the leader, whose commit makes it durable.
+    pub fn submit_to_leader(&mut self, id: &JobId, record: &Arc<JobRecord>) {
+        self.submitted.insert(id.clone(), Arc::clone(record));
+        self.pool.submit(TimeMs(self.now), id, Arc::clone(record));
+    }
+
     /// Cancels a job durably and informs the leader.
     pub fn cancel(&mut self, id: &JobId) {
         if self.inbox.contains_key(id) && !self.ended.contains_key(id) {
@@ -459,9 +468,12 @@
             own.then_some(*key)
         });
         let event = in_flight.and_then(|key| self.pending_events.remove(&key));
-        if let Some(Event::Commit { commit, .. }) = event {
+        if let Some(Event::Commit { commit, .. }) = event
+            && !self.drop_duplicates(&commit)
+        {
             self.apply_commit(commit);
         }
+        self.duplicates.clear();
     }
 
     /// Returns the number of ended runs that are not acknowledged to their workers.
@@ -830,7 +842,8 @@
 
     /// Returns the tickets of the allowed workers; the text of each is the time of its expiry.
     fn tickets(&self, step: &StepKey, workers: &[WorkerId]) -> Vec<(WorkerId, String)> {
-        let record = self.inbox.get(&step.job);
+        let submitted = self.submitted.get(&step.job);
+        let record = self.inbox.get(&step.job).or(submitted);
         let advice = record.and_then(|record| record.policy.advice);
         let valid_until = self.now + advice.map_or(0, |advice| advice.valid_ms);
         let allowed = workers
--- a/crates/mangotrestle-core/tests/workflow/world/divided.rs
+++ b/crates/mangotrestle-core/tests/workflow/world/divided.rs
@@ -117,6 +117,35 @@
         self.summaries.get(pool)
     }
 
+    /// Submits a job to the leader of its home pool.
+    pub fn submit_to_leader(
+        &mut self,
+        home: &str,
+        id: &JobId,
+        record: &JobRecord,
+        pools: Option<JobPools>,
+    ) {
+        let record = JobRecord {
+            pools,
+            ..record.clone()
+        };
+        let world = self.pools.get_mut(home).expect("the home pool");
+        world.submit_to_leader(id, &Arc::new(record));
+    }
+
+    /// Accepts a job durably in its home pool, unless it has been accepted.
+    pub fn submit_if_new(
+        &mut self,
+        home: &str,
+        id: &JobId,
+        record: &JobRecord,
+        pools: Option<JobPools>,
+    ) {
+        if !self.pools[home].has_accepted(id) {
+            self.submit(home, id, record, pools);
+        }
+    }
+
     /// Accepts a job durably in its home pool.
     pub fn submit(&mut self, home: &str, id: &JobId, record: &JobRecord, pools: Option<JobPools>) {
         let record = JobRecord {
@@ -168,7 +197,7 @@
         }
         let summaries = self.pools.iter();
         self.summaries = summaries
-            .map(|(name, world)| (name.clone(), world.pool.summary()))
+            .map(|(name, world)| (name.clone(), world.pool.summary(TimeMs(world.now))))
             .collect();
     }
 
@@ -235,7 +264,7 @@
         match order {
             Order::HandOver { pool, job, record } => {
                 let world = self.pools.get_mut(&pool).expect("the other pool");
-                world.pool.submit(now, &job, record);
+                world.submit_to_leader(&job, &record);
                 self.open_handovers.push(OpenHandover {
                     from,
                     to: pool,
--- a/crates/mangotrestle-core/tests/workflow/world/processor.rs
+++ b/crates/mangotrestle-core/tests/workflow/world/processor.rs
@@ -43,6 +43,11 @@
         }
     }
 
+    /// Changes the part of a core.
+    pub fn set_share(&mut self, share: f64) {
+        self.share = share;
+    }
+
     fn spend(&mut self, now_us: f64, core_us: f64) {
         self.busy_until_us = self.busy_until_us.max(now_us) + core_us / self.share;
     }
--- a/crates/mangotrestle/src/host/events.rs
+++ b/crates/mangotrestle/src/host/events.rs
@@ -9,13 +9,14 @@
 use mangotrestle_core::workflow::catalog::Queue;
 use mangotrestle_core::workflow::environment::HostSettings;
 use mangotrestle_core::workflow::feed_timing::FeedTiming;
+use mangotrestle_core::workflow::leadership::PoolSummary;
 use mangotrestle_core::workflow::pool::{BlockedStep, Note, UnsettledRun};
 use mangotrestle_core::workflow::record::JobState;
 use mangotrestle_peer::cell::Acceptance;
 
 use super::load::{LoadReport, Work};
 
-/// Lag from which a host that leads no pool logs its load.
+/// Lag from which a leader logs it, and a host that leads no pool logs its load.
 const MIN_LOGGED_LAG: Duration = Duration::from_millis(100);
 
 /// Logs that the process starts.
@@ -103,7 +104,18 @@
     let spent: Vec<String> = spent.collect();
     slog::info!(log, "host.load"; "pools_led" => pools_led,
         "busy_per_mille" => per_mille(report.busy), "work_per_mille" => spent.join(","),
-        "lag_ms" => millis(report.lag), "max_lag_ms" => millis(report.max_lag));
+        "lag_ms" => report.lag_ms, "max_lag_ms" => millis(report.max_lag));
+}
+
+/// Records how late a leader is, and logs it if it is late.
+pub(super) fn pool_lag(log: &slog::Logger, pool: &str, summary: &PoolSummary, host_lag_ms: u64) {
+    let lag = Duration::from_millis(summary.lag_ms);
+    metrics::histogram!("mangotrestle_leader_lag_seconds").record(lag.as_secs_f64());
+    if lag >= MIN_LOGGED_LAG {
+        slog::info!(log, "leader.late"; "pool" => pool, "lag_ms" => summary.lag_ms,
+            "ticket_lag_ms" => summary.ticket_lag_ms, "host_lag_ms" => host_lag_ms,
+            "wait_ms" => ?summary.wait_ms);
+    }
 }
 
 /// Logs a job that admission refused.
--- a/crates/mangotrestle/src/host/leader.rs
+++ b/crates/mangotrestle/src/host/leader.rs
@@ -416,7 +416,7 @@
     Leader {
         pool: pool.to_owned(),
         term: claim.row.term,
-        published_summary: ArcSwap::from_pointee(state.summary()),
+        published_summary: ArcSwap::from_pointee(state.summary(cell.clock.now())),
         state: Mutex::new(state),
         wake: Notify::new(),
         version: AtomicU64::new(claim.version.load(Ordering::Relaxed)),
@@ -769,8 +769,16 @@
     let (commit, summary) = {
         let mut state = lock(&leader.state);
         let commit = state.take_commit(now, MAX_COMMIT_ROWS);
-        (commit, with_summary.then(|| state.summary()))
+        (commit, with_summary.then(|| state.summary(now)))
     };
+    let summary = summary.map(|summary| {
+        let host_lag_ms = cell.load.lag_ms();
+        events::pool_lag(&cell.log, &leader.pool, &summary, host_lag_ms);
+        PoolSummary {
+            lag_ms: summary.lag_ms.max(host_lag_ms),
+            ..summary
+        }
+    });
     if let Some(summary) = &summary {
         leader.published_summary.store(Arc::new(summary.clone()));
     }
--- a/crates/mangotrestle/src/host/load.rs
+++ b/crates/mangotrestle/src/host/load.rs
@@ -100,9 +100,10 @@
         self.spent_us[work as usize].fetch_add(micros(spent), Ordering::Relaxed);
     }
 
-    /// Returns the time by which tasks that are due are delayed, averaged over the last measurements.
-    pub(super) fn lag(&self) -> Duration {
-        Duration::from_micros(self.lag_us.load(Ordering::Relaxed))
+    /// Returns the time in milliseconds by which tasks that are due are delayed, averaged over the last
+    /// measurements.
+    pub(super) fn lag_ms(&self) -> u64 {
+        self.lag_us.load(Ordering::Relaxed) / 1_000
     }
 
     fn record_lag(&self, lag: Duration) {
@@ -129,8 +130,8 @@
     pub(super) spent: [Duration; Work::ALL.len()],
     /// Longest lag that was measured.
     pub(super) max_lag: Duration,
-    /// Smoothed lag at the end.
-    pub(super) lag: Duration,
+    /// Smoothed lag at the end, in milliseconds.
+    pub(super) lag_ms: u64,
 }
 
 /// Measures the lag and reports the load until the process ends.
@@ -153,7 +154,7 @@
             busy: busy_now.saturating_sub(busy_before),
             spent: cell.load.take_spent(),
             max_lag,
-            lag: cell.load.lag(),
+            lag_ms: cell.load.lag_ms(),
         };
         busy_before = busy_now;
         events::host_load(&cell.log, cell.all_leaders().len(), &report);
