Ask about all the workers that a gang may need in one round of requests

Callers saw plate-scan bound 2.7 s after acceptance (median), whatever the leader's processor did. Cause: a request names 60 workers and takes 1.2 s; the policy allows three in ten of them, and few of these have room, so a wide gang learned of enough only by several requests, one after the other. Steps whose tasks need workers of their own now send these requests together, through as many hosts. Test: a_gang_whose_policy_allows_few_workers_learns_of_them_in_one_round_of_requests (nothing had started after 2.5 s before).

--- a/crates/mangotrestle-core/src/workflow/pool/ticket_requests.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/ticket_requests.rs
@@ -11,6 +11,7 @@
 
 use super::super::job::{Phase, Step, StepKey, Unit, UnitKey};
 use super::super::rank::Rank;
+use super::super::spec::StepSpec;
 use super::super::worker::Worker;
 use super::queueing::QueueWindow;
 use super::{Note, Order, Pool};
@@ -20,6 +21,11 @@
 const CHECK_INTERVAL: SpanMs = SpanMs(50);
 /// Maximum number of workers in one request.
 const MAX_REQUEST_WORKERS: usize = 60;
+/// Number of workers that are asked about for each that a step needs: the policy allows only some of
+/// them, and only some of these have room.
+const ASKED_PER_NEEDED_WORKER: usize = 8;
+/// Maximum number of requests for one step that are sent together.
+const MAX_REQUESTS_TOGETHER: usize = 5;
 /// Maximum number of workers in a request that only renews tickets; more if a gang needs them.
 const MAX_RENEWAL_WORKERS: usize = 8;
 /// Maximum number of waiting steps without free capacity, most urgent first, whose tickets are kept
@@ -136,12 +142,15 @@
         {
             step.tickets.checked = true;
         }
-        if !workers.is_empty() {
-            self.send_request(now, key, workers);
+        for workers in workers.chunks(MAX_REQUEST_WORKERS) {
+            if self.ticket_requests_in_flight < self.settings.max_ticket_requests {
+                self.send_request(now, key, workers.to_vec());
+            }
         }
     }
 
-    /// Returns the workers to name in a request for a step; empty if no request is due.
+    /// Returns the workers to name in requests for a step, which are sent together; none if no request is
+    /// due.
     fn workers_to_request(
         &self,
         now: TimeMs,
@@ -173,7 +182,7 @@
                 return Vec::new();
             }
             undecided.sort_by_key(|worker| (!need.fits_in(&worker.free()), &worker.entry.worker));
-            undecided.truncate(MAX_REQUEST_WORKERS);
+            undecided.truncate(max_undecided_workers(spec));
             return ids(&undecided);
         }
         let mut allowed: Vec<&Worker> = self
@@ -349,6 +358,21 @@
     }
 }
 
+/// Returns the maximum number of workers about which requests for a step are sent together. A step whose
+/// tasks need workers of their own at the same time would learn of enough of them only after several
+/// requests, one after the other.
+fn max_undecided_workers(spec: &StepSpec) -> usize {
+    let needs_workers_of_its_own = spec.gang || spec.max_per_worker == 1;
+    if !needs_workers_of_its_own {
+        return MAX_REQUEST_WORKERS;
+    }
+    let wanted = spec.count as usize * ASKED_PER_NEEDED_WORKER;
+    wanted.clamp(
+        MAX_REQUEST_WORKERS,
+        MAX_REQUEST_WORKERS * MAX_REQUESTS_TOGETHER,
+    )
+}
+
 fn ids(workers: &[&Worker]) -> Vec<id::WorkerId> {
     workers
         .iter()
--- a/crates/mangotrestle-core/tests/workflow/tickets.rs
+++ b/crates/mangotrestle-core/tests/workflow/tickets.rs
@@ -331,3 +331,33 @@
 
     assert_eq!(world.starts - starts_before, 2);
 }
+
+#[test]
+fn a_gang_whose_policy_allows_few_workers_learns_of_them_in_one_round_of_requests() {
+    let mut world = World::new(31, 240);
+    // The policy allows one worker in ten, and of the first ones that are asked about none.
+    let denied = (0..240).filter(|number| number % 10 != 9 || *number < 120);
+    world.denied_workers = denied
+        .map(|number| worker(&format!("w-{number}")))
+        .collect();
+    let mut gang = advised_gang(10).as_ref().clone();
+    gang.policy.advice = Some(AdvicePolicy {
+        decide_ms: 640.0,
+        each_ms: 9.0,
+        valid_ms: 2_000,
+    });
+    gang.accepted_ms = world.now;
+    gang.steps[0].need.cpu_millicores = 8_000;
+    world.run_for(200);
+    world.submit(&job(1), &Arc::new(gang));
+
+    // One round takes 1.2 s, and another one renews tickets at most.
+    world.run_for(2_500);
+
+    let running: usize = world
+        .workers
+        .keys()
+        .map(|id| world.running_on(id).len())
+        .sum();
+    assert_eq!(running, 10);
+}
