Send a job to a leader that is in time again over a new connection

Callers got 504 after 2.4 s for the first job after the connections between hosts had gone silent: a leader that still commits is waited for, and a silent connection looks the same.

--- a/crates/mangotrestle/src/host/jobs.rs
+++ b/crates/mangotrestle/src/host/jobs.rs
@@ -1,14 +1,16 @@
 //! Has jobs accepted, finds their states and cancels them, in whichever pool they are: through the
 //! pool's leader, or in the store if the leader does not answer.
 
+use std::pin::Pin;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use mangotrestle_core::id;
 use mangotrestle_core::workflow::record::{AssignmentRow, EndRow, JobState};
 use mangotrestle_core::workflow::spec::{JobRecord, Share};
+use mangotrestle_peer::PeerError;
 use mangotrestle_peer::cell::{
-    Acceptance, JobName, JobNames, JobStateAnswer, Submission, Submitted,
+    Acceptance, CellClient, JobName, JobNames, JobStateAnswer, Submission, Submitted,
 };
 use mangotrestle_users_platform::store::{Rows, Transaction, TransactionAnswer, Value};
 
@@ -95,15 +97,28 @@
         record: record.as_ref().clone(),
         configuration: cell.configuration_version(),
     };
-    let mut answer = std::pin::pin!(peer.accept(submission));
+    let mut answer = accept_by_peer(peer, submission.clone());
+    let mut resent = false;
     loop {
         let answered = tokio::time::timeout(LEADER_ANSWER_TIMEOUT, &mut answer).await;
         match answered {
+            // What was sent over the first connection may still arrive.
+            Ok(Ok(Acceptance::NotAccepted(reason))) if resent => {
+                return Some(Acceptance::Unknown(reason));
+            }
             Ok(Ok(acceptance)) => return Some(acceptance),
             Ok(Err(error)) => {
                 cell.record_peer_failure(&row.holder);
                 return Some(Acceptance::Unknown(error.to_string()));
             }
+            // If the leader is in time, it is the connection that passes nothing. A late leader must
+            // not get the job a second time.
+            Err(_) if !resent && cell.leader_is_in_time(pool) => {
+                resent = true;
+                if let Some(peer) = cell.renew_peer(&row.holder) {
+                    answer = accept_by_peer(peer, submission.clone());
+                }
+            }
             // A leader that still commits is waited for, however slow the store is.
             Err(_) if cell.leader_is_committing(pool) => {}
             Err(_) => {
@@ -114,6 +129,14 @@
     }
 }
 
+/// Asks a peer that leads the pool to make a job durable.
+fn accept_by_peer(
+    peer: CellClient,
+    submission: Submission,
+) -> Pin<Box<dyn Future<Output = Result<Acceptance, PeerError>> + Send>> {
+    Box::pin(async move { peer.accept(submission).await })
+}
+
 /// Notifies the pool's leader of an accepted job, so that it need not wait for the inbox feed.
 fn notify_leader_of_job(
     cell: &Arc<Cell>,
