Let a late leader pass its pool on to a host with much more processor time

After all hosts had lost power, hosts with 0.12 of a core led pools while hosts with 0.5 stood by, and nothing handed the pools on. A leader that is late or nearly always busy for three seconds, and knows a host with twice its processor time for the pool, now releases the pool and tells that host. Test: a_late_leader_passes_its_pool_on_only_to_a_host_with_much_more_processor_time.

--- a/crates/mangotrestle-core/src/workflow/leadership.rs
+++ b/crates/mangotrestle-core/src/workflow/leadership.rs
@@ -101,6 +101,13 @@
     pub other_pools_led: u32,
 }
 
+impl Candidate<'_> {
+    /// Returns the processor time that it has for one more pool, in thousandths of a core.
+    const fn share_millicores(&self) -> u32 {
+        self.cpu_millicores / (self.other_pools_led + 1)
+    }
+}
+
 /// Returns hosts in the order in which they should lead a pool: hosts with more processor time left
 /// for it first, since the leader does most of a pool's work. Equal hosts are ordered by rendezvous
 /// hashing of the pool's name, which spreads the pools.
@@ -111,18 +118,35 @@
 ) -> Vec<&'a id::EntryHostId> {
     let shares: FastMap<_, _> = candidates
         .into_iter()
-        .map(|candidate| {
-            (
-                candidate.host,
-                candidate.cpu_millicores / (candidate.other_pools_led + 1),
-            )
-        })
+        .map(|candidate| (candidate.host, candidate.share_millicores()))
         .collect();
     let mut ranked = rendezvous::ranked(pool, shares.keys().copied(), usize::MAX);
     ranked.sort_by_key(|host| Reverse(shares.get(host)));
     ranked
 }
 
+/// Lag from which a leader may pass its pool on to a host with more processor time.
+const MIN_LAG_TO_PASS_ON: SpanMs = SpanMs(200);
+/// Share of its time in thousandths that a leader is busy from which it may pass its pool on.
+const MIN_BUSY_TO_PASS_ON: u64 = 700;
+/// Multiple of its own processor time for the pool that another host must have to get it.
+const MIN_GAIN_TO_PASS_ON: u32 = 2;
+
+/// Whether a leader passes its pool on: it is late or nearly so, and another host has much more
+/// processor time left for the pool. `own` is the leader's host without the pool.
+#[must_use]
+pub fn passes_on<'a>(
+    own: &Candidate<'_>,
+    lag: SpanMs,
+    busy_per_mille: u64,
+    others: impl IntoIterator<Item = Candidate<'a>>,
+) -> bool {
+    let is_late = lag >= MIN_LAG_TO_PASS_ON || busy_per_mille >= MIN_BUSY_TO_PASS_ON;
+    let wanted = own.share_millicores().saturating_mul(MIN_GAIN_TO_PASS_ON);
+    let mut others = others.into_iter();
+    is_late && wanted > 0 && others.any(|other| other.share_millicores() >= wanted)
+}
+
 /// Doubles a time span of the leadership protocol while the store is slow, since commits and polls
 /// take longer then.
 const fn doubled_if_slow(span: SpanMs, store_slow: bool) -> SpanMs {
--- a/crates/mangotrestle-core/tests/workflow/leadership.rs
+++ b/crates/mangotrestle-core/tests/workflow/leadership.rs
@@ -171,3 +171,30 @@
     assert_eq!(ranked.iter().position(|name| *name == first_host), Some(1));
     assert!(names[..2].contains(ranked[0]));
 }
+
+#[test]
+fn a_late_leader_passes_its_pool_on_only_to_a_host_with_much_more_processor_time() {
+    let (own, other) = (host("own"), host("other"));
+    let late = SpanMs(300);
+    let passes_on = |own_millicores, lag, busy_per_mille, other_millicores, other_pools| {
+        let own = candidate(&own, own_millicores, 0);
+        let others = [candidate(&other, other_millicores, other_pools)];
+        leadership::passes_on(&own, lag, busy_per_mille, others)
+    };
+
+    assert!(passes_on(120, late, 300, 500, 0));
+    assert!(passes_on(120, SpanMs(5), 900, 500, 1));
+    assert!(!passes_on(120, SpanMs(5), 300, 500, 0), "it is in time");
+    assert!(
+        !passes_on(500, late, 900, 500, 0),
+        "the other is no stronger"
+    );
+    assert!(
+        !passes_on(120, late, 900, 500, 3),
+        "the other leads three pools"
+    );
+    assert!(
+        !passes_on(0, late, 900, 500, 0),
+        "its processor time is unknown"
+    );
+}
--- a/crates/mangotrestle/src/host/cell.rs
+++ b/crates/mangotrestle/src/host/cell.rs
@@ -35,6 +35,10 @@
 use super::load::Load;
 use super::store_connections::StoreConnections;
 
+/// Lag of a leader up to which it answers calls in time.
+const MAX_LAG_IN_TIME_MS: u64 = 150;
+/// Minimum time between two renewals of the connections to one peer.
+const PEER_RENEWAL_INTERVAL: SpanMs = SpanMs(1_000);
 /// Maximum timeout for a call to a peer; most calls have a shorter timeout of their own.
 const MAX_PEER_CALL_TIMEOUT: Duration = Duration::from_secs(4);
 /// Share of the store's rate limits that all hosts together use; the rest is left for retries that
@@ -71,6 +75,8 @@
     version: u64,
     client: CellClient,
     skipped_until: TimeMs,
+    /// Time from which its connections may be renewed again.
+    renewable_at: TimeMs,
     /// Number of advice requests that it is handling for leaders on this host.
     advice_requests: usize,
 }
@@ -298,12 +304,34 @@
             version,
             client,
             skipped_until: TimeMs(0),
+            renewable_at: TimeMs(0),
             advice_requests: 0,
         };
         peers.insert(host.clone(), peer);
         self.update_store_budgets(peers.len() + 1);
     }
 
+    /// Gives up the open connections to a peer, which may pass nothing any more. Returns a client with
+    /// new ones; `None` if the peer is not known.
+    pub(super) fn renew_peer(&self, host: &id::EntryHostId) -> Option<CellClient> {
+        let now = self.clock.now();
+        let mut peers = lock(&self.peers);
+        let peer = peers.get_mut(host)?;
+        if now < peer.renewable_at {
+            return Some(peer.client.clone());
+        }
+        peer.renewable_at = now + PEER_RENEWAL_INTERVAL;
+        match CellClient::new(peer.row.address, MAX_PEER_CALL_TIMEOUT) {
+            Ok(client) => peer.client = client,
+            Err(error) => {
+                slog::warn!(self.log, "peer.unusable"; "peer" => host.as_str(), "error" => %error);
+                return None;
+            }
+        }
+        slog::info!(self.log, "peer.renewed"; "peer" => host.as_str());
+        Some(peer.client.clone())
+    }
+
     /// Sets this host's rates from the store's limits, which all hosts share.
     fn update_store_budgets(&self, hosts: usize) {
         // A leader makes many more calls than the other hosts, most of which use far less than an
@@ -457,6 +485,23 @@
             .unwrap_or_default()
     }
 
+    /// Whether this host, which leads a pool, should pass it on to one with more processor time.
+    pub(super) fn passes_on(&self, pool: &str) -> bool {
+        let pools_led = self.other_pools_led(pool);
+        let own = Candidate {
+            host: &self.settings.host,
+            cpu_millicores: self.settings.cpu_millicores,
+            other_pools_led: pools_led
+                .get(&self.settings.host)
+                .copied()
+                .unwrap_or_default(),
+        };
+        let peers = lock(&self.peers);
+        let others = candidates(&peers, &pools_led);
+        let lag = SpanMs(self.load.lag_ms());
+        leadership::passes_on(&own, lag, self.load.busy_per_mille(), others)
+    }
+
     /// Returns the other hosts that may lead a pool, best first.
     pub(super) fn successors(&self, pool: &str) -> Vec<CellClient> {
         let pools_led = self.other_pools_led(pool);
@@ -553,6 +598,13 @@
         self.with_pool(pool, |view| view.watch.has_recent_commit(now, slow))
     }
 
+    /// Whether a pool's leader says that it is in time, so that an answer that does not come is held
+    /// up by the connection.
+    pub(super) fn leader_is_in_time(&self, pool: &str) -> bool {
+        let lag_ms = self.summary(pool).map(|summary| summary.lag_ms);
+        !self.store_is_slow() && lag_ms.is_some_and(|lag_ms| lag_ms < MAX_LAG_IN_TIME_MS)
+    }
+
     /// Returns the leadership row of a pool as last seen.
     pub(super) fn lead_row(&self, pool: &str) -> Option<LeadRow> {
         self.with_pool(pool, |view| view.watch.row().cloned())
--- a/crates/mangotrestle/src/host/leader.rs
+++ b/crates/mangotrestle/src/host/leader.rs
@@ -55,6 +55,10 @@
 const MAX_HOLD_WAIT: SpanMs = SpanMs(1_500);
 /// Minimum interval between two polls of a worker, in which ends of runs accumulate.
 const MIN_POLL_INTERVAL: SpanMs = SpanMs(40);
+/// Interval between checks whether another host should lead a pool.
+const PASS_ON_CHECK_INTERVAL: SpanMs = SpanMs(1_000);
+/// Number of consecutive checks after which a late leader passes its pool on.
+const MIN_PASS_ON_CHECKS: u32 = 3;
 /// Time without a round after which the process counts as stalled.
 const STALL_THRESHOLD: SpanMs = SpanMs(1_000);
 
@@ -659,6 +663,7 @@
     let mut summary_written_at = TimeMs(0);
     let mut last_round = cell.clock.now();
     let mut pacing = Pacing::default();
+    let mut passing_on = PassingOn::new(cell.clock.now());
     loop {
         // After the timeout the round runs without a notification.
         let _ = tokio::time::timeout(pacing::MAX_ROUND_INTERVAL, leader.wake.notified()).await;
@@ -715,6 +720,13 @@
             state.set_max_ticket_requests(max_ticket_requests(&cell));
             state.tick(now);
         }
+        if passing_on.is_due(&cell, &leader, now) {
+            slog::warn!(cell.log, "leadership.passed_on"; "pool" => &leader.pool,
+                "term" => leader.term, "lag_ms" => cell.load.lag_ms(),
+                "busy_per_mille" => cell.load.busy_per_mille());
+            leader.releasing.store(true, Ordering::Relaxed);
+            tokio::spawn(notify_successor(Arc::clone(&cell), Arc::clone(&leader)));
+        }
         if commit.is_none() {
             let releasing = leader.releasing.load(Ordering::Relaxed);
             let changed = lock(&leader.state).has_changes();
@@ -745,6 +757,36 @@
         "released" => leader.releasing.load(Ordering::Relaxed));
 }
 
+/// Finds out when a leader should pass its pool on.
+struct PassingOn {
+    checked_at: TimeMs,
+    /// Number of consecutive checks in which another host was better.
+    checks: u32,
+}
+
+impl PassingOn {
+    fn new(now: TimeMs) -> Self {
+        Self {
+            checked_at: now,
+            checks: 0,
+        }
+    }
+
+    fn is_due(&mut self, cell: &Cell, leader: &Leader, now: TimeMs) -> bool {
+        let is_releasing = leader.releasing.load(Ordering::Relaxed);
+        if is_releasing || now.since(self.checked_at) < PASS_ON_CHECK_INTERVAL {
+            return false;
+        }
+        self.checked_at = now;
+        self.checks = if cell.passes_on(&leader.pool) {
+            self.checks + 1
+        } else {
+            0
+        };
+        self.checks >= MIN_PASS_ON_CHECKS
+    }
+}
+
 /// Refuses submitted jobs that no commit has tried to write, while the store is unreachable.
 fn refuse_unwritten_submissions(leader: &Leader, now: TimeMs) {
     let jobs = lock(&leader.state).unwritten_submissions();
@@ -953,20 +995,23 @@
     };
     // A store that does not answer must not delay the stop.
     let _ = tokio::time::timeout(RELEASE_TIMEOUT, all_ended).await;
-    for (pool, leader) in leaders {
-        let successors = cell.successors(&pool);
-        tokio::spawn(async move {
-            while !leader.has_ended() {
-                tokio::time::sleep(STORE_RETRY_DELAY).await;
-            }
-            for successor in successors.into_iter().take(2) {
-                // A successor that does not answer finds the released row in the store.
-                let notified =
-                    tokio::time::timeout(STORE_RETRY_DELAY * 10, successor.released(pool.clone()));
-                if matches!(notified.await, Ok(Ok(()))) {
-                    return;
-                }
-            }
-        });
+    for (_, leader) in leaders {
+        tokio::spawn(notify_successor(Arc::clone(cell), leader));
+    }
+}
+
+/// Notifies the host that should lead a pool next, once this one has released it.
+async fn notify_successor(cell: Arc<Cell>, leader: Arc<Leader>) {
+    let successors = cell.successors(&leader.pool);
+    while !leader.has_ended() {
+        tokio::time::sleep(STORE_RETRY_DELAY).await;
+    }
+    for successor in successors.into_iter().take(2) {
+        // A successor that does not answer finds the released row in the store.
+        let released = successor.released(leader.pool.clone());
+        let notified = tokio::time::timeout(STORE_RETRY_DELAY * 10, released);
+        if matches!(notified.await, Ok(Ok(()))) {
+            return;
+        }
     }
 }
--- a/crates/mangotrestle/src/host/load.rs
+++ b/crates/mangotrestle/src/host/load.rs
@@ -80,6 +80,7 @@
 pub(super) struct Load {
     spent_us: [AtomicU64; Work::ALL.len()],
     lag_us: AtomicU64,
+    busy_per_mille: AtomicU64,
 }
 
 impl Load {
@@ -106,6 +107,11 @@
         self.lag_us.load(Ordering::Relaxed) / 1_000
     }
 
+    /// Returns the share of its time that the thread was not idle, in thousandths, as last reported.
+    pub(super) fn busy_per_mille(&self) -> u64 {
+        self.busy_per_mille.load(Ordering::Relaxed)
+    }
+
     fn record_lag(&self, lag: Duration) {
         let previous = self.lag_us.load(Ordering::Relaxed);
         let smoothed = (previous * (LAG_SMOOTHING - 1) + micros(lag)) / LAG_SMOOTHING;
@@ -157,6 +163,10 @@
             lag_ms: cell.load.lag_ms(),
         };
         busy_before = busy_now;
+        let busy_per_mille = micros(report.busy) * 1_000 / micros(report.span).max(1);
+        cell.load
+            .busy_per_mille
+            .store(busy_per_mille, Ordering::Relaxed);
         events::host_load(&cell.log, cell.all_leaders().len(), &report);
     }
 }
