Let leaders take different hosts for their ticket requests

A twentieth of the tickets for reservations took over a second although the policy states 56 ms: the advice service answers one request of a host after the other, and a leader does not know those of other leaders, which take 1.2 s. Each host now belongs to the pool for which it scores highest; a leader takes its own pool's hosts first, and of others those that their leaders take last.

--- a/crates/mangotrestle-core/src/workflow/mod.rs
+++ b/crates/mangotrestle-core/src/workflow/mod.rs
@@ -16,6 +16,7 @@
 //! - [`estimate`] corrects callers' estimates by the run times observed so far;
 //! - [`rank`] orders waiting work;
 //! - [`crash_evidence`] tells tasks that crash their workers from those beside them;
+//! - [`advice_hosts`] chooses the host that sends a ticket request;
 //! - [`tickets`] remembers which workers a queue's policy allows for a step;
 //! - [`feed_timing`] derives from users' bounds when feeds are read and how old they may be;
 //! - [`lag`] measures how late a leader is;
@@ -24,6 +25,7 @@
 //!   without a clock.
 
 pub mod admission;
+pub mod advice_hosts;
 pub mod catalog;
 pub mod crash_evidence;
 pub mod division;
--- a/crates/mangotrestle-core/tests/workflow/main.rs
+++ b/crates/mangotrestle-core/tests/workflow/main.rs
@@ -1,6 +1,7 @@
 //! Tests of jobs of several steps: the pool against a simulation of workers and rows.
 
 mod admission;
+mod advice_hosts;
 mod crash_evidence;
 mod crashing_tasks;
 mod division;
--- a/crates/mangotrestle/src/host/cell.rs
+++ b/crates/mangotrestle/src/host/cell.rs
@@ -1,6 +1,5 @@
 //! State that all parts of the process share.
 
-use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -10,13 +9,15 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use mangotrestle_core::collections::{FastMap, FastSet};
 use mangotrestle_core::id;
-use mangotrestle_core::membership::rendezvous;
 use mangotrestle_core::time::{SpanMs, TimeMs};
+use mangotrestle_core::workflow::advice_hosts::{self, AdviceHost};
 use mangotrestle_core::workflow::catalog::Catalog;
 use mangotrestle_core::workflow::division::Division;
 use mangotrestle_core::workflow::environment::HostSettings;
 use mangotrestle_core::workflow::feed_timing::FeedTiming;
-use mangotrestle_core::workflow::leadership::{self, Candidate, LeadRow, PoolSummary, Watch};
+use mangotrestle_core::workflow::leadership::{
+    self, Candidate, LeadRow, PoolSummary, Watch, WorkerShape,
+};
 use mangotrestle_core::workflow::message::WorkerEntry;
 use mangotrestle_peer::cell::CellClient;
 use mangotrestle_platform::budget::Budget;
@@ -92,6 +93,8 @@
     pub(super) leader_unresponsive: bool,
     /// Summary that its leader last published.
     pub(super) summary: Option<Arc<PoolSummary>>,
+    /// Shapes of its workers that its leader last published.
+    pub(super) shapes: Vec<WorkerShape>,
 }
 
 /// State that all parts of the process share: its settings and clients, and what it knows of the
@@ -431,26 +434,29 @@
         usable
     }
 
-    /// Returns the peer with the fewest advice requests and counts one more for it; `None` if this
-    /// host should send the request itself.
+    /// Returns the peer that sends the next advice request of a pool's leader and counts one more for
+    /// it; `None` if this host should send the request itself.
     pub(super) fn reserve_advice_peer(
         &self,
         pool: &str,
         own_advice_requests: usize,
     ) -> Option<(id::EntryHostId, CellClient)> {
         let now = self.clock.now();
+        let pools = self.configured_pools();
         let mut peers = lock(&self.peers);
-        let (host, peer) = peers
-            .iter_mut()
-            .filter(|(_, peer)| now >= peer.skipped_until)
-            .min_by_key(|(host, peer)| {
-                (peer.advice_requests, Reverse(rendezvous::score(pool, host)))
-            })?;
-        if peer.advice_requests >= own_advice_requests && own_advice_requests == 0 {
+        let usable = peers.iter().filter(|(_, peer)| now >= peer.skipped_until);
+        let hosts = usable.map(|(host, peer)| AdviceHost {
+            host,
+            requests: peer.advice_requests,
+        });
+        let chosen = advice_hosts::choose(pool, &pools, hosts)?;
+        if chosen.requests >= own_advice_requests && own_advice_requests == 0 {
             return None;
         }
+        let host = chosen.host.clone();
+        let peer = peers.get_mut(&host)?;
         peer.advice_requests += 1;
-        Some((host.clone(), peer.client.clone()))
+        Some((host, peer.client.clone()))
     }
 
     /// Records that a peer has finished an advice request.
