--- a/crates/mangotrestle-core/src/workflow/leadership.rs
+++ b/crates/mangotrestle-core/src/workflow/leadership.rs
@@ -66,11 +66,15 @@
     pub lag_ms: u64,
     /// Time in milliseconds by which the answers to ticket requests exceed what the policies state.
     pub ticket_lag_ms: u64,
-    /// Each set of labels that the pool's workers have, with the maximum capacity of the workers
-    /// that have it.
-    pub shapes: Vec<(crate::resources::Resources, Vec<String>)>,
+    /// The pool's workers as far as admission needs them; in a row of its own, since they hardly
+    /// change.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub shapes: Vec<WorkerShape>,
 }
 
+/// A set of labels that workers of a pool have, with the maximum capacity of the workers that have it.
+pub type WorkerShape = (crate::resources::Resources, Vec<String>);
+
 /// The leadership row.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct LeadRow {
--- a/crates/mangotrestle/src/host/feeds.rs
+++ b/crates/mangotrestle/src/host/feeds.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use mangotrestle_core::id;
-use mangotrestle_core::workflow::leadership::{LeadRow, PoolSummary};
+use mangotrestle_core::workflow::leadership::{LeadRow, PoolSummary, WorkerShape};
 use mangotrestle_users_platform::operator;
 use mangotrestle_users_platform::store::{
     FeedError, OPERATOR_TABLE, Row, RowName, Rows, Transaction, TransactionAnswer, Value,
@@ -210,6 +210,8 @@
             apply_lead_row(cell, row);
         } else if row.name.key == names::SUMMARY_KEY {
             apply_summary_row(cell, row);
+        } else if row.name.key == names::SHAPES_KEY {
+            apply_shapes_row(cell, row);
         }
     }
     let mut pools = cell.known_pools();
@@ -285,7 +287,11 @@
         return;
     };
     match serde_json::from_slice::<PoolSummary>(&value.0) {
-        Ok(summary) => cell.with_pool(&row.name.part, |view| {
+        Ok(mut summary) => cell.with_pool(&row.name.part, |view| {
+            // A host of an earlier release writes the shapes into this row.
+            if summary.shapes.is_empty() {
+                summary.shapes.clone_from(&view.shapes);
+            }
             view.summary = Some(Arc::new(summary));
         }),
         Err(error) => {
@@ -294,6 +300,28 @@
     }
 }
 
+fn apply_shapes_row(cell: &Cell, row: &Row) {
+    let Some(value) = &row.value else {
+        return;
+    };
+    match serde_json::from_slice::<Vec<WorkerShape>>(&value.0) {
+        Ok(shapes) => cell.with_pool(&row.name.part, |view| {
+            if let Some(summary) = &view.summary {
+                let summary = PoolSummary {
+                    shapes: shapes.clone(),
+                    ..PoolSummary::clone(summary)
+                };
+                view.summary = Some(Arc::new(summary));
+            }
+            view.shapes = shapes;
+        }),
+        Err(error) => {
+            slog::warn!(cell.log, "shapes.malformed"; "pool" => &row.name.part,
+                "error" => %error);
+        }
+    }
+}
+
 /// Asks a leader that has not committed for a while whether it still leads.
 fn probe_leader_if_needed(cell: &Arc<Cell>, pool: &str) {
     let slow = cell.store_is_slow();
--- a/crates/mangotrestle/src/host/leader.rs
+++ b/crates/mangotrestle/src/host/leader.rs
@@ -10,7 +10,7 @@
 use mangotrestle_core::id;
 use mangotrestle_core::time::{SpanMs, TimeMs};
 use mangotrestle_core::workflow::feed_timing::FeedTiming;
-use mangotrestle_core::workflow::leadership::{self, LeadRow, PoolSummary};
+use mangotrestle_core::workflow::leadership::{self, LeadRow, PoolSummary, WorkerShape};
 use mangotrestle_core::workflow::pool::{Commit, Pool, PoolSettings, RowChange};
 use mangotrestle_core::workflow::record::{AssignmentRow, JobState};
 use mangotrestle_core::workflow::spec::JobRecord;
@@ -92,6 +92,8 @@
     waiters: Mutex<FastMap<id::JobId, Vec<oneshot::Sender<Acceptance>>>>,
     /// Summary that was last published to all hosts.
     published_summary: ArcSwap<PoolSummary>,
+    /// Shapes of the workers that are durable in their row.
+    stored_shapes: Mutex<Vec<WorkerShape>>,
     /// Number of pending advice requests that this host sent itself, not through a peer.
     pub(super) own_advice_requests: AtomicUsize,
 }
@@ -433,6 +435,7 @@
         ended: AtomicBool::new(false),
         waiters: Mutex::default(),
         own_advice_requests: AtomicUsize::new(0),
+        stored_shapes: Mutex::default(),
     }
 }
 
@@ -859,8 +862,18 @@
     };
     let mut transaction = build_transaction(&leader.pool, commit);
     push_row(&mut transaction, names::lead_row(&leader.pool), &row);
+    let mut changed_shapes = None;
     if let Some(summary) = summary {
-        push_row(&mut transaction, names::summary_row(&leader.pool), summary);
+        let shapes = &summary.shapes;
+        if *lock(&leader.stored_shapes) != *shapes {
+            push_row(&mut transaction, names::shapes_row(&leader.pool), shapes);
+            changed_shapes = Some(shapes);
+        }
+        let summary = PoolSummary {
+            shapes: Vec::new(),
+            ..summary.clone()
+        };
+        push_row(&mut transaction, names::summary_row(&leader.pool), &summary);
     }
     let submitted: Vec<id::JobId> = submitted_jobs(commit);
     let conditions = std::mem::take(&mut transaction.expect);
@@ -881,6 +894,9 @@
             Ok(TransactionAnswer::Done { version }) => {
                 leader.version.store(version, Ordering::Relaxed);
                 leader.sequence.store(sequence, Ordering::Relaxed);
+                if let Some(shapes) = changed_shapes {
+                    lock(&leader.stored_shapes).clone_from(shapes);
+                }
                 let accepted = submitted;
                 return CommitOutcome::Durable { version, accepted };
             }
--- a/crates/mangotrestle/src/host/names.rs
+++ b/crates/mangotrestle/src/host/names.rs
@@ -6,6 +6,7 @@
 //! | `cell` | empty | `division/SERVICE` | the division of a service into pools |
 //! | `cell` | pool | `lead` | the pool's leadership |
 //! | `cell` | pool | `view` | the summary that the leader publishes to all hosts |
+//! | `cell` | pool | `shapes` | the capacities and labels of its workers, as part of the summary |
 //! | `inbox` | pool | job | an accepted job |
 //! | `inbox` | pool | job and `!` | the request to cancel it |
 //! | `assign` | pool | job | the workers to which its tasks are assigned |
@@ -26,6 +27,8 @@
 pub(super) const LEAD_KEY: &str = "lead";
 /// Key of the summary that a pool's leader publishes.
 pub(super) const SUMMARY_KEY: &str = "view";
+/// Key of the row with the capacities and labels of a pool's workers.
+pub(super) const SHAPES_KEY: &str = "shapes";
 /// Prefix of the keys of hosts.
 pub(super) const HOST_PREFIX: &str = "host/";
 /// Prefix of the keys of divisions of services.
@@ -68,6 +71,11 @@
     RowName::new(CELL_TABLE, pool, SUMMARY_KEY)
 }
 
+/// Name of the row with the capacities and labels of a pool's workers.
+pub(super) fn shapes_row(pool: &str) -> RowName {
+    RowName::new(CELL_TABLE, pool, SHAPES_KEY)
+}
+
 /// A decoded key of the inbox.
 pub(super) enum InboxKey {
     /// An accepted job.
