--- a/crates/mangotrestle-core/tests/workflow/handover.rs
+++ b/crates/mangotrestle-core/tests/workflow/handover.rs
@@ -29,11 +29,11 @@
     service
 }
 
-fn job_in(pools: &[&str]) -> Option<JobPools> {
-    Some(JobPools {
+fn pools_of(pools: &[&str]) -> JobPools {
+    JobPools {
         home: HOME.to_owned(),
         pools: pools.iter().map(ToString::to_string).collect(),
-    })
+    }
 }
 
 fn two_steps() -> JobRecord {
@@ -56,7 +56,7 @@
 #[test]
 fn a_job_that_was_handed_over_ends_in_its_home_as_well() {
     let mut service = service(1);
-    service.submit(HOME, &job(1), &two_steps(), job_in(&[OTHER]));
+    service.submit(HOME, &job(1), &two_steps(), Some(pools_of(&[OTHER])));
     service.run_for(100);
     let state_after_hand_over = service.state(HOME, &job(1));
 
@@ -78,7 +78,7 @@
     let mut service = service(2);
     let world = service.pools.get_mut(OTHER).expect("the other pool");
     world.failing_runs_per_mille = 1_000;
-    service.submit(HOME, &job(1), &two_steps(), job_in(&[OTHER]));
+    service.submit(HOME, &job(1), &two_steps(), Some(pools_of(&[OTHER])));
 
     service.run_for(8_000);
 
@@ -88,7 +88,7 @@
 #[test]
 fn the_tasks_of_a_service_are_spread_over_all_pools_and_stop_with_it() {
     let mut service = service(3);
-    service.submit(HOME, &job(1), &lasting(7), job_in(&[HOME, OTHER]));
+    service.submit(HOME, &job(1), &lasting(7), Some(pools_of(&[HOME, OTHER])));
     service.run_for(2_000);
     let running = [HOME, OTHER].map(|pool| running_tasks(&service, pool));
 
@@ -113,7 +113,7 @@
 fn a_job_that_is_cancelled_while_it_is_handed_over_ends_in_both_pools() {
     for after_ms in [0, 5, 10, 15, 20, 25, 30, 40, 60] {
         let mut service = service(4);
-        service.submit(HOME, &job(1), &two_steps(), job_in(&[OTHER]));
+        service.submit(HOME, &job(1), &two_steps(), Some(pools_of(&[OTHER])));
         service.run_for(after_ms);
 
         service
@@ -181,7 +181,7 @@
     let sequences = INCIDENTS.len().pow(SEARCH_DEPTH);
     for sequence in 0..sequences {
         let mut service = service(5);
-        service.submit(HOME, &job(1), &two_steps(), job_in(&[OTHER]));
+        service.submit(HOME, &job(1), &two_steps(), Some(pools_of(&[OTHER])));
         let mut rest = sequence;
         let mut cancelled = false;
         let mut incidents = Vec::new();
@@ -218,9 +218,9 @@
     for number in 0..30 {
         let pools = match service.random_below(4) {
             0 => None,
-            1 => job_in(&[OTHER]),
-            2 => job_in(&[HOME, OTHER]),
-            _ => job_in(&[OTHER, HOME]),
+            1 => Some(pools_of(&[OTHER])),
+            2 => Some(pools_of(&[HOME, OTHER])),
+            _ => Some(pools_of(&[OTHER, HOME])),
         };
         let shared = pools.as_ref().is_some_and(|pools| pools.pools.len() > 1);
         let record = if shared { lasting(4) } else { two_steps() };
@@ -271,7 +271,7 @@
         service.submit_to_leader(HOME, &job(1), &two_steps(), None);
         service.run_for(after_ms);
         // Another host takes the resent job and chooses another pool.
-        service.submit_if_new(HOME, &job(1), &two_steps(), job_in(&[OTHER]));
+        service.submit_if_new(HOME, &job(1), &two_steps(), Some(pools_of(&[OTHER])));
         service.run_for(500);
         service.change_leader(HOME);
 
--- a/crates/mangotrestle-core/tests/workflow/large_service.rs
+++ b/crates/mangotrestle-core/tests/workflow/large_service.rs
@@ -30,7 +30,7 @@
     home: String,
     queue: String,
     due_at: u64,
-    submitted_at: u64,
+    accepted_at: u64,
     /// Whether its end became known before that.
     in_time: Option<bool>,
 }
@@ -86,7 +86,7 @@
             queue: record.policy.queue.clone(),
             // Tasks take up to half as long again as their estimates.
             due_at: now + record.objective_ms_for(record.critical_path_ms() * 3 / 2),
-            submitted_at: now,
+            accepted_at: now,
             in_time: None,
         };
         self.submitted.insert(id, submitted);
@@ -111,7 +111,7 @@
         let jobs: Vec<&Submitted> = self
             .submitted
             .values()
-            .filter(|job| job.queue == queue && job.submitted_at >= since)
+            .filter(|job| job.queue == queue && job.accepted_at >= since)
             .collect();
         let in_time = jobs.iter().filter(|job| job.in_time == Some(true)).count();
         f64::from(u32::try_from(in_time).expect("few jobs"))
--- a/crates/mangotrestle-core/tests/workflow/world.rs
+++ b/crates/mangotrestle-core/tests/workflow/world.rs
@@ -829,12 +829,12 @@
                 last_seen,
                 ..
             } => Some(self.carry_out_hold(worker, deadline, last_seen, token)),
-            Order::Pace { .. } => None,
             Order::RequestTickets { step, workers, .. } => {
                 let tickets = self.tickets(&step, &workers);
                 Some(Answer::Advice(step, workers, Some(tickets)))
             }
-            Order::HandOver { .. }
+            Order::Pace { .. }
+            | Order::HandOver { .. }
             | Order::CancelElsewhere { .. }
             | Order::QueryElsewhere { .. } => None,
         }
