--- a/crates/mangotrestle/tests/host/main.rs
+++ b/crates/mangotrestle/tests/host/main.rs
@@ -1,5 +1,6 @@
 //! Tests of a host process against a stand-in for the store of the users' platform.
 
+mod divided_service;
 mod overload;
 mod platform;
 mod proxy;
--- a/crates/mangotrestle/tests/host/platform.rs
+++ b/crates/mangotrestle/tests/host/platform.rs
@@ -451,6 +451,16 @@
         self.cell_row("view").map_or(0, |(version, _)| version)
     }
 
+    /// Returns the names of the pools that a host has led.
+    pub fn led_pools(&self) -> Vec<String> {
+        let rows = self.store.rows.lock().expect("the rows");
+        let leads = rows
+            .rows
+            .keys()
+            .filter(|(table, _, key)| table == "cell" && key == "lead");
+        leads.map(|(_, part, _)| part.clone()).collect()
+    }
+
     fn cell_row(&self, key: &str) -> Option<(u64, Option<Value>)> {
         let rows = self.store.rows.lock().expect("the rows");
         let key = ("cell".to_owned(), "pool".to_owned(), key.to_owned());
