--- a/crates/mangotrestle/tests/host/divided_service.rs
+++ b/crates/mangotrestle/tests/host/divided_service.rs
@@ -123,7 +123,7 @@
     let state = caller.state(number).await;
     let unknown = caller.cancel(999_999).await;
 
-    assert_eq!(cancelled.status, 200);
+    assert_eq!(cancelled.status, 200, "{cancelled:?}");
     assert!(state.body.contains("cancelled"), "{state:?}");
     assert_eq!(unknown.status, 410);
 }
