Start a test's host with other ports if one of its ports is taken

each_job_of_a_divided_service_... failed once of 25 with '0 instead of 200'; the host's log says 'cannot listen for callers at 127.0.0.1:25284: Address already in use'. The fixture took a connection to whoever had the port for the host's. A host that ends at once is now started again with other ports.

--- a/crates/mangotrestle/tests/host/platform.rs
+++ b/crates/mangotrestle/tests/host/platform.rs
@@ -513,8 +513,21 @@
         Self::start_with_store(name, platform.address).await
     }
 
-    /// Starts a host that reaches the store at an address.
+    /// Starts a host that reaches the store at an address. A process of another test may take one of
+    /// its ports first; it is then started with others.
     pub async fn start_with_store(name: &str, store: SocketAddr) -> Self {
+        for _ in 1..MAX_START_ATTEMPTS {
+            let mut host = Self::spawn(name, store).await;
+            if host.listens(name).await {
+                return host;
+            }
+        }
+        let mut host = Self::spawn(name, store).await;
+        assert!(host.listens(name).await, "{name} at {} ended", host.front);
+        host
+    }
+
+    async fn spawn(name: &str, store: SocketAddr) -> Self {
         let port = free_ports().await;
         let (readiness, peers) = (port + 1, port + 2);
         let front = SocketAddr::from(([127, 0, 0, 1], port));
@@ -536,30 +549,27 @@
             .stdout(log_output(name, port))
             .spawn()
             .expect("a process");
-        let mut host = Self {
+        Self {
             process,
             front,
             settings: path,
-        };
-        host.wait_until_it_listens(name).await;
-        host
+        }
     }
 
-    /// Waits until the host accepts callers, so that one that cannot start is told from one that
-    /// does not answer.
-    async fn wait_until_it_listens(&mut self, name: &str) {
+    /// Waits until the host accepts callers. Returns whether it does: it ends if a port is taken, and
+    /// whoever has the port may accept callers in its place.
+    async fn listens(&mut self, name: &str) -> bool {
         let began = Instant::now();
         while TcpStream::connect(self.front).await.is_err() {
-            let status = self.process.try_wait().expect("a status");
-            assert!(
-                status.is_none(),
-                "{name} at {} ended: {status:?}",
-                self.front
-            );
+            if self.has_ended() {
+                return false;
+            }
             let waited = began.elapsed();
             assert!(waited < START_TIMEOUT, "{name} does not listen");
             tokio::time::sleep(Duration::from_millis(5)).await;
         }
+        tokio::time::sleep(PORT_CONFLICT_TIME).await;
+        !self.has_ended()
     }
 
     /// Returns a caller of this host.
@@ -620,6 +630,10 @@
     std::fs::File::create(path).expect("a log file").into()
 }
 
+/// Number of attempts to start a host.
+const MAX_START_ATTEMPTS: u32 = 4;
+/// Time in which a host ends if one of its ports is taken.
+const PORT_CONFLICT_TIME: Duration = Duration::from_millis(50);
 /// First port for hosts. The ports lie below those that the kernel gives to outgoing connections,
 /// one of which could otherwise take a port between its choice and the start of the host.
 const FIRST_PORT: u16 = 20_000;
