--- a/crates/mangotrestle/src/host/cell.rs
+++ b/crates/mangotrestle/src/host/cell.rs
@@ -475,14 +475,7 @@
     pub(super) fn rank(&self, pool: &str) -> u64 {
         let pools_led = self.other_pools_led(pool);
         let peers = lock(&self.peers);
-        let own = Candidate {
-            host: &self.settings.host,
-            cpu_millicores: self.settings.cpu_millicores,
-            other_pools_led: pools_led
-                .get(&self.settings.host)
-                .copied()
-                .unwrap_or_default(),
-        };
+        let own = self.own_candidate(&pools_led);
         let hosts = candidates(&peers, &pools_led).chain(std::iter::once(own));
         let ranked = leadership::rank_candidates(pool, hosts);
         let position = ranked.iter().position(|host| **host == self.settings.host);
@@ -491,17 +484,20 @@
             .unwrap_or_default()
     }
 
+    /// Returns this host as a candidate to lead a pool.
+    fn own_candidate(&self, other_pools_led: &FastMap<id::EntryHostId, u32>) -> Candidate<'_> {
+        let host = &self.settings.host;
+        Candidate {
+            host,
+            cpu_millicores: self.settings.cpu_millicores,
+            other_pools_led: other_pools_led.get(host).copied().unwrap_or_default(),
+        }
+    }
+
     /// Whether this host, which leads a pool, should pass it on to one with more processor time.
     pub(super) fn passes_on(&self, pool: &str) -> bool {
         let pools_led = self.other_pools_led(pool);
-        let own = Candidate {
-            host: &self.settings.host,
-            cpu_millicores: self.settings.cpu_millicores,
-            other_pools_led: pools_led
-                .get(&self.settings.host)
-                .copied()
-                .unwrap_or_default(),
-        };
+        let own = self.own_candidate(&pools_led);
         let peers = lock(&self.peers);
         let others = candidates(&peers, &pools_led);
         let lag = SpanMs(self.load.lag_ms());
--- a/crates/mangotrestle/src/host/feeds.rs
+++ b/crates/mangotrestle/src/host/feeds.rs
@@ -13,6 +13,7 @@
 use super::cell::{Cell, HostRow};
 use super::dividing::Dividing;
 use super::leader;
+use super::load::Work;
 use super::names;
 use super::reads::{DEFAULT_RESEND_DELAY, ReadRows};
 
@@ -30,6 +31,12 @@
 /// gap the timeouts of all leaders restart, since this host could not observe their commits.
 const MAX_OBSERVATION_GAP: Duration = Duration::from_secs(1);
 
+/// Follows a feed in a task of its own, and measures its time.
+pub(super) fn spawn(cell: &Arc<Cell>, feed: impl Future<Output = ()> + Send + 'static) {
+    let cell = Arc::clone(cell);
+    tokio::spawn(async move { cell.load.measure(Work::Feed, feed).await });
+}
+
 /// Follows the operator's configuration until the process ends.
 pub(super) async fn follow_configuration(cell: Arc<Cell>) {
     let timing = cell.configuration_timing();
--- a/crates/mangotrestle/src/host/leader.rs
+++ b/crates/mangotrestle/src/host/leader.rs
@@ -277,9 +277,9 @@
                 }
                 let workers_feed =
                     follow_workers(Arc::clone(cell), Arc::clone(&leader), feeds.workers);
-                spawn_feed(cell, workers_feed);
+                feeds::spawn(cell, workers_feed);
                 let inbox_feed = follow_inbox(Arc::clone(cell), Arc::clone(&leader), feeds.inbox);
-                spawn_feed(cell, inbox_feed);
+                feeds::spawn(cell, inbox_feed);
                 tokio::spawn(liveness::poll_machines(
                     Arc::clone(cell),
                     Arc::clone(&leader),
@@ -528,12 +528,6 @@
     }
 }
 
-/// Follows a feed in a task of its own, and measures its time.
-pub(super) fn spawn_feed(cell: &Arc<Cell>, feed: impl Future<Output = ()> + Send + 'static) {
-    let cell = Arc::clone(cell);
-    tokio::spawn(async move { cell.load.measure(Work::Feed, feed).await });
-}
-
 async fn follow_workers(cell: Arc<Cell>, leader: Arc<Leader>, from: u64) {
     let timing = FeedTiming::workers(cell.settings.bounds.drain_time);
     let resend_delay = timing.resend_delay.as_duration();
--- a/crates/mangotrestle/src/host/mod.rs
+++ b/crates/mangotrestle/src/host/mod.rs
@@ -112,8 +112,8 @@
         stop_receiver,
     ));
     tokio::spawn(load::watch(Arc::clone(&cell)));
-    leader::spawn_feed(&cell, feeds::follow_configuration(Arc::clone(&cell)));
-    leader::spawn_feed(&cell, feeds::follow_cell(Arc::clone(&cell)));
+    feeds::spawn(&cell, feeds::follow_configuration(Arc::clone(&cell)));
+    feeds::spawn(&cell, feeds::follow_cell(Arc::clone(&cell)));
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
