--- a/crates/mangotrestle-core/src/workflow/admission.rs
+++ b/crates/mangotrestle-core/src/workflow/admission.rs
@@ -34,7 +34,8 @@
 pub enum Admission {
     /// Accept the job.
     Accept,
-    /// The work ahead of it takes so long that its result would be useless.
+    /// The work ahead of it takes so long that its result would be useless, or the leader is so late
+    /// that it takes more urgent work only.
     Busy {
         /// Time after which to retry.
         retry_after: SpanMs,
