Name the pools that a host follows in one place, and its load per mille

The same two lists of pools were joined in two functions, once with repetitions; the share of time was worked out in two ways.

--- a/crates/mangotrestle/src/host/cell.rs
+++ b/crates/mangotrestle/src/host/cell.rs
@@ -1,6 +1,6 @@
 //! State that all parts of the process share.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -584,9 +584,11 @@
         apply(view)
     }
 
-    /// Returns the names of all known pools.
-    pub(super) fn known_pools(&self) -> Vec<String> {
-        lock(&self.pools).keys().cloned().collect()
+    /// Returns the names of all pools that this host has seen or that the configuration has, each once.
+    pub(super) fn known_or_configured_pools(&self) -> BTreeSet<String> {
+        let mut pools: BTreeSet<String> = lock(&self.pools).keys().cloned().collect();
+        pools.extend(self.configured_pools());
+        pools
     }
 
     /// Whether a pool's leader neither commits nor answers its peers.
--- a/crates/mangotrestle/src/host/events.rs
+++ b/crates/mangotrestle/src/host/events.rs
@@ -89,7 +89,6 @@
 /// Records what a host did since the last report, and logs it if the host leads pools or is late.
 pub(super) fn host_load(log: &slog::Logger, pools_led: usize, report: &LoadReport) {
     metrics::histogram!("mangotrestle_host_lag_seconds").record(report.max_lag.as_secs_f64());
-    let per_mille = |spent: Duration| spent.as_micros() * 1_000 / report.span.as_micros().max(1);
     for (work, spent) in Work::ALL.iter().zip(report.spent) {
         metrics::counter!("mangotrestle_work_microseconds_total", "work" => work.name())
             .increment(u64::try_from(spent.as_micros()).unwrap_or(u64::MAX));
@@ -98,12 +97,12 @@
         return;
     }
     let spent = Work::ALL.iter().zip(report.spent).map(|(work, spent)| {
-        let share = per_mille(spent);
+        let share = report.per_mille(spent);
         format!("{}:{share}", work.name())
     });
     let spent: Vec<String> = spent.collect();
     slog::info!(log, "host.load"; "pools_led" => pools_led,
-        "busy_per_mille" => per_mille(report.busy), "work_per_mille" => spent.join(","),
+        "busy_per_mille" => report.per_mille(report.busy), "work_per_mille" => spent.join(","),
         "lag_ms" => report.lag_ms, "max_lag_ms" => millis(report.max_lag));
 }
 
--- a/crates/mangotrestle/src/host/feeds.rs
+++ b/crates/mangotrestle/src/host/feeds.rs
@@ -194,11 +194,7 @@
     for row in &all.rows {
         apply_division_row(cell, row);
     }
-    let mut pools: Vec<String> = cell.known_pools();
-    pools.extend(cell.configured_pools());
-    pools.sort_unstable();
-    pools.dedup();
-    for pool in pools {
+    for pool in cell.known_or_configured_pools() {
         let rows = cell
             .read_part(names::CELL_TABLE, &pool, ROW_CALL_TIMEOUT)
             .await?;
@@ -221,9 +217,7 @@
             apply_shapes_row(cell, row);
         }
     }
-    let mut pools = cell.known_pools();
-    pools.extend(cell.configured_pools());
-    for pool in pools {
+    for pool in cell.known_or_configured_pools() {
         cell.with_pool(&pool, |view| {
             if after_gap {
                 view.watch.restart_timeout(now);
--- a/crates/mangotrestle/src/host/load.rs
+++ b/crates/mangotrestle/src/host/load.rs
@@ -140,6 +140,13 @@
     pub(super) lag_ms: u64,
 }
 
+impl LoadReport {
+    /// Returns a part of the time covered in thousandths.
+    pub(super) fn per_mille(&self, spent: Duration) -> u64 {
+        micros(spent) * 1_000 / micros(self.span).max(1)
+    }
+}
+
 /// Measures the lag and reports the load until the process ends.
 pub(super) async fn watch(cell: Arc<Cell>) {
     let metrics = tokio::runtime::Handle::current().metrics();
@@ -163,10 +170,9 @@
             lag_ms: cell.load.lag_ms(),
         };
         busy_before = busy_now;
-        let busy_per_mille = micros(report.busy) * 1_000 / micros(report.span).max(1);
         cell.load
             .busy_per_mille
-            .store(busy_per_mille, Ordering::Relaxed);
+            .store(report.per_mille(report.busy), Ordering::Relaxed);
         events::host_load(&cell.log, cell.all_leaders().len(), &report);
     }
 }
