--- a/crates/mangotrestle-core/tests/workflow/handover.rs
+++ b/crates/mangotrestle-core/tests/workflow/handover.rs
@@ -92,11 +92,7 @@
     service.run_for(2_000);
     let running = [HOME, OTHER].map(|pool| running_tasks(&service, pool));
 
-    service
-        .pools
-        .get_mut(HOME)
-        .expect("the home")
-        .cancel(&job(1));
+    service.cancel(HOME, &job(1));
     service.run_for(CANCEL_TIME_MS);
 
     assert_eq!(running, [4, 3]);
@@ -116,11 +112,7 @@
         service.submit(HOME, &job(1), &two_steps(), Some(pools_of(&[OTHER])));
         service.run_for(after_ms);
 
-        service
-            .pools
-            .get_mut(HOME)
-            .expect("the home")
-            .cancel(&job(1));
+        service.cancel(HOME, &job(1));
         service.run_for(CANCEL_TIME_MS);
 
         for pool in [HOME, OTHER] {
@@ -172,7 +164,7 @@
         Incident::OtherLeaderChanges => service.change_leader(OTHER),
         Incident::AnswersAreLost => service.lost_answers_per_mille = 1_000,
         Incident::CallsAreLate => service.late_calls_per_mille = 1_000,
-        Incident::Cancelled => service.pools.get_mut(HOME).expect("the home").cancel(id),
+        Incident::Cancelled => service.cancel(HOME, id),
     }
 }
 
@@ -237,7 +229,7 @@
         }
     }
     for id in &cancelled {
-        service.pools.get_mut(HOME).expect("the home").cancel(id);
+        service.cancel(HOME, id);
     }
     (service.lost_answers_per_mille, service.late_calls_per_mille) = (0, 0);
     service.run_for(25_000);
--- a/crates/mangotrestle-core/tests/workflow/world/divided.rs
+++ b/crates/mangotrestle-core/tests/workflow/world/divided.rs
@@ -165,6 +165,12 @@
         }
     }
 
+    /// Cancels a job durably in its home pool.
+    pub fn cancel(&mut self, home: &str, id: &JobId) {
+        let world = self.pools.get_mut(home).expect("the home pool");
+        world.cancel(id);
+    }
+
     /// Replaces the leader of a pool. Its predecessor answers no call any more.
     pub fn change_leader(&mut self, pool: &str) {
         let world = self.pools.get_mut(pool).expect("the pool");
