Log what a refusal was based on, and what limits a pool's ticket requests

No log line told whether a job was refused for the work ahead of it, for its leader's lag or for the advice service, nor that waiting steps had never been asked about. job.refused has the parts of the expected time, its counter the reason, and tickets.behind the requests in flight and the steps without one. No decision changes: ExpectedTime holds the sum that admission made before.

--- a/crates/mangotrestle-core/src/workflow/admission.rs
+++ b/crates/mangotrestle-core/src/workflow/admission.rs
@@ -55,6 +55,66 @@
     },
 }
 
+/// Expected time until the result of a job that arrives now, by what it consists of, in milliseconds.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct ExpectedTime {
+    /// Time until the job's work starts.
+    pub wait_ms: u64,
+    /// Length of its critical path.
+    pub path_ms: u64,
+    /// Time that the leader's lag adds to its steps.
+    pub lag_ms: u64,
+    /// Time that the lag of ticket requests adds to its steps.
+    pub ticket_ms: u64,
+    /// Time until which the result is useful.
+    pub useful_ms: u64,
+}
+
+impl ExpectedTime {
+    /// Returns the expectation for a job from the summary of the pool that would run it.
+    #[must_use]
+    pub fn new(record: &spec::JobRecord, summary: &leadership::PoolSummary) -> Self {
+        let steps = u64::from(record.path_steps());
+        let ticket_lag_ms = if record.policy.advice.is_some() {
+            summary.ticket_lag_ms
+        } else {
+            0
+        };
+        Self {
+            wait_ms: wait_ms(record, summary),
+            path_ms: record.critical_path_ms(),
+            lag_ms: steps
+                .saturating_mul(WAITS_PER_STEP)
+                .saturating_mul(summary.lag_ms),
+            ticket_ms: steps.saturating_mul(ticket_lag_ms),
+            useful_ms: record
+                .objective_ms()
+                .saturating_mul(USEFUL_OBJECTIVE_FACTOR),
+        }
+    }
+
+    /// Returns the name of the longest delay beyond the work itself: `backlog`, `leader` or `tickets`.
+    #[must_use]
+    pub fn largest_delay(&self) -> &'static str {
+        let delays = [
+            (self.ticket_ms, "tickets"),
+            (self.lag_ms, "leader"),
+            (self.wait_ms, "backlog"),
+        ];
+        delays.into_iter().max().map_or("backlog", |(_, name)| name)
+    }
+
+    /// Returns by how much the result would be too late to be useful.
+    #[must_use]
+    pub const fn excess_ms(&self) -> u64 {
+        self.wait_ms
+            .saturating_add(self.path_ms)
+            .saturating_add(self.lag_ms)
+            .saturating_add(self.ticket_ms)
+            .saturating_sub(self.useful_ms)
+    }
+}
+
 /// Decides on a job from the pool's summary and the cap of its team, if it has one. `spread` is a random number from 0 to 999 for
 /// each caller; it lengthens the retry delay by up to a half.
 #[must_use]
@@ -80,14 +140,11 @@
         let retry_after = retry_delay(LAG_RECOVERY.0, spread);
         return Admission::Busy { retry_after };
     }
-    let delays_ms = u64::from(record.path_steps()) * step_delay_ms(record, summary);
-    let expected_ms = wait_ms(record, summary) + record.critical_path_ms() + delays_ms;
-    if expected_ms <= USEFUL_OBJECTIVE_FACTOR * record.objective_ms() {
-        return Admission::Accept;
-    }
-    let excess_ms = expected_ms - USEFUL_OBJECTIVE_FACTOR * record.objective_ms();
-    Admission::Busy {
-        retry_after: retry_delay(excess_ms, spread),
+    match ExpectedTime::new(record, summary).excess_ms() {
+        0 => Admission::Accept,
+        excess_ms => Admission::Busy {
+            retry_after: retry_delay(excess_ms, spread),
+        },
     }
 }
 
@@ -100,16 +157,6 @@
     }
 }
 
-/// Returns the time that the leader and the tickets add to each step.
-fn step_delay_ms(record: &spec::JobRecord, summary: &leadership::PoolSummary) -> u64 {
-    let ticket_ms = if record.policy.advice.is_some() {
-        summary.ticket_lag_ms
-    } else {
-        0
-    };
-    WAITS_PER_STEP * summary.lag_ms + ticket_ms
-}
-
 /// Returns the expected time until work of a job that arrives now starts, in milliseconds.
 #[must_use]
 pub fn wait_ms(record: &spec::JobRecord, summary: &leadership::PoolSummary) -> u64 {
--- a/crates/mangotrestle-core/src/workflow/pool/mod.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/mod.rs
@@ -67,6 +67,7 @@
 pub use reports::PollFailure;
 pub use rows::{Commit, RowChange};
 pub use stalls::{BlockedStep, TaskRoom, UnsettledRun};
+pub use ticket_requests::TicketLoad;
 
 /// Limits of a pool that the platform and the settings fix.
 #[derive(Clone, Debug)]
--- a/crates/mangotrestle-core/src/workflow/pool/ticket_requests.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/ticket_requests.rs
@@ -40,7 +40,44 @@
 /// Remaining validity of a ticket at which it is renewed for a waiting step.
 const RENEWAL_MARGIN: SpanMs = SpanMs(100);
 
+/// What limits the ticket requests of a pool.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct TicketLoad {
+    /// Number of requests in flight.
+    pub in_flight: u32,
+    /// Maximum number of requests in flight.
+    pub max_in_flight: u32,
+    /// Number of steps that wait for workers and need tickets, as far as checks look at them.
+    pub waiting_steps: u32,
+    /// Number of these on whose workers nothing was ever decided and nothing is being asked.
+    pub steps_without_request: u32,
+    /// The longest time for which one of the latter has waited.
+    pub longest_without_request: SpanMs,
+}
+
 impl Pool {
+    /// Returns what limits the ticket requests.
+    #[must_use]
+    pub fn ticket_load(&self, now: TimeMs) -> TicketLoad {
+        let count = |count: usize| u32::try_from(count).unwrap_or(u32::MAX);
+        let window = self.queue_window(None);
+        let waiting = self.steps_needing_tickets(&window, true);
+        let without_request = waiting
+            .iter()
+            .filter_map(|key| self.step(key))
+            .filter(|step| step.tickets.is_unrequested());
+        let waits: Vec<SpanMs> = without_request
+            .map(|step| now.since(step.queued_at))
+            .collect();
+        TicketLoad {
+            in_flight: count(self.ticket_requests_in_flight),
+            max_in_flight: count(self.settings.max_ticket_requests),
+            waiting_steps: count(waiting.len()),
+            steps_without_request: count(waits.len()),
+            longest_without_request: waits.into_iter().max().unwrap_or_default(),
+        }
+    }
+
     /// Changes the maximum number of requests in flight, as hosts that send them come and go.
     pub fn set_max_ticket_requests(&mut self, max: usize) {
         self.settings.max_ticket_requests = max;
--- a/crates/mangotrestle-core/src/workflow/tickets.rs
+++ b/crates/mangotrestle-core/src/workflow/tickets.rs
@@ -110,6 +110,12 @@
         self.requests_in_flight == 0 || self.are_unobtainable()
     }
 
+    /// Whether nothing was ever decided and no request is in flight.
+    #[must_use]
+    pub fn is_unrequested(&self) -> bool {
+        self.decided.is_empty() && self.requests_in_flight == 0
+    }
+
     /// Whether a request may be sent: none is in flight, or the only one is overdue, and the delay
     /// after a failed one is over.
     #[must_use]
--- a/crates/mangotrestle/src/host/events.rs
+++ b/crates/mangotrestle/src/host/events.rs
@@ -6,12 +6,12 @@
 use mangotrestle_core::id;
 use mangotrestle_core::resources::Resources;
 use mangotrestle_core::time::SpanMs;
-use mangotrestle_core::workflow::admission::Admission;
+use mangotrestle_core::workflow::admission::{Admission, ExpectedTime};
 use mangotrestle_core::workflow::catalog::Queue;
 use mangotrestle_core::workflow::environment::HostSettings;
 use mangotrestle_core::workflow::feed_timing::FeedTiming;
 use mangotrestle_core::workflow::leadership::PoolSummary;
-use mangotrestle_core::workflow::pool::{BlockedStep, Note, UnsettledRun};
+use mangotrestle_core::workflow::pool::{BlockedStep, Note, TicketLoad, UnsettledRun};
 use mangotrestle_core::workflow::record::JobState;
 use mangotrestle_core::workflow::teams::shares::Holding;
 use mangotrestle_peer::cell::Acceptance;
@@ -126,18 +126,43 @@
     }
 }
 
-/// Logs a job that admission refused.
+/// Records what limits the ticket requests of a pool, and logs it if steps wait for a first request.
+pub(super) fn ticket_load(log: &slog::Logger, pool: &str, load: &TicketLoad) {
+    metrics::gauge!("mangotrestle_ticket_requests_in_flight", "pool" => pool.to_owned())
+        .set(f64::from(load.in_flight));
+    metrics::gauge!("mangotrestle_steps_without_request", "pool" => pool.to_owned())
+        .set(f64::from(load.steps_without_request));
+    if load.steps_without_request == 0 {
+        return;
+    }
+    slog::info!(log, "tickets.behind"; "pool" => pool, "in_flight" => load.in_flight,
+        "max_in_flight" => load.max_in_flight, "waiting_steps" => load.waiting_steps,
+        "without_request" => load.steps_without_request,
+        "longest_ms" => load.longest_without_request.0);
+}
+
+/// Logs a job that admission refused, with the expectation that made it refuse.
 pub(super) fn job_refused(
     log: &slog::Logger,
     job: &id::JobId,
     queue: &Queue,
     team: Option<&str>,
-    admission: &Admission,
+    (admission, expected): (&Admission, ExpectedTime),
     configuration_version: u64,
 ) {
-    metrics::counter!("mangotrestle_jobs_refused_total").increment(1);
+    let reason = match admission {
+        Admission::Accept => "none",
+        Admission::NeverFits { .. } => "never-fits",
+        Admission::BeyondCap { .. } => "beyond-cap",
+        Admission::Busy { .. } if expected.excess_ms() == 0 => "late-leader",
+        Admission::Busy { .. } => expected.largest_delay(),
+    };
+    metrics::counter!("mangotrestle_jobs_refused_total", "reason" => reason).increment(1);
     slog::info!(log, "job.refused"; "job" => job.as_str(), "queue" => &queue.policy.queue,
-        "team" => team, "decision" => ?admission, "configuration" => configuration_version);
+        "team" => team, "decision" => ?admission, "reason" => reason,
+        "configuration" => configuration_version, "priority" => queue.policy.priority, "wait_ms" => expected.wait_ms,
+        "path_ms" => expected.path_ms, "lag_ms" => expected.lag_ms,
+        "ticket_ms" => expected.ticket_ms, "useful_ms" => expected.useful_ms);
 }
 
 /// Logs the answer to a submitted job.
--- a/crates/mangotrestle/src/host/front.rs
+++ b/crates/mangotrestle/src/host/front.rs
@@ -11,7 +11,7 @@
 use mangotrestle_core::collections::FastMap;
 use mangotrestle_core::id;
 use mangotrestle_core::time::SpanMs;
-use mangotrestle_core::workflow::admission::{self, Admission};
+use mangotrestle_core::workflow::admission::{self, Admission, ExpectedTime};
 use mangotrestle_core::workflow::catalog::{Catalog, Queue};
 use mangotrestle_core::workflow::division::Division;
 use mangotrestle_core::workflow::leadership::PoolSummary;
@@ -305,14 +305,14 @@
             }
         }
     };
-    let version = target.catalog.version;
+    let expected = summary.map(|summary| ExpectedTime::new(record, &summary));
     events::job_refused(
         &cell.log,
         job,
         target.queue,
         target.caller.team(),
-        &admission,
-        version,
+        (&admission, expected.unwrap_or_default()),
+        target.catalog.version,
     );
     Some(refuse(status, retry_after))
 }
--- a/crates/mangotrestle/src/host/leader/committing.rs
+++ b/crates/mangotrestle/src/host/leader/committing.rs
@@ -73,6 +73,9 @@
         let mut state = lock(&leader.state);
         let commit = state.take_commit(now, MAX_COMMIT_ROWS);
         let summary = with.summary.then(|| state.summary(now));
+        if with.summary {
+            events::ticket_load(&cell.log, &leader.pool, &state.ticket_load(now));
+        }
         let learned = with.learned.then(|| state.learned());
         (commit, summary, learned)
     };
