Tests: urgent jobs after a change of leader, with a line of ticket requests for each host

Change: an advice service that handles the calls of a host one after the other, refuses beyond 32 waiting ones, decides by step and worker, and is called by another pool's leader as well. Hosts are chosen as the real ones do. Without it the simulation is as before. Four tests with a backlog of 202 jobs, 8 hosts and callers at their usual rate.

--- a/crates/mangotrestle-core/tests/workflow/main.rs
+++ b/crates/mangotrestle-core/tests/workflow/main.rs
@@ -21,5 +21,6 @@
 mod shrinking;
 mod speeds;
 mod teams;
+mod ticket_lines;
 mod tickets;
 mod world;
--- a/crates/mangotrestle-core/tests/workflow/world.rs
+++ b/crates/mangotrestle-core/tests/workflow/world.rs
@@ -1,6 +1,7 @@
 //! A simple simulation: workers with clocks and leases, durable rows, and a network that loses and
 //! delays messages. It counts every violation of the invariants.
 
+pub mod advice;
 pub mod divided;
 mod faults;
 pub mod processor;
@@ -227,6 +228,9 @@
     duplicates: Vec<JobId>,
     /// Processor of the leader's host; without one, the leader's work takes no time.
     pub processor: Option<processor::Processor>,
+    /// Advice service with a line of calls for each host; without one, each request is answered in
+    /// the time that its queue's policy states.
+    pub advice: Option<advice::AdviceService>,
 }
 
 /// Returns the processor time that this thread has taken; other processes do not count.
@@ -380,6 +384,7 @@
             late_starts: BTreeMap::new(),
             runs_lost_beside: 0,
             processor: None,
+            advice: None,
         }
     }
 
@@ -455,6 +460,9 @@
         self.commit_in_flight = false;
         self.orders_to_pools.clear();
         self.pool = Pool::new(TimeMs(self.now), settings_of(&self.name, self.term), 0);
+        if let Some(advice) = &mut self.advice {
+            advice.change_leader();
+        }
         let now = TimeMs(self.now);
         for (id, model) in &self.workers {
             if model.alive && !self.unlisted.contains(id) {
@@ -530,6 +538,10 @@
                 self.pool.worker_list_confirmed(TimeMs(self.now));
             }
             self.handle_answers();
+            if let Some(advice) = &mut self.advice {
+                advice.send_other_calls(self.now);
+                self.pool.set_max_ticket_requests(advice.host_count() + 1);
+            }
             if self.begins_round() {
                 let began = processor_time();
                 self.pool.tick(TimeMs(self.now));
@@ -651,7 +663,17 @@
         let Order::RequestTickets { step, workers, .. } = &order else {
             return;
         };
-        if lost {
+        let policy = self
+            .record_of(&step.job)
+            .and_then(|record| record.policy.advice);
+        let work_ms = policy.unwrap_or_default().answer_delay(workers.len()).0;
+        if let (Some(advice), false) = (&mut self.advice, lost) {
+            let timeout_ms = expected_delay.0 + TICKET_REQUEST_TIMEOUT_MS;
+            let times = advice.call(term, self.now, work_ms, timeout_ms);
+            let tickets = times.handled_at.map(|at| self.tickets(step, workers, at));
+            let answer = Answer::Advice(step.clone(), workers.clone(), tickets);
+            self.schedule(times.ends_at, Event::Answer { term, answer });
+        } else if lost {
             let answer = Answer::Advice(step.clone(), workers.clone(), None);
             let at = self.now + expected_delay.0 + TICKET_REQUEST_TIMEOUT_MS;
             self.schedule(at, Event::Answer { term, answer });
@@ -839,7 +861,7 @@
                 ..
             } => Some(self.carry_out_hold(worker, deadline, last_seen, token)),
             Order::RequestTickets { step, workers, .. } => {
-                let tickets = self.tickets(&step, &workers);
+                let tickets = self.tickets(&step, &workers, self.now);
                 Some(Answer::Advice(step, workers, Some(tickets)))
             }
             Order::Pace { .. }
@@ -849,15 +871,24 @@
         }
     }
 
+    fn record_of(&self, id: &JobId) -> Option<&Arc<JobRecord>> {
+        self.inbox.get(id).or_else(|| self.submitted.get(id))
+    }
+
+    /// Whether a queue's policy allows a worker for a step.
+    pub fn allows(&self, step: &StepKey, worker: &WorkerId) -> bool {
+        let queue = self.record_of(&step.job).map(|record| &record.policy.queue);
+        let by_service = self.advice.as_ref().zip(queue);
+        !self.denied_workers.contains(worker)
+            && by_service.is_none_or(|(advice, queue)| advice.allows(queue, step, worker))
+    }
+
     /// Returns the tickets of the allowed workers; the text of each is the time of its expiry.
-    fn tickets(&self, step: &StepKey, workers: &[WorkerId]) -> Vec<(WorkerId, String)> {
-        let submitted = self.submitted.get(&step.job);
-        let record = self.inbox.get(&step.job).or(submitted);
+    fn tickets(&self, step: &StepKey, workers: &[WorkerId], now: u64) -> Vec<(WorkerId, String)> {
+        let record = self.record_of(&step.job);
         let advice = record.and_then(|record| record.policy.advice);
-        let valid_until = self.now + advice.map_or(0, |advice| advice.valid_ms);
-        let allowed = workers
-            .iter()
-            .filter(|id| !self.denied_workers.contains(*id));
+        let valid_until = now + advice.map_or(0, |advice| advice.valid_ms);
+        let allowed = workers.iter().filter(|id| self.allows(step, id));
         allowed
             .map(|id| (id.clone(), valid_until.to_string()))
             .collect()
@@ -1064,10 +1095,7 @@
             return;
         };
         let need = spec.counted_need();
-        let used = model
-            .running
-            .values()
-            .fold(Resources::ZERO, |sum, run| sum + run.need);
+        let used = model.used();
         let mut capacity = model.entry.capacity;
         if let Some((counts_at, before)) = model.shrunk
             && self.now <= counts_at
@@ -1202,6 +1230,12 @@
         WorkerTimeMs(now - self.clock_zero)
     }
 
+    /// Returns what its runs use.
+    pub fn used(&self) -> Resources {
+        let needs = self.running.values().map(|run| run.need);
+        needs.fold(Resources::ZERO, |sum, need| sum + need)
+    }
+
     fn end(&mut self, name: &str, end: RunEnd) {
         let Some(run) = self.running.remove(name) else {
             return;
