--- a/crates/mangotrestle-core/tests/workflow/ticket_lines.rs
+++ b/crates/mangotrestle-core/tests/workflow/ticket_lines.rs
@@ -6,6 +6,7 @@
 
 use mangotrestle_core::id::JobId;
 use mangotrestle_core::resources::Resources;
+use mangotrestle_core::workflow::job::StepKey;
 use mangotrestle_core::workflow::rank::USEFUL_OBJECTIVE_FACTOR;
 use mangotrestle_core::workflow::spec::{AdvicePolicy, JobRecord};
 
@@ -18,6 +19,9 @@
 const HOSTS: usize = 8;
 /// Number of jobs that a new leader finds.
 const BACKLOG: u64 = 200;
+/// Time for which a gang that could run may wait.
+const MAX_IDLE_MS: u64 = 3_000;
+
 /// A kind of job.
 #[derive(Clone, Copy)]
 struct Kind {
@@ -26,6 +30,7 @@
     jobs_per_1000_s: u64,
     max_steps: u64,
     mean_tasks: u64,
+    gang: bool,
     lasts: bool,
     run_ms: u64,
     need: Resources,
@@ -51,6 +56,7 @@
     jobs_per_1000_s: 15_500,
     max_steps: 2,
     mean_tasks: 6,
+    gang: false,
     lasts: false,
     run_ms: 700,
     need: need(6_100, 6_200),
@@ -66,6 +72,7 @@
     jobs_per_1000_s: 803,
     max_steps: 3,
     mean_tasks: 11,
+    gang: false,
     lasts: false,
     run_ms: 4_500,
     need: need(13_000, 24_000),
@@ -81,6 +88,7 @@
     jobs_per_1000_s: 87,
     max_steps: 1,
     mean_tasks: 6,
+    gang: false,
     lasts: true,
     run_ms: 400,
     need: need(16_000, 17_000),
@@ -90,6 +98,22 @@
     each_ms: 8.0,
     allowed_per_mille: 300,
 };
+const GANG: Kind = Kind {
+    queue: "gang",
+    priority: 1,
+    jobs_per_1000_s: 1_180,
+    max_steps: 1,
+    mean_tasks: 3,
+    gang: true,
+    lasts: false,
+    run_ms: 5_600,
+    need: need(31_000, 130_000),
+    stretch: 2.2,
+    target_latency_ms: 1_000,
+    decide_ms: 560.0,
+    each_ms: 8.0,
+    allowed_per_mille: 300,
+};
 const MIX: [Kind; 3] = [SHORT, BATCH, LASTING];
 
 /// A simulation with callers, and what they see.
@@ -97,6 +121,10 @@
     world: World,
     sent: BTreeMap<JobId, (u64, Arc<JobRecord>)>,
     first_runs: BTreeMap<JobId, u64>,
+    /// A gang, and the longest time for which it has waited although it could run.
+    gang: Option<JobId>,
+    idle_ms: u64,
+    longest_idle_ms: u64,
 }
 
 impl Play {
@@ -104,7 +132,7 @@
     fn new(seed: u64, room: u64) -> Self {
         let mut world = World::without_workers(seed, "pool");
         let mut advice = AdviceService::new(HOSTS);
-        for kind in MIX {
+        for kind in [SHORT, BATCH, LASTING, GANG] {
             let allowed = &mut advice.allowed_per_mille;
             allowed.insert(kind.queue.to_owned(), kind.allowed_per_mille);
         }
@@ -120,6 +148,9 @@
             world,
             sent: BTreeMap::new(),
             first_runs: BTreeMap::new(),
+            gang: None,
+            idle_ms: 0,
+            longest_idle_ms: 0,
         }
     }
 
@@ -128,7 +159,7 @@
         1 + self.world.random_below(2 * mean - 1)
     }
 
-    fn send(&mut self, kind: &Kind, tasks: u64) {
+    fn send(&mut self, kind: &Kind, tasks: u64) -> JobId {
         let steps = 1 + self.world.random_below(kind.max_steps);
         let mut specs = Vec::new();
         for index in 0..u32::try_from(steps).expect("few steps") {
@@ -136,6 +167,7 @@
             let after: Vec<u32> = index.checked_sub(1).into_iter().collect();
             let mut spec = step(tasks, 0, kind.run_ms, &after);
             spec.need = kind.need;
+            spec.gang = kind.gang;
             spec.persistent = kind.lasts;
             specs.push(spec);
         }
@@ -152,7 +184,8 @@
         let id = job(self.sent.len() as u64);
         let record = Arc::new(record);
         self.world.submit(&id, &record);
-        self.sent.insert(id, (self.world.now, record));
+        self.sent.insert(id.clone(), (self.world.now, record));
+        id
     }
 
     /// Sends a backlog of the usual mix.
@@ -188,6 +221,34 @@
             let id = JobId::new(id).expect("a job identifier");
             self.first_runs.entry(id).or_insert(self.world.now);
         }
+        let gang = self.gang.as_ref();
+        let waits = gang.is_some_and(|id| !self.first_runs.contains_key(id) && self.could_run(id));
+        self.idle_ms = if waits { self.idle_ms + SAMPLE_MS } else { 0 };
+        self.longest_idle_ms = self.longest_idle_ms.max(self.idle_ms);
+    }
+
+    /// Whether the workers that are allowed for a job's first step have room for it twice over, and
+    /// less than half of all room is in use.
+    fn could_run(&self, id: &JobId) -> bool {
+        let spec = &self.sent[id].1.steps[0];
+        let key = StepKey {
+            job: id.clone(),
+            occurrence: 0,
+            step: 0,
+        };
+        let (mut used_cores, mut cores, mut room) = (0, 0, 0);
+        for (worker, model) in &self.world.workers {
+            let (used, capacity) = (model.used(), model.entry.capacity);
+            used_cores += used.cpu_millicores;
+            cores += capacity.cpu_millicores;
+            if self.world.allows(&key, worker) {
+                let free_cores = capacity.cpu_millicores.saturating_sub(used.cpu_millicores);
+                let free_mib = capacity.memory_mib.saturating_sub(used.memory_mib);
+                let by_cores = free_cores / spec.need.cpu_millicores;
+                room += by_cores.min(free_mib / spec.need.memory_mib);
+            }
+        }
+        used_cores * 2 < cores && room >= 2 * u64::from(spec.unit_size())
     }
 
     /// Returns the number of urgent jobs that got no run while their result could be useful, of all
@@ -282,3 +343,61 @@
 fn urgent_jobs_start_in_time_beside_long_calls_of_another_pool() {
     assert_urgent_jobs_start_in_time(SHARED, 1);
 }
+
+/// Asserts that no gang of two to eight waits too long with room free, after changes of leader one
+/// second apart.
+fn assert_gangs_start(lines: Lines, changes: u32, callers: bool) {
+    for members in 2..=8 {
+        let mut play = lines.play(members, 4);
+        play.send_backlog();
+        play.gang = Some(play.send(&GANG, members));
+
+        for _ in 0..changes {
+            play.world.change_leader();
+            play.run_for(1_000, callers);
+        }
+        play.run_for(4_000, callers);
+
+        let (idle_ms, seed) = (play.longest_idle_ms, members);
+        assert!(
+            idle_ms <= MAX_IDLE_MS,
+            "gang of {members} idle for {idle_ms} ms; seed {seed}"
+        );
+        assert_eq!(play.world.violations, Violations::default());
+    }
+}
+
+#[test]
+fn gangs_do_not_wait_with_room_free_after_a_change_of_leader() {
+    assert_gangs_start(CLEAR, 1, true);
+}
+
+#[test]
+fn gangs_do_not_wait_with_room_free_once_callers_are_gone() {
+    assert_gangs_start(CLEAR, 1, false);
+}
+
+#[test]
+fn gangs_do_not_wait_with_room_free_after_two_changes_of_leader() {
+    assert_gangs_start(CLEAR, 2, true);
+}
+
+#[test]
+fn gangs_do_not_wait_with_room_free_although_other_hosts_take_long_to_pass_calls_on() {
+    assert_gangs_start(SLOW_HOSTS, 1, true);
+}
+
+#[test]
+fn gangs_do_not_wait_behind_slow_hosts_once_callers_are_gone() {
+    assert_gangs_start(SLOW_HOSTS, 1, false);
+}
+
+#[test]
+fn gangs_do_not_wait_with_room_free_beside_long_calls_of_another_pool() {
+    assert_gangs_start(SHARED, 1, true);
+}
+
+#[test]
+fn gangs_do_not_wait_beside_another_pool_once_callers_are_gone() {
+    assert_gangs_start(SHARED, 1, false);
+}
