Tests: rate of ticket requests for steps with room, against what the lines can answer

Change: three tests of the first second after a change of leader with 800 urgent steps and room for all. A call takes 23 ms by the policy, so eight lines answer 347 a second, and 139 with one call of 600 ms of another pool ahead on each; half of it is wanted.

--- a/crates/mangotrestle-core/tests/workflow/ticket_lines.rs
+++ b/crates/mangotrestle-core/tests/workflow/ticket_lines.rs
@@ -401,3 +401,44 @@
 fn gangs_do_not_wait_beside_another_pool_once_callers_are_gone() {
     assert_gangs_start(SHARED, 1, false);
 }
+
+/// Asserts that requests for urgent steps with room free are sent at half the rate at least at which
+/// the lines can answer them, each with one call of the other pool ahead if it sends any.
+fn assert_lines_are_used(lines: Lines) {
+    const URGENT_JOBS: u64 = 800;
+    const CALL_MS: u64 = 23;
+    let mut play = lines.play(1, 16);
+    for _ in 0..URGENT_JOBS {
+        play.send(&SHORT, 1);
+    }
+    play.world.change_leader();
+
+    play.run_for(1_000, false);
+
+    let other_ms = if lines.other_calls > 0 {
+        OTHER_CALL_MS
+    } else {
+        0
+    };
+    let answerable = HOSTS as u64 * (1_000 - other_ms) / CALL_MS;
+    let requests = u64::from(play.world.ticket_requests);
+    assert!(
+        requests >= answerable / 2,
+        "{requests} requests, {answerable} answerable"
+    );
+}
+
+#[test]
+fn steps_with_room_are_asked_for_at_the_rate_of_the_lines() {
+    assert_lines_are_used(CLEAR);
+}
+
+#[test]
+fn steps_with_room_are_asked_for_at_the_rate_of_the_lines_through_slow_hosts() {
+    assert_lines_are_used(SLOW_HOSTS);
+}
+
+#[test]
+fn steps_with_room_are_asked_for_at_the_rate_that_another_pool_leaves() {
+    assert_lines_are_used(SHARED);
+}
