Tests: no job is lost 14 s after the last submission, where a new leader needs tickets for a backlog

Change: two tests with 202 jobs, a change of leader, 5 s of the usual submissions and 17 s without.

Result on this code: through slow hosts none is lost.

--- a/crates/mangotrestle-core/tests/workflow/ticket_lines.rs
+++ b/crates/mangotrestle-core/tests/workflow/ticket_lines.rs
@@ -19,8 +19,10 @@
 const HOSTS: usize = 8;
 /// Number of jobs that a new leader finds.
 const BACKLOG: u64 = 200;
-/// Time for which a gang that could run may wait.
+/// Time for which a job that could run may wait.
 const MAX_IDLE_MS: u64 = 3_000;
+/// Time after which no job may be lost once callers are gone.
+const FINISH_MS: u64 = 14_000;
 
 /// A kind of job.
 #[derive(Clone, Copy)]
@@ -402,6 +404,37 @@
     assert_gangs_start(SHARED, 1, false);
 }
 
+/// Asserts that no job is lost once callers have been gone for a while: none waits for its first run
+/// although it could run.
+fn assert_no_job_is_lost(lines: Lines) {
+    let mut play = lines.play(1, 4);
+    play.send_backlog();
+    play.world.change_leader();
+    play.run_for(5_000, true);
+    play.run_for(FINISH_MS, false);
+
+    let waiting = play.sent.keys();
+    let waiting = waiting.filter(|id| !play.first_runs.contains_key(*id));
+    let mut lost: Vec<JobId> = waiting.cloned().collect();
+    for _ in 0..MAX_IDLE_MS / SAMPLE_MS {
+        lost.retain(|id| !play.first_runs.contains_key(id) && play.could_run(id));
+        play.run_for(SAMPLE_MS, false);
+    }
+    lost.retain(|id| !play.first_runs.contains_key(id));
+
+    assert_eq!(lost.len(), 0, "jobs of {} lost", play.sent.len());
+}
+
+#[test]
+fn no_job_is_lost_through_slow_hosts() {
+    assert_no_job_is_lost(SLOW_HOSTS);
+}
+
+#[test]
+fn no_job_is_lost_beside_long_calls_of_another_pool() {
+    assert_no_job_is_lost(SHARED);
+}
+
 /// Asserts that requests for urgent steps with room free are sent at half the rate at least at which
 /// the lines can answer them, each with one call of the other pool ahead if it sends any.
 fn assert_lines_are_used(lines: Lines) {
