Tests: requests for tickets where the leader's host has little processor time

Change: urgent jobs with a quarter of a core, as the hosts have it, and gangs with a twentieth, as a slow-down by five leaves it, both with clear lines.

--- a/crates/mangotrestle-core/tests/workflow/ticket_lines.rs
+++ b/crates/mangotrestle-core/tests/workflow/ticket_lines.rs
@@ -11,6 +11,7 @@
 use mangotrestle_core::workflow::spec::{AdvicePolicy, JobRecord};
 
 use super::world::advice::AdviceService;
+use super::world::processor::Processor;
 use super::world::{Violations, World, entry, job, record, step};
 
 /// Interval at which jobs are sent and observed.
@@ -271,16 +272,19 @@
     }
 }
 
-/// What the hosts' lines are like.
+/// What the hosts and their lines are like.
 #[derive(Clone, Copy)]
 struct Lines {
     path_ms: u64,
     other_calls: usize,
+    /// Part of a core that the leader's host has; its work takes no time if unset.
+    core_share: Option<f64>,
 }
 
 const CLEAR: Lines = Lines {
     path_ms: 0,
     other_calls: 0,
+    core_share: None,
 };
 const SLOW_HOSTS: Lines = Lines {
     path_ms: 150,
@@ -291,6 +295,14 @@
     other_calls: HOSTS + 1,
     ..CLEAR
 };
+const SMALL_HOST: Lines = Lines {
+    core_share: Some(0.25),
+    ..CLEAR
+};
+const SLOW_LEADER: Lines = Lines {
+    core_share: Some(0.05),
+    ..CLEAR
+};
 /// Time that the service takes for a call of the other pool's leader.
 const OTHER_CALL_MS: u64 = 600;
 
@@ -302,6 +314,7 @@
         advice.path_ms = self.path_ms;
         advice.other_calls = self.other_calls;
         advice.other_call_ms = OTHER_CALL_MS;
+        play.world.processor = self.core_share.map(Processor::new);
         play
     }
 }
@@ -346,6 +359,11 @@
     assert_urgent_jobs_start_in_time(SHARED, 1);
 }
 
+#[test]
+fn urgent_jobs_start_in_time_although_the_leader_has_a_quarter_of_a_core() {
+    assert_urgent_jobs_start_in_time(SMALL_HOST, 1);
+}
+
 /// Asserts that no gang of two to eight waits too long with room free, after changes of leader one
 /// second apart.
 fn assert_gangs_start(lines: Lines, changes: u32, callers: bool) {
@@ -404,6 +422,11 @@
     assert_gangs_start(SHARED, 1, false);
 }
 
+#[test]
+fn gangs_do_not_wait_for_a_slow_leader_once_callers_are_gone() {
+    assert_gangs_start(SLOW_LEADER, 1, false);
+}
+
 /// Asserts that no job is lost once callers have been gone for a while: none waits for its first run
 /// although it could run.
 fn assert_no_job_is_lost(lines: Lines) {
