Tests: learned run times where a leader sees a run's start or end late, or workers become slow

Change: four tests: an outage of 3 s between the leader and all workers, what admission makes of the times learned then, a change of leader while runs last, and two fifths of the workers at a fifth of their speed.

--- a/crates/mangotrestle-core/tests/workflow/main.rs
+++ b/crates/mangotrestle-core/tests/workflow/main.rs
@@ -11,6 +11,7 @@
 mod handover;
 mod large_service;
 mod leadership;
+mod learned_times;
 mod malformed;
 mod placing;
 mod polling;
