Tests: gangs are not held back by shares where no teams are configured any more

Change: one test: gangs of 2 to 8 of a team whose cap the next configuration drops, and of no team, beside 60 jobs of that team, after a change of leader.

All members run within 3 s.

--- a/crates/mangotrestle-core/tests/workflow/teams/caps.rs
+++ b/crates/mangotrestle-core/tests/workflow/teams/caps.rs
@@ -1,6 +1,8 @@
 //! Tests of teams at their caps. Loads: a team whose work is in one pool only, caps that shrink below
 //! what runs, a store that is away, a new leader, and a gang among many small tasks.
 
+use std::sync::Arc;
+
 use mangotrestle_core::time::TimeMs;
 use mangotrestle_core::workflow::admission::{self, Admission};
 use mangotrestle_core::workflow::record::JobState;
@@ -160,3 +162,32 @@
     assert!(matches!(decide(&small), Admission::Busy { .. }));
     assert_eq!(decide(&of_another), Admission::Accept);
 }
+
+#[test]
+fn gangs_are_not_held_back_by_shares_where_no_teams_are_configured_any_more() {
+    for members in 2..=8 {
+        let mut world = World::new(u64::from(members), 16);
+        configure(std::slice::from_mut(&mut world), &[team("red", 0.5, 1)]);
+        world.run_for(300);
+        let mut gang = step(members, 8_000, 60_000, &[]);
+        gang.gang = true;
+        let owned = job_of(&world, "red", 1, vec![gang.clone()]);
+        let mut unowned = owned.as_ref().clone();
+        unowned.team = None;
+        configure(std::slice::from_mut(&mut world), &[]);
+        submit(&mut world, 100, 60, 500);
+        world.submit(&job(1), &owned);
+        world.submit(&job(2), &Arc::new(unowned));
+
+        world.change_leader();
+        world.run_for(3_000);
+
+        let count = |number| {
+            let prefix = format!("{}.", job(number));
+            let names = world.workers.keys().flat_map(|id| world.running_on(id));
+            names.filter(|name| name.starts_with(&prefix)).count()
+        };
+        let all = members as usize;
+        assert_eq!([count(1), count(2)], [all, all], "gangs of {members}");
+    }
+}
