Tests: gangs and tasks with room wait behind the reservation of a larger gang

Change: four tests without tickets: 18 of 40 workers run a gang, a gang of 23 waits for them, and gangs of 2 to 8 or a single task come later and are due later; the last one guards the other side: the gang of 23 starts although gangs of two keep coming.

--- a/crates/mangotrestle-core/tests/workflow/main.rs
+++ b/crates/mangotrestle-core/tests/workflow/main.rs
@@ -18,6 +18,7 @@
 mod preempting;
 mod random_faults;
 mod recovery;
+mod reservations;
 mod restarting;
 mod shrinking;
 mod speeds;
