Tests: gangs and other jobs of the smaller pool after a change of leader

Change: 13 workers with accelerators, 32 gangs, or 38 gangs with 62 other jobs, without callers. No job may wait for 3 s with room twice over and less than half of the pool in use.

--- a/crates/mangotrestle-core/tests/workflow/ticket_lines.rs
+++ b/crates/mangotrestle-core/tests/workflow/ticket_lines.rs
@@ -117,6 +117,25 @@
     each_ms: 8.0,
     allowed_per_mille: 300,
 };
+const WIDE: Kind = Kind {
+    queue: "wide",
+    priority: 2,
+    jobs_per_1000_s: 1_900,
+    max_steps: 1,
+    mean_tasks: 6,
+    gang: false,
+    lasts: false,
+    run_ms: 2_400,
+    need: Resources {
+        accelerators: 1,
+        ..need(5_600, 29_000)
+    },
+    stretch: 4.0,
+    target_latency_ms: 3_000,
+    decide_ms: 140.0,
+    each_ms: 2.0,
+    allowed_per_mille: 450,
+};
 const MIX: [Kind; 3] = [SHORT, BATCH, LASTING];
 
 /// A simulation with callers, and what they see.
@@ -133,17 +152,33 @@
 impl Play {
     /// Returns a simulation of 35 workers, of which each has the usual room several times over.
     fn new(seed: u64, room: u64) -> Self {
+        let capacity = |number: usize| {
+            let halves = [2, 2, 1, 4][number % 4];
+            need(32_000 * halves * room, 65_536 * halves * room)
+        };
+        Self::with_workers(seed, (0..35).map(capacity))
+    }
+
+    /// Returns a simulation of the smaller pool: 13 workers with eight accelerators each.
+    fn of_smaller_pool(seed: u64) -> Self {
+        let capacity = Resources {
+            accelerators: 8,
+            ..need(64_000, 262_144)
+        };
+        Self::with_workers(seed, std::iter::repeat_n(capacity, 13))
+    }
+
+    fn with_workers(seed: u64, capacities: impl Iterator<Item = Resources>) -> Self {
         let mut world = World::without_workers(seed, "pool");
         let mut advice = AdviceService::new(HOSTS);
-        for kind in [SHORT, BATCH, LASTING, GANG] {
+        for kind in [SHORT, BATCH, LASTING, GANG, WIDE] {
             let allowed = &mut advice.allowed_per_mille;
             allowed.insert(kind.queue.to_owned(), kind.allowed_per_mille);
         }
         world.advice = Some(advice);
-        for number in 0..35 {
+        for (number, capacity) in capacities.enumerate() {
             let mut entry = entry(&format!("w-{number}"), "zone", &format!("r{}", number / 5));
-            let halves = [2, 2, 1, 4][number % 4];
-            entry.capacity = need(32_000 * halves * room, 65_536 * halves * room);
+            entry.capacity = capacity;
             world.add_worker_entry(entry);
         }
         world.run_for(500);
@@ -239,19 +274,41 @@
             occurrence: 0,
             step: 0,
         };
-        let (mut used_cores, mut cores, mut room) = (0, 0, 0);
+        let (mut used, mut all) = (Resources::ZERO, Resources::ZERO);
+        let mut room = 0;
         for (worker, model) in &self.world.workers {
-            let (used, capacity) = (model.used(), model.entry.capacity);
-            used_cores += used.cpu_millicores;
-            cores += capacity.cpu_millicores;
+            let capacity = model.entry.capacity;
+            used += model.used();
+            all += capacity;
             if self.world.allows(&key, worker) {
-                let free_cores = capacity.cpu_millicores.saturating_sub(used.cpu_millicores);
-                let free_mib = capacity.memory_mib.saturating_sub(used.memory_mib);
-                let by_cores = free_cores / spec.need.cpu_millicores;
-                room += by_cores.min(free_mib / spec.need.memory_mib);
+                let mut free = capacity - model.used();
+                while let Some(left) = free.checked_sub(&spec.need) {
+                    free = left;
+                    room += 1;
+                }
+            }
+        }
+        let is_half_free = (used + used).fits_in(&all);
+        is_half_free && room >= 2 * spec.unit_size()
+    }
+
+    /// Lets the time pass without callers. Returns the number of jobs that waited too long although
+    /// they could run.
+    fn jobs_left_idle(&mut self, span_ms: u64) -> usize {
+        let mut idle_ms: BTreeMap<JobId, u64> = BTreeMap::new();
+        let mut left_idle: BTreeSet<JobId> = BTreeSet::new();
+        for _ in 0..span_ms / SAMPLE_MS {
+            self.run_for(SAMPLE_MS, false);
+            for id in self.sent.keys() {
+                let waits = !self.first_runs.contains_key(id) && self.could_run(id);
+                let idle_ms = idle_ms.entry(id.clone()).or_default();
+                *idle_ms = if waits { *idle_ms + SAMPLE_MS } else { 0 };
+                if *idle_ms > MAX_IDLE_MS {
+                    left_idle.insert(id.clone());
+                }
             }
         }
-        used_cores * 2 < cores && room >= 2 * u64::from(spec.unit_size())
+        left_idle.len()
     }
 
     /// Returns the number of urgent jobs that got no run while their result could be useful, of all
@@ -458,6 +515,54 @@
     assert_no_job_is_lost(SHARED);
 }
 
+/// Returns a simulation of the smaller pool after a change of leader with gangs, and with other jobs
+/// if there are any.
+fn smaller_pool(seed: u64, gangs: u64, others: u64) -> Play {
+    let mut play = Play::of_smaller_pool(seed);
+    for number in 0..gangs {
+        let mut kind = GANG;
+        kind.need.accelerators = [2, 4, 8, 8][usize::try_from(number % 4).expect("below four")];
+        let members = play.random_around(3);
+        play.send(&kind, members);
+    }
+    for _ in 0..others {
+        let tasks = play.random_around(WIDE.mean_tasks);
+        play.send(&WIDE, tasks);
+    }
+    play.world.change_leader();
+    play
+}
+
+fn assert_no_job_is_left_idle(seeds: std::ops::RangeInclusive<u64>, gangs: u64, others: u64) {
+    for seed in seeds {
+        let mut play = smaller_pool(seed, gangs, others);
+
+        let left_idle = play.jobs_left_idle(10_000);
+
+        assert_eq!(
+            left_idle,
+            0,
+            "jobs of {} left idle; seed {seed}",
+            gangs + others
+        );
+    }
+}
+
+#[test]
+fn no_gang_of_the_smaller_pool_waits_with_room_free_after_a_change_of_leader() {
+    assert_no_job_is_left_idle(1..=4, 32, 0);
+}
+
+#[test]
+fn no_job_of_the_smaller_pool_waits_with_room_free_after_a_change_of_leader() {
+    assert_no_job_is_left_idle(1..=4, 38, 62);
+}
+
+#[test]
+fn no_gang_of_the_smaller_pool_waits_behind_reservations_of_others() {
+    assert_no_job_is_left_idle(14..=16, 32, 0);
+}
+
 /// Asserts that requests for urgent steps with room free are sent at half the rate at least at which
 /// the lines can answer them, each with one call of the other pool ahead if it sends any.
 fn assert_lines_are_used(lines: Lines) {
