Read a feed on until it has no more changes

All three leaders took note of 25 leaving workers 11.0 s late, and held their lists for fresh.

Cause: an answer with changes holds at most 500 rows, and a leader read one answer each 400 ms, took it for all there is and its list for complete. 3,000 workers write 2,000 rows a second, so the feed ran behind by 3/8 of the time.

Now a read of changes goes on until an answer is not full; if it can't, the rows are complete as of no moment, so that the list grows too old and nothing starts by it. All feeds use this one function.

The stand-in's answers hold 500 rows.

--- a/crates/mangotrestle/src/host/reads.rs
+++ b/crates/mangotrestle/src/host/reads.rs
@@ -117,6 +117,10 @@
     timeout: Duration,
 }
 
+/// Maximum number of answers with changes that are read together, so that those read are not held back
+/// for long.
+const MAX_CHANGES_PAGES: usize = 20;
+
 /// Rows, and a moment as of which they were complete in the store.
 #[derive(Debug)]
 pub(super) struct ReadRows {
@@ -210,7 +214,9 @@
         }
     }
 
-    /// Returns the changes of a table after a version; the store waits up to `wait` for the first.
+    /// Returns the changes of a table after a version; the store waits up to `wait` for the first. An
+    /// answer holds a limited number of rows, so they are read on until there are no more. If that does
+    /// not succeed, the rows are complete as of no moment.
     pub(super) async fn read_changes(
         self: &Arc<Self>,
         table: &str,
@@ -218,16 +224,44 @@
         wait: Duration,
         resend_delay: Duration,
     ) -> Result<ReadRows, FeedError> {
-        let read = Read::Feed {
-            table: table.to_owned(),
-            after,
-        };
-        let timing = ReadTiming {
+        let mut timing = ReadTiming {
             priority: Priority::Urgent,
             wait,
             resend_delay,
             timeout: self.transaction_timeout(),
         };
+        let mut all = self.read_changes_once(table, after, timing).await?;
+        timing.wait = Duration::ZERO;
+        for _ in 1..MAX_CHANGES_PAGES {
+            if !all.rows.truncated {
+                return Ok(all);
+            }
+            let after = all.rows.version;
+            let Ok(page) = self.read_changes_once(table, after, timing).await else {
+                break;
+            };
+            all.as_of = page.as_of;
+            all.rows.version = page.rows.version.max(after);
+            all.rows.truncated = page.rows.truncated;
+            all.rows.rows.extend(page.rows.rows);
+        }
+        if all.rows.truncated {
+            slog::info!(self.log, "feed.behind"; "table" => table, "rows" => all.rows.rows.len());
+            all.as_of = TimeMs(0);
+        }
+        Ok(all)
+    }
+
+    async fn read_changes_once(
+        self: &Arc<Self>,
+        table: &str,
+        after: u64,
+        timing: ReadTiming,
+    ) -> Result<ReadRows, FeedError> {
+        let read = Read::Feed {
+            table: table.to_owned(),
+            after,
+        };
         self.read(read, timing, self.usable_paths()).await
     }
 
--- a/crates/mangotrestle/tests/host/main.rs
+++ b/crates/mangotrestle/tests/host/main.rs
@@ -1,6 +1,7 @@
 //! Tests of a host process against a stand-in for the store of the users' platform.
 
 mod divided_service;
+mod feed_pages;
 mod keys;
 mod lost_answers;
 mod overload;
--- a/crates/mangotrestle/tests/host/platform.rs
+++ b/crates/mangotrestle/tests/host/platform.rs
@@ -37,6 +37,9 @@
 /// Reads per second that the hosts' settings allow all of them together.
 pub const READS_PER_S: u64 = 400;
 
+/// Maximum number of rows in an answer with changes.
+const MAX_ANSWER_ROWS: usize = 500;
+
 /// Table, part and key of a row.
 type RowKey = (String, String, String);
 
@@ -251,12 +254,16 @@
                 .filter(|((row_table, _, _), (version, _))| *row_table == table && *version > after)
                 .collect();
             found.sort_by_key(|(_, (version, _))| *version);
+            let is_cut = found.len() > MAX_ANSWER_ROWS;
+            found.truncate(MAX_ANSWER_ROWS);
+            let last_version = found.last().map(|(_, (version, _))| *version);
+            let version = last_version.filter(|_| is_cut).unwrap_or(rows.version);
             let found: Vec<Value> = found
                 .into_iter()
                 .map(|(key, (version, value))| encode_row(key, *version, value.as_ref()))
                 .collect();
             (!found.is_empty() || tokio::time::Instant::now() >= deadline)
-                .then(|| json!({"rows": found, "ver": rows.version, "now_ms": 1}))
+                .then(|| json!({"rows": found, "ver": version, "now_ms": 1}))
         };
         if let Some(answer) = answer {
             store.hang_if_unresponsive().await;
--- a/crates/mangotrestle/tests/host/silent_connections.rs
+++ b/crates/mangotrestle/tests/host/silent_connections.rs
@@ -8,7 +8,7 @@
 use super::{CONFIGURATION_APPLY_TIME, REGISTRATION_TIME, STATUS_TIMEOUT, submit_until_status};
 
 /// Time within which no more tasks start on a worker that drains; the default of the settings.
-const DRAIN_TIME: Duration = Duration::from_secs(2);
+pub(super) const DRAIN_TIME: Duration = Duration::from_secs(2);
 /// Part of a request that reads the changes of the operator's table.
 const CONFIGURATION_FEED: &str = "/rows-feed?table=op&";
 /// Part of a request that reads the changes of the workers' table.
@@ -119,7 +119,10 @@
 
 /// Starts two workers, of which one is given all tasks while both are free; returns that one first,
 /// with its name.
-async fn start_workers(platform: &Platform, caller: &Caller) -> (Worker, String, Worker) {
+pub(super) async fn start_workers(
+    platform: &Platform,
+    caller: &Caller,
+) -> (Worker, String, Worker) {
     let (first, second) = (Worker::start().await, Worker::start().await);
     platform.write_worker("i-1", &first.entry("ready"));
     platform.write_worker("i-2", &second.entry("ready"));
@@ -138,7 +141,7 @@
 }
 
 /// Submits jobs until a moment.
-async fn submit_until(caller: &Caller, end: Instant) {
+pub(super) async fn submit_until(caller: &Caller, end: Instant) {
     let mut number = 1_000_000;
     while Instant::now() < end {
         caller.submit(number).await;
