Limit ticket requests by what they occupy, and keep hosts free for short ones

Cause: a leader had at most hosts + 1 ticket requests in flight, whatever they cost. The service handles the requests of a host one after the other. Requests of 20 ms for urgent steps waited behind those of 600 ms of the other pool's leader, of which more than half only renewed tickets of steps without room; 160 to 185 of 190 waiting steps were never asked about, while three of eight places at the service were idle.

Now short requests (up to 100 ms) have a limit of their own, higher unless the leader's host is late; no leader sends long ones to a quarter of the hosts, the same for all, where short ones go first; tickets of steps without room are kept valid only while half of the requests are free; and a host counts what it sends for peers as its own.

Tests that gave the pool a number of requests give it the number of hosts that means the same; the other pool in ticket_lines has as many calls in flight as a leader may now.

--- a/crates/mangotrestle-core/src/workflow/pool/intake.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/intake.rs
@@ -259,6 +259,9 @@
                 }
             }
         }
+        if let Some(policy) = &record.policy.advice {
+            self.ticket_requests.expect(policy);
+        }
         self.placing_due = true;
         self.has_unchecked_steps = true;
     }
--- a/crates/mangotrestle-core/src/workflow/pool/mod.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/mod.rs
@@ -82,8 +82,8 @@
     pub max_hold_wait: SpanMs,
     /// Minimum time between two polls of a worker, so that one report covers several ends of runs.
     pub min_poll_interval: SpanMs,
-    /// Maximum number of ticket requests in flight.
-    pub max_ticket_requests: usize,
+    /// Number of hosts that send ticket requests.
+    pub advice_hosts: usize,
     /// Time for which the end of a job is remembered.
     pub job_end_retention: SpanMs,
     /// Maximum time for which a serving task may exceed its target latency beside best-effort
@@ -420,7 +420,7 @@
     speed: Speed,
     /// Workers that are reserved for waiting gangs.
     reservations: Vec<placing::Reservation>,
-    ticket_requests_in_flight: usize,
+    ticket_requests: ticket_requests::RequestsInFlight,
     /// Steps of which runs may be assigned to workers without a valid ticket.
     steps_lacking_tickets: FastSet<StepKey>,
     /// Steps for which tickets are requested before they are ready.
@@ -469,6 +469,7 @@
         let previous_lease_until =
             now + super::leadership::MAX_LEASING_WITHOUT_COMMIT + settings.max_lease;
         let teams = TeamAccounts::new(&settings.name, settings.term);
+        let ticket_requests = ticket_requests::RequestsInFlight::new(settings.advice_hosts);
         Self {
             settings,
             teams,
@@ -491,7 +492,7 @@
             expedite_credit: 0,
             speed: Speed::default(),
             reservations: Vec::new(),
-            ticket_requests_in_flight: 0,
+            ticket_requests,
             steps_lacking_tickets: FastSet::default(),
             steps_to_request_ahead: FastSet::default(),
             tickets_checked_at: TimeMs(0),
--- a/crates/mangotrestle-core/src/workflow/pool/placing.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/placing.rs
@@ -19,6 +19,7 @@
 use crate::resources::Resources;
 use crate::time::{SpanMs, TimeMs};
 
+use super::super::advice_hosts::RequestSize;
 use super::super::job::{Job, MemberKey, Phase, Step, StepKey, Unit, UnitKey};
 use super::super::rank::Rank;
 use super::super::spec::StepSpec;
@@ -26,6 +27,7 @@
 use super::progress::scaled;
 use super::queueing::QueueEntry;
 use super::teams::TeamRooms;
+use super::ticket_requests::request_size;
 use super::{Note, Pool};
 
 /// Maximum number of gangs that may reserve workers at one time.
@@ -124,6 +126,34 @@
     has_ticket: bool,
 }
 
+/// Numbers of ticket requests that may still be sent.
+struct RequestsLeft {
+    short: usize,
+    long: usize,
+}
+
+impl RequestsLeft {
+    const fn allow(&self, size: RequestSize) -> bool {
+        match size {
+            RequestSize::Short => self.short > 0,
+            RequestSize::Long => self.long > 0,
+        }
+    }
+
+    const fn take(&mut self, size: RequestSize) {
+        match size {
+            RequestSize::Short => self.short = self.short.saturating_sub(1),
+            RequestSize::Long => self.long = self.long.saturating_sub(1),
+        }
+    }
+}
+
+/// Returns the size of the ticket requests for a job's steps.
+fn size_of_requests(job: &Job) -> RequestSize {
+    let policy = job.record.policy.advice.as_ref();
+    policy.map_or(RequestSize::Short, request_size)
+}
+
 /// State of a placement pass over the workers that accept work.
 struct PlacementPass<'a> {
     slots: Vec<Slot<'a>>,
@@ -141,8 +171,8 @@
     /// Step and zone of the unit that was placed last.
     last_placed: Option<(&'a StepKey, &'a str)>,
     /// Number of steps for which the pass may still assign runs whose tickets are yet to be
-    /// requested.
-    ticket_requests_left: usize,
+    /// requested, by the size of the requests.
+    ticket_requests_left: RequestsLeft,
     /// Step for which the pass last assigned such a run.
     last_requesting: Option<&'a StepKey>,
 }
@@ -188,6 +218,11 @@
         }
     }
 
+    /// Returns the size of the ticket requests for the unit's step.
+    fn request_size(&self) -> RequestSize {
+        size_of_requests(self.job)
+    }
+
     /// Returns what the unit takes of its team's cap.
     pub(super) fn total_need(&self) -> Resources {
         self.spec.need.times(self.spec.unit_size())
@@ -327,7 +362,7 @@
         let has_ticket = |&index: &usize| request.has_ticket(now, self.slots[index].worker);
         let step = &request.key.step;
         if !chosen.iter().all(has_ticket) && self.last_requesting != Some(step) {
-            self.ticket_requests_left = self.ticket_requests_left.saturating_sub(1);
+            self.ticket_requests_left.take(request.request_size());
             self.last_requesting = Some(step);
         }
         let mut workers = Vec::with_capacity(chosen.len());
@@ -494,8 +529,8 @@
             if let Some((_, zone)) = pass.last_placed.filter(|(step, _)| *step == &key.step) {
                 request.zone = Some(zone);
             }
-            request.may_request_ticket &=
-                pass.ticket_requests_left > 0 || pass.last_requesting == Some(&key.step);
+            request.may_request_ticket &= pass.ticket_requests_left.allow(request.request_size())
+                || pass.last_requesting == Some(&key.step);
             let judged = last_judged.filter(|(step, _)| *step == &key.step);
             request.is_tight =
                 judged.map_or_else(|| self.is_tight(now, &key.step), |(_, tight)| tight);
@@ -563,7 +598,15 @@
             let step = self.step(key);
             step.is_some_and(|step| step.tickets.requested_at.is_none())
         });
-        let expected_requests = self.ticket_requests_in_flight + unrequested.count();
+        let mut ticket_requests_left = RequestsLeft {
+            short: self.ticket_requests.left(RequestSize::Short),
+            long: self.ticket_requests.left(RequestSize::Long),
+        };
+        for key in unrequested {
+            if let Some(job) = self.jobs.get(&key.job) {
+                ticket_requests_left.take(size_of_requests(job));
+            }
+        }
         let slots: Vec<Slot<'_>> = slots.collect();
         let workers = slots.iter().map(|slot| &slot.worker.entry.worker);
         PlacementPass {
@@ -574,10 +617,7 @@
             unfit_needs: Vec::new(),
             slots,
             last_placed: None,
-            ticket_requests_left: self
-                .settings
-                .max_ticket_requests
-                .saturating_sub(expected_requests),
+            ticket_requests_left,
             last_requesting: None,
         }
     }
--- a/crates/mangotrestle-core/src/workflow/pool/ticket_requests.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/ticket_requests.rs
@@ -6,12 +6,14 @@
 //! way nothing else takes the workers while the request is in flight. For the most urgent waiting
 //! steps without room, some tickets are also kept valid in advance.
 
+use crate::collections::FastMap;
 use crate::id;
 use crate::time::{SpanMs, TimeMs};
 
+use super::super::advice_hosts::{RequestSize, Senders};
 use super::super::job::{Phase, Step, StepKey, Unit, UnitKey};
 use super::super::rank::Rank;
-use super::super::spec::StepSpec;
+use super::super::spec::{AdvicePolicy, StepSpec};
 use super::super::worker::Worker;
 use super::queueing::QueueWindow;
 use super::{Note, Order, Pool};
@@ -32,7 +34,7 @@
 /// valid.
 const MAX_RENEWED_BLOCKED_STEPS: usize = 6;
 /// Divisor of the maximum number of requests in flight that gives the part for steps that no worker
-/// has room for yet.
+/// has room for yet, whose tickets may expire unused.
 const ADVANCE_REQUESTS_DIVISOR: usize = 2;
 /// Divisor of the maximum number of requests in flight that gives the number up to which overdue
 /// requests are repeated; a service that is slow for all must not get each request twice.
@@ -40,13 +42,107 @@
 /// Remaining validity of a ticket at which it is renewed for a waiting step.
 const RENEWAL_MARGIN: SpanMs = SpanMs(100);
 
+/// Requests of one size.
+#[derive(Clone, Copy, Debug, Default)]
+struct SizeRequests {
+    in_flight: usize,
+    /// Whether any step needs such requests.
+    needed: bool,
+}
+
+/// Ticket requests in flight.
+#[derive(Debug, Default)]
+pub(super) struct RequestsInFlight {
+    senders: Senders,
+    short: SizeRequests,
+    long: SizeRequests,
+    /// Number and size of each step's requests; all of a step have the same size.
+    of_steps: FastMap<StepKey, (usize, RequestSize)>,
+}
+
+impl RequestsInFlight {
+    pub(super) fn new(hosts: usize) -> Self {
+        Self {
+            senders: Senders {
+                hosts,
+                leader_is_late: false,
+            },
+            ..Self::default()
+        }
+    }
+
+    const fn of(&self, size: RequestSize) -> &SizeRequests {
+        match size {
+            RequestSize::Short => &self.short,
+            RequestSize::Long => &self.long,
+        }
+    }
+
+    const fn of_mut(&mut self, size: RequestSize) -> &mut SizeRequests {
+        match size {
+            RequestSize::Short => &mut self.short,
+            RequestSize::Long => &mut self.long,
+        }
+    }
+
+    /// Records that steps of a queue wait.
+    pub(super) fn expect(&mut self, policy: &AdvicePolicy) {
+        self.of_mut(request_size(policy)).needed = true;
+    }
+
+    /// Returns how many more requests of a size may be sent.
+    pub(super) const fn left(&self, size: RequestSize) -> usize {
+        size.max_in_flight(self.senders)
+            .saturating_sub(self.of(size).in_flight)
+    }
+
+    /// Whether a part of the maximum number of requests of a size is in flight.
+    const fn is_part_taken(&self, size: RequestSize, divisor: usize) -> bool {
+        self.of(size).in_flight >= size.max_in_flight(self.senders) / divisor
+    }
+
+    /// Whether no more requests of any size that is needed may be sent.
+    fn are_all_taken(&self) -> bool {
+        let sizes = [RequestSize::Short, RequestSize::Long];
+        let mut needed = sizes.into_iter().filter(|size| self.of(*size).needed);
+        needed.all(|size| self.left(size) == 0)
+    }
+
+    fn begin(&mut self, step: &StepKey, size: RequestSize) {
+        self.of_mut(size).in_flight += 1;
+        let (requests, _) = self.of_steps.entry(step.clone()).or_insert((0, size));
+        *requests += 1;
+    }
+
+    fn end(&mut self, step: &StepKey) {
+        let Some((requests, size)) = self.of_steps.get_mut(step) else {
+            return;
+        };
+        let size = *size;
+        *requests -= 1;
+        if *requests == 0 {
+            self.of_steps.remove(step);
+        }
+        self.of_mut(size).in_flight -= 1;
+    }
+}
+
+/// Returns the size of the requests for a queue's steps.
+pub(super) fn request_size(policy: &AdvicePolicy) -> RequestSize {
+    RequestSize::of(policy.answer_delay(MAX_REQUEST_WORKERS))
+}
+
 /// What limits the ticket requests of a pool.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct TicketLoad {
-    /// Number of requests in flight.
-    pub in_flight: u32,
-    /// Maximum number of requests in flight.
-    pub max_in_flight: u32,
+    /// Number of short requests in flight.
+    pub short_in_flight: u32,
+    /// Maximum number of short requests in flight.
+    pub max_short_in_flight: u32,
+    /// Number of long requests in flight.
+    pub long_in_flight: u32,
+    /// Maximum number of long requests in flight.
+    pub max_long_in_flight: u32,
     /// Number of steps that wait for workers and need tickets, as far as checks look at them.
     pub waiting_steps: u32,
     /// Number of these on whose workers nothing was ever decided and nothing is being asked.
@@ -61,7 +157,7 @@
     pub fn ticket_load(&self, now: TimeMs) -> TicketLoad {
         let count = |count: usize| u32::try_from(count).unwrap_or(u32::MAX);
         let window = self.queue_window(None);
-        let waiting = self.steps_needing_tickets(&window, true);
+        let waiting = self.steps_needing_tickets(&window, |_, _| true);
         let without_request = waiting
             .iter()
             .filter_map(|key| self.step(key))
@@ -69,24 +165,27 @@
         let waits: Vec<SpanMs> = without_request
             .map(|step| now.since(step.queued_at))
             .collect();
+        let in_flight = &self.ticket_requests;
         TicketLoad {
-            in_flight: count(self.ticket_requests_in_flight),
-            max_in_flight: count(self.settings.max_ticket_requests),
+            short_in_flight: count(in_flight.short.in_flight),
+            max_short_in_flight: count(RequestSize::Short.max_in_flight(in_flight.senders)),
+            long_in_flight: count(in_flight.long.in_flight),
+            max_long_in_flight: count(RequestSize::Long.max_in_flight(in_flight.senders)),
             waiting_steps: count(waiting.len()),
             steps_without_request: count(waits.len()),
             longest_without_request: waits.into_iter().max().unwrap_or_default(),
         }
     }
 
-    /// Changes the maximum number of requests in flight, as hosts that send them come and go.
-    pub fn set_max_ticket_requests(&mut self, max: usize) {
-        self.settings.max_ticket_requests = max;
+    /// Changes what sends ticket requests, as hosts come and go.
+    pub const fn set_advice_senders(&mut self, senders: Senders) {
+        self.ticket_requests.senders = senders;
     }
 
     /// Sends the requests that are due.
     pub(super) fn request_tickets(&mut self, now: TimeMs) {
         self.request_for_assigned_runs(now);
-        if self.ticket_requests_in_flight >= self.settings.max_ticket_requests {
+        if self.ticket_requests.are_all_taken() {
             return;
         }
         let check_all = now.since(self.tickets_checked_at) >= CHECK_INTERVAL;
@@ -102,33 +201,42 @@
             MAX_RENEWED_BLOCKED_STEPS
         };
         let window = self.queue_window(self.ticket_turn.as_ref());
-        let steps = self.steps_needing_tickets(&window, check_all);
+        // A window is all waiting steps, or those that were never checked.
+        let steps = self.steps_needing_tickets(&window, |step, policy| {
+            (check_all || !step.tickets.checked)
+                && self.ticket_requests.left(request_size(policy)) > 0
+        });
         if check_all {
             self.ticket_turn = window.next_turn;
         }
         for step in steps {
-            if self.ticket_requests_in_flight >= self.settings.max_ticket_requests {
+            if self.ticket_requests.are_all_taken() {
                 return;
             }
             self.request_for_step(now, &step, &mut blocked_steps);
         }
         let ahead: Vec<StepKey> = self.steps_to_request_ahead.drain().collect();
         for step in ahead {
-            if self.ticket_requests_in_flight < self.settings.max_ticket_requests {
-                self.request_for_step(now, &step, &mut blocked_steps);
-            }
+            self.request_for_step(now, &step, &mut blocked_steps);
         }
     }
 
-    /// Returns the waiting steps of queues with an advice policy, in the order of placement: all in a
-    /// window, or those that were never checked.
-    fn steps_needing_tickets(&self, window: &QueueWindow<'_>, all: bool) -> Vec<StepKey> {
+    /// Returns the waiting steps of queues with an advice policy, in the order of placement, that are
+    /// among those in `window` and that `needs_request` accepts.
+    fn steps_needing_tickets(
+        &self,
+        window: &QueueWindow<'_>,
+        needs_request: impl Fn(&Step, &AdvicePolicy) -> bool,
+    ) -> Vec<StepKey> {
         let steps = window.steps().map(|(_, step)| step);
         let steps_with_policy = steps.filter(|key| {
-            let job = self.jobs.get(&key.job);
-            let job = job.filter(|job| job.record.policy.advice.is_some());
-            let step = job.and_then(|job| job.step(key));
-            step.is_some_and(|step| all || !step.tickets.checked) && self.team_has_room(key)
+            let Some(job) = self.jobs.get(&key.job) else {
+                return false;
+            };
+            let (Some(policy), Some(step)) = (&job.record.policy.advice, job.step(key)) else {
+                return false;
+            };
+            needs_request(step, policy) && self.team_has_room(key)
         });
         steps_with_policy.cloned().collect()
     }
@@ -162,13 +270,14 @@
         let Some(job) = self.jobs.get(&key.job) else {
             return;
         };
-        if job.record.policy.advice.is_none() {
+        let Some(policy) = &job.record.policy.advice else {
             return;
-        }
+        };
         let Some(step) = job.step(key) else {
             return;
         };
-        if !self.may_request(now, step) {
+        let size = request_size(policy);
+        if !self.may_request(now, step, size) {
             return;
         }
         let workers = self.workers_to_request(now, key, blocked_steps);
@@ -180,7 +289,7 @@
             step.tickets.checked = true;
         }
         for workers in workers.chunks(MAX_REQUEST_WORKERS) {
-            if self.ticket_requests_in_flight < self.settings.max_ticket_requests {
+            if self.ticket_requests.left(size) > 0 {
                 self.send_request(now, key, workers.to_vec());
             }
         }
@@ -201,6 +310,10 @@
             return Vec::new();
         };
         let need = spec.counted_need();
+        let size = request_size(&job.record.policy.advice.unwrap_or_default());
+        let may_request_in_advance = !self
+            .ticket_requests
+            .is_part_taken(size, ADVANCE_REQUESTS_DIVISOR);
         let is_eligible = |worker: &&Worker| {
             worker.accepts_work(now)
                 && need.fits_in(&worker.entry.capacity)
@@ -214,8 +327,7 @@
             .collect();
         if !undecided.is_empty() {
             let has_room = undecided.iter().any(|worker| need.fits_in(&worker.free()));
-            let max_in_advance = self.settings.max_ticket_requests / ADVANCE_REQUESTS_DIVISOR;
-            if !has_room && self.ticket_requests_in_flight >= max_in_advance {
+            if !has_room && !may_request_in_advance {
                 return Vec::new();
             }
             undecided.sort_by_key(|worker| (!need.fits_in(&worker.free()), &worker.entry.worker));
@@ -237,6 +349,9 @@
             return Vec::new();
         }
         if !has_room {
+            if !may_request_in_advance {
+                return Vec::new();
+            }
             *blocked_steps += 1;
         }
         let expiring = step.tickets.valid_until() <= now + RENEWAL_MARGIN;
@@ -262,8 +377,11 @@
             if workers.is_empty() {
                 continue;
             }
+            let job = self.jobs.get(&key.job);
+            let policy = job.and_then(|job| job.record.policy.advice.as_ref());
+            let size = policy.map_or(RequestSize::Long, request_size);
             let step = self.step(&key);
-            if step.is_some_and(|step| self.may_request(now, step)) {
+            if step.is_some_and(|step| self.may_request(now, step, size)) {
                 self.send_request(now, &key, workers);
             }
             self.steps_lacking_tickets.insert(key);
@@ -271,13 +389,13 @@
     }
 
     /// Whether a request for a step may be sent now.
-    fn may_request(&self, now: TimeMs, step: &Step) -> bool {
-        let max_requests = if step.tickets.is_overdue(now) {
-            self.settings.max_ticket_requests / REPEATED_REQUESTS_DIVISOR
+    fn may_request(&self, now: TimeMs, step: &Step, size: RequestSize) -> bool {
+        let divisor = if step.tickets.is_overdue(now) {
+            REPEATED_REQUESTS_DIVISOR
         } else {
-            self.settings.max_ticket_requests
+            1
         };
-        self.ticket_requests_in_flight < max_requests && step.tickets.may_request(now)
+        !self.ticket_requests.is_part_taken(size, divisor) && step.tickets.may_request(now)
     }
 
     /// Returns the workers for which tickets are needed before the assigned runs of a step can
@@ -310,7 +428,7 @@
             return;
         };
         step.tickets.record_request(now, expected_delay);
-        self.ticket_requests_in_flight += 1;
+        self.ticket_requests.begin(key, request_size(&policy));
         self.orders.push(Order::RequestTickets {
             step: key.clone(),
             workers,
@@ -326,7 +444,7 @@
         workers: &[id::WorkerId],
         answer: Option<(Vec<(id::WorkerId, String)>, SpanMs)>,
     ) {
-        self.ticket_requests_in_flight = self.ticket_requests_in_flight.saturating_sub(1);
+        self.ticket_requests.end(key);
         let Some(job) = self.jobs.get_mut(&key.job) else {
             return;
         };
--- a/crates/mangotrestle-core/tests/workflow/ticket_lines.rs
+++ b/crates/mangotrestle-core/tests/workflow/ticket_lines.rs
@@ -6,6 +6,7 @@
 
 use mangotrestle_core::id::JobId;
 use mangotrestle_core::resources::Resources;
+use mangotrestle_core::workflow::advice_hosts::{RequestSize, Senders};
 use mangotrestle_core::workflow::job::StepKey;
 use mangotrestle_core::workflow::rank::USEFUL_OBJECTIVE_FACTOR;
 use mangotrestle_core::workflow::spec::{AdvicePolicy, JobRecord};
@@ -347,9 +348,12 @@
     path_ms: 150,
     ..CLEAR
 };
-/// The other pool's leader sends as many calls as its hosts, and one more.
+/// The other pool's leader always has as many long calls in flight as a leader may.
 const SHARED: Lines = Lines {
-    other_calls: HOSTS + 1,
+    other_calls: RequestSize::Long.max_in_flight(Senders {
+        hosts: HOSTS,
+        leader_is_late: false,
+    }),
     ..CLEAR
 };
 const SMALL_HOST: Lines = Lines {
--- a/crates/mangotrestle-core/tests/workflow/tickets.rs
+++ b/crates/mangotrestle-core/tests/workflow/tickets.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use mangotrestle_core::time::{SpanMs, TimeMs};
+use mangotrestle_core::workflow::advice_hosts::Senders;
 use mangotrestle_core::workflow::pool::Order;
 use mangotrestle_core::workflow::record::JobState;
 use mangotrestle_core::workflow::spec::{AdvicePolicy, JobRecord};
@@ -96,20 +97,27 @@
     record(0, vec![occupying])
 }
 
+const fn senders(hosts: usize) -> Senders {
+    Senders {
+        hosts,
+        leader_is_late: false,
+    }
+}
+
 #[test]
 fn a_leader_that_learns_of_more_hosts_sends_more_ticket_requests_at_a_time() {
     let mut world = World::new(14, 40);
-    world.pool.set_max_ticket_requests(1);
+    world.pool.set_advice_senders(senders(1));
     for number in 0..16 {
         world.submit(&job(number), &advised_gang(2));
     }
     world.run_for(500);
     let requests_with_one_host = world.ticket_requests;
 
-    world.pool.set_max_ticket_requests(16);
+    world.pool.set_advice_senders(senders(20));
     world.run_for(500);
 
-    assert_eq!(requests_with_one_host, 1);
+    assert_eq!(requests_with_one_host, 2);
     assert!(world.ticket_requests >= 16, "{}", world.ticket_requests);
 }
 
--- a/crates/mangotrestle-core/tests/workflow/world.rs
+++ b/crates/mangotrestle-core/tests/workflow/world.rs
@@ -13,6 +13,7 @@
 use mangotrestle_core::id::{JobId, WorkerId};
 use mangotrestle_core::resources::Resources;
 use mangotrestle_core::time::{SpanMs, TimeMs, WorkerTimeMs};
+use mangotrestle_core::workflow::advice_hosts::Senders;
 use mangotrestle_core::workflow::job::{MemberKey, StepKey};
 use mangotrestle_core::workflow::leadership::{TERM_STEP, fencing_token};
 use mangotrestle_core::workflow::message::{
@@ -318,7 +319,7 @@
         max_lease: MAX_LEASE,
         max_hold_wait: SpanMs(200),
         min_poll_interval: SpanMs(20),
-        max_ticket_requests: 16,
+        advice_hosts: 20,
         job_end_retention: SpanMs(120_000),
         max_target_overrun: SpanMs(4_000),
         pace_delay: SpanMs(100),
@@ -540,7 +541,10 @@
             self.handle_answers();
             if let Some(advice) = &mut self.advice {
                 advice.send_other_calls(self.now);
-                self.pool.set_max_ticket_requests(advice.host_count() + 1);
+                self.pool.set_advice_senders(Senders {
+                    hosts: advice.host_count(),
+                    leader_is_late: false,
+                });
             }
             if self.begins_round() {
                 let began = processor_time();
--- a/crates/mangotrestle-core/tests/workflow/world/advice.rs
+++ b/crates/mangotrestle-core/tests/workflow/world/advice.rs
@@ -5,7 +5,8 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 
 use mangotrestle_core::id::{EntryHostId, WorkerId};
-use mangotrestle_core::workflow::advice_hosts::{self, AdviceHost};
+use mangotrestle_core::time::SpanMs;
+use mangotrestle_core::workflow::advice_hosts::{self, AdviceHost, RequestSize};
 use mangotrestle_core::workflow::job::StepKey;
 
 /// Number of waiting calls of a host from which the service refuses further ones.
@@ -108,7 +109,8 @@
         work_ms: u64,
         timeout_ms: u64,
     ) -> CallTimes {
-        let host = self.choose_host(pool, term, now);
+        let size = RequestSize::of(SpanMs(work_ms));
+        let host = self.choose_host(pool, term, now, size);
         let way_ms = if host == self.leaders[pool] {
             0
         } else {
@@ -140,9 +142,9 @@
         }
     }
 
-    /// Returns the host that sends the next call: the leader's own if it sends none, otherwise the
-    /// chosen one of the others.
-    fn choose_host(&self, pool: usize, term: u64, now: u64) -> usize {
+    /// Returns the host that sends the next call: the leader's own if it sends none and takes such
+    /// calls, otherwise the chosen one.
+    fn choose_host(&self, pool: usize, term: u64, now: u64, size: RequestSize) -> usize {
         let mut requests = vec![0; self.hosts.len()];
         for call in &self.calls {
             if call.pool == pool && call.term == term && call.ends_at > now {
@@ -150,13 +152,15 @@
             }
         }
         let own = self.leaders[pool];
-        if requests[own] == 0 {
+        let short_hosts = advice_hosts::short_hosts(&self.hosts);
+        let takes_size = size == RequestSize::Short || !short_hosts.contains(&&self.hosts[own]);
+        if requests[own] == 0 && takes_size {
             return own;
         }
-        let peers = self.hosts.iter().zip(requests).enumerate();
-        let peers = peers.filter(|(number, _)| *number != own);
-        let candidates = peers.map(|(_, (host, requests))| AdviceHost { host, requests });
-        let chosen = advice_hosts::choose(POOLS[pool], &POOLS.map(str::to_owned), candidates);
+        let hosts = self.hosts.iter().zip(requests);
+        let candidates = hosts.map(|(host, requests)| AdviceHost { host, requests });
+        let pools = POOLS.map(str::to_owned);
+        let chosen = advice_hosts::choose(POOLS[pool], &pools, size, &short_hosts, candidates);
         let chosen = chosen.map(|chosen| chosen.host);
         let position = self.hosts.iter().position(|host| Some(host) == chosen);
         position.unwrap_or(own)
--- a/crates/mangotrestle/src/host/cell.rs
+++ b/crates/mangotrestle/src/host/cell.rs
@@ -10,7 +10,7 @@
 use mangotrestle_core::collections::{FastMap, FastSet};
 use mangotrestle_core::id;
 use mangotrestle_core::time::{SpanMs, TimeMs};
-use mangotrestle_core::workflow::advice_hosts::{self, AdviceHost};
+use mangotrestle_core::workflow::advice_hosts::{self, AdviceHost, RequestSize};
 use mangotrestle_core::workflow::catalog::Catalog;
 use mangotrestle_core::workflow::division::Division;
 use mangotrestle_core::workflow::environment::HostSettings;
@@ -146,6 +146,8 @@
     peers: Mutex<BTreeMap<id::EntryHostId, Peer>>,
     leaders: Mutex<FastMap<String, Arc<Leader>>>,
     acceptors: Mutex<FastMap<String, Acceptor>>,
+    /// Cloned by each request to the advice service that this host has in flight.
+    advice_requests: Arc<()>,
     claiming: Mutex<FastSet<String>>,
     /// The peer that last relayed a call.
     last_relay: Mutex<Option<id::EntryHostId>>,
@@ -184,6 +186,7 @@
             peers: Mutex::default(),
             leaders: Mutex::default(),
             acceptors: Mutex::default(),
+            advice_requests: Arc::default(),
             claiming: Mutex::default(),
             last_relay: Mutex::default(),
             registered_version: AtomicU64::new(0),
@@ -457,18 +460,29 @@
     pub(super) fn reserve_advice_peer(
         &self,
         pool: &str,
-        own_advice_requests: usize,
+        size: RequestSize,
     ) -> Option<(id::EntryHostId, CellClient)> {
         let now = self.clock.now();
         let pools = self.configured_pools();
         let mut peers = lock(&self.peers);
+        let own = &self.settings.host;
+        let own_requests = Arc::strong_count(&self.advice_requests) - 1;
+        let short_hosts = advice_hosts::short_hosts(peers.keys().chain(std::iter::once(own)));
         let usable = peers.iter().filter(|(_, peer)| now >= peer.skipped_until);
         let hosts = usable.map(|(host, peer)| AdviceHost {
             host,
             requests: peer.advice_requests,
         });
-        let chosen = advice_hosts::choose(pool, &pools, hosts)?;
-        if chosen.requests >= own_advice_requests && own_advice_requests == 0 {
+        let own_host = AdviceHost {
+            host: own,
+            requests: own_requests,
+        };
+        if own_requests == 0 && (size == RequestSize::Short || !short_hosts.contains(&own)) {
+            return None;
+        }
+        let hosts = hosts.chain(std::iter::once(own_host));
+        let chosen = advice_hosts::choose(pool, &pools, size, &short_hosts, hosts)?;
+        if chosen.host == own {
             return None;
         }
         let host = chosen.host.clone();
@@ -477,6 +491,11 @@
         Some((host, peer.client.clone()))
     }
 
+    /// Counts a request of this host to the advice service until the result is dropped.
+    pub(super) fn count_advice_request(&self) -> Arc<()> {
+        Arc::clone(&self.advice_requests)
+    }
+
     /// Records that a peer has finished an advice request.
     pub(super) fn release_advice_peer(&self, host: &id::EntryHostId) {
         if let Some(peer) = lock(&self.peers).get_mut(host) {
--- a/crates/mangotrestle/src/host/events.rs
+++ b/crates/mangotrestle/src/host/events.rs
@@ -128,15 +128,24 @@
 
 /// Records what limits the ticket requests of a pool, and logs it if steps wait for a first request.
 pub(super) fn ticket_load(log: &slog::Logger, pool: &str, load: &TicketLoad) {
-    metrics::gauge!("mangotrestle_ticket_requests_in_flight", "pool" => pool.to_owned())
-        .set(f64::from(load.in_flight));
+    let in_flight = [
+        ("short", load.short_in_flight),
+        ("long", load.long_in_flight),
+    ];
+    for (size, requests) in in_flight {
+        metrics::gauge!("mangotrestle_ticket_requests_in_flight", "pool" => pool.to_owned(),
+            "size" => size)
+        .set(f64::from(requests));
+    }
     metrics::gauge!("mangotrestle_steps_without_request", "pool" => pool.to_owned())
         .set(f64::from(load.steps_without_request));
     if load.steps_without_request == 0 {
         return;
     }
-    slog::info!(log, "tickets.behind"; "pool" => pool, "in_flight" => load.in_flight,
-        "max_in_flight" => load.max_in_flight, "waiting_steps" => load.waiting_steps,
+    slog::info!(log, "tickets.behind"; "pool" => pool,
+        "short_in_flight" => load.short_in_flight, "max_short" => load.max_short_in_flight,
+        "long_in_flight" => load.long_in_flight, "max_long" => load.max_long_in_flight,
+        "waiting_steps" => load.waiting_steps,
         "without_request" => load.steps_without_request,
         "longest_ms" => load.longest_without_request.0);
 }
--- a/crates/mangotrestle/src/host/leader/loading.rs
+++ b/crates/mangotrestle/src/host/leader/loading.rs
@@ -1,6 +1,6 @@
 //! Builds the state of a claimed pool from its rows.
 
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
 use arc_swap::ArcSwap;
@@ -86,17 +86,10 @@
         release_begun: AtomicBool::new(false),
         ended: AtomicBool::new(false),
         waiters: Mutex::default(),
-        own_advice_requests: AtomicUsize::new(0),
         stored_shapes: Mutex::default(),
     }
 }
 
-/// Returns the number of ticket requests that all known hosts handle at a time: one each, and one that
-/// waits here.
-pub(super) fn max_ticket_requests(cell: &Cell) -> usize {
-    cell.host_count() + 1
-}
-
 fn pool_settings(cell: &Cell, pool: &str, term: u64) -> PoolSettings {
     let bounds = &cell.settings.bounds;
     PoolSettings {
@@ -105,7 +98,7 @@
         max_lease: bounds.max_lease,
         max_hold_wait: MAX_HOLD_WAIT,
         min_poll_interval: MIN_POLL_INTERVAL,
-        max_ticket_requests: max_ticket_requests(cell),
+        advice_hosts: cell.host_count(),
         job_end_retention: bounds.job_end_retention,
         max_target_overrun: bounds.max_target_overrun,
         pace_delay: bounds.pace_delay,
--- a/crates/mangotrestle/src/host/leader/mod.rs
+++ b/crates/mangotrestle/src/host/leader/mod.rs
@@ -8,7 +8,7 @@
 //! - `shares` keeps the pool's shares of teams' caps in step with their rows;
 //! - `releasing` releases leadership at a planned stop.
 
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -79,8 +79,6 @@
     published_summary: ArcSwap<PoolSummary>,
     /// Shapes of the workers that are durable in their row.
     stored_shapes: Mutex<Vec<WorkerShape>>,
-    /// Number of pending advice requests that this host sent itself, not through a peer.
-    pub(super) own_advice_requests: AtomicUsize,
 }
 
 impl Leader {
--- a/crates/mangotrestle/src/host/leader/rounds.rs
+++ b/crates/mangotrestle/src/host/leader/rounds.rs
@@ -6,18 +6,18 @@
 
 use mangotrestle_core::id;
 use mangotrestle_core::time::{SpanMs, TimeMs};
+use mangotrestle_core::workflow::advice_hosts::Senders;
 use mangotrestle_core::workflow::leadership;
 use mangotrestle_peer::cell::Acceptance;
 
 use super::Leader;
 use super::committing::{CommitExtras, CommitOutcome, begin_commit};
-use super::loading::max_ticket_requests;
 use super::releasing::notify_successor;
 use super::shares::ShareKeeper;
 use crate::host::cell::{Cell, lock};
 use crate::host::load::Work;
 use crate::host::pacing::{self, Pacing};
-use crate::host::{events, orders};
+use crate::host::{events, orders, repeating};
 
 /// Minimum interval between two commits with changes, in which more changes accumulate.
 const MIN_COMMIT_INTERVAL: SpanMs = SpanMs(12);
@@ -74,7 +74,10 @@
         share_keeper.step(&cell, &leader, now);
         {
             let mut state = lock(&leader.state);
-            state.set_max_ticket_requests(max_ticket_requests(&cell));
+            state.set_advice_senders(Senders {
+                hosts: cell.host_count(),
+                leader_is_late: repeating::is_late(&cell),
+            });
             state.tick(now);
         }
         if passing_on.is_due(&cell, &leader, now) {
--- a/crates/mangotrestle/src/host/orders.rs
+++ b/crates/mangotrestle/src/host/orders.rs
@@ -7,6 +7,7 @@
 
 use mangotrestle_core::id;
 use mangotrestle_core::time::{SpanMs, WorkerTimeMs};
+use mangotrestle_core::workflow::advice_hosts::RequestSize;
 use mangotrestle_core::workflow::feed_timing::FeedTiming;
 use mangotrestle_core::workflow::job::{MemberKey, StepKey};
 use mangotrestle_core::workflow::leadership;
@@ -300,8 +301,8 @@
         workers,
         within_ms: u64::try_from(timeout.as_millis()).unwrap_or(u64::MAX),
     };
-    let own_requests = leader.own_advice_requests.load(Ordering::Relaxed);
-    let answer = if let Some((host, peer)) = cell.reserve_advice_peer(&leader.pool, own_requests) {
+    let size = RequestSize::of(expected_delay);
+    let answer = if let Some((host, peer)) = cell.reserve_advice_peer(&leader.pool, size) {
         let result =
             tokio::time::timeout(timeout + ADVICE_TIMEOUT_MARGIN, peer.ask(request.clone())).await;
         cell.release_advice_peer(&host);
@@ -312,10 +313,7 @@
             None
         }
     } else {
-        leader.own_advice_requests.fetch_add(1, Ordering::Relaxed);
-        let answer = peers::request_advice(cell, &request).await;
-        leader.own_advice_requests.fetch_sub(1, Ordering::Relaxed);
-        answer
+        peers::request_advice(cell, &request).await
     };
     let answer = answer.map(|advice| (advice.good, SpanMs(advice.valid_ms)));
     let now = cell.clock.now();
--- a/crates/mangotrestle/src/host/peers.rs
+++ b/crates/mangotrestle/src/host/peers.rs
@@ -106,6 +106,7 @@
 pub(super) async fn request_advice(cell: &Arc<Cell>, request: &AdviceRequest) -> Option<Advice> {
     let service = cell.settings.advice?;
     let timeout = Duration::from_millis(request.within_ms);
+    let _counted = cell.count_advice_request();
     let answer = advice::ask(
         &cell.transport,
         service,
--- a/crates/mangotrestle/src/host/repeating.rs
+++ b/crates/mangotrestle/src/host/repeating.rs
@@ -11,9 +11,14 @@
 
 /// Time beyond a call's usual duration after which it is sent again.
 pub(super) const REPEAT_DELAY: Duration = Duration::from_millis(150);
-/// Lag of a host from which it repeats no calls.
+/// Lag of a host from which it is late, and repeats no calls.
 const MAX_LAG_MS: u64 = 60;
 
+/// Whether this host is so late with its own work that more calls would only make it later.
+pub(super) fn is_late(cell: &Cell) -> bool {
+    cell.load.lag_ms() >= MAX_LAG_MS
+}
+
 /// Answer to a call that may have been repeated.
 pub(super) struct Answered<T> {
     /// The answer.
@@ -39,7 +44,7 @@
     if let Ok(answer) = tokio::time::timeout(delay, &mut first).await {
         return answered(answer);
     }
-    if cell.load.lag_ms() >= MAX_LAG_MS {
+    if is_late(cell) {
         return answered(first.await);
     }
     metrics::counter!("mangotrestle_calls_repeated_total").increment(1);
