Give up a pool that this host cannot load, and end a claim whose task panicked

Callers saw, or would see: a pool that a host has claimed and does not serve, while other hosts could.

Cause: a claim was renewed for as long as the first load took, and only single pages had a timeout. A host that writes its row and reads slowly kept the pool. A second to fourth load ran without the claim being kept, so a rival could take the pool in the middle. Fix: the load as a whole has a limit, 3 s and 250 ms for each page that was read (more if the host's share of the store's rate is below 8 a second), so that a large pool loads and a host that reads at half the rate of a leader's feeds does not keep it. The claim is kept through all attempts. After the limit the row is released and this host takes its turn after the others for 10 s.

Cause: unmark_claiming stood behind the claim in the same task; after a panic this host never claimed the pool again. Fix: the mark is dropped with the task, however it ends; the others go first. Shown by two unit tests with a claim that panics.

Ranks delay a claim by 2 s at most (8 ranks): rows of hosts that are gone for good are never removed and each delayed all hosts after it by 250 ms. A test sums the bounds: silence, a load given up, the next turn and its load are less than the 12 s to recover.

New: leadership.given_up, leadership.not_released, host.task_failed and two counters.

--- a/crates/mangotrestle-core/src/workflow/leadership.rs
+++ b/crates/mangotrestle-core/src/workflow/leadership.rs
@@ -9,6 +9,7 @@
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
@@ -29,6 +30,11 @@
 /// Time after an observed commit for which its leader counts as alive: longer than a commit interval
 /// and one poll, shorter than [`LEADER_TIMEOUT`].
 pub const RECENT_COMMIT_WINDOW: SpanMs = SpanMs(1_300);
+/// Highest rank for which a claim is delayed any longer: hosts that are gone for good keep their ranks
+/// while their rows exist, and must not hold up those after them.
+pub const MAX_DELAYED_RANK: u64 = 8;
+/// Time for which a host that gave up a pool lets the other hosts go first.
+pub const GIVEN_UP_LIFETIME: SpanMs = SpanMs(10_000);
 /// Maximum time without a commit for which a leader still extends leases of workers. After this
 /// time and one lease, nothing that it started can still run on a worker that no other leader
 /// reaches.
@@ -213,6 +219,54 @@
     }
 }
 
+/// Returns the rank by which a host takes its turn to claim a pool; the rank among all known hosts is
+/// `rank`. A host that has just given the pool up goes after as many others as there are.
+#[must_use]
+pub fn turn_rank(rank: u64, hosts: u64, has_given_up: bool) -> u64 {
+    let rank = rank.min(MAX_DELAYED_RANK);
+    if has_given_up {
+        rank + hosts.min(MAX_DELAYED_RANK)
+    } else {
+        rank
+    }
+}
+
+/// How long a host may take to load a pool that it has claimed.
+///
+/// The limit grows with what was read, so that a large pool can be loaded by a host that gets its share
+/// of the store's rate. A host that gets less could not follow the pool's feeds either.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct LoadTiming {
+    base: SpanMs,
+    per_page: SpanMs,
+}
+
+impl LoadTiming {
+    /// Time for the first pages, with one that has to be read again.
+    const BASE: SpanMs = SpanMs(3_000);
+    /// Minimum time for each page: half the rate at which a leader reads its feeds.
+    const MIN_PER_PAGE: SpanMs = SpanMs(250);
+    /// Multiple of the time between two reads at the host's share of the store's rate.
+    const READ_INTERVAL_FACTOR: f64 = 2.0;
+
+    /// Returns the times for a host whose equal share of the store's rate is `reads_per_s`.
+    #[must_use]
+    pub fn new(reads_per_s: f64) -> Self {
+        let per_page = Duration::from_secs_f64(Self::READ_INTERVAL_FACTOR / reads_per_s.max(1.0));
+        let per_page_ms = u64::try_from(per_page.as_millis()).unwrap_or(u64::MAX);
+        Self {
+            base: Self::BASE,
+            per_page: SpanMs(per_page_ms).max(Self::MIN_PER_PAGE),
+        }
+    }
+
+    /// Returns the time from the claim after which a load is given up that has read so many pages.
+    #[must_use]
+    pub const fn limit(&self, pages: u64) -> SpanMs {
+        SpanMs(self.base.0 + pages * self.per_page.0)
+    }
+}
+
 /// Doubles a time span of the leadership protocol while the store is slow, since commits and polls
 /// take longer then.
 const fn doubled_if_slow(span: SpanMs, store_slow: bool) -> SpanMs {
--- a/crates/mangotrestle/src/host/cell.rs
+++ b/crates/mangotrestle/src/host/cell.rs
@@ -16,7 +16,7 @@
 use mangotrestle_core::workflow::environment::HostSettings;
 use mangotrestle_core::workflow::feed_timing::FeedTiming;
 use mangotrestle_core::workflow::leadership::{
-    self, Candidate, ClaimTurn, LeadRow, PoolSummary, Watch, WorkerShape,
+    self, Candidate, ClaimTurn, LeadRow, LoadTiming, PoolSummary, Watch, WorkerShape,
 };
 use mangotrestle_core::workflow::message::WorkerEntry;
 use mangotrestle_peer::cell::CellClient;
@@ -93,6 +93,8 @@
     pub(super) claim_turn: ClaimTurn,
     /// Whether its leader is being asked if it still leads.
     pub(super) probe_running: bool,
+    /// When this host last gave it up; unset if it never did.
+    pub(super) given_up_at: Option<TimeMs>,
     /// When its leader last did not answer whether it still leads; unset if it has answered or
     /// committed since.
     pub(super) leader_unresponsive_at: Option<TimeMs>,
@@ -670,14 +672,38 @@
         lock(&self.leaders).remove(pool);
     }
 
-    /// Records that a claim of a pool begins; returns `false` if one is already in progress.
-    pub(super) fn mark_claiming(&self, pool: &str) -> bool {
-        lock(&self.claiming).insert(pool.to_owned())
+    /// Records that a claim of a pool begins, until the result is dropped; `None` if one is already in
+    /// progress.
+    pub(super) fn mark_claiming(self: &Arc<Self>, pool: &str) -> Option<Claiming> {
+        let is_new = lock(&self.claiming).insert(pool.to_owned());
+        is_new.then(|| Claiming {
+            cell: Arc::clone(self),
+            pool: pool.to_owned(),
+        })
+    }
+
+    /// Records that this host cannot lead a pool for now, so that the others claim it first.
+    pub(super) fn record_given_up(&self, pool: &str) {
+        let now = self.clock.now();
+        self.with_pool(pool, |view| view.given_up_at = Some(now));
+    }
+
+    /// Returns the rank by which this host takes its turn to claim a pool. `gone` is a host that is no
+    /// candidate, if any.
+    pub(super) fn turn_rank(&self, pool: &str, gone: Option<&id::EntryHostId>) -> u64 {
+        let now = self.clock.now();
+        let given_up_at = self.with_pool(pool, |view| view.given_up_at);
+        let has_given_up =
+            given_up_at.is_some_and(|at| now.since(at) < leadership::GIVEN_UP_LIFETIME);
+        let hosts = u64::try_from(self.host_count()).unwrap_or(u64::MAX);
+        leadership::turn_rank(self.rank(pool, gone), hosts, has_given_up)
     }
 
-    /// Records that a claim of a pool has ended.
-    pub(super) fn unmark_claiming(&self, pool: &str) {
-        lock(&self.claiming).remove(pool);
+    /// Returns the times for loading a pool, by this host's equal share of the store's rate.
+    pub(super) fn load_timing(&self) -> LoadTiming {
+        let hosts = u32::try_from(self.host_count()).unwrap_or(u32::MAX);
+        let reads_per_s = self.settings.store_limits.reads_per_s * STORE_RATE_SHARE;
+        LoadTiming::new(reads_per_s / f64::from(hosts))
     }
 
     /// Returns the acceptor for a pool, which is started on first use.
@@ -690,6 +716,18 @@
     }
 }
 
+/// Marks a pool as being claimed by this host until it is dropped, however the claim ends.
+pub(super) struct Claiming {
+    cell: Arc<Cell>,
+    pool: String,
+}
+
+impl Drop for Claiming {
+    fn drop(&mut self) {
+        lock(&self.cell.claiming).remove(&self.pool);
+    }
+}
+
 /// Returns the peers as candidates to lead a pool.
 fn candidates<'a>(
     peers: &'a BTreeMap<id::EntryHostId, Peer>,
--- a/crates/mangotrestle/src/host/events.rs
+++ b/crates/mangotrestle/src/host/events.rs
@@ -126,6 +126,26 @@
     }
 }
 
+/// Logs that this host gives up a pool so that another one leads it; `reason` is the task that failed, or
+/// the load.
+pub(super) fn leadership_given_up(
+    log: &slog::Logger,
+    pool: &str,
+    term: u64,
+    reason: &'static str,
+    error: &str,
+) {
+    metrics::counter!("mangotrestle_leaderships_given_up_total", "reason" => reason).increment(1);
+    slog::warn!(log, "leadership.given_up"; "pool" => pool, "term" => term, "reason" => reason,
+        "error" => error);
+}
+
+/// Logs a task of the host that ended by a panic and is not followed by the end of a leadership.
+pub(super) fn task_failed(log: &slog::Logger, task: &'static str, pool: &str) {
+    metrics::counter!("mangotrestle_host_tasks_failed_total", "task" => task).increment(1);
+    slog::error!(log, "host.task_failed"; "task" => task, "pool" => pool);
+}
+
 /// Logs a job that admission refused.
 pub(super) fn job_refused(
     log: &slog::Logger,
--- a/crates/mangotrestle/src/host/feeds.rs
+++ b/crates/mangotrestle/src/host/feeds.rs
@@ -418,7 +418,7 @@
         let replaceable = ended || cell.leader_is_unresponsive(&pool);
         let holder = cell.lead_row(&pool).map(|row| row.holder);
         let gone = holder.filter(|holder| replaceable && *holder != cell.settings.host);
-        let rank = cell.rank(&pool, gone.as_ref());
+        let rank = cell.turn_rank(&pool, gone.as_ref());
         let now = cell.clock.now();
         let due = cell.with_pool(&pool, |view| {
             let is_due = view.watch.is_claim_due(0, claim_stagger, replaceable, slow);
--- a/crates/mangotrestle/src/host/leader/claiming.rs
+++ b/crates/mangotrestle/src/host/leader/claiming.rs
@@ -3,33 +3,53 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use mangotrestle_core::workflow::leadership::{self, LeadRow};
+use mangotrestle_core::workflow::leadership::{self, LeadRow, LoadTiming};
+use mangotrestle_core::workflow::pool::Pool;
 use mangotrestle_users_platform::store::{Row, Transaction, TransactionAnswer, Value};
+use tokio::time::Instant;
 
 use super::committing::{push_row, sequence_of};
-use super::loading::{load, new_leader};
+use super::loading::{FeedVersions, load, new_leader};
+use super::releasing::give_up;
 use super::{PART_READ_TIMEOUT, STORE_RETRY_DELAY, following, rounds, shares};
-use crate::host::cell::Cell;
-use crate::host::{feeds, liveness, names};
+use crate::host::cell::{Cell, Claiming};
+use crate::host::{events, feeds, liveness, names};
 
 /// Maximum number of attempts to write a claim; only attempts with unknown outcome are repeated.
 const MAX_CLAIM_ATTEMPTS: u32 = 3;
-/// Maximum number of attempts to load a claimed pool.
-const MAX_LOAD_ATTEMPTS: u32 = 4;
-
 /// Starts a claim of a pool that seems to have no leader, unless one is in progress.
 pub(in crate::host) fn begin_claim(cell: &Arc<Cell>, pool: &str) {
-    if !cell.mark_claiming(pool) {
+    let Some(claiming) = cell.mark_claiming(pool) else {
         return;
-    }
+    };
     let cell = Arc::clone(cell);
     let pool = pool.to_owned();
     tokio::spawn(async move {
-        claim(&cell, &pool).await;
-        cell.unmark_claiming(&pool);
+        watch_claim(
+            &cell,
+            &pool,
+            claiming,
+            claim(Arc::clone(&cell), pool.clone()),
+        )
+        .await;
     });
 }
 
+/// Runs a claim. If it ends by a panic, the row may be claimed with nobody to lead the pool, so the other
+/// hosts go first.
+pub(super) async fn watch_claim(
+    cell: &Cell,
+    pool: &str,
+    claiming: Claiming,
+    claim: impl Future<Output = ()> + Send + 'static,
+) {
+    if tokio::spawn(claim).await.is_err() {
+        cell.record_given_up(pool);
+        events::task_failed(&cell.log, "claim", pool);
+    }
+    drop(claiming);
+}
+
 /// Claims a pool whose leader reported that it released leadership.
 pub(in crate::host) async fn claim_released(cell: &Arc<Cell>, pool: &str) {
     if cell.is_stopping() || cell.leader(pool).is_some() {
@@ -64,7 +84,8 @@
     }
 }
 
-async fn claim(cell: &Arc<Cell>, pool: &str) {
+async fn claim(cell: Arc<Cell>, pool: String) {
+    let (cell, pool) = (&cell, pool.as_str());
     let (row, expected) = cell.with_pool(pool, |view| {
         let address = cell.settings.peer.to_string();
         let row = view
@@ -87,41 +108,73 @@
         version: AtomicU64::new(version),
         sequence: AtomicU64::new(0),
     };
-    for attempt in 0..MAX_LOAD_ATTEMPTS {
+    let loaded = tokio::select! {
+        loaded = load_in_time(cell, pool, claim.row.term) => loaded,
+        () = Box::pin(keep_claim(cell, pool, &claim)) => return,
+    };
+    let Some((state, feeds)) = loaded else {
+        events::leadership_given_up(
+            &cell.log,
+            pool,
+            claim.row.term,
+            "load",
+            "not loaded in time",
+        );
+        give_up(cell, pool, claim.last_row(), claim.version.into_inner()).await;
+        return;
+    };
+    let leader = Arc::new(new_leader(cell, pool, &claim, state, &feeds));
+    cell.add_leader(pool, Arc::clone(&leader));
+    // A planned stop that began during the load has not seen this leader.
+    if cell.is_stopping() {
+        leader.releasing.store(true, Ordering::Relaxed);
+    }
+    let workers_feed =
+        following::follow_workers(Arc::clone(cell), Arc::clone(&leader), feeds.workers);
+    feeds::spawn(cell, workers_feed);
+    let inbox_feed = following::follow_inbox(Arc::clone(cell), Arc::clone(&leader), feeds.inbox);
+    feeds::spawn(cell, inbox_feed);
+    let shares_feed = shares::follow_shares(Arc::clone(cell), Arc::clone(&leader));
+    feeds::spawn(cell, shares_feed);
+    tokio::spawn(liveness::poll_machines(
+        Arc::clone(cell),
+        Arc::clone(&leader),
+    ));
+    rounds::spawn_rounds(cell, leader);
+}
+
+/// Loads a claimed pool; `None` if this host cannot, and another one should.
+async fn load_in_time(cell: &Arc<Cell>, pool: &str, term: u64) -> Option<(Pool, FeedVersions)> {
+    let began = Instant::now();
+    let timing = cell.load_timing();
+    let mut retry_delay = STORE_RETRY_DELAY;
+    loop {
+        let pages = AtomicU64::new(0);
         let result = tokio::select! {
-            result = load(cell, pool, claim.row.term) => result,
-            // After a failure the claim is left to expire, so that a host that can load takes over.
-            () = Box::pin(keep_claim(cell, pool, &claim)), if attempt == 0 => return,
+            result = load(cell, pool, term, &pages) => result,
+            () = wait_for_limit(&timing, began, &pages) => return None,
         };
         match result {
-            Ok((state, feeds)) => {
-                let leader = Arc::new(new_leader(cell, pool, &claim, state, &feeds));
-                cell.add_leader(pool, Arc::clone(&leader));
-                // A planned stop that began during the load has not seen this leader.
-                if cell.is_stopping() {
-                    leader.releasing.store(true, Ordering::Relaxed);
-                }
-                let workers_feed =
-                    following::follow_workers(Arc::clone(cell), Arc::clone(&leader), feeds.workers);
-                feeds::spawn(cell, workers_feed);
-                let inbox_feed =
-                    following::follow_inbox(Arc::clone(cell), Arc::clone(&leader), feeds.inbox);
-                feeds::spawn(cell, inbox_feed);
-                let shares_feed = shares::follow_shares(Arc::clone(cell), Arc::clone(&leader));
-                feeds::spawn(cell, shares_feed);
-                tokio::spawn(liveness::poll_machines(
-                    Arc::clone(cell),
-                    Arc::clone(&leader),
-                ));
-                rounds::spawn_rounds(cell, leader);
-                return;
-            }
+            Ok(loaded) => return Some(loaded),
             Err(error) => {
                 slog::warn!(cell.log, "leadership.load_failed"; "pool" => pool,
                     "error" => %error);
-                tokio::time::sleep(STORE_RETRY_DELAY).await;
             }
         }
+        tokio::time::sleep(retry_delay).await;
+        retry_delay = (retry_delay * 2).min(leadership::MAX_COMMIT_INTERVAL.as_duration());
+    }
+}
+
+/// Completes when a load has taken longer than is allowed for what it has read.
+async fn wait_for_limit(timing: &LoadTiming, began: Instant, pages: &AtomicU64) {
+    loop {
+        let limit = timing.limit(pages.load(Ordering::Relaxed)).as_duration();
+        let remaining = limit.saturating_sub(began.elapsed());
+        if remaining.is_zero() {
+            return;
+        }
+        tokio::time::sleep(remaining).await;
     }
 }
 
@@ -134,6 +187,16 @@
     pub(super) sequence: AtomicU64,
 }
 
+impl Claim {
+    /// Returns the row as last written.
+    fn last_row(&self) -> LeadRow {
+        LeadRow {
+            sequence: self.sequence.load(Ordering::Relaxed),
+            ..self.row.clone()
+        }
+    }
+}
+
 /// Rewrites a claim at the interval of commits, so that no other host takes the pool over while it
 /// is loaded. Returns once another host leads the pool.
 async fn keep_claim(cell: &Arc<Cell>, pool: &str, claim: &Claim) {
--- a/crates/mangotrestle/src/host/leader/loading.rs
+++ b/crates/mangotrestle/src/host/leader/loading.rs
@@ -32,17 +32,19 @@
     pub(super) inbox: u64,
 }
 
+/// Builds the state of a claimed pool; `pages` counts what was read of it.
 pub(super) async fn load(
     cell: &Arc<Cell>,
     pool: &str,
     term: u64,
+    pages: &AtomicU64,
 ) -> Result<(Pool, FeedVersions), CallError> {
     let began_at = cell.clock.now();
     let (inbox, assignments, learned, workers) = tokio::try_join!(
-        cell.read_part(names::INBOX_TABLE, pool, PART_READ_TIMEOUT),
-        cell.read_part(names::ASSIGN_TABLE, pool, PART_READ_TIMEOUT),
-        cell.read_part(names::LEARNED_TABLE, pool, PART_READ_TIMEOUT),
-        cell.read_part(WORKERS_TABLE, "", PART_READ_TIMEOUT),
+        cell.read_part_counted(names::INBOX_TABLE, pool, PART_READ_TIMEOUT, pages),
+        cell.read_part_counted(names::ASSIGN_TABLE, pool, PART_READ_TIMEOUT, pages),
+        cell.read_part_counted(names::LEARNED_TABLE, pool, PART_READ_TIMEOUT, pages),
+        cell.read_part_counted(WORKERS_TABLE, "", PART_READ_TIMEOUT, pages),
     )?;
     let now = cell.clock.now();
     let mut state = Pool::new(
--- a/crates/mangotrestle/src/host/leader/mod.rs
+++ b/crates/mangotrestle/src/host/leader/mod.rs
@@ -182,3 +182,6 @@
         TimeMs(self.confirmed_at_ms.load(Ordering::Relaxed))
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/mangotrestle/src/host/leader/releasing.rs
+++ b/crates/mangotrestle/src/host/leader/releasing.rs
@@ -1,11 +1,21 @@
-//! Releases leadership at a planned stop, and notifies the hosts that should lead next.
+//! Releases leadership, at a planned stop or because this host cannot lead a pool, and notifies the
+//! hosts that should lead next.
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use mangotrestle_core::workflow::leadership::LeadRow;
+use mangotrestle_users_platform::store::{Row, Transaction, TransactionAnswer};
+
+use super::claiming::{is_written_by, observe_lead_rows};
+use super::committing::{push_row, sequence_of};
 use super::{Leader, STORE_RETRY_DELAY};
 use crate::host::cell::Cell;
+use crate::host::names;
+
+/// Maximum number of attempts to release a row; without success the others wait for the leader's timeout.
+const MAX_RELEASE_ATTEMPTS: u32 = 4;
 
 /// Maximum time for which releasing leadership may delay a planned stop.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(1_200);
@@ -45,3 +55,50 @@
         }
     }
 }
+
+/// Leaves a pool to the other hosts, which claim it at once. `row` is the leadership row that this host
+/// wrote last and `version` its version. Nothing of this host may write the row any more; a write that is
+/// on its way has no effect once the row is released.
+pub(super) async fn give_up(cell: &Arc<Cell>, pool: &str, row: LeadRow, version: u64) {
+    cell.record_given_up(pool);
+    let row = LeadRow {
+        sequence: row.sequence + 1,
+        released: true,
+        ..row
+    };
+    let probe = names::lead_row(pool);
+    let is_ours =
+        |found: &Row| is_written_by(found, &row) && sequence_of(found) == Some(row.sequence);
+    let mut expected = version;
+    for _ in 0..MAX_RELEASE_ATTEMPTS {
+        let mut transaction = Transaction::default();
+        transaction.expect.push((probe.clone(), expected));
+        push_row(&mut transaction, probe.clone(), &row);
+        let result = cell
+            .transact_with_probe(&transaction, &probe, is_ours)
+            .await;
+        match result {
+            Ok(TransactionAnswer::Done { version }) => {
+                let now = cell.clock.now();
+                cell.with_pool(pool, |view| view.watch.observe(now, row.clone(), version));
+                return;
+            }
+            Ok(TransactionAnswer::Conflict(rows)) => {
+                let own = rows.iter().find(|found| is_written_by(found, &row));
+                let Some(own) = own else {
+                    observe_lead_rows(cell, pool, &rows);
+                    return;
+                };
+                if is_ours(own) {
+                    return;
+                }
+                expected = own.version;
+            }
+            Err(error) => {
+                slog::info!(cell.log, "leadership.not_released"; "pool" => pool,
+                    "error" => %error);
+                tokio::time::sleep(STORE_RETRY_DELAY).await;
+            }
+        }
+    }
+}
--- a/crates/mangotrestle/src/host/reads.rs
+++ b/crates/mangotrestle/src/host/reads.rs
@@ -5,7 +5,7 @@
 
 use std::collections::VecDeque;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use mangotrestle_core::id;
@@ -171,8 +171,21 @@
         table: &str,
         part: &str,
         timeout: Duration,
+    ) -> Result<Rows, CallError> {
+        let pages = AtomicU64::new(0);
+        self.read_part_counted(table, part, timeout, &pages).await
+    }
+
+    /// Reads all rows of a part as [`Self::read_part`] does, and counts the pages as they are read.
+    pub(super) async fn read_part_counted(
+        self: &Arc<Self>,
+        table: &str,
+        part: &str,
+        timeout: Duration,
+        pages: &AtomicU64,
     ) -> Result<Rows, CallError> {
         let mut all = self.read_page(table, part, "", timeout).await?;
+        pages.fetch_add(1, Ordering::Relaxed);
         while all.truncated {
             // A key that sorts right after the last one read.
             let from = all
@@ -181,6 +194,7 @@
                 .map(|row| format!("{}\u{1}", row.name.key))
                 .unwrap_or_default();
             let page = self.read_page(table, part, &from, timeout).await?;
+            pages.fetch_add(1, Ordering::Relaxed);
             all.truncated = page.truncated && !page.rows.is_empty();
             all.rows.extend(page.rows);
         }
