End a leadership with the first of its tasks that fails, and release its row

What callers would see: accepted jobs that never start or are never cancelled while workers have room, and a leader that goes on committing, so that nobody replaces it.

After a panic of the workers' feed the list of workers grows older than allowed, every start is withheld, and the rounds commit on. A panic of the rounds or of a commit ended the leadership without releasing the row, so the others waited until it was silent for 0.9 to 1.6 s, and a commit that was on its way went on without its rounds. A panic anywhere inside of the pool's state (an order's answer, a call of a peer) left it half changed and in use, since poisoning is ignored.

The tests give the supervising function a feed that panics and poison the pool's state.

Fix: all tasks of a leadership run in one set. If one panics, the others and a running commit are ended, callers are answered that the outcome is unknown, and the row is released, so that another host builds the state anew from the store. None is begun anew here: each of them changes the pool's state, and what it had done is not known. The rounds check the poisoning and end the leadership for it. A commit that was still on its way cannot take the row back: its condition is an older version, and its task has ended.

--- a/crates/mangotrestle/src/host/feeds.rs
+++ b/crates/mangotrestle/src/host/feeds.rs
@@ -33,12 +33,6 @@
 /// gap the timeouts of all leaders restart, since this host could not observe their commits.
 const MAX_OBSERVATION_GAP: Duration = Duration::from_secs(1);
 
-/// Follows a feed in a task of its own, and measures its time.
-pub(super) fn spawn(cell: &Arc<Cell>, feed: impl Future<Output = ()> + Send + 'static) {
-    let cell = Arc::clone(cell);
-    tokio::spawn(async move { cell.load.measure(Work::Feed, feed).await });
-}
-
 /// Follows a feed that the host cannot do without, anew if that fails.
 pub(super) fn supervise<F>(cell: &Arc<Cell>, name: &'static str, follow: fn(Arc<Cell>) -> F)
 where
--- a/crates/mangotrestle/src/host/leader/claiming.rs
+++ b/crates/mangotrestle/src/host/leader/claiming.rs
@@ -11,9 +11,9 @@
 use super::committing::{push_row, sequence_of};
 use super::loading::{FeedVersions, load, new_leader};
 use super::releasing::give_up;
-use super::{PART_READ_TIMEOUT, STORE_RETRY_DELAY, following, rounds, shares};
+use super::{PART_READ_TIMEOUT, STORE_RETRY_DELAY, supervising};
 use crate::host::cell::{Cell, Claiming};
-use crate::host::{events, feeds, liveness, names};
+use crate::host::{events, names};
 
 /// Maximum number of attempts to write a claim; only attempts with unknown outcome are repeated.
 const MAX_CLAIM_ATTEMPTS: u32 = 3;
@@ -129,18 +129,7 @@
     if cell.is_stopping() {
         leader.releasing.store(true, Ordering::Relaxed);
     }
-    let workers_feed =
-        following::follow_workers(Arc::clone(cell), Arc::clone(&leader), feeds.workers);
-    feeds::spawn(cell, workers_feed);
-    let inbox_feed = following::follow_inbox(Arc::clone(cell), Arc::clone(&leader), feeds.inbox);
-    feeds::spawn(cell, inbox_feed);
-    let shares_feed = shares::follow_shares(Arc::clone(cell), Arc::clone(&leader));
-    feeds::spawn(cell, shares_feed);
-    tokio::spawn(liveness::poll_machines(
-        Arc::clone(cell),
-        Arc::clone(&leader),
-    ));
-    rounds::spawn_rounds(cell, leader);
+    supervising::lead(cell, leader, &feeds);
 }
 
 /// Loads a claimed pool; `None` if this host cannot, and another one should.
--- a/crates/mangotrestle/src/host/leader/committing.rs
+++ b/crates/mangotrestle/src/host/leader/committing.rs
@@ -63,12 +63,13 @@
     Deposed,
 }
 
+/// Takes the pool's changes; the result makes them durable.
 pub(super) fn begin_commit(
     cell: &Arc<Cell>,
     leader: &Arc<Leader>,
     now: TimeMs,
     with: CommitExtras,
-) -> tokio::task::JoinHandle<CommitOutcome> {
+) -> impl Future<Output = CommitOutcome> + Send + use<> {
     let (commit, summary, learned) = {
         let mut state = lock(&leader.state);
         let commit = state.take_commit(now, MAX_COMMIT_ROWS);
@@ -89,7 +90,7 @@
     }
     let cell = Arc::clone(cell);
     let leader = Arc::clone(leader);
-    tokio::spawn(async move {
+    async move {
         let began = cell.clock.now();
         let rows = commit.changes.len();
         let content = CommitContent {
@@ -106,7 +107,19 @@
             "took_ms" => took.0);
         leader.wake.notify_one();
         result
-    })
+    }
+}
+
+/// Returns the leadership row of a leader's commit.
+pub(super) fn lead_row(cell: &Cell, leader: &Leader, sequence: u64, released: bool) -> LeadRow {
+    LeadRow {
+        holder: cell.settings.host.clone(),
+        address: cell.settings.peer.to_string(),
+        incarnation: cell.incarnation,
+        term: leader.term,
+        sequence,
+        released,
+    }
 }
 
 /// Tries a commit until it is durable, certainly had no effect, or another host leads the pool.
@@ -122,14 +135,7 @@
         releasing,
     } = *content;
     let sequence = leader.sequence.load(Ordering::Relaxed) + 1;
-    let row = LeadRow {
-        holder: cell.settings.host.clone(),
-        address: cell.settings.peer.to_string(),
-        incarnation: cell.incarnation,
-        term: leader.term,
-        sequence,
-        released: releasing,
-    };
+    let row = lead_row(cell, leader, sequence, releasing);
     let mut transaction = build_transaction(&leader.pool, commit);
     push_row(&mut transaction, names::lead_row(&leader.pool), &row);
     let mut changed_shapes = None;
@@ -232,9 +238,12 @@
 }
 
 pub(super) fn sequence_of(row: &Row) -> Option<u64> {
+    decode_lead(row).map(|lead| lead.sequence)
+}
+
+pub(super) fn decode_lead(row: &Row) -> Option<LeadRow> {
     let value = row.value.as_ref()?;
-    let lead: LeadRow = serde_json::from_slice(&value.0).ok()?;
-    Some(lead.sequence)
+    serde_json::from_slice(&value.0).ok()
 }
 
 pub(super) fn push_row<T: serde::Serialize>(transaction: &mut Transaction, name: RowName, row: &T) {
--- a/crates/mangotrestle/src/host/leader/loading.rs
+++ b/crates/mangotrestle/src/host/leader/loading.rs
@@ -99,7 +99,7 @@
     cell.host_count() + 1
 }
 
-fn pool_settings(cell: &Cell, pool: &str, term: u64) -> PoolSettings {
+pub(super) fn pool_settings(cell: &Cell, pool: &str, term: u64) -> PoolSettings {
     let bounds = &cell.settings.bounds;
     PoolSettings {
         name: pool.to_owned(),
--- a/crates/mangotrestle/src/host/leader/mod.rs
+++ b/crates/mangotrestle/src/host/leader/mod.rs
@@ -5,8 +5,9 @@
 //! - `following` follows the feeds of workers and accepted jobs;
 //! - `rounds` runs the leader's rounds and passes the pool on;
 //! - `committing` makes the pool's changes durable;
+//! - `supervising` runs the tasks of a leadership, and ends it if one fails;
 //! - `shares` keeps the pool's shares of teams' caps in step with their rows;
-//! - `releasing` releases leadership at a planned stop.
+//! - `releasing` releases leadership, at a planned stop or because this host cannot lead the pool.
 
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -33,6 +34,7 @@
 mod releasing;
 mod rounds;
 mod shares;
+mod supervising;
 
 pub(super) use claiming::{begin_claim, claim_released};
 pub(super) use releasing::release_all;
--- a/crates/mangotrestle/src/host/leader/releasing.rs
+++ b/crates/mangotrestle/src/host/leader/releasing.rs
@@ -9,7 +9,7 @@
 use mangotrestle_users_platform::store::{Row, Transaction, TransactionAnswer};
 
 use super::claiming::{is_written_by, observe_lead_rows};
-use super::committing::{push_row, sequence_of};
+use super::committing::{decode_lead, push_row};
 use super::{Leader, STORE_RETRY_DELAY};
 use crate::host::cell::Cell;
 use crate::host::names;
@@ -67,8 +67,11 @@
         ..row
     };
     let probe = names::lead_row(pool);
-    let is_ours =
-        |found: &Row| is_written_by(found, &row) && sequence_of(found) == Some(row.sequence);
+    // A commit that was on its way may have the same number, and does not release the row.
+    let is_ours = |found: &Row| {
+        let is_released = decode_lead(found).is_some_and(|lead| lead.released);
+        is_written_by(found, &row) && is_released
+    };
     let mut expected = version;
     for _ in 0..MAX_RELEASE_ATTEMPTS {
         let mut transaction = Transaction::default();
--- a/crates/mangotrestle/src/host/leader/rounds.rs
+++ b/crates/mangotrestle/src/host/leader/rounds.rs
@@ -8,12 +8,14 @@
 use mangotrestle_core::time::{SpanMs, TimeMs};
 use mangotrestle_core::workflow::leadership;
 use mangotrestle_peer::cell::Acceptance;
+use tokio::task::JoinSet;
 
 use super::Leader;
 use super::committing::{CommitExtras, CommitOutcome, begin_commit};
 use super::loading::max_ticket_requests;
 use super::releasing::notify_successor;
 use super::shares::ShareKeeper;
+use super::supervising::Failure;
 use crate::host::cell::{Cell, lock};
 use crate::host::load::Work;
 use crate::host::pacing::{self, Pacing};
@@ -33,8 +35,13 @@
 const STALL_THRESHOLD: SpanMs = SpanMs(1_000);
 
 /// Runs the rounds of a leader until another host leads the pool or this one has released it.
-async fn run_leader(cell: Arc<Cell>, leader: Arc<Leader>) {
-    let mut commit: Option<tokio::task::JoinHandle<CommitOutcome>> = None;
+///
+/// # Errors
+///
+/// [`Failure`] if a commit failed, or a task failed while it changed the pool's state.
+pub(super) async fn run_leader(cell: Arc<Cell>, leader: Arc<Leader>) -> Result<(), Failure> {
+    // At most one at a time. It ends with the rounds: later it could claim a row that was released.
+    let mut commit: JoinSet<CommitOutcome> = JoinSet::new();
     let mut commit_began_at = cell.clock.now();
     let mut summary_written_at = TimeMs(0);
     let mut learned_written_at = cell.clock.now();
@@ -46,6 +53,12 @@
         // After the timeout the round runs without a notification.
         let _ = tokio::time::timeout(pacing::MAX_ROUND_INTERVAL, leader.wake.notified()).await;
         pacing.wait_for_round().await;
+        if leader.state.is_poisoned() {
+            return Err(Failure {
+                task: "state",
+                error: "a task failed while it changed the pool's state".to_owned(),
+            });
+        }
         cell.count_suspension();
         let now = cell.clock.now();
         if now.since(last_round) > STALL_THRESHOLD {
@@ -56,16 +69,16 @@
             commit_began_at = TimeMs(0);
         }
         last_round = now;
-        if commit
-            .as_ref()
-            .is_some_and(tokio::task::JoinHandle::is_finished)
-            && let Some(task) = commit.take()
-        {
-            if !settle_commit(&cell, &leader, now, task.await) {
-                break;
+        if let Some(outcome) = commit.try_join_next() {
+            let outcome = outcome.map_err(|error| Failure {
+                task: "commit",
+                error: error.to_string(),
+            })?;
+            if !settle_commit(&cell, &leader, now, outcome) {
+                return Ok(());
             }
             if leader.release_begun.load(Ordering::Relaxed) {
-                break;
+                return Ok(());
             }
         }
         if cell.store_is_silent() {
@@ -84,7 +97,7 @@
             leader.releasing.store(true, Ordering::Relaxed);
             tokio::spawn(notify_successor(Arc::clone(&cell), Arc::clone(&leader)));
         }
-        if commit.is_none() {
+        if commit.is_empty() {
             let releasing = leader.releasing.load(Ordering::Relaxed);
             let changed = lock(&leader.state).has_changes();
             let due = (changed && now.since(commit_began_at) >= MIN_COMMIT_INTERVAL)
@@ -106,24 +119,18 @@
                     learned: with_learned,
                     releasing,
                 };
-                commit = Some(begin_commit(&cell, &leader, now, with));
+                commit.spawn(begin_commit(&cell, &leader, now, with));
             }
         }
         orders::execute_orders(&cell, &leader);
         cell.load.add(Work::Round, pacing.end_round());
     }
-    end_leadership(&cell, &leader);
 }
 
 /// Handles the outcome of a commit. Returns whether this host still leads the pool.
-fn settle_commit(
-    cell: &Cell,
-    leader: &Leader,
-    now: TimeMs,
-    outcome: Result<CommitOutcome, tokio::task::JoinError>,
-) -> bool {
+fn settle_commit(cell: &Cell, leader: &Leader, now: TimeMs, outcome: CommitOutcome) -> bool {
     match outcome {
-        Ok(CommitOutcome::Durable { version, accepted }) => {
+        CommitOutcome::Durable { version, accepted } => {
             lock(&leader.state).committed(now);
             leader.confirmed_at_ms.store(now.0, Ordering::Relaxed);
             leader.fenced.store(false, Ordering::Relaxed);
@@ -131,41 +138,24 @@
                 leader.answer_waiters(&job, &Acceptance::Accepted { version });
             }
         }
-        Ok(CommitOutcome::Duplicates(jobs)) => {
+        CommitOutcome::Duplicates(jobs) => {
             events::commit_undone(&cell.log, &leader.pool, leader.term, jobs.len(), None);
             lock(&leader.state).commit_undone();
             drop_submissions(leader, now, &jobs, &Acceptance::Known);
         }
-        Ok(CommitOutcome::Refused { submitted, reason }) => {
+        CommitOutcome::Refused { submitted, reason } => {
             let log = &cell.log;
             events::commit_undone(log, &leader.pool, leader.term, 0, Some(&reason));
             lock(&leader.state).commit_undone();
             drop_submissions(leader, now, &submitted, &Acceptance::NotAccepted(reason));
         }
-        Ok(CommitOutcome::Deposed) => return false,
-        Err(error) => {
-            slog::error!(cell.log, "commit.failed"; "error" => %error);
-            return false;
-        }
+        CommitOutcome::Deposed => return false,
     }
     true
 }
 
-/// Runs the rounds of a leader in a task of their own. If they fail, this host's leadership ends, so that
-/// its callers are answered and another host takes the pool over.
-pub(super) fn spawn_rounds(cell: &Arc<Cell>, leader: Arc<Leader>) {
-    let cell = Arc::clone(cell);
-    tokio::spawn(async move {
-        let rounds = tokio::spawn(run_leader(Arc::clone(&cell), Arc::clone(&leader)));
-        if let Err(error) = rounds.await {
-            slog::error!(cell.log, "leader.failed"; "pool" => &leader.pool, "term" => leader.term,
-                "error" => %error);
-            end_leadership(&cell, &leader);
-        }
-    });
-}
-
-fn end_leadership(cell: &Cell, leader: &Leader) {
+/// Ends a leadership on this host, so that its callers are answered.
+pub(super) fn end_leadership(cell: &Cell, leader: &Leader) {
     cell.remove_leader(&leader.pool);
     {
         // Dropping the senders answers the callers that the outcome is unknown.
--- a/crates/mangotrestle/src/host/leader/tests.rs
+++ b/crates/mangotrestle/src/host/leader/tests.rs
@@ -2,9 +2,15 @@
 
 use std::sync::Arc;
 
+use mangotrestle_core::workflow::leadership::Watch;
 use mangotrestle_users_platform::settings;
 use serde_json::json;
 
+use std::future;
+
+use super::claiming::Claim;
+use super::loading::{FeedVersions, new_leader};
+use super::supervising::{Failure, Tasks, run_until_end};
 use super::*;
 use crate::logging;
 
@@ -44,3 +50,86 @@
 
     assert!(cell.turn_rank(POOL, None) > rank_before);
 }
+
+/// Returns a leader of a pool without workers and jobs.
+fn leader(cell: &Arc<Cell>) -> Arc<Leader> {
+    let now = cell.clock.now();
+    let row = Watch::default().claim(&cell.settings.host, "127.0.0.1:3", cell.incarnation);
+    let claim = Claim {
+        row,
+        version: AtomicU64::new(1),
+        sequence: AtomicU64::new(0),
+    };
+    let state = Pool::new(now, loading::pool_settings(cell, POOL, claim.row.term), 0);
+    let feeds = FeedVersions {
+        workers: 1,
+        inbox: 1,
+    };
+    let leader = Arc::new(new_leader(cell, POOL, &claim, state, &feeds));
+    cell.add_leader(POOL, Arc::clone(&leader));
+    leader
+}
+
+async fn rounds_without_end(held: Arc<()>) -> Result<(), Failure> {
+    future::pending::<()>().await;
+    drop(held);
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_leadership_ends_if_the_feed_of_workers_panics() {
+    let cell = cell();
+    let leader = leader(&cell);
+    let held = Arc::new(());
+    let mut tasks = Tasks::new(rounds_without_end(Arc::clone(&held)));
+    tasks.add("workers", async { panic!("a fault") });
+
+    run_until_end(Arc::clone(&cell), Arc::clone(&leader), tasks).await;
+
+    assert!(leader.has_ended());
+    assert!(cell.leader(POOL).is_none());
+    assert_eq!(Arc::strong_count(&held), 1, "the rounds go on");
+}
+
+#[tokio::test]
+async fn the_task_that_failed_is_named() {
+    let mut tasks = Tasks::new(rounds_without_end(Arc::default()));
+    tasks.add("machines", async {});
+    tasks.add("inbox", async { panic!("a fault") });
+
+    let result = tasks.run().await;
+
+    assert!(matches!(result, Err(Failure { task: "inbox", .. })));
+}
+
+#[tokio::test]
+async fn a_leadership_goes_on_if_a_task_has_nothing_more_to_do() {
+    let mut tasks = Tasks::new(async {
+        tokio::task::yield_now().await;
+        Err(Failure {
+            task: "state",
+            error: String::new(),
+        })
+    });
+    tasks.add("machines", async {});
+
+    let result = tasks.run().await;
+
+    assert!(matches!(result, Err(Failure { task: "state", .. })));
+}
+
+#[tokio::test]
+async fn a_leadership_ends_if_any_task_panics_while_it_changes_the_state_of_the_pool() {
+    let cell = cell();
+    let leader = leader(&cell);
+    let changing = Arc::clone(&leader);
+    let task = tokio::spawn(async move {
+        let _state = lock(&changing.state);
+        panic!("a fault");
+    });
+    assert!(task.await.is_err());
+
+    let result = rounds::run_leader(Arc::clone(&cell), Arc::clone(&leader)).await;
+
+    assert!(matches!(result, Err(Failure { task: "state", .. })));
+}
