Tell the pool that an order got no answer if its task panics

What callers would see: a step that waits for tickets for good, a worker that is never polled again, a run that stays ordered. Each ticket request whose task panicked took one of the hosts + 1 places for requests in flight until the leadership ended; the peer's and this host's own counts of requests stayed up as well.

Cause: an order's answer is passed to the pool by the order's task itself. The test polls a worker, lets the task of the poll panic, and expects the next poll; without the guard the pool has a poll in flight for ever, which the test checks before the panic.

Fix: the task holds its order in a guard. When it is dropped by a panic, the pool gets the answer it would get from a worker or service that does not answer, which it handles already. The leadership goes on: one malformed answer of a worker must not move a pool from host to host. Counts of advice requests are guards, too.

host.task_failed and mangotrestle_host_tasks_failed_total name the kind of order.

--- a/crates/mangotrestle/src/host/leader/tests.rs
+++ b/crates/mangotrestle/src/host/leader/tests.rs
@@ -2,8 +2,11 @@
 
 use std::sync::Arc;
 
+use mangotrestle_core::time::SpanMs;
 use mangotrestle_core::workflow::leadership::Watch;
-use mangotrestle_users_platform::settings;
+use mangotrestle_core::workflow::message::WorkerEntry;
+use mangotrestle_core::workflow::pool::Order;
+use mangotrestle_users_platform::{registry, settings};
 use serde_json::json;
 
 use std::future;
@@ -12,6 +15,7 @@
 use super::loading::{FeedVersions, new_leader};
 use super::supervising::{Failure, Tasks, run_until_end};
 use super::*;
+use crate::host::orders::RunningOrder;
 use crate::logging;
 
 const POOL: &str = "pool";
@@ -133,3 +137,44 @@
 
     assert!(matches!(result, Err(Failure { task: "state", .. })));
 }
+
+/// Lists a worker and returns the orders that poll it, after a time.
+fn polls_after(leader: &Leader, now: TimeMs) -> Vec<Order> {
+    let mut state = lock(&leader.state);
+    state.worker_list_confirmed(now);
+    state.tick(now);
+    let orders = state.take_orders();
+    orders
+        .into_iter()
+        .filter(|order| matches!(order, Order::Hold { .. }))
+        .collect()
+}
+
+#[tokio::test]
+async fn a_worker_is_polled_again_after_the_task_of_a_poll_panicked() {
+    let cell = cell();
+    let leader = leader(&cell);
+    let now = cell.clock.now();
+    lock(&leader.state).worker_listed(now, worker_entry());
+    let order = polls_after(&leader, now).pop().expect("a poll");
+    let later = now + SpanMs(60_000);
+    assert!(polls_after(&leader, later).is_empty(), "it is being polled");
+
+    let running = RunningOrder::new(&cell, &leader, order);
+    let task = tokio::spawn(async move {
+        let _running = running;
+        panic!("a fault");
+    });
+    assert!(task.await.is_err());
+
+    assert_eq!(polls_after(&leader, later).len(), 1);
+}
+
+fn worker_entry() -> WorkerEntry {
+    let entry = json!({
+        "service": POOL, "address": "127.0.0.1:5", "zone": "a", "version": "1", "slots": 8,
+        "state": "ready", "cold_left_ms": 0, "seq": 1, "labels": [], "clock_ms": 1, "born": 1,
+        "capacity": {"cpu": 4_000, "mem_mb": 8_000, "gpu": 0},
+    });
+    registry::decode("i-1", entry.to_string().as_bytes()).expect("an entry")
+}
--- a/crates/mangotrestle/src/host/orders.rs
+++ b/crates/mangotrestle/src/host/orders.rs
@@ -43,33 +43,119 @@
         events::log_note(&cell.log, &leader.pool, leader.term, note);
     }
     for order in orders {
-        let cell = Arc::clone(cell);
-        let leader = Arc::clone(leader);
-        tokio::spawn(async move { execute_order(&cell, &leader, order).await });
+        let running = RunningOrder::new(cell, leader, order);
+        tokio::spawn(async move { running.execute().await });
     }
 }
 
-async fn execute_order(cell: &Arc<Cell>, leader: &Arc<Leader>, order: Order) {
+/// An order whose task is running. If the task ends by a panic, the pool is told that there was no
+/// answer: it would wait for it for ever.
+pub(super) struct RunningOrder {
+    cell: Arc<Cell>,
+    leader: Arc<Leader>,
+    order: Order,
+}
+
+impl RunningOrder {
+    pub(super) fn new(cell: &Arc<Cell>, leader: &Arc<Leader>, order: Order) -> Self {
+        Self {
+            cell: Arc::clone(cell),
+            leader: Arc::clone(leader),
+            order,
+        }
+    }
+
+    async fn execute(&self) {
+        execute_order(&self.cell, &self.leader, &self.order).await;
+    }
+}
+
+impl Drop for RunningOrder {
+    fn drop(&mut self) {
+        if !std::thread::panicking() {
+            return;
+        }
+        events::task_failed(
+            &self.cell.log,
+            kind_of(&self.order).name(),
+            &self.leader.pool,
+        );
+        // A state that is half changed ends the leadership.
+        if !self.leader.state.is_poisoned() {
+            answer_with_nothing(&self.cell, &self.leader, &self.order);
+            self.leader.wake.notify_one();
+        }
+    }
+}
+
+/// Tells the pool that an order got no answer.
+fn answer_with_nothing(cell: &Cell, leader: &Leader, order: &Order) {
+    let now = cell.clock.now();
+    let unknown = OrderAnswer::Unknown;
+    let mut state = lock(&leader.state);
+    match order {
+        Order::Start {
+            worker,
+            member,
+            run,
+            ..
+        } => state.start_answered(now, worker, member, *run, &unknown, None),
+        Order::Stop {
+            worker, task, run, ..
+        } => state.stop_answered(now, worker, task, *run, &unknown, None),
+        Order::Hold { worker, .. } => {
+            state.hold_answered(now, worker, Err(PollFailure::NoAnswer));
+        }
+        Order::Pace {
+            member,
+            run,
+            percent,
+            ..
+        } => state.pace_answered(member, *run, *percent, false),
+        Order::RequestTickets { step, workers, .. } => {
+            state.advice_answered(now, step, workers, None);
+        }
+        Order::HandOver { pool, job, .. } => state.handed_over(now, job, pool, false),
+        Order::CancelElsewhere { pool, job } => state.cancelled_elsewhere(now, job, pool, false),
+        Order::QueryElsewhere { pool, jobs } => {
+            let unknown: Vec<_> = jobs.iter().map(|job| (job.clone(), None)).collect();
+            state.states_elsewhere(now, pool, &unknown);
+        }
+    }
+}
+
+/// Returns the kind of work that an order is.
+const fn kind_of(order: &Order) -> Work {
+    match order {
+        Order::RequestTickets { .. } => Work::Ticket,
+        Order::Hold { .. } => Work::Poll,
+        Order::Start { .. } | Order::Stop { .. } | Order::Pace { .. } => Work::Order,
+        Order::HandOver { .. } | Order::CancelElsewhere { .. } | Order::QueryElsewhere { .. } => {
+            Work::HandOver
+        }
+    }
+}
+
+async fn execute_order(cell: &Arc<Cell>, leader: &Arc<Leader>, order: &Order) {
     let load = &cell.load;
+    let kind = kind_of(order);
     match order {
         Order::RequestTickets {
             step,
             workers,
             expected_delay,
         } => {
-            let request = request_tickets(cell, leader, &step, workers, expected_delay);
-            load.measure(Work::Ticket, request).await;
+            let request = request_tickets(cell, leader, step, workers, *expected_delay);
+            load.measure(kind, request).await;
         }
         Order::Hold { .. } => {
-            load.measure(Work::Poll, poll_worker(cell, leader, order))
-                .await;
+            load.measure(kind, poll_worker(cell, leader, order)).await;
         }
         Order::Start { .. } | Order::Stop { .. } | Order::Pace { .. } => {
-            load.measure(Work::Order, send_order(cell, leader, order))
-                .await;
+            load.measure(kind, send_order(cell, leader, order)).await;
         }
         Order::HandOver { .. } | Order::CancelElsewhere { .. } | Order::QueryElsewhere { .. } => {
-            load.measure(Work::HandOver, call_other_pool(cell, leader, order))
+            load.measure(kind, call_other_pool(cell, leader, order))
                 .await;
         }
     }
@@ -101,7 +187,7 @@
     }
 }
 
-async fn send_order(cell: &Arc<Cell>, leader: &Arc<Leader>, order: Order) {
+async fn send_order(cell: &Arc<Cell>, leader: &Arc<Leader>, order: &Order) {
     match order {
         Order::Start {
             worker,
@@ -114,27 +200,28 @@
             checkpoint,
             ticket,
         } => {
+            let (run, life) = (*run, *life);
             let task = member.task_name();
             let start = StartOrder {
                 task: &task,
                 run,
-                payload: &payload,
-                deadline,
+                payload,
+                deadline: *deadline,
                 token: leadership::fencing_token(leader.term, life),
-                checkpoint: &checkpoint,
+                checkpoint,
                 ticket: ticket.as_deref(),
             };
             let (answer, clock) = if may_send_orders(leader) {
-                send_start(cell, leader, &worker, &address, &start, (&member, run)).await
+                send_start(cell, leader, worker, address, &start, (member, run)).await
             } else {
                 (OrderAnswer::NotSent, None)
             };
             if answer == OrderAnswer::Fenced {
-                record_fenced(cell, leader, &worker, life);
+                record_fenced(cell, leader, worker, life);
             }
             metrics::counter!("mangotrestle_starts_total").increment(1);
             let now = cell.clock.now();
-            lock(&leader.state).start_answered(now, &worker, &member, run, &answer, clock);
+            lock(&leader.state).start_answered(now, worker, member, run, &answer, clock);
         }
         Order::Stop {
             worker,
@@ -143,21 +230,22 @@
             task,
             run,
         } => {
+            let (run, life) = (*run, *life);
             let (answer, clock) = if may_send_orders(leader) {
                 let token = leadership::fencing_token(leader.term, life);
                 cell.workers
-                    .stop(&worker, &address, &task, run, token, ORDER_TIMEOUT)
+                    .stop(worker, address, task, run, token, ORDER_TIMEOUT)
                     .await
             } else {
                 (OrderAnswer::NotSent, None)
             };
             if answer == OrderAnswer::Fenced {
-                record_fenced(cell, leader, &worker, life);
+                record_fenced(cell, leader, worker, life);
             }
             slog::info!(cell.log, "run.stop_answered"; "task" => %task, "run" => run,
                 "worker" => worker.as_str(), "answer" => ?answer);
             let now = cell.clock.now();
-            lock(&leader.state).stop_answered(now, &worker, &task, run, &answer, clock);
+            lock(&leader.state).stop_answered(now, worker, task, run, &answer, clock);
         }
         Order::Pace {
             worker,
@@ -167,19 +255,20 @@
             run,
             percent,
         } => {
+            let (run, life, percent) = (*run, *life, *percent);
             let task = member.task_name();
             let token = leadership::fencing_token(leader.term, life);
             let (answer, _) = cell
                 .workers
-                .pace(&worker, &address, &task, run, percent, token, ORDER_TIMEOUT)
+                .pace(worker, address, &task, run, percent, token, ORDER_TIMEOUT)
                 .await;
             if answer == OrderAnswer::Fenced {
-                record_fenced(cell, leader, &worker, life);
+                record_fenced(cell, leader, worker, life);
             }
             slog::info!(cell.log, "run.paced"; "task" => %task, "run" => run,
                 "worker" => worker.as_str(), "percent" => percent, "answer" => ?answer);
             let done = answer == OrderAnswer::Done;
-            lock(&leader.state).pace_answered(&member, run, percent, done);
+            lock(&leader.state).pace_answered(member, run, percent, done);
         }
         _ => {}
     }
@@ -213,34 +302,34 @@
 }
 
 /// Carries out an order to the leader of another pool.
-async fn call_other_pool(cell: &Arc<Cell>, leader: &Arc<Leader>, order: Order) {
+async fn call_other_pool(cell: &Arc<Cell>, leader: &Arc<Leader>, order: &Order) {
     match order {
         Order::HandOver { pool, job, record } => {
-            let acceptance = jobs::accept(cell, &pool, &job, &record, HAND_OVER_TIMEOUT).await;
+            let acceptance = jobs::accept(cell, pool, job, record, HAND_OVER_TIMEOUT).await;
             slog::info!(cell.log, "job.handed_over"; "job" => job.as_str(),
-                "home" => &leader.pool, "pool" => &pool, "outcome" => ?acceptance);
+                "home" => &leader.pool, "pool" => pool, "outcome" => ?acceptance);
             let accepted = matches!(acceptance, Acceptance::Accepted { .. } | Acceptance::Known);
             let now = cell.clock.now();
-            lock(&leader.state).handed_over(now, &job, &pool, accepted);
+            lock(&leader.state).handed_over(now, job, pool, accepted);
         }
         Order::CancelElsewhere { pool, job } => {
-            let result = jobs::cancel(cell, &pool, &job, None).await;
+            let result = jobs::cancel(cell, pool, job, None).await;
             slog::info!(cell.log, "job.cancelled_elsewhere"; "job" => job.as_str(),
-                "home" => &leader.pool, "pool" => &pool, "result" => ?result);
+                "home" => &leader.pool, "pool" => pool, "result" => ?result);
             let cancelled = matches!(result, Ok(Some(_)));
             let now = cell.clock.now();
-            lock(&leader.state).cancelled_elsewhere(now, &job, &pool, cancelled);
+            lock(&leader.state).cancelled_elsewhere(now, job, pool, cancelled);
         }
         Order::QueryElsewhere { pool, jobs } => {
-            let states = jobs::states_in(cell, &pool, jobs).await;
+            let states = jobs::states_in(cell, pool, jobs.clone()).await;
             let now = cell.clock.now();
-            lock(&leader.state).states_elsewhere(now, &pool, &states);
+            lock(&leader.state).states_elsewhere(now, pool, &states);
         }
         _ => {}
     }
 }
 
-async fn poll_worker(cell: &Arc<Cell>, leader: &Arc<Leader>, order: Order) {
+async fn poll_worker(cell: &Arc<Cell>, leader: &Arc<Leader>, order: &Order) {
     let Order::Hold {
         worker,
         life,
@@ -252,27 +341,28 @@
     else {
         return;
     };
+    let (life, wait) = (*life, *wait);
     let unconfirmed =
         cell.clock.now().since(leader.confirmed_at()) > leadership::MAX_LEASING_WITHOUT_COMMIT;
     let result = if may_send_orders(leader) && !unconfirmed {
         let request = HoldRequest {
-            deadline,
+            deadline: *deadline,
             token: leadership::fencing_token(leader.term, life),
-            last_seen,
+            last_seen: *last_seen,
             wait_ms: wait.0,
         };
         let timeout = wait.as_duration() + HOLD_TIMEOUT_MARGIN;
         metrics::counter!("mangotrestle_looks_total").increment(1);
-        let poll = cell.workers.hold(&worker, &address, request, timeout);
+        let poll = cell.workers.hold(worker, address, request, timeout);
         let repeated = || {
-            lock(&leader.state).poll_repeated(&worker);
+            lock(&leader.state).poll_repeated(worker);
             // The worker may have started again since its last answer, so nothing is acknowledged.
             let request = HoldRequest {
                 last_seen: 0,
                 wait_ms: 0,
                 ..request
             };
-            cell.workers.hold(&worker, &address, request, ORDER_TIMEOUT)
+            cell.workers.hold(worker, address, request, ORDER_TIMEOUT)
         };
         let delay = wait.as_duration() + REPEAT_DELAY;
         let answered = repeating::call(cell, poll, delay, repeated, Result::is_ok).await;
@@ -281,30 +371,33 @@
         Err(PollFailure::NoAnswer)
     };
     if matches!(result, Err(PollFailure::Fenced)) {
-        record_fenced(cell, leader, &worker, life);
+        record_fenced(cell, leader, worker, life);
     }
     let now = cell.clock.now();
-    lock(&leader.state).hold_answered(now, &worker, result);
+    lock(&leader.state).hold_answered(now, worker, result);
 }
 
 async fn request_tickets(
     cell: &Arc<Cell>,
     leader: &Arc<Leader>,
     step: &StepKey,
-    workers: Vec<id::WorkerId>,
+    workers: &[id::WorkerId],
     expected_delay: SpanMs,
 ) {
     let timeout = expected_delay.as_duration() + ADVICE_TIMEOUT_MARGIN;
     let request = AdviceRequest {
         step: step.to_string(),
-        workers,
+        workers: workers.to_vec(),
         within_ms: u64::try_from(timeout.as_millis()).unwrap_or(u64::MAX),
     };
     let own_requests = leader.own_advice_requests.load(Ordering::Relaxed);
     let answer = if let Some((host, peer)) = cell.reserve_advice_peer(&leader.pool, own_requests) {
-        let result =
-            tokio::time::timeout(timeout + ADVICE_TIMEOUT_MARGIN, peer.ask(request.clone())).await;
-        cell.release_advice_peer(&host);
+        let reserved = ReservedPeer {
+            cell,
+            host: host.clone(),
+        };
+        let result = tokio::time::timeout(timeout + ADVICE_TIMEOUT_MARGIN, peer.ask(request)).await;
+        drop(reserved);
         if let Ok(Ok(answer)) = result {
             answer
         } else {
@@ -312,12 +405,41 @@
             None
         }
     } else {
-        leader.own_advice_requests.fetch_add(1, Ordering::Relaxed);
-        let answer = peers::request_advice(cell, &request).await;
-        leader.own_advice_requests.fetch_sub(1, Ordering::Relaxed);
-        answer
+        let _counted = OwnRequest::new(leader);
+        peers::request_advice(cell, &request).await
     };
     let answer = answer.map(|advice| (advice.good, SpanMs(advice.valid_ms)));
     let now = cell.clock.now();
-    lock(&leader.state).advice_answered(now, step, &request.workers, answer);
+    lock(&leader.state).advice_answered(now, step, workers, answer);
+}
+
+/// An advice request that a peer is handling, until this is dropped.
+struct ReservedPeer<'a> {
+    cell: &'a Cell,
+    host: id::EntryHostId,
+}
+
+impl Drop for ReservedPeer<'_> {
+    fn drop(&mut self) {
+        self.cell.release_advice_peer(&self.host);
+    }
+}
+
+/// An advice request that this host sends itself, until this is dropped.
+struct OwnRequest<'a> {
+    leader: &'a Leader,
+}
+
+impl<'a> OwnRequest<'a> {
+    fn new(leader: &'a Leader) -> Self {
+        leader.own_advice_requests.fetch_add(1, Ordering::Relaxed);
+        Self { leader }
+    }
+}
+
+impl Drop for OwnRequest<'_> {
+    fn drop(&mut self) {
+        let requests = &self.leader.own_advice_requests;
+        requests.fetch_sub(1, Ordering::Relaxed);
+    }
 }
