Division: add capacities and waits without overflow

A worker's entry with a capacity beyond all machines saturates at the greatest number. The division added 8,000 for each accelerator to it, and then the racks: the task that divides the service panicked, and so did that of every other host each time it had its turn. A service that is not divided is led by nobody: callers got 503 for as long as the entry stood. This holds for builds with overflow checks, such as that of the tests; others wrapped around and dealt the racks by wrong amounts. The choice of a pool for a job added to a wait in the same way.

Before: division::a_worker_of_absurd_capacity_does_not_prevent_the_division and division::a_pool_with_an_absurd_wait_is_not_chosen panicked with "attempt to add with overflow"; a real host panicked so once each turn and answered 503 throughout. All sums saturate now, and the number of pools has a bound.

--- a/crates/mangotrestle-core/src/workflow/division.rs
+++ b/crates/mangotrestle-core/src/workflow/division.rs
@@ -30,6 +30,9 @@
 /// instead of its home. A hand-over takes one more commit.
 const MIN_WAIT_DIFFERENCE_MS: u64 = 150;
 
+/// Maximum number of pools of a service: those of a third of a million workers.
+const MAX_POOLS: u32 = 1_024;
+
 /// Division of a service's workers into pools.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Division {
@@ -68,11 +71,11 @@
                 zone: &worker.zone,
                 capacity: 0,
             });
-            rack.capacity += weight(worker);
+            rack.capacity = rack.capacity.saturating_add(weight(worker));
         }
         let pools = u32::try_from(usize::max(count, 1).div_ceil(MAX_POOL_WORKERS));
         let mut division = Self {
-            pools: pools.unwrap_or(u32::MAX),
+            pools: pools.unwrap_or(MAX_POOLS).min(MAX_POOLS),
             racks: BTreeMap::new(),
         };
         if division.pools > 1 {
@@ -87,11 +90,14 @@
         racks.sort_by_key(|rack| (std::cmp::Reverse(rack.capacity), rack.name));
         let mut dealt: Vec<BTreeMap<&str, u64>> = vec![BTreeMap::new(); self.pools as usize];
         for rack in racks {
+            let sum =
+                |pool: &BTreeMap<&str, u64>| pool.values().copied().fold(0, u64::saturating_add);
             let in_zone = |pool: &BTreeMap<&str, u64>| pool.get(rack.zone).copied().unwrap_or(0);
             let pools = (0_u32..).zip(&mut dealt);
-            let least = pools.min_by_key(|(_, pool)| (in_zone(pool), pool.values().sum::<u64>()));
+            let least = pools.min_by_key(|(_, pool)| (in_zone(pool), sum(pool)));
             if let Some((index, pool)) = least {
-                *pool.entry(rack.zone).or_default() += rack.capacity;
+                let dealt = pool.entry(rack.zone).or_default();
+                *dealt = dealt.saturating_add(rack.capacity);
                 self.racks.insert(rack.name.to_owned(), index);
             }
         }
@@ -204,7 +210,8 @@
         };
         let other = others[usize::try_from(random % count).unwrap_or_default()];
         let home_fits = fitting.iter().any(|pool| pool == home);
-        if !home_fits || wait_ms(other) + MIN_WAIT_DIFFERENCE_MS <= wait_ms(home) {
+        let wait_there_ms = wait_ms(other).saturating_add(MIN_WAIT_DIFFERENCE_MS);
+        if !home_fits || wait_there_ms <= wait_ms(home) {
             other.clone()
         } else {
             home.to_owned()
@@ -221,5 +228,6 @@
 
 /// Returns the capacity of a worker in thousandths of a core; an accelerator counts as eight cores.
 fn weight(worker: &WorkerEntry) -> u64 {
-    worker.capacity.cpu_millicores + u64::from(worker.capacity.accelerators) * 8_000
+    let accelerators = u64::from(worker.capacity.accelerators) * 8_000;
+    worker.capacity.cpu_millicores.saturating_add(accelerators)
 }
--- a/crates/mangotrestle-core/tests/workflow/division.rs
+++ b/crates/mangotrestle-core/tests/workflow/division.rs
@@ -87,6 +87,31 @@
     assert_eq!(read, division);
 }
 
+#[test]
+fn a_worker_of_absurd_capacity_does_not_prevent_the_division() {
+    let mut workers = entries(792);
+    for worker in workers.iter_mut().take(3) {
+        worker.capacity.cpu_millicores = u64::MAX;
+        worker.capacity.accelerators = u32::MAX;
+    }
+
+    let division = Division::plan(&workers);
+
+    assert_eq!(pools(&division).len(), 3);
+}
+
+#[test]
+fn a_pool_with_an_absurd_wait_is_not_chosen() {
+    let division = plan(792);
+    let home = division.home_of(SERVICE, &job(1));
+    let (absurd, idle) = (waiting(u64::MAX), waiting(0));
+    let summary_of = |pool: &str| Some(if pool == home { &idle } else { &absurd });
+
+    let chosen = division.choose(SERVICE, &job(1), &one_step(), summary_of, 0);
+
+    assert_eq!(chosen, None);
+}
+
 #[test]
 fn a_job_runs_in_its_home_while_no_other_pool_is_much_less_busy() {
     let division = plan(792);
