Division: a stored one that no service has is malformed

A row `division/...` of another writer with 200 million pools was taken as it is: each host that read it formatted the name of each pool, for the log and then several times a second, and neither followed the feed nor answered callers (no answer instead of 200 within 10 s, seen on a real host). With no pool, or a rack in a pool that there is not, nobody would lead those workers.

The number of pools is checked when the row is decoded: 1 to 1,024, a third of a million workers; and each rack is in one of them. Otherwise `division.malformed` names the service, as for a row that is no JSON. Before: division::a_stored_division_that_no_service_has_is_malformed failed at {"pools": 0}.

--- a/crates/mangotrestle-core/src/workflow/division.rs
+++ b/crates/mangotrestle-core/src/workflow/division.rs
@@ -35,6 +35,7 @@
 
 /// Division of a service's workers into pools.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(try_from = "StoredDivision")]
 pub struct Division {
     /// Number of pools.
     pools: u32,
@@ -43,6 +44,44 @@
     racks: BTreeMap<String, u32>,
 }
 
+/// A division as it is stored, which another writer may have left.
+#[derive(Deserialize)]
+struct StoredDivision {
+    pools: u32,
+    racks: BTreeMap<String, u32>,
+}
+
+/// Why a stored division cannot be used.
+#[derive(Clone, Debug, displaydoc::Display, Eq, PartialEq)]
+pub enum InvalidDivision {
+    /// the service has {0} pools, 1 to 1024 are allowed
+    PoolCount(u32),
+    /// a rack is in pool {index} of {pools}
+    RackPool {
+        /// Index of the pool.
+        index: u32,
+        /// Number of pools.
+        pools: u32,
+    },
+}
+
+impl std::error::Error for InvalidDivision {}
+
+impl TryFrom<StoredDivision> for Division {
+    type Error = InvalidDivision;
+
+    fn try_from(stored: StoredDivision) -> Result<Self, InvalidDivision> {
+        let StoredDivision { pools, racks } = stored;
+        if !(1..=MAX_POOLS).contains(&pools) {
+            return Err(InvalidDivision::PoolCount(pools));
+        }
+        if let Some(&index) = racks.values().find(|index| **index >= pools) {
+            return Err(InvalidDivision::RackPool { index, pools });
+        }
+        Ok(Self { pools, racks })
+    }
+}
+
 impl Default for Division {
     fn default() -> Self {
         Self::whole()
--- a/crates/mangotrestle-core/tests/workflow/division.rs
+++ b/crates/mangotrestle-core/tests/workflow/division.rs
@@ -100,6 +100,23 @@
     assert_eq!(pools(&division).len(), 3);
 }
 
+#[test]
+fn a_stored_division_that_no_service_has_is_malformed() {
+    let odd = [
+        r#"{"pools": 0, "racks": {}}"#,
+        r#"{"pools": 4294967295, "racks": {}}"#,
+        r#"{"pools": 1000000, "racks": {}}"#,
+        r#"{"pools": 3, "racks": {"r-1": 3}}"#,
+        r#"{"pools": 1e999, "racks": {}}"#,
+        r#"{"pools": -1, "racks": {}}"#,
+        "null",
+    ];
+
+    for text in odd {
+        assert!(serde_json::from_str::<Division>(text).is_err(), "{text}");
+    }
+}
+
 #[test]
 fn a_pool_with_an_absurd_wait_is_not_chosen() {
     let division = plan(792);
