Leadership: the term after the greatest number is not lower

After a row of another writer with a term near 2^64 the next term overflowed: with overflow checks the task of the claim panicked, and without them the term wrapped to a small one, whose orders all workers refuse that have seen a higher token. Terms and tokens saturate now. Before: leadership::the_term_after_an_absurd_one_is_not_lower panicked with "attempt to multiply with overflow".

--- a/crates/mangotrestle-core/src/workflow/leadership.rs
+++ b/crates/mangotrestle-core/src/workflow/leadership.rs
@@ -41,9 +41,10 @@
 /// accept its orders while hosts of both releases run.
 pub const TERM_STEP: u64 = 1_000_000;
 
-/// Returns the term of the leadership that follows one.
+/// Returns the term of the leadership that follows one. It is never lower: workers would refuse all
+/// orders.
 const fn next_term(term: u64) -> u64 {
-    (term / TERM_STEP + 1) * TERM_STEP
+    (term / TERM_STEP + 1).saturating_mul(TERM_STEP)
 }
 
 /// Returns the fencing token for orders to a life of a worker. It is higher than that of all earlier
@@ -51,7 +52,7 @@
 /// has seen it, orders for an earlier life do nothing.
 #[must_use]
 pub fn fencing_token(term: u64, life: u32) -> u64 {
-    term + u64::from(life).min(TERM_STEP - 1)
+    term.saturating_add(u64::from(life).min(TERM_STEP - 1))
 }
 
 /// What admission needs to know of a team.
--- a/crates/mangotrestle-core/tests/workflow/leadership.rs
+++ b/crates/mangotrestle-core/tests/workflow/leadership.rs
@@ -31,6 +31,19 @@
     assert!(first < later_life && later_life < last_life && last_life < next_term);
 }
 
+#[test]
+fn the_term_after_an_absurd_one_is_not_lower() {
+    for term in [u64::MAX, u64::MAX - 1, u64::MAX / TERM_STEP * TERM_STEP] {
+        let mut watch = Watch::default();
+        watch.observe(TimeMs(1_000), row(term, false), 40);
+
+        let claimed = watch.claim(&host("b"), "127.0.0.1:2", 9).term;
+
+        assert!(claimed >= term, "{claimed} after {term}");
+        assert!(leadership::fencing_token(claimed, u32::MAX) >= claimed);
+    }
+}
+
 #[test]
 fn leaders_of_an_earlier_release_and_of_this_one_can_follow_each_other() {
     let claim_after = |term| {
