Estimates: a stored count of runs that is the greatest number stays so

The row of what a leader learned may be another writer's. The next run that ended overflowed the count of its group: a panic in the leader's round with overflow checks, an infinite weight without. The count saturates. Before: estimates::a_stored_count_of_runs_that_is_the_greatest_number_stays_so panicked with "attempt to add with overflow".

--- a/crates/mangotrestle-core/src/workflow/estimate.rs
+++ b/crates/mangotrestle-core/src/workflow/estimate.rs
@@ -61,7 +61,7 @@
 
 impl GroupStats {
     fn sample(&mut self, log_time: f64, error: f64) {
-        self.runs += 1;
+        self.runs = self.runs.saturating_add(1);
         let weight = SAMPLE_WEIGHT.max(1.0 / f64::from(self.runs));
         self.time.sample(log_time, weight);
         self.error.sample(error, weight);
--- a/crates/mangotrestle-core/tests/workflow/estimates.rs
+++ b/crates/mangotrestle-core/tests/workflow/estimates.rs
@@ -20,6 +20,19 @@
     assert_eq!(estimates.expected_ms("other", &step(1, 1, 300, &[])), 300);
 }
 
+#[test]
+fn a_stored_count_of_runs_that_is_the_greatest_number_stays_so() {
+    let stored = serde_json::to_string(&estimates_after_runs(&[1_000])).expect("a row");
+    let odd = stored.replace("\"n\":100", &format!("\"n\":{}", u32::MAX));
+    assert_ne!(odd, stored);
+    let mut estimates: Estimates = serde_json::from_str(&odd).expect("the row");
+
+    estimates.learn("queue", &step(1, 1, 1_000, &[]), 1_000);
+
+    let expected_ms = estimates.expected_ms("queue", &step(1, 1, 1_000, &[]));
+    assert!((900..=1_100).contains(&expected_ms), "{expected_ms}");
+}
+
 #[test]
 fn estimates_that_are_always_off_by_the_same_factor_are_corrected() {
     let mut estimates = Estimates::default();
