Waits: do not count the room of workers that may not exist

An entry that is that of no worker counted as room for new work from the moment it was listed: with a large capacity the expected waits became next to nothing, so that admission accepted jobs that would be late, and other pools handed work over.

Room counts unless the worker has never answered this leader and left two polls unanswered. Where that holds for all workers, as when the leader is cut off from them, all count as before. The number of workers in the summary follows the same rule; the shapes do not, since a job must not be refused for good while the only worker that fits it is out of reach.

--- a/crates/mangotrestle-core/src/workflow/pool/queries.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/queries.rs
@@ -8,6 +8,7 @@
 
 use super::super::leadership::PoolSummary;
 use super::super::record::JobState;
+use super::super::worker::Worker;
 use super::Pool;
 
 impl Pool {
@@ -64,7 +65,7 @@
     /// Returns the number of workers in the platform's list.
     #[must_use]
     pub fn worker_count(&self) -> usize {
-        let listed = |worker: &&super::super::worker::Worker| worker.missing_since.is_none();
+        let listed = |worker: &&Worker| worker.missing_since.is_none();
         self.workers.values().filter(listed).count()
     }
 
@@ -77,20 +78,22 @@
             wait_ms: waits.by_priority_ms,
             surplus_wait_ms: waits.surplus_ms,
             teams: waits.teams,
-            workers: Some(self.usable_workers()),
+            workers: Some(u32::try_from(self.usable_workers().count()).unwrap_or(u32::MAX)),
             lag_ms: self.lag(now).0,
             ticket_lag_ms: self.ticket_lag.at(now).0,
             shapes: self.shapes(),
         }
     }
 
-    /// Returns the number of workers that are listed and do not drain.
-    fn usable_workers(&self) -> u32 {
-        let usable = self
-            .workers
-            .values()
-            .filter(|worker| worker.missing_since.is_none() && !worker.entry.draining);
-        u32::try_from(usable.count()).unwrap_or(u32::MAX)
+    /// Returns the workers that are listed and do not drain. Those that may not exist are left out,
+    /// unless there are no others: the network may keep this leader from all workers.
+    pub(super) fn usable_workers(&self) -> impl Iterator<Item = &Worker> {
+        let listed = || {
+            let workers = self.workers.values();
+            workers.filter(|worker| worker.missing_since.is_none() && !worker.entry.draining)
+        };
+        let has_existing = listed().any(|worker| !worker.may_not_exist());
+        listed().filter(move |worker| !has_existing || !worker.may_not_exist())
     }
 
     /// Returns the time that this leader takes for one thing: to make a submitted job durable, or to
--- a/crates/mangotrestle-core/src/workflow/pool/waits.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/waits.rs
@@ -60,9 +60,7 @@
     /// Returns the expected waits of work that arrives now.
     pub(super) fn waits(&self, now: TimeMs) -> Waits {
         let total = self
-            .workers
-            .values()
-            .filter(|worker| worker.missing_since.is_none() && !worker.entry.draining)
+            .usable_workers()
             .fold(Resources::ZERO, |sum, worker| sum + worker.entry.capacity);
         let blocked_teams: FastSet<&Arc<str>> = self.teams.blocked_teams().collect();
         let mut by_priority: BTreeMap<u32, Work> = BTreeMap::new();
--- a/crates/mangotrestle-core/src/workflow/worker.rs
+++ b/crates/mangotrestle-core/src/workflow/worker.rs
@@ -456,6 +456,13 @@
         }
     }
 
+    /// Whether it has never answered this leader, and its last two calls were not answered either: its
+    /// entry may be that of no worker.
+    #[must_use]
+    pub fn may_not_exist(&self) -> bool {
+        !self.answered && self.is_unresponsive()
+    }
+
     /// Whether at least its last two calls were not answered.
     #[must_use]
     pub fn is_unresponsive(&self) -> bool {
--- a/crates/mangotrestle-core/tests/workflow/malformed.rs
+++ b/crates/mangotrestle-core/tests/workflow/malformed.rs
@@ -52,3 +52,26 @@
     assert_eq!(world.end_of(&job(1)), Some(JobState::Completed));
     assert_eq!(summary.workers, Some(3));
 }
+
+#[test]
+fn a_worker_that_has_never_answered_does_not_shorten_the_expected_waits() {
+    let mut world = World::new(3, 2);
+    let mut long = step(64, 8_000, 60_000, &[]);
+    long.need.memory_mib = 0;
+    world.submit(&job(1), &record(0, vec![long]));
+    world.run_for(2_000);
+    let wait_before = world.pool.summary(TimeMs(world.now)).wait_ms;
+
+    let mut phantom = entry("w-phantom", "zone", "rack");
+    phantom.capacity.cpu_millicores = 8_192_000;
+    let id = phantom.worker.clone();
+    world.add_worker_entry(phantom);
+    world.workers.get_mut(&id).expect("the worker").reachable = false;
+    world.run_for(4_000);
+    let summary = world.pool.summary(TimeMs(world.now));
+
+    assert!(wait_before[&0] > 0);
+    assert_eq!(summary.wait_ms, wait_before);
+    assert_eq!(summary.workers, Some(2));
+    assert_eq!(world.violations, Violations::default());
+}
