Tests: real hosts beside odd entries in the tables that they read

The stand-in for the store gives out any value, refuses rows above the size of the settings and keys above 200 bytes, and the hosts have to complete jobs beside odd entries of workers, odd rows of the operator and odd rows in their own tables.

--- a/crates/mangotrestle/tests/host/main.rs
+++ b/crates/mangotrestle/tests/host/main.rs
@@ -3,6 +3,7 @@
 mod divided_service;
 mod keys;
 mod lost_answers;
+mod odd_entries;
 mod overload;
 mod platform;
 mod proxy;
--- a/crates/mangotrestle/tests/host/platform.rs
+++ b/crates/mangotrestle/tests/host/platform.rs
@@ -40,6 +40,11 @@
 /// Table, part and key of a row.
 type RowKey = (String, String, String);
 
+/// Maximum length of a key, in bytes.
+const MAX_KEY_BYTES: usize = 200;
+/// Maximum size of a row's value; the default of the hosts' settings.
+const ROW_BYTES: usize = 65_536;
+
 #[derive(Default)]
 struct Tables {
     version: u64,
@@ -135,6 +140,12 @@
     body[field].as_array().cloned().unwrap_or_default()
 }
 
+/// Whether the value to write is larger than a row may be.
+fn is_too_large(entry: &Value) -> bool {
+    let value: Result<StoredValue, _> = serde_json::from_value(entry["value"].clone());
+    value.is_ok_and(|value| value.0.len() > ROW_BYTES)
+}
+
 fn encode_row((table, part, key): &RowKey, version: u64, value: Option<&Value>) -> Value {
     let mut row = json!({"table": table, "part": part, "key": key, "ver": version});
     match value {
@@ -173,6 +184,9 @@
         let body = json!({"rows": found, "ver": rows.version});
         return (StatusCode::PRECONDITION_FAILED, Json(body)).into_response();
     }
+    if set_keys.iter().any(is_too_large) {
+        return StatusCode::BAD_REQUEST.into_response();
+    }
     rows.version += 1;
     let version = rows.version;
     for entry in set_keys {
@@ -204,6 +218,9 @@
     let field = |name: &str| query.get(name).cloned().unwrap_or_default();
     let (table, part, from, to) = (field("table"), field("part"), field("from"), field("to"));
     store.hang_if_unanswered(&table).await;
+    if from.len() > MAX_KEY_BYTES {
+        return StatusCode::BAD_REQUEST.into_response();
+    }
     let rows = store.rows.lock().expect("the rows");
     let mut found: Vec<Value> = rows
         .rows
@@ -392,9 +409,19 @@
 
     /// Writes a row of the empty part.
     fn write_row(&self, table: &str, key: &str, value: &Value) {
-        let value = StoredValue(value.to_string().into_bytes());
-        let value = serde_json::to_value(value).expect("a value");
-        let key = (table.to_owned(), String::new(), key.to_owned());
+        self.write_bytes(table, "", key, value.to_string().as_bytes());
+    }
+
+    /// Writes a row with any value, as another writer may.
+    pub fn write_bytes(&self, table: &str, part: &str, key: &str, value: &[u8]) {
+        assert!(value.len() <= ROW_BYTES, "{} bytes", value.len());
+        let value = serde_json::to_value(StoredValue(value.to_vec())).expect("a value");
+        self.write_encoded(table, part, key, value);
+    }
+
+    /// Writes a row whose value the store gives out as it is here.
+    pub fn write_encoded(&self, table: &str, part: &str, key: &str, value: Value) {
+        let key = (table.to_owned(), part.to_owned(), key.to_owned());
         {
             let mut rows = self.store.rows.lock().expect("the rows");
             rows.version += 1;
