Feeds: rows of other parts are no entries and no configuration

A feed returns the rows of all parts of its table, and hosts applied them by their key alone: a row `config` in another part replaced the configuration, and one with a worker's identifier stood for that worker. Before: a_row_of_another_part_is_no_entry_and_no_configuration got 404 for the queue.

--- a/crates/mangotrestle/src/host/feeds.rs
+++ b/crates/mangotrestle/src/host/feeds.rs
@@ -94,7 +94,7 @@
         match result {
             Ok(ReadRows { rows, as_of }) => {
                 version = Some(rows.version.max(version.unwrap_or_default()));
-                for row in &rows.rows {
+                for row in rows.rows.iter().filter(|row| row.name.part.is_empty()) {
                     apply_operator_row(&cell, row);
                 }
                 cell.confirm_configuration(as_of);
--- a/crates/mangotrestle/src/host/leader/loading.rs
+++ b/crates/mangotrestle/src/host/leader/loading.rs
@@ -146,18 +146,16 @@
         };
         match names::parse_inbox_key(&row.name.key) {
             Some(names::InboxKey::Cancel(job)) => cancels.push(job),
-            Some(names::InboxKey::Job(job)) => {
-                match serde_json::from_slice::<JobRecord>(&value.0) {
-                    Ok(record) => {
-                        let assignment = assigned.get(job.as_str());
-                        state.restore(now, &job, Arc::new(record), assignment);
-                    }
-                    Err(error) => {
-                        slog::error!(cell.log, "job.row_malformed"; "job" => job.as_str(),
+            Some(names::InboxKey::Job(job)) => match serde_json::from_slice::<JobRecord>(&value.0) {
+                Ok(record) => {
+                    let assignment = assigned.get(job.as_str());
+                    state.restore(now, &job, Arc::new(record), assignment);
+                }
+                Err(error) => {
+                    slog::error!(cell.log, "job.row_malformed"; "job" => job.as_str(),
                             "error" => %error);
-                    }
                 }
-            }
+            },
             None => {}
         }
     }
@@ -166,8 +164,8 @@
     }
 }
 
-/// Applies entries of workers. A worker whose entry is removed, malformed or names another pool gets
-/// no new work.
+/// Applies entries of workers, which are in the empty part. A worker whose entry is removed, malformed
+/// or names another pool gets no new work until it has a good one; its runs go on while it answers.
 pub(super) fn apply_worker_rows(
     cell: &Cell,
     pool: &str,
@@ -175,7 +173,7 @@
     now: TimeMs,
     rows: &[Row],
 ) {
-    for row in rows {
+    for row in rows.iter().filter(|row| row.name.part.is_empty()) {
         let value = row.value.as_ref();
         let entry = value.and_then(|value| registry::decode(&row.name.key, &value.0));
         if value.is_some() && entry.is_none() {
--- a/crates/mangotrestle/src/host/leader/shares.rs
+++ b/crates/mangotrestle/src/host/leader/shares.rs
@@ -131,11 +131,11 @@
     }
 }
 
-/// Applies rows of teams. A malformed row is left out: what other pools hold by it is not known, so this
+/// Applies rows of teams, which are in the empty part. A malformed row is left out: what other pools hold by it is not known, so this
 /// pool's share stays as it is.
 fn apply_rows(cell: &Cell, leader: &Leader, rows: &[Row]) {
     let now = cell.clock.now();
-    for row in rows {
+    for row in rows.iter().filter(|row| row.name.part.is_empty()) {
         let value = row.value.as_ref();
         let decoded = value.map(|value| serde_json::from_slice::<ShareRow>(&value.0));
         let shares = match decoded.transpose() {
--- a/crates/mangotrestle/tests/host/odd_entries.rs
+++ b/crates/mangotrestle/tests/host/odd_entries.rs
@@ -6,7 +6,7 @@
 use mangotrestle_core::workflow::division::MAX_POOL_WORKERS;
 use serde_json::{Value, json};
 
-use super::platform::{Caller, Host, Platform};
+use super::platform::{Caller, Host, Platform, QUEUE_PATH};
 use super::submit_until_status;
 use super::worker::Worker;
 
@@ -148,6 +148,25 @@
     assert!(!host.has_ended());
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_row_of_another_part_is_no_entry_and_no_configuration() {
+    let platform = Platform::start().await;
+    let worker = Worker::start().await;
+    platform.write_worker("i-1", &worker.entry("ready"));
+    let host = Host::start("front-a-1", &platform).await;
+    let caller = host.caller();
+    let next = complete_jobs(&caller, 1).await;
+
+    platform.write_bytes("servers", "odd", "i-1", b"odd");
+    let configuration = json!({"version": 99, "routes": [], "services": []});
+    platform.write_bytes("op", "odd", "config", configuration.to_string().as_bytes());
+    tokio::time::sleep(READING_TIME).await;
+    let count = caller.count(QUEUE_PATH).await;
+    complete_jobs(&caller, next).await;
+
+    assert_eq!(count.status, 200, "{count:?}");
+}
+
 /// Writes entries of so many draining workers that the service is divided.
 fn write_draining_workers(platform: &Platform, worker: &Worker) {
     for number in 0..=MAX_POOL_WORKERS {
