Leader: leave out stored jobs that no host accepts

Jobs are validated when callers submit them. A row of another writer in the inbox with 30,000 tasks in a step was loaded as it is: its assignments did not fit in a row, the store refused every commit from then on (`store.lost` 45 times in 13 s, 256 lines `run.unsettled`), and callers got 503. With a larger number each leader in turn would have allocated without bound. Stored jobs are validated as submitted ones, and `job.row_malformed` names those that are left out. Before: an_invalid_job_in_the_inbox_is_left_out failed.

--- a/crates/mangotrestle/src/host/leader/following.rs
+++ b/crates/mangotrestle/src/host/leader/following.rs
@@ -4,10 +4,9 @@
 use std::time::Duration;
 
 use mangotrestle_core::workflow::feed_timing::FeedTiming;
-use mangotrestle_core::workflow::spec::JobRecord;
 use mangotrestle_users_platform::store::{FeedError, Row, WORKERS_TABLE};
 
-use super::loading::apply_worker_rows;
+use super::loading::{apply_worker_rows, decode_job};
 use super::{Leader, PART_READ_TIMEOUT, STORE_RETRY_DELAY};
 use crate::host::cell::{Cell, lock};
 use crate::host::reads::ReadRows;
@@ -104,15 +103,13 @@
         };
         match names::parse_inbox_key(&row.name.key) {
             Some(names::InboxKey::Cancel(job)) => leader.cancel_job(cell, &job),
-            Some(names::InboxKey::Job(job)) => {
-                match serde_json::from_slice::<JobRecord>(&value.0) {
-                    Ok(record) => leader.add_stored_job(cell, &job, Arc::new(record), row.version),
-                    Err(error) => {
-                        slog::error!(cell.log, "job.row_malformed"; "job" => job.as_str(),
+            Some(names::InboxKey::Job(job)) => match decode_job(value) {
+                Ok(record) => leader.add_stored_job(cell, &job, Arc::new(record), row.version),
+                Err(error) => {
+                    slog::error!(cell.log, "job.row_malformed"; "job" => job.as_str(),
                             "error" => %error);
-                    }
                 }
-            }
+            },
             None => {}
         }
     }
--- a/crates/mangotrestle/src/host/leader/loading.rs
+++ b/crates/mangotrestle/src/host/leader/loading.rs
@@ -4,15 +4,16 @@
 use std::sync::{Arc, Mutex};
 
 use arc_swap::ArcSwap;
+use displaydoc::Display;
 use mangotrestle_core::collections::FastMap;
 use mangotrestle_core::id;
 use mangotrestle_core::time::{SpanMs, TimeMs};
 use mangotrestle_core::workflow::feed_timing::FeedTiming;
 use mangotrestle_core::workflow::pool::{Pool, PoolSettings};
 use mangotrestle_core::workflow::record::AssignmentRow;
-use mangotrestle_core::workflow::spec::JobRecord;
+use mangotrestle_core::workflow::spec::{InvalidJob, JobRecord};
 use mangotrestle_users_platform::registry;
-use mangotrestle_users_platform::store::{Row, Rows, WORKERS_TABLE};
+use mangotrestle_users_platform::store::{Row, Rows, Value, WORKERS_TABLE};
 use mangotrestle_users_platform::transport::CallError;
 use tokio::sync::Notify;
 
@@ -146,7 +147,7 @@
         };
         match names::parse_inbox_key(&row.name.key) {
             Some(names::InboxKey::Cancel(job)) => cancels.push(job),
-            Some(names::InboxKey::Job(job)) => match serde_json::from_slice::<JobRecord>(&value.0) {
+            Some(names::InboxKey::Job(job)) => match decode_job(value) {
                 Ok(record) => {
                     let assignment = assigned.get(job.as_str());
                     state.restore(now, &job, Arc::new(record), assignment);
@@ -164,6 +165,22 @@
     }
 }
 
+/// Why a stored job cannot be used.
+#[derive(Debug, Display)]
+pub(super) enum JobRowError {
+    /// its row cannot be decoded: {0}
+    Malformed(serde_json::Error),
+    /// {0}
+    Invalid(InvalidJob),
+}
+
+/// Decodes a stored job. No host accepts an invalid one, so another writer has left it.
+pub(super) fn decode_job(value: &Value) -> Result<JobRecord, JobRowError> {
+    let record: JobRecord = serde_json::from_slice(&value.0).map_err(JobRowError::Malformed)?;
+    record.validate().map_err(JobRowError::Invalid)?;
+    Ok(record)
+}
+
 /// Applies entries of workers, which are in the empty part. A worker whose entry is removed, malformed
 /// or names another pool gets no new work until it has a good one; its runs go on while it answers.
 pub(super) fn apply_worker_rows(
--- a/crates/mangotrestle/tests/host/odd_entries.rs
+++ b/crates/mangotrestle/tests/host/odd_entries.rs
@@ -244,3 +244,39 @@
 
     complete_jobs(&host.caller(), 1).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_invalid_job_in_the_inbox_is_left_out() {
+    let platform = Platform::start().await;
+    let worker = Worker::start().await;
+    let host = Host::start("front-a-1", &platform).await;
+    let caller = host.caller();
+    let good = submit_until_status(&caller, 1, 200).await;
+    let accepted = platform.inbox_value(good);
+    let mut record: Value = serde_json::from_slice(&accepted).expect("a record");
+    assert!(set_counts(&mut record, 30_000), "{record}");
+    platform.write_bytes(
+        "inbox",
+        "pool",
+        &super::platform::job_id(77_777),
+        record.to_string().as_bytes(),
+    );
+    tokio::time::sleep(READING_TIME).await;
+
+    let count = caller.count(QUEUE_PATH).await;
+    platform.write_worker("i-1", &worker.entry("ready"));
+    complete_jobs(&caller, 1_000).await;
+
+    assert_eq!(count.body, r#"{"pending":1}"#);
+}
+
+/// Sets the number of tasks of each step of a stored job; returns whether there was one.
+fn set_counts(record: &mut Value, count: u32) -> bool {
+    let Some(steps) = record["steps"].as_array_mut() else {
+        return false;
+    };
+    for step in steps.iter_mut() {
+        step["n"] = json!(count);
+    }
+    !steps.is_empty()
+}
--- a/crates/mangotrestle/tests/host/platform.rs
+++ b/crates/mangotrestle/tests/host/platform.rs
@@ -529,6 +529,16 @@
         self.job_keys().len()
     }
 
+    /// Returns the stored value of a job in the pool's inbox.
+    pub fn inbox_value(&self, number: u64) -> Vec<u8> {
+        let rows = self.store.rows.lock().expect("the rows");
+        let key = ("inbox".to_owned(), "pool".to_owned(), job_id(number));
+        let (_, value) = rows.rows.get(&key).cloned().expect("the job's row");
+        let value: StoredValue =
+            serde_json::from_value(value.expect("a value")).expect("encoded bytes");
+        value.0
+    }
+
     /// Whether a job is in the pool's inbox.
     pub fn has_job(&self, number: u64) -> bool {
         self.job_keys().contains(&job_id(number))
