Commits: leave out an optional row that is larger than the store allows

Leaders publish the labels of their workers in one row. With many or long labels in the list it grew beyond `row_bytes`; the store refused each commit as a whole, the host took the store for lost (41 times in 13 s), and the pool accepted and ended nothing any more. The shapes and what was learned are left out if they do not fit: unknown shapes are written instead, so that jobs are not refused for earlier ones, and `row.too_large` says so.

Before, and with only this check taken out: a_worker_with_long_labels_does_not_prevent_commits failed with 503 instead of 200.

--- a/crates/mangotrestle/src/host/leader/committing.rs
+++ b/crates/mangotrestle/src/host/leader/committing.rs
@@ -6,7 +6,7 @@
 
 use mangotrestle_core::id;
 use mangotrestle_core::time::TimeMs;
-use mangotrestle_core::workflow::leadership::{LeadRow, PoolSummary};
+use mangotrestle_core::workflow::leadership::{LeadRow, PoolSummary, WorkerShape};
 use mangotrestle_core::workflow::pool::{Commit, Learned, RowChange};
 use mangotrestle_users_platform::store::{Row, RowName, Transaction, TransactionAnswer, Value};
 use mangotrestle_users_platform::transport::CallError;
@@ -136,7 +136,7 @@
     if let Some(summary) = summary {
         let shapes = &summary.shapes;
         if *lock(&leader.stored_shapes) != *shapes {
-            push_row(&mut transaction, names::shapes_row(&leader.pool), shapes);
+            push_shapes(cell, &mut transaction, &leader.pool, shapes);
             changed_shapes = Some(shapes);
         }
         let summary = PoolSummary {
@@ -146,7 +146,8 @@
         push_row(&mut transaction, names::summary_row(&leader.pool), &summary);
     }
     if let Some(learned) = learned {
-        push_row(&mut transaction, names::learned_row(&leader.pool), learned);
+        let name = names::learned_row(&leader.pool);
+        push_row_that_fits(cell, &mut transaction, &name, learned);
     }
     let submitted: Vec<id::JobId> = submitted_jobs(commit);
     let conditions = std::mem::take(&mut transaction.expect);
@@ -243,6 +244,32 @@
     transaction.set.push((name, Value(value)));
 }
 
+fn push_shapes(cell: &Cell, transaction: &mut Transaction, pool: &str, shapes: &[WorkerShape]) {
+    let name = names::shapes_row(pool);
+    if !push_row_that_fits(cell, transaction, &name, &shapes) {
+        // Unknown shapes, so that no job is refused for earlier ones.
+        push_row(transaction, name, &[(); 0]);
+    }
+}
+
+/// Adds a row without which the leader can do, unless it is larger than the store allows: the store would
+/// refuse every commit. Returns whether it was added.
+fn push_row_that_fits<T: serde::Serialize>(
+    cell: &Cell,
+    transaction: &mut Transaction,
+    name: &RowName,
+    row: &T,
+) -> bool {
+    let value = serde_json::to_vec(row).unwrap_or_default();
+    if value.len() > cell.settings.store_limits.row_bytes {
+        slog::warn!(cell.log, "row.too_large"; "table" => &name.table, "pool" => &name.part,
+            "key" => &name.key, "bytes" => value.len());
+        return false;
+    }
+    transaction.set.push((name.clone(), Value(value)));
+    true
+}
+
 fn build_transaction(pool: &str, commit: &Commit) -> Transaction {
     let mut transaction = Transaction::default();
     for change in &commit.changes {
--- a/crates/mangotrestle/tests/host/odd_entries.rs
+++ b/crates/mangotrestle/tests/host/odd_entries.rs
@@ -167,6 +167,28 @@
     assert_eq!(count.status, 200, "{count:?}");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_worker_with_long_labels_does_not_prevent_commits() {
+    let platform = Platform::start().await;
+    let worker = Worker::start().await;
+    platform.write_worker("i-1", &worker.entry("ready"));
+    // Each is short enough, and all together do not fit in a row.
+    for number in 0..60 {
+        let mut entry = worker.entry("ready");
+        let labels = (0..10).map(|label| format!("{number}-{label}-{}", "x".repeat(180)));
+        entry["labels"] = json!(labels.collect::<Vec<String>>());
+        platform.write_worker(&format!("odd-{number}"), &entry);
+    }
+    let mut entry = worker.entry("ready");
+    entry["labels"] = json!(["a", "r".repeat(60_000)]);
+    platform.write_worker("odd", &entry);
+    let host = Host::start("front-a-1", &platform).await;
+
+    complete_jobs(&host.caller(), 1).await;
+    tokio::time::sleep(READING_TIME).await;
+    complete_jobs(&host.caller(), 1_000).await;
+}
+
 /// Writes entries of so many draining workers that the service is divided.
 fn write_draining_workers(platform: &Platform, worker: &Worker) {
     for number in 0..=MAX_POOL_WORKERS {
