Reads: go on after a key of the greatest length

The next page of a table was asked for from the last key and one more character. After a key of 200 bytes that is longer than a key may be; a store that refuses it ends every read of the list of workers there, and no host can divide the service or load a pool. The page is then asked for from the key itself, and rows that were read are dropped. With this change taken out: all_workers_are_read_if_a_page_ends_with_a_key_of_the_greatest_length failed with 503 instead of 200.

--- a/crates/mangotrestle/src/host/reads.rs
+++ b/crates/mangotrestle/src/host/reads.rs
@@ -31,6 +31,8 @@
 const NEXT_PEER_DELAY: Duration = Duration::from_millis(150);
 /// Time beyond the requested wait after which a read that no bound depends on is sent again.
 pub(super) const DEFAULT_RESEND_DELAY: Duration = Duration::from_millis(300);
+/// Maximum length of a row's key in the store, in bytes.
+const MAX_KEY_BYTES: usize = 200;
 /// Delay before a page is read again that the store refused as one read too many.
 const REFUSED_PAGE_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Part of the requested wait that is requested from a peer: the answer shows the store's state at
@@ -174,13 +176,12 @@
     ) -> Result<Rows, CallError> {
         let mut all = self.read_page(table, part, "", timeout).await?;
         while all.truncated {
-            // A key that sorts right after the last one read.
-            let from = all
-                .rows
-                .last()
-                .map(|row| format!("{}\u{1}", row.name.key))
-                .unwrap_or_default();
-            let page = self.read_page(table, part, &from, timeout).await?;
+            let last = all.rows.last().map(|row| row.name.key.clone());
+            let last = last.unwrap_or_default();
+            let mut page = self
+                .read_page(table, part, &key_after(&last), timeout)
+                .await?;
+            page.rows.retain(|row| row.name.key > last);
             all.truncated = page.truncated && !page.rows.is_empty();
             all.rows.extend(page.rows);
         }
@@ -545,6 +546,15 @@
     }
 }
 
+/// Returns a key that sorts right after another one; the key itself if no longer one is allowed.
+fn key_after(key: &str) -> String {
+    if key.len() < MAX_KEY_BYTES {
+        format!("{key}\u{1}")
+    } else {
+        key.to_owned()
+    }
+}
+
 /// Returns the error of a call that reads no feed.
 fn into_call_error(error: FeedError) -> CallError {
     match error {
--- a/crates/mangotrestle/tests/host/odd_entries.rs
+++ b/crates/mangotrestle/tests/host/odd_entries.rs
@@ -189,6 +189,20 @@
     complete_jobs(&host.caller(), 1_000).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn all_workers_are_read_if_a_page_ends_with_a_key_of_the_greatest_length() {
+    let platform = Platform::start().await;
+    let worker = Worker::start().await;
+    for key in ["a".repeat(200), "b".repeat(200)] {
+        platform.write_bytes("servers", "", &key, b"odd");
+    }
+    platform.write_worker("c-1", &worker.entry("ready"));
+    platform.set_slow_reads(Duration::ZERO, 2);
+    let host = Host::start("front-a-1", &platform).await;
+
+    complete_jobs(&host.caller(), 1).await;
+}
+
 /// Writes entries of so many draining workers that the service is divided.
 fn write_draining_workers(platform: &Platform, worker: &Worker) {
     for number in 0..=MAX_POOL_WORKERS {
