Leadership: a row that cannot be read is claimed by its version

When another writer had overwritten a pool's leadership row with something that cannot be decoded, its leader was deposed by its next commit, and all claims were made on the version before, so that the store refused each: nobody led the pool any more, while hosts went on accepting its jobs. The watch now takes the version of such a row, and keeps the last row that it could read for the next term. A host that has never seen one begins with the first term, which workers that know a higher token refuse.

--- a/crates/mangotrestle-core/src/workflow/leadership.rs
+++ b/crates/mangotrestle-core/src/workflow/leadership.rs
@@ -240,6 +240,17 @@
         self.observe_unchanged(now);
     }
 
+    /// Records that another writer has overwritten the row with something that cannot be decoded. The
+    /// leader can't commit any more; the next one takes the row by this version, with the term after the
+    /// last one that was seen.
+    pub fn observe_unreadable(&mut self, now: TimeMs, version: u64) {
+        if version > self.version {
+            self.version = version;
+            self.changed_at = now;
+        }
+        self.observe_unchanged(now);
+    }
+
     /// Records that a poll was answered and returned nothing new.
     pub fn observe_unchanged(&mut self, now: TimeMs) {
         if self.polled_at.is_none() {
--- a/crates/mangotrestle-core/tests/workflow/leadership.rs
+++ b/crates/mangotrestle-core/tests/workflow/leadership.rs
@@ -31,6 +31,20 @@
     assert!(first < later_life && later_life < last_life && last_life < next_term);
 }
 
+#[test]
+fn a_row_that_cannot_be_read_is_claimed_by_its_version_with_a_higher_term() {
+    let mut watch = Watch::default();
+    watch.observe(TimeMs(1_000), row(3 * TERM_STEP, false), 40);
+
+    watch.observe_unreadable(TimeMs(2_000), 50);
+    watch.observe_unchanged(TimeMs(2_000) + LEADER_TIMEOUT);
+
+    assert_eq!(watch.version(), 50);
+    assert!(watch.is_claim_due(0, MIN_CLAIM_STAGGER, false, false));
+    let claimed = watch.claim(&host("b"), "127.0.0.1:2", 9);
+    assert_eq!(claimed.term, 4 * TERM_STEP);
+}
+
 #[test]
 fn the_term_after_an_absurd_one_is_not_lower() {
     for term in [u64::MAX, u64::MAX - 1, u64::MAX / TERM_STEP * TERM_STEP] {
--- a/crates/mangotrestle/src/host/feeds.rs
+++ b/crates/mangotrestle/src/host/feeds.rs
@@ -294,6 +294,10 @@
         Err(error) => {
             slog::warn!(cell.log, "leadership.malformed"; "pool" => &row.name.part,
                 "error" => %error);
+            let now = cell.clock.now();
+            cell.with_pool(&row.name.part, |view| {
+                view.watch.observe_unreadable(now, row.version);
+            });
             return;
         }
     };
--- a/crates/mangotrestle/tests/host/odd_entries.rs
+++ b/crates/mangotrestle/tests/host/odd_entries.rs
@@ -281,6 +281,22 @@
     complete_jobs(&host.caller(), 1).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_pool_is_led_again_after_its_leadership_row_was_overwritten() {
+    let platform = Platform::start().await;
+    let worker = Worker::start().await;
+    platform.write_worker("i-1", &worker.entry("ready"));
+    let host = Host::start("front-a-1", &platform).await;
+    let next = complete_jobs(&host.caller(), 1).await;
+    let term = platform.term();
+
+    platform.write_bytes("cell", "pool", "lead", b"odd");
+    tokio::time::sleep(READING_TIME).await;
+    complete_jobs(&host.caller(), next).await;
+
+    assert!(platform.term() > term);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_invalid_job_in_the_inbox_is_left_out() {
     let platform = Platform::start().await;
