Tests: a worker gets work again after an entry with a birth far ahead

If another writer leaves an entry under a live worker's identifier that names a later birth, the leader takes it for a later life. The worker's own entries and reports, with the lower birth, then count as those of an earlier life and are ignored until another leader loads the pool. The clocks of hosts give no bound that is safe. What does is the worker's answer to a poll that was sent after the later life became known: if it names the lower birth, there is no later life.

--- a/crates/mangotrestle-core/tests/workflow/malformed.rs
+++ b/crates/mangotrestle-core/tests/workflow/malformed.rs
@@ -75,3 +75,22 @@
     assert_eq!(summary.workers, Some(2));
     assert_eq!(world.violations, Violations::default());
 }
+
+#[test]
+fn a_worker_gets_work_again_after_an_entry_with_a_birth_far_ahead() {
+    let mut world = World::new(4, 1);
+    world.run_for(1_000);
+    let good = world.workers.values().next().expect("a worker");
+    let good = good.entry.clone();
+    let mut odd = good.clone();
+    odd.born_ms = Some(1 << 53);
+
+    world.pool.worker_listed(TimeMs(world.now), odd);
+    world.run_for(1_000);
+    world.pool.worker_listed(TimeMs(world.now), good);
+    world.submit(&job(1), &record(0, vec![step(2, 1_000, 200, &[])]));
+    world.run_for(5_000);
+
+    assert_eq!(world.end_of(&job(1)), Some(JobState::Completed));
+    assert_eq!(world.violations, Violations::default());
+}
