--- a/crates/mangotrestle-core/src/workflow/leadership.rs
+++ b/crates/mangotrestle-core/src/workflow/leadership.rs
@@ -47,9 +47,10 @@
 /// accept its orders while hosts of both releases run.
 pub const TERM_STEP: u64 = 1_000_000;
 
-/// Returns the term of the leadership that follows one.
+/// Returns the term of the leadership that follows one. It is never lower: workers would refuse all
+/// orders.
 const fn next_term(term: u64) -> u64 {
-    (term / TERM_STEP + 1) * TERM_STEP
+    (term / TERM_STEP + 1).saturating_mul(TERM_STEP)
 }
 
 /// Returns the fencing token for orders to a life of a worker. It is higher than that of all earlier
@@ -57,7 +58,7 @@
 /// has seen it, orders for an earlier life do nothing.
 #[must_use]
 pub fn fencing_token(term: u64, life: u32) -> u64 {
-    term + u64::from(life).min(TERM_STEP - 1)
+    term.saturating_add(u64::from(life).min(TERM_STEP - 1))
 }
 
 /// What admission needs to know of a team.
@@ -293,6 +294,17 @@
         self.observe_unchanged(now);
     }
 
+    /// Records that another writer has overwritten the row with something that cannot be decoded. The
+    /// leader can't commit any more; the next one takes the row by this version, with the term after the
+    /// last one that was seen.
+    pub fn observe_unreadable(&mut self, now: TimeMs, version: u64) {
+        if version > self.version {
+            self.version = version;
+            self.changed_at = now;
+        }
+        self.observe_unchanged(now);
+    }
+
     /// Records that a poll was answered and returned nothing new.
     pub fn observe_unchanged(&mut self, now: TimeMs) {
         if self.polled_at.is_none() {
--- a/crates/mangotrestle/src/host/feeds.rs
+++ b/crates/mangotrestle/src/host/feeds.rs
@@ -88,7 +88,7 @@
         match result {
             Ok(ReadRows { rows, as_of }) => {
                 version = Some(rows.version.max(version.unwrap_or_default()));
-                for row in &rows.rows {
+                for row in rows.rows.iter().filter(|row| row.name.part.is_empty()) {
                     apply_operator_row(&cell, row);
                 }
                 cell.confirm_configuration(as_of);
@@ -288,6 +288,10 @@
         Err(error) => {
             slog::warn!(cell.log, "leadership.malformed"; "pool" => &row.name.part,
                 "error" => %error);
+            let now = cell.clock.now();
+            cell.with_pool(&row.name.part, |view| {
+                view.watch.observe_unreadable(now, row.version);
+            });
             return;
         }
     };
--- a/crates/mangotrestle/src/host/leader/loading.rs
+++ b/crates/mangotrestle/src/host/leader/loading.rs
@@ -4,15 +4,16 @@
 use std::sync::{Arc, Mutex};
 
 use arc_swap::ArcSwap;
+use displaydoc::Display;
 use mangotrestle_core::collections::FastMap;
 use mangotrestle_core::id;
 use mangotrestle_core::time::{SpanMs, TimeMs};
 use mangotrestle_core::workflow::feed_timing::FeedTiming;
 use mangotrestle_core::workflow::pool::{Pool, PoolSettings};
 use mangotrestle_core::workflow::record::AssignmentRow;
-use mangotrestle_core::workflow::spec::JobRecord;
+use mangotrestle_core::workflow::spec::{InvalidJob, JobRecord};
 use mangotrestle_users_platform::registry;
-use mangotrestle_users_platform::store::{Row, Rows, WORKERS_TABLE};
+use mangotrestle_users_platform::store::{Row, Rows, Value, WORKERS_TABLE};
 use mangotrestle_users_platform::transport::CallError;
 use tokio::sync::Notify;
 
@@ -141,18 +142,16 @@
         };
         match names::parse_inbox_key(&row.name.key) {
             Some(names::InboxKey::Cancel(job)) => cancels.push(job),
-            Some(names::InboxKey::Job(job)) => {
-                match serde_json::from_slice::<JobRecord>(&value.0) {
-                    Ok(record) => {
-                        let assignment = assigned.get(job.as_str());
-                        state.restore(now, &job, Arc::new(record), assignment);
-                    }
-                    Err(error) => {
-                        slog::error!(cell.log, "job.row_malformed"; "job" => job.as_str(),
+            Some(names::InboxKey::Job(job)) => match decode_job(value) {
+                Ok(record) => {
+                    let assignment = assigned.get(job.as_str());
+                    state.restore(now, &job, Arc::new(record), assignment);
+                }
+                Err(error) => {
+                    slog::error!(cell.log, "job.row_malformed"; "job" => job.as_str(),
                             "error" => %error);
-                    }
                 }
-            }
+            },
             None => {}
         }
     }
@@ -161,8 +160,24 @@
     }
 }
 
-/// Applies entries of workers. A worker whose entry is removed, malformed or names another pool gets
-/// no new work.
+/// Why a stored job cannot be used.
+#[derive(Debug, Display)]
+pub(super) enum JobRowError {
+    /// its row cannot be decoded: {0}
+    Malformed(serde_json::Error),
+    /// {0}
+    Invalid(InvalidJob),
+}
+
+/// Decodes a stored job. No host accepts an invalid one, so another writer has left it.
+pub(super) fn decode_job(value: &Value) -> Result<JobRecord, JobRowError> {
+    let record: JobRecord = serde_json::from_slice(&value.0).map_err(JobRowError::Malformed)?;
+    record.validate().map_err(JobRowError::Invalid)?;
+    Ok(record)
+}
+
+/// Applies entries of workers, which are in the empty part. A worker whose entry is removed, malformed
+/// or names another pool gets no new work until it has a good one; its runs go on while it answers.
 pub(super) fn apply_worker_rows(
     cell: &Cell,
     pool: &str,
@@ -170,7 +185,7 @@
     now: TimeMs,
     rows: &[Row],
 ) {
-    for row in rows {
+    for row in rows.iter().filter(|row| row.name.part.is_empty()) {
         let value = row.value.as_ref();
         let entry = value.and_then(|value| registry::decode(&row.name.key, &value.0));
         if value.is_some() && entry.is_none() {
