Give a leader more time if the ones before it were replaced early

Cause: a leader counts as unresponsive after 900 ms without a commit and 350 ms without an answer. On hosts six times as slow a leader with a backlog of 1,089 jobs needs longer for its first commits, so it was replaced 0.6 to 1.4 s after its load, by one that had the same backlog, no more time, and had to load it anew.

After a leader that was replaced within 10 s all timeouts of the next one are doubled, at most twice. A leader that has ended or has released the pool is replaced without delay as before.

--- a/crates/mangotrestle-core/src/workflow/leadership.rs
+++ b/crates/mangotrestle-core/src/workflow/leadership.rs
@@ -25,6 +25,8 @@
 pub const LEADER_TIMEOUT: SpanMs = SpanMs(1_600);
 /// Time without a commit after which a leader is replaced if it does not answer its peers either.
 pub const UNRESPONSIVE_LEADER_TIMEOUT: SpanMs = SpanMs(900);
+/// Timeout for a leader's answer to the question whether it still leads.
+const LEADER_PROBE_TIMEOUT: SpanMs = SpanMs(350);
 /// Minimum delay for each rank among the hosts, so that they do not claim together.
 pub const MIN_CLAIM_STAGGER: SpanMs = SpanMs(250);
 /// Time after an observed commit for which its leader counts as alive: longer than a commit interval
@@ -274,19 +276,32 @@
     SpanMs(if store_slow { span.0 * 2 } else { span.0 })
 }
 
+/// Time as a leader below which one that is replaced has hardly taken over the pool's backlog.
+const SHORT_TENURE: SpanMs = SpanMs(10_000);
+/// Maximum number of times that the timeouts are doubled after short tenures.
+const MAX_PATIENCE: u32 = 2;
+
 /// A host's view of a pool's leadership.
+///
+/// A new leader is late while it takes over a backlog. If it is replaced for that, the next one has the
+/// same backlog and no more time; so after a short tenure the timeouts are doubled.
 #[derive(Debug, Default)]
 pub struct Watch {
     row: Option<LeadRow>,
     version: u64,
     polled_at: Option<TimeMs>,
     changed_at: TimeMs,
+    /// When the present leader was first observed.
+    taken_at: TimeMs,
+    /// Number of times that the timeouts are doubled.
+    patience: u32,
 }
 
 impl Watch {
     /// Records the row that a poll returned. Versions only grow; an older one is ignored.
     pub fn observe(&mut self, now: TimeMs, row: LeadRow, version: u64) {
         if version > self.version {
+            self.observe_tenure(now, &row);
             self.row = Some(row);
             self.version = version;
             self.changed_at = now;
@@ -294,6 +309,30 @@
         self.observe_unchanged(now);
     }
 
+    /// Records the end of a tenure if a row is that of a new leader.
+    fn observe_tenure(&mut self, now: TimeMs, row: &LeadRow) {
+        match &self.row {
+            Some(previous) if previous.term >= row.term => return,
+            Some(previous) if !previous.released && now.since(self.taken_at) < SHORT_TENURE => {
+                self.patience = (self.patience + 1).min(MAX_PATIENCE);
+            }
+            _ => self.patience = 0,
+        }
+        self.taken_at = now;
+    }
+
+    /// Returns a timeout of the present leader.
+    const fn timeout(&self, span: SpanMs, store_slow: bool) -> SpanMs {
+        SpanMs(doubled_if_slow(span, store_slow).0 << self.patience)
+    }
+
+    /// Returns for how long a host waits for the leader's answer to the question whether it still
+    /// leads.
+    #[must_use]
+    pub const fn probe_timeout(&self) -> SpanMs {
+        self.timeout(LEADER_PROBE_TIMEOUT, false)
+    }
+
     /// Records that another writer has overwritten the row with something that cannot be decoded. The
     /// leader can't commit any more; the next one takes the row by this version, with the term after the
     /// last one that was seen.
@@ -350,7 +389,7 @@
         };
         self.row.is_some()
             && polled_at.since(self.changed_at)
-                >= doubled_if_slow(UNRESPONSIVE_LEADER_TIMEOUT, store_slow)
+                >= self.timeout(UNRESPONSIVE_LEADER_TIMEOUT, store_slow)
     }
 
     /// Whether a host of this rank should claim the pool; `stagger` is the delay for each rank.
@@ -370,7 +409,7 @@
         let without_commit = polled_at.since(self.changed_at);
         let timeout = match &self.row {
             Some(row) if !row.released && !process_ended => {
-                doubled_if_slow(LEADER_TIMEOUT, store_slow)
+                self.timeout(LEADER_TIMEOUT, store_slow)
             }
             _ => SpanMs(0),
         };
--- a/crates/mangotrestle-core/tests/workflow/leadership.rs
+++ b/crates/mangotrestle-core/tests/workflow/leadership.rs
@@ -321,3 +321,59 @@
         limit.as_duration() > std::time::Duration::from_secs_f64(needed_ms / 1_000.0)
     }
 }
+
+/// Returns a watch that has seen leaders follow each other after these tenures, and the time at which
+/// the last one took the pool.
+fn watch_after(tenures_ms: &[u64]) -> (Watch, TimeMs) {
+    let mut watch = Watch::default();
+    let mut now = TimeMs(1_000);
+    watch.observe(now, row(1, false), 1);
+    for (number, &tenure_ms) in (2..).zip(tenures_ms) {
+        now = now + SpanMs(tenure_ms);
+        watch.observe(now, row(number, false), number);
+    }
+    (watch, now)
+}
+
+#[test]
+fn slow_leaders_are_not_replaced_by_others_as_slow_before_they_have_taken_over_the_backlog() {
+    let replaced_after = |tenures_ms: &[u64]| {
+        let (mut watch, taken_at) = watch_after(tenures_ms);
+        (0..20_000)
+            .step_by(100)
+            .find(|&waited_ms| {
+                watch.observe_unchanged(taken_at + SpanMs(waited_ms));
+                watch.is_claim_due(0, MIN_CLAIM_STAGGER, false, false)
+            })
+            .map(SpanMs)
+    };
+
+    assert_eq!(replaced_after(&[]), Some(LEADER_TIMEOUT));
+    assert_eq!(replaced_after(&[1_600]), Some(SpanMs(2 * LEADER_TIMEOUT.0)));
+    assert_eq!(
+        replaced_after(&[1_600, 3_200, 6_400]),
+        Some(SpanMs(4 * LEADER_TIMEOUT.0))
+    );
+    assert_eq!(replaced_after(&[1_600, 60_000]), Some(LEADER_TIMEOUT));
+}
+
+#[test]
+fn a_leader_that_has_ended_is_replaced_at_once_after_short_tenures_as_well() {
+    let (mut watch, taken_at) = watch_after(&[1_600, 3_200]);
+
+    watch.observe_unchanged(taken_at + SpanMs(100));
+
+    assert!(watch.is_claim_due(0, MIN_CLAIM_STAGGER, true, false));
+}
+
+#[test]
+fn a_planned_change_of_leader_does_not_lengthen_the_timeouts() {
+    let mut watch = Watch::default();
+    watch.observe(TimeMs(1_000), row(1, false), 1);
+    watch.observe(TimeMs(2_000), row(1, true), 2);
+    watch.observe(TimeMs(2_100), row(2, false), 3);
+
+    watch.observe_unchanged(TimeMs(2_100) + LEADER_TIMEOUT);
+
+    assert!(watch.is_claim_due(0, MIN_CLAIM_STAGGER, false, false));
+}
--- a/crates/mangotrestle/src/host/feeds.rs
+++ b/crates/mangotrestle/src/host/feeds.rs
@@ -23,8 +23,6 @@
 const MAX_CELL_FEED_WAIT: Duration = Duration::from_millis(400);
 /// Rank among a pool's candidates from which a host does not ask its leader while the store is silent.
 const MAX_PROBING_RANK: u64 = 3;
-/// Timeout for a leader's answer to the question whether it still leads.
-const LEADER_PROBE_TIMEOUT: Duration = Duration::from_millis(350);
 /// Delay after a failed store call.
 const FEED_RETRY_DELAY: Duration = Duration::from_millis(150);
 /// Timeout for a read of rows, per page, and for the write of this host's row.
@@ -379,14 +377,16 @@
     let Some(peer) = cell.peer(&row.holder) else {
         return;
     };
-    if cell.with_pool(pool, |view| {
-        std::mem::replace(&mut view.probe_running, true)
-    }) {
+    let (is_running, timeout) = cell.with_pool(pool, |view| {
+        let is_running = std::mem::replace(&mut view.probe_running, true);
+        (is_running, view.watch.probe_timeout())
+    });
+    if is_running {
         return;
     }
     let (cell, pool) = (Arc::clone(cell), pool.to_owned());
     tokio::spawn(async move {
-        let answered = tokio::time::timeout(LEADER_PROBE_TIMEOUT, peer.leads(pool.clone())).await;
+        let answered = tokio::time::timeout(timeout.as_duration(), peer.leads(pool.clone())).await;
         let leads = matches!(answered, Ok(Ok(true)));
         if !leads {
             slog::info!(cell.log, "leadership.unresponsive"; "pool" => &pool,
