Keep a host's turn to claim a pool while it is not due for a moment

What callers would see: a pool whose leader is gone for good stays without one on a slow store.

That a leader does not answer counts for 1.5 s; when feed answers come more slowly, it lapses and is found out again, and with the stagger of a slow store (1 s a rank) a host of rank 2 never got its turn by it. Evidence: the test, with polls 0.8 s apart of which each second is not due, failed before the change (no turn in 16 s).

Fix: the turn is kept, and begins anew only where it should: the leadership row has changed, the leader has answered that it leads, or this host could not observe the leader. PoolView::observe_lead does the first for every way by which a row is seen; before, a row that came with a conflict left the leader marked as unresponsive.

--- a/crates/mangotrestle-core/src/workflow/leadership.rs
+++ b/crates/mangotrestle-core/src/workflow/leadership.rs
@@ -208,15 +208,20 @@
 
 impl ClaimTurn {
     /// Records whether a claim is due for the best host, and returns whether it is the turn of a host
-    /// of this rank; `stagger` is the delay for each rank.
+    /// of this rank; `stagger` is the delay for each rank. A claim that is not due for a moment, since
+    /// what was known of a silent leader has lapsed, keeps its place.
     pub fn update(&mut self, now: TimeMs, is_due: bool, rank: u64, stagger: SpanMs) -> bool {
         if !is_due {
-            self.due_since = None;
             return false;
         }
         let due_since = *self.due_since.get_or_insert(now);
         now.since(due_since) >= SpanMs(stagger.0 * rank)
     }
+
+    /// Forgets the turn, since the leader has committed or answered, or this host could not observe it.
+    pub const fn restart(&mut self) {
+        self.due_since = None;
+    }
 }
 
 /// Returns the rank by which a host takes its turn to claim a pool; the rank among all known hosts is
--- a/crates/mangotrestle-core/tests/workflow/leadership.rs
+++ b/crates/mangotrestle-core/tests/workflow/leadership.rs
@@ -224,6 +224,18 @@
     assert_eq!([0, 1, 2].map(turns), [Some(0), Some(300), Some(500)]);
 }
 
+#[test]
+fn a_host_gets_its_turn_although_the_claim_is_not_due_for_moments_in_between() {
+    let slow_stagger = SpanMs(1_000);
+    let mut turn = ClaimTurn::default();
+
+    // What is known of a silent leader lapses, and is found out again, while the store is slow.
+    let polls = (0..20).map(|poll| (TimeMs(10_000 + poll * 800), poll % 2 == 0));
+    let turns = polls.map(|(now, is_due)| turn.update(now, is_due, 2, slow_stagger));
+
+    assert!(turns.collect::<Vec<_>>().contains(&true));
+}
+
 #[test]
 fn a_busy_weak_leader_passes_its_pool_on_to_a_host_with_many_times_its_processor_time() {
     let (weak, strong) = (host("weak"), host("strong"));
--- a/crates/mangotrestle/src/host/cell.rs
+++ b/crates/mangotrestle/src/host/cell.rs
@@ -104,6 +104,17 @@
     pub(super) shapes: Vec<WorkerShape>,
 }
 
+impl PoolView {
+    /// Records the leadership row as read or written. A commit shows that the leader is alive.
+    pub(super) fn observe_lead(&mut self, now: TimeMs, row: LeadRow, version: u64) {
+        if version > self.watch.version() {
+            self.leader_unresponsive_at = None;
+            self.claim_turn.restart();
+        }
+        self.watch.observe(now, row, version);
+    }
+}
+
 /// State that all parts of the process share: its settings and clients, and what it knows of the
 /// hosts and pools of the cell.
 pub(super) struct Cell {
--- a/crates/mangotrestle/src/host/feeds.rs
+++ b/crates/mangotrestle/src/host/feeds.rs
@@ -240,6 +240,7 @@
         cell.with_pool(&pool, |view| {
             if after_gap {
                 view.watch.restart_timeout(now);
+                view.claim_turn.restart();
             } else {
                 view.watch.observe_unchanged(now);
             }
@@ -298,11 +299,7 @@
             "holder" => lead.holder.as_str());
     }
     cell.with_pool(&row.name.part, |view| {
-        if row.version > view.watch.version() {
-            // It commits, so it is not unresponsive.
-            view.leader_unresponsive_at = None;
-        }
-        view.watch.observe(now, lead, row.version);
+        view.observe_lead(now, lead, row.version);
     });
 }
 
@@ -392,6 +389,9 @@
         cell.with_pool(&pool, |view| {
             view.probe_running = false;
             view.leader_unresponsive_at = (!leads).then_some(now);
+            if leads {
+                view.claim_turn.restart();
+            }
         });
         if !leads && !cell.store_is_silent() {
             claim_due_pools(&cell);
--- a/crates/mangotrestle/src/host/leader/claiming.rs
+++ b/crates/mangotrestle/src/host/leader/claiming.rs
@@ -79,7 +79,7 @@
         let value = row.value.as_ref();
         let lead = value.and_then(|value| serde_json::from_slice::<LeadRow>(&value.0).ok());
         if let Some(lead) = lead {
-            cell.with_pool(pool, |view| view.watch.observe(now, lead, row.version));
+            cell.with_pool(pool, |view| view.observe_lead(now, lead, row.version));
         }
     }
 }
@@ -99,7 +99,7 @@
         return;
     };
     let now = cell.clock.now();
-    cell.with_pool(pool, |view| view.watch.observe(now, row.clone(), version));
+    cell.with_pool(pool, |view| view.observe_lead(now, row.clone(), version));
     slog::info!(cell.log, "leadership.taken"; "pool" => pool, "term" => row.term,
         "version" => version);
     metrics::counter!("mangotrestle_leaderships_total").increment(1);
--- a/crates/mangotrestle/src/host/leader/releasing.rs
+++ b/crates/mangotrestle/src/host/leader/releasing.rs
@@ -83,7 +83,7 @@
         match result {
             Ok(TransactionAnswer::Done { version }) => {
                 let now = cell.clock.now();
-                cell.with_pool(pool, |view| view.watch.observe(now, row.clone(), version));
+                cell.with_pool(pool, |view| view.observe_lead(now, row.clone(), version));
                 return;
             }
             Ok(TransactionAnswer::Conflict(rows)) => {
