Do not hold a leader for unresponsive that was not the one asked

A host that asked a leader for a sign of life and got none held whoever led when the time was over for unresponsive: a successor that had taken the pool meanwhile. The answer counts only for the leadership that was asked.

--- a/crates/mangotrestle/src/host/feeds.rs
+++ b/crates/mangotrestle/src/host/feeds.rs
@@ -392,6 +392,10 @@
         let now = cell.clock.now();
         cell.with_pool(&pool, |view| {
             view.probe_running = false;
+            let lead_term = view.watch.row().map(|lead| lead.term);
+            if lead_term != Some(row.term) {
+                return;
+            }
             view.leader_unresponsive_at = (!leads).then_some(now);
             if leads {
                 view.claim_turn.restart();
