Let other work run on workers that are reserved for a gang where it does not delay the gang

Cause: a waiting gang reserved whole workers, those that have room first, so all that were free; nothing could start there for up to 60 s, however soon it would end and whatever it left. The design says that work which ends before the gang starts may run there; this was not built.

Change: a gang's expected start is when enough workers are expected to have room for it. Of these it keeps the ones that have it last, and of each only what it needs, so workers that are free now stay free for others where those that end their runs by then suffice. Other work starts on what is kept if it is expected to end before the gang's start, by its forecast with one standard deviation as margin. While at least half of each resource is free, work that would have waited for 2.5 s also passes a gang that does not start until then, unless it was accepted more than 30 s after the gang, so that a steady stream of work cannot starve it. A run beyond its expected end is expected to go on for a quarter of its age, as the design says; before, it was expected to end at once, so that a gang's start was always near.

--- a/crates/mangotrestle-core/src/workflow/pool/placing.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/placing.rs
@@ -2,8 +2,9 @@
 //!
 //! A unit goes to the worker that it leaves fullest, so that whole workers stay free for large
 //! tasks and gangs. Serving tasks go where they are disturbed least, and best-effort tasks go where
-//! most processor time is left. A gang that does not fit reserves the workers that are expected to
-//! have enough free capacity first. Tasks of one step stay on few workers of one availability zone
+//! most processor time is left. A gang that does not fit keeps what it needs of workers that are
+//! expected to have it when the gang can start; other work starts there if it is expected to end before,
+//! or if it leaves what the gang needs. Tasks of one step stay on few workers of one availability zone
 //! where they can, so that the loss of a worker or a zone holds up few jobs.
 //!
 //! A [`PlacementPass`] makes all decisions on a view of the workers that accept work, and the pool
@@ -35,6 +36,18 @@
 const RESERVATION_LIFETIME: SpanMs = SpanMs(100);
 /// Maximum time until the expected start of a gang for which workers are kept free.
 const MAX_RESERVATION_WAIT: SpanMs = SpanMs(60_000);
+/// Number of standard deviations above the median of a run time that work must have until a gang's
+/// expected start to run on a worker that is kept for it.
+const BACKFILL_DEVIATIONS: f64 = 1.0;
+/// Time for which work waits for the start of a gang while most of the room is free; with the time that
+/// a start takes it is below 3 s.
+const MAX_WAIT_FOR_GANG: SpanMs = SpanMs(2_500);
+/// Time after a gang's acceptance from which work is accepted that waits for the gang in any case, so
+/// that no gang starves.
+const MAX_PASSED_TIME: SpanMs = SpanMs(30_000);
+/// Divisor of the age of a run beyond its expected end that gives the time for which it is expected to
+/// go on.
+const OVERRUN_DIVISOR: u64 = 4;
 
 /// Maximum number of workers that are kept free of new runs in one pass, so that suspected tasks can
 /// be tried there.
@@ -62,7 +75,27 @@
 pub(super) struct Reservation {
     unit: UnitKey,
     chosen_at: TimeMs,
-    pub(super) workers: Vec<id::WorkerId>,
+    /// Time at which the gang is expected to start.
+    starts_at: TimeMs,
+    /// The workers, with the resources that the gang will leave there.
+    workers: Vec<(id::WorkerId, Resources)>,
+}
+
+impl Reservation {
+    pub(super) fn workers(&self) -> impl Iterator<Item = &id::WorkerId> {
+        self.workers.iter().map(|(worker, _)| worker)
+    }
+}
+
+/// What a slot is kept for.
+#[derive(Clone, Copy, Debug)]
+struct Kept {
+    /// Time at which the gang is expected to start.
+    starts_at: TimeMs,
+    /// Time of acceptance up to which other work may pass the gang.
+    passed_until: TimeMs,
+    /// Resources that the gang will leave.
+    spare: Resources,
 }
 
 /// Decisions of a pass.
@@ -85,7 +118,10 @@
     healthy: bool,
     serving_tasks: u32,
     best_effort_tasks: u32,
+    /// Whether nothing more may start here.
     reserved: bool,
+    /// The gang for which the worker is reserved.
+    kept: Option<Kept>,
     /// Whether the worker is in quarantine and may get one run, if no other worker could run it.
     probe: bool,
     /// Job whose suspected tasks are on trial here.
@@ -107,6 +143,31 @@
         }
     }
 
+    /// Whether the gang for which the slot is kept lets a unit start that has `already_here` other
+    /// members here.
+    fn lets_start(&self, now: TimeMs, request: &PlacementRequest<'_>, already_here: usize) -> bool {
+        let Some(kept) = &self.kept else {
+            return true;
+        };
+        let passes = request.may_pass_gangs
+            && kept.starts_at > request.step.queued_at + MAX_WAIT_FOR_GANG
+            && request.accepted_at() <= kept.passed_until;
+        let leaves_enough = || {
+            let members = u32::try_from(already_here + 1).unwrap_or(u32::MAX);
+            request.need.times(members).fits_in(&kept.spare)
+        };
+        passes || leaves_enough() || self.ends_before_gang(now, request)
+    }
+
+    /// Whether a unit would end here before the gang starts for which the slot is kept.
+    fn ends_before_gang(&self, now: TimeMs, request: &PlacementRequest<'_>) -> bool {
+        let (Some(kept), Some(long_run)) = (&self.kept, request.long_run) else {
+            return false;
+        };
+        let time_ms = scaled(long_run.0, 1.0 / self.worker.learned_speed.factor());
+        now + SpanMs(time_ms) <= kept.starts_at
+    }
+
     /// Returns the number of tasks of a step here.
     fn tasks_of(&self, step: &StepKey) -> usize {
         let assigned = self.worker.tasks.keys();
@@ -138,6 +199,11 @@
     /// Needs that no slot has the free resources for. Resources only become fewer during a pass, so
     /// a greater need fits nowhere either.
     unfit_needs: Vec<Resources>,
+    /// Whether any slot is kept for a gang.
+    has_kept: bool,
+    /// Resources of all slots that are in use, and their capacity, once any slot is kept.
+    used: Resources,
+    capacity: Resources,
     /// Step and zone of the unit that was placed last.
     last_placed: Option<(&'a StepKey, &'a str)>,
     /// Number of steps for which the pass may still assign runs whose tickets are yet to be
@@ -168,9 +234,19 @@
     may_request_ticket: bool,
     /// Whether a worker of half the usual speed would make its job late.
     is_tight: bool,
+    /// Time that a run takes at most, but for the longest; unset if it lasts, or if nothing depends on
+    /// it.
+    long_run: Option<SpanMs>,
+    /// Whether most of the room is free, so that the unit need not wait for a gang that starts late.
+    may_pass_gangs: bool,
 }
 
 impl PlacementRequest<'_> {
+    /// Returns the time of the acceptance of the unit's job, or at which its occurrence was due.
+    fn accepted_at(&self) -> TimeMs {
+        self.job.began_at(self.key.step.occurrence)
+    }
+
     /// Whether the worker may run the unit: it has the required label, and if the queue needs a
     /// ticket, there is a valid one for it or one may be requested.
     pub(super) fn allows(&self, now: TimeMs, worker: &Worker) -> bool {
@@ -264,23 +340,29 @@
 
     /// Chooses a slot for each member of a unit; all on one rack if the step asks for it and one
     /// has the capacity.
-    fn choose(&self, pool: &Pool, request: &PlacementRequest<'_>) -> Option<Vec<usize>> {
+    fn choose(
+        &self,
+        now: TimeMs,
+        pool: &Pool,
+        request: &PlacementRequest<'_>,
+    ) -> Option<Vec<usize>> {
         if request.spec.gang && request.spec.rack_local {
             let mut racks: Vec<&str> = self.slots.iter().map(|slot| slot.worker.rack()).collect();
             racks.sort_unstable();
             racks.dedup();
             for rack in racks {
                 let in_rack = |slot: &Slot<'_>| slot.worker.rack() == rack;
-                if let Some(chosen) = self.choose_among(pool, request, in_rack) {
+                if let Some(chosen) = self.choose_among(now, pool, request, in_rack) {
                     return Some(chosen);
                 }
             }
         }
-        self.choose_among(pool, request, |_| true)
+        self.choose_among(now, pool, request, |_| true)
     }
 
     fn choose_among(
         &self,
+        now: TimeMs,
         pool: &Pool,
         request: &PlacementRequest<'_>,
         slot_allowed: impl Fn(&Slot<'_>) -> bool,
@@ -299,6 +381,7 @@
                     let already_here = chosen.iter().filter(|other| **other == index).count();
                     let left = capacity_left(slot, &request.need, already_here)?;
                     let fits = !slot.reserved
+                        && slot.lets_start(now, request, already_here)
                         && (!slot.probe || request.may_probe)
                         && slot_allowed(slot)
                         && slot.allows_trial(|worker| pool.is_quiet(worker), request)
@@ -330,10 +413,18 @@
             self.ticket_requests_left = self.ticket_requests_left.saturating_sub(1);
             self.last_requesting = Some(step);
         }
+        if self.has_kept {
+            self.used += request.total_need();
+        }
         let mut workers = Vec::with_capacity(chosen.len());
         for &index in chosen {
             let slot = &mut self.slots[index];
             slot.free -= request.need;
+            if !slot.ends_before_gang(now, request)
+                && let Some(kept) = &mut slot.kept
+            {
+                kept.spare -= request.need;
+            }
             slot.serving_tasks += u32::from(request.spec.persistent);
             slot.best_effort_tasks += u32::from(request.spec.best_effort);
             slot.added.push(&request.key.step);
@@ -352,6 +443,7 @@
     fn reserve_for_trial(&mut self, request: &PlacementRequest<'_>) -> bool {
         let slots = self.slots.iter_mut().filter(|slot| {
             !slot.reserved
+                && slot.kept.is_none()
                 && !slot.probe
                 && slot.trial_of.is_none()
                 && request.need.fits_in(&slot.worker.entry.capacity)
@@ -368,12 +460,46 @@
         true
     }
 
-    /// Reserves workers, so that the pass places no later work on them.
-    fn reserve(&mut self, workers: &[id::WorkerId]) {
-        for slot in &mut self.slots {
-            slot.reserved |= workers.contains(&slot.worker.entry.worker);
+    /// Keeps workers for a gang, so that the pass places no later work on them that would delay it.
+    fn keep(&mut self, reservation: &Reservation, gang: &PlacementRequest<'_>) {
+        if !self.has_kept {
+            self.has_kept = true;
+            for slot in &self.slots {
+                let capacity = slot.worker.entry.capacity;
+                self.used += capacity - slot.free;
+                self.capacity += capacity;
+            }
+        }
+        for (worker, spare) in &reservation.workers {
+            let slot = self
+                .slot_of
+                .get(worker)
+                .map(|&index| &mut self.slots[index]);
+            let Some(slot) = slot.filter(|slot| slot.kept.is_none()) else {
+                continue;
+            };
+            slot.kept = Some(Kept {
+                starts_at: reservation.starts_at,
+                passed_until: gang.accepted_at() + MAX_PASSED_TIME,
+                spare: *spare,
+            });
+        }
+    }
+
+    /// Takes what the pass has placed on the workers of a reservation off what the gang will leave.
+    fn update_spare(&self, reservation: &mut Reservation) {
+        for (worker, spare) in &mut reservation.workers {
+            let slot = self.slot_of.get(&*worker).map(|&index| &self.slots[index]);
+            if let Some(kept) = slot.and_then(|slot| slot.kept) {
+                *spare = kept.spare;
+            }
         }
     }
+
+    /// Whether at least half of each resource is free.
+    fn is_half_free(&self) -> bool {
+        self.used.times(2).fits_in(&self.capacity)
+    }
 }
 
 /// Returns what remains of a slot's free resources after one more member of a unit, if
@@ -500,18 +626,22 @@
             request.is_tight =
                 judged.map_or_else(|| self.is_tight(now, &key.step), |(_, tight)| tight);
             last_judged = Some((&key.step, request.is_tight));
+            if pass.has_kept {
+                request.long_run = self.long_run(&request);
+                request.may_pass_gangs = pass.is_half_free();
+            }
             let may_fit = pass.may_fit(&request.need);
             if may_fit {
                 pass.find_candidates(now, &request);
             }
-            let mut chosen = may_fit.then(|| pass.choose(self, &request)).flatten();
+            let mut chosen = may_fit.then(|| pass.choose(now, self, &request)).flatten();
             if chosen.is_none()
                 && may_fit
                 && pass.has_probes
                 && self.only_quarantined_fit(now, &request)
             {
                 request.may_probe = true;
-                chosen = pass.choose(self, &request);
+                chosen = pass.choose(now, self, &request);
             }
             if let Some(chosen) = chosen {
                 team_rooms.take(&request);
@@ -525,12 +655,15 @@
             }
             if request.spec.gang && decisions.reservations.len() < MAX_RESERVING_GANGS {
                 let reservation = self.reservation(now, &pass, &request);
-                pass.reserve(&reservation.workers);
                 if !reservation.workers.is_empty() {
+                    pass.keep(&reservation, &request);
                     decisions.reservations.push(reservation);
                 }
             }
         }
+        for reservation in &mut decisions.reservations {
+            pass.update_spare(reservation);
+        }
         decisions.teams_blocked = team_rooms.into_blocked();
         decisions
     }
@@ -543,6 +676,14 @@
         })
     }
 
+    /// Returns the time that a run of a unit takes at most, but for the longest; none if it lasts.
+    fn long_run(&self, request: &PlacementRequest<'_>) -> Option<SpanMs> {
+        let queue = &request.job.record.policy.queue;
+        let forecast = self.estimates.forecast(queue, request.spec);
+        let long_run = SpanMs(forecast.above_median_ms(BACKFILL_DEVIATIONS));
+        (!request.spec.persistent).then_some(long_run)
+    }
+
     fn begin_pass(&self, now: TimeMs) -> PlacementPass<'_> {
         let accepting = self.workers.values().filter_map(|worker| {
             let probe = worker.accepts_probe(now);
@@ -556,6 +697,7 @@
             serving_tasks: worker.serving_tasks,
             best_effort_tasks: worker.best_effort_tasks,
             reserved: false,
+            kept: None,
             trial_of: worker.trial.as_ref(),
             added: SmallVec::new(),
         });
@@ -572,6 +714,9 @@
             candidates_of: None,
             has_probes: slots.iter().any(|slot| slot.probe),
             unfit_needs: Vec::new(),
+            has_kept: false,
+            used: Resources::ZERO,
+            capacity: Resources::ZERO,
             slots,
             last_placed: None,
             ticket_requests_left: self
@@ -613,6 +758,8 @@
             may_probe: false,
             may_request_ticket: step.tickets.may_assign_first(now),
             is_tight: false,
+            long_run: None,
+            may_pass_gangs: false,
         })
     }
 
@@ -679,8 +826,9 @@
         self.mark_dirty(&key.step.job);
     }
 
-    /// Returns the reservation of the workers that are expected to be the first with capacity for
-    /// a gang, none if they are not expected to have it soon; a recent reservation is kept.
+    /// Returns the reservation for a gang, with no workers if they are not expected to have capacity for
+    /// it soon; a recent reservation is kept. Of the workers that are expected to have capacity when the
+    /// gang can start, those are taken that have it last, so that other work can use the rest until then.
     fn reservation(
         &self,
         now: TimeMs,
@@ -696,51 +844,77 @@
         {
             return previous.clone();
         }
-        let mut candidates: Vec<(TimeMs, &Worker, u32)> = pass
+        let mut candidates: Vec<(TimeMs, &Slot<'_>, u32)> = pass
             .slots
             .iter()
-            .filter(|slot| !slot.reserved && request.need.fits_in(&slot.worker.entry.capacity))
+            .filter(|slot| !slot.reserved && slot.kept.is_none())
+            .filter(|slot| request.need.fits_in(&slot.worker.entry.capacity))
             .filter(|slot| request.may_reserve(now, slot.worker))
             .map(|slot| {
-                let (at, count) = self.expected_capacity(now, slot, &request.need);
-                (at, slot.worker, count)
+                let (at, count) = self.expected_capacity(now, slot, request);
+                (at, slot, count)
             })
             .collect();
-        candidates.sort_by_key(|(at, worker, _)| (*at, &worker.entry.worker));
+        candidates.sort_by_key(|(at, slot, _)| (*at, &slot.worker.entry.worker));
         let mut unassigned_members = request.spec.unit_size();
-        let mut workers = Vec::new();
-        for (at, worker, count) in candidates {
-            if unassigned_members == 0 || at > now + MAX_RESERVATION_WAIT {
+        let mut starts_at = now;
+        for (at, _, count) in &candidates {
+            if unassigned_members == 0 || *at > now + MAX_RESERVATION_WAIT {
                 break;
             }
-            workers.push(worker.entry.worker.clone());
-            unassigned_members = unassigned_members.saturating_sub(count.max(1));
+            starts_at = *at;
+            unassigned_members = unassigned_members.saturating_sub((*count).max(1));
         }
-        if unassigned_members > 0 {
-            workers.clear();
+        let mut workers = Vec::new();
+        if unassigned_members == 0 {
+            unassigned_members = request.spec.unit_size();
+            let until_start = candidates.iter().filter(|(at, _, _)| *at <= starts_at);
+            for (_, slot, _) in until_start.rev() {
+                if unassigned_members == 0 {
+                    break;
+                }
+                let free = self.expected_free(now, slot, starts_at);
+                let members = members_in(&free, &request.need, unassigned_members).max(1);
+                let spare = free - request.need.times(members);
+                workers.push((slot.worker.entry.worker.clone(), spare));
+                unassigned_members -= members;
+            }
         }
         Reservation {
             unit: request.key.clone(),
             chosen_at: now,
+            starts_at,
             workers,
         }
     }
 
-    /// Returns when a worker is expected to have capacity for one more task, and for how many tasks
-    /// then.
-    fn expected_capacity(&self, now: TimeMs, slot: &Slot<'_>, need: &Resources) -> (TimeMs, u32) {
-        let mut ends: Vec<(TimeMs, Resources)> = slot
-            .worker
-            .tasks
-            .iter()
-            .map(|(key, task_need)| (self.expected_end(now, key), *task_need))
-            .collect();
+    /// Returns when the runs on a worker are expected to end, in this order, and what they need.
+    fn expected_ends(&self, now: TimeMs, worker: &Worker) -> Vec<(TimeMs, Resources)> {
+        let ends = worker.tasks.iter();
+        let ends = ends.map(|(key, need)| (self.expected_end(now, key), *need));
+        let mut ends: Vec<(TimeMs, Resources)> = ends.collect();
         ends.sort_unstable_by_key(|(at, _)| *at);
+        ends
+    }
+
+    /// Returns when a worker is expected to have capacity for one more member of a gang, and for how
+    /// many then.
+    fn expected_capacity(
+        &self,
+        now: TimeMs,
+        slot: &Slot<'_>,
+        request: &PlacementRequest<'_>,
+    ) -> (TimeMs, u32) {
+        let need = &request.need;
+        let max = request.spec.unit_size();
+        if need.fits_in(&slot.free) {
+            return (now, members_in(&slot.free, need, max));
+        }
         let mut free = slot.free;
         // Of a capacity that has shrunk, ended runs free only what exceeds the lack.
         let mut lacking = slot.worker.used - slot.worker.entry.capacity;
         let mut at = now;
-        for (end, task_need) in ends {
+        for (end, task_need) in self.expected_ends(now, slot.worker) {
             if need.fits_in(&free) {
                 break;
             }
@@ -748,15 +922,19 @@
             lacking -= task_need;
             at = end;
         }
-        let mut count = 0;
-        while let Some(left) = free.checked_sub(need) {
-            free = left;
-            count += 1;
-            if *need == Resources::ZERO {
-                break;
-            }
+        (at, members_in(&free, need, max))
+    }
+
+    /// Returns the resources of a worker that are expected to be free at a time.
+    fn expected_free(&self, now: TimeMs, slot: &Slot<'_>, at: TimeMs) -> Resources {
+        let mut free = slot.free;
+        let mut lacking = slot.worker.used - slot.worker.entry.capacity;
+        let ends = self.expected_ends(now, slot.worker);
+        for (_, task_need) in ends.iter().take_while(|(end, _)| *end <= at) {
+            free += *task_need - lacking;
+            lacking -= *task_need;
         }
-        (at, count)
+        free
     }
 
     /// Returns a usual run time as the worker of a member takes it.
@@ -769,7 +947,8 @@
         })
     }
 
-    /// Returns when a member is expected to end, by the estimate of its run time.
+    /// Returns when a member is expected to end, by the estimate of its run time. A run that goes on
+    /// beyond it is expected to do so for a part of its age.
     pub(super) fn expected_end(&self, now: TimeMs, key: &MemberKey) -> TimeMs {
         let Some(job) = self.jobs.get(&key.unit.step.job) else {
             return now;
@@ -784,8 +963,26 @@
         let phase_since = job
             .unit(&key.unit)
             .map_or(now, |unit| unit.members[key.member as usize].phase_since);
-        (phase_since + estimate).max(now)
+        let expected_end = phase_since + estimate;
+        if expected_end > now {
+            expected_end
+        } else {
+            now + SpanMs(now.since(phase_since).0 / OVERRUN_DIVISOR)
+        }
+    }
+}
+
+/// Returns how many members of a gang fit into free resources, at most `max`.
+fn members_in(free: &Resources, need: &Resources, max: u32) -> u32 {
+    let mut free = *free;
+    let mut members = 0;
+    while members < max
+        && let Some(left) = free.checked_sub(need)
+    {
+        free = left;
+        members += 1;
     }
+    members
 }
 
 fn per_mille(part: u64, whole: u64) -> u64 {
--- a/crates/mangotrestle-core/src/workflow/pool/stalls.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/stalls.rs
@@ -82,7 +82,7 @@
         let reserved: FastSet<id::WorkerId> = self
             .reservations
             .iter()
-            .flat_map(|reservation| reservation.workers.iter().cloned())
+            .flat_map(|reservation| reservation.workers().cloned())
             .collect();
         let mut reports = 0;
         for key in steps {
