Learn only from runs whose start and end the leader saw in time

Cause: a run's time was counted from the moment at which this leader learned of the start to the moment at which it learned of the end. Where workers were not reached, a run of 0.7 s was learned as one of 3 s, and a run that began under an earlier leader as a short one. Admission and the order of work rely on it.

Change: a run counts if the only order to start it was confirmed within 500 ms by an answer or a report to this leader, and if the time for which an end could stay unseen before the report that listed it is at most 500 ms: the time without a poll since the report before, and the time beyond the one for which the poll could wait at the worker. The bound does not depend on the run time, so that short and long runs are left out alike. Speeds of workers are learned from the same runs.

A new test asserts that each run after the 3 s is learned again.

Left: a delay within the time for which a poll may wait at the worker, at most 1.5 s, stays unseen, and a leader that cannot poll twice a second learns nothing and uses the callers' estimates.

--- a/crates/mangotrestle-core/src/workflow/pool/orders.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/orders.rs
@@ -162,10 +162,7 @@
         }
         match answer {
             OrderAnswer::Done | OrderAnswer::Old => {
-                member.phase = Phase::Running;
-                member.phase_since = now;
-                member.confirmed_at = now;
-                member.started_at = Some(now);
+                member.confirm_start(now);
                 if is_first_start {
                     job.begun = true;
                 }
--- a/crates/mangotrestle-core/tests/workflow/learned_times.rs
+++ b/crates/mangotrestle-core/tests/workflow/learned_times.rs
@@ -38,15 +38,19 @@
     }
 }
 
-/// Returns what a leader has learned that did not reach its workers for 3 s.
-fn learned_beside_an_outage() -> Learned {
+/// Returns a simulation whose leader did not reach its workers for 3 s.
+fn world_after_an_outage() -> World {
     let mut world = world_with_learned_times(SHORT_MS);
     start_jobs(&mut world, 100, 60, SHORT_MS);
     set_all_reachable(&mut world, false);
     world.run_for(3_000);
     set_all_reachable(&mut world, true);
     world.run_for(3_000);
-    world.pool.learned()
+    world
+}
+
+fn learned_beside_an_outage() -> Learned {
+    world_after_an_outage().pool.learned()
 }
 
 #[test]
@@ -61,6 +65,21 @@
     );
 }
 
+#[test]
+fn each_run_after_an_outage_of_the_workers_is_learned() {
+    let mut world = world_after_an_outage();
+
+    for number in 200..205 {
+        let before = world.pool.learned();
+        world.submit(
+            &job(number),
+            &record(0, vec![step(1, 1_000, SHORT_MS, &[])]),
+        );
+        world.run_for(2 * SHORT_MS);
+        assert_ne!(world.pool.learned().times, before.times, "job {number}");
+    }
+}
+
 #[test]
 fn work_that_could_be_done_is_not_refused_after_an_outage_of_the_workers() {
     let mut world = World::new(6, WORKERS);
