Double the limit of a load each time that this host has given the pool up

Found by review, with a stand-in: where all hosts read slowly (20 pages at 700 ms) each gave the pool up after its limit, and none loaded it in 45 s. The limit follows the read rate, not the time of a read. It doubles with each load in a row that this host gave up, so that one is loaded in the end; the test has the review's figures.

--- a/crates/mangotrestle-core/src/workflow/leadership.rs
+++ b/crates/mangotrestle-core/src/workflow/leadership.rs
@@ -239,6 +239,9 @@
     }
 }
 
+/// Maximum number of times that the limit of a load is doubled.
+const MAX_LOAD_DOUBLINGS: u32 = 4;
+
 /// How long a host may take to load a pool that it has claimed.
 ///
 /// The limit grows with what was read, so that a large pool can be loaded by a host that gets its share
@@ -268,6 +271,17 @@
         }
     }
 
+    /// Returns the times after a number of loads in a row that this host gave up: where all hosts read
+    /// slowly, one must be given enough time in the end.
+    #[must_use]
+    pub fn after_failures(self, failures: u32) -> Self {
+        let factor = 1 << failures.min(MAX_LOAD_DOUBLINGS);
+        Self {
+            base: SpanMs(self.base.0 * factor),
+            per_page: SpanMs(self.per_page.0 * factor),
+        }
+    }
+
     /// Returns the time from the claim after which a load is given up that has read so many pages.
     #[must_use]
     pub const fn limit(&self, pages: u64) -> SpanMs {
--- a/crates/mangotrestle-core/tests/workflow/leadership.rs
+++ b/crates/mangotrestle-core/tests/workflow/leadership.rs
@@ -389,3 +389,17 @@
 
     assert!(watch.is_claim_due(0, MIN_CLAIM_STAGGER, false, false));
 }
+
+#[test]
+fn a_pool_is_loaded_in_the_end_although_all_hosts_read_slowly() {
+    let page_ms = 700;
+    let pages = 20;
+    let timing = LoadTiming::new(1_000.0);
+
+    let failures = (0..10).find(|&failures| {
+        let limit = timing.after_failures(failures).limit(pages);
+        limit >= SpanMs(pages * page_ms)
+    });
+
+    assert_eq!(failures, Some(1));
+}
--- a/crates/mangotrestle/src/host/cell.rs
+++ b/crates/mangotrestle/src/host/cell.rs
@@ -95,6 +95,8 @@
     pub(super) probe_running: bool,
     /// When this host last gave it up; unset if it never did.
     pub(super) given_up_at: Option<TimeMs>,
+    /// Number of times in a row that this host gave it up.
+    pub(super) given_up_count: u32,
     /// When its leader last did not answer whether it still leads; unset if it has answered or
     /// committed since.
     pub(super) leader_unresponsive_at: Option<TimeMs>,
@@ -715,7 +717,10 @@
     /// Records that this host cannot lead a pool for now, so that the others claim it first.
     pub(super) fn record_given_up(&self, pool: &str) {
         let now = self.clock.now();
-        self.with_pool(pool, |view| view.given_up_at = Some(now));
+        self.with_pool(pool, |view| {
+            view.given_up_at = Some(now);
+            view.given_up_count += 1;
+        });
     }
 
     /// Returns the rank by which this host takes its turn to claim a pool. `gone` is a host that is no
@@ -730,10 +735,11 @@
     }
 
     /// Returns the times for loading a pool, by this host's equal share of the store's rate.
-    pub(super) fn load_timing(&self) -> LoadTiming {
+    pub(super) fn load_timing(&self, pool: &str) -> LoadTiming {
         let hosts = u32::try_from(self.host_count()).unwrap_or(u32::MAX);
         let reads_per_s = self.settings.store_limits.reads_per_s * STORE_RATE_SHARE;
-        LoadTiming::new(reads_per_s / f64::from(hosts))
+        let given_up_count = self.with_pool(pool, |view| view.given_up_count);
+        LoadTiming::new(reads_per_s / f64::from(hosts)).after_failures(given_up_count)
     }
 
     /// Returns the acceptor for a pool, which is started on first use.
--- a/crates/mangotrestle/src/host/leader/claiming.rs
+++ b/crates/mangotrestle/src/host/leader/claiming.rs
@@ -135,7 +135,7 @@
 /// Loads a claimed pool; `None` if this host cannot, and another one should.
 async fn load_in_time(cell: &Arc<Cell>, pool: &str, term: u64) -> Option<(Pool, FeedVersions)> {
     let began = Instant::now();
-    let timing = cell.load_timing();
+    let timing = cell.load_timing(pool);
     let mut retry_delay = STORE_RETRY_DELAY;
     loop {
         let pages = AtomicU64::new(0);
@@ -144,7 +144,10 @@
             () = wait_for_limit(&timing, began, &pages) => return None,
         };
         match result {
-            Ok(loaded) => return Some(loaded),
+            Ok(loaded) => {
+                cell.with_pool(pool, |view| view.given_up_count = 0);
+                return Some(loaded);
+            }
             Err(error) => {
                 slog::warn!(cell.log, "leadership.load_failed"; "pool" => pool,
                     "error" => %error);
