Apply changes after half a second although more are left; do not judge leaders by half a feed

Found by review: 20 slow pages held back the changes of the first one for seconds, and a feed of the cell that was read in part counted as read without a commit of the leader.

--- a/crates/mangotrestle/src/host/feeds.rs
+++ b/crates/mangotrestle/src/host/feeds.rs
@@ -234,6 +234,10 @@
             apply_shapes_row(cell, row);
         }
     }
+    if rows.truncated {
+        // A commit may be among the changes that are not read yet.
+        return;
+    }
     for pool in cell.known_or_configured_pools() {
         cell.with_pool(&pool, |view| {
             if after_gap {
--- a/crates/mangotrestle/src/host/reads.rs
+++ b/crates/mangotrestle/src/host/reads.rs
@@ -123,6 +123,9 @@
 /// for long.
 const MAX_CHANGES_PAGES: usize = 20;
 
+/// Time after the first answer with changes from which no more are read before these take effect.
+const MAX_CHANGES_TIME: Duration = Duration::from_millis(500);
+
 /// Rows, and a moment as of which they were complete in the store.
 #[derive(Debug)]
 pub(super) struct ReadRows {
@@ -247,10 +250,14 @@
         };
         let mut all = self.read_changes_once(table, after, timing).await?;
         timing.wait = Duration::ZERO;
+        let began = Instant::now();
         for _ in 1..MAX_CHANGES_PAGES {
             if !all.rows.truncated {
                 return Ok(all);
             }
+            if began.elapsed() >= MAX_CHANGES_TIME {
+                break;
+            }
             let after = all.rows.version;
             let Ok(page) = self.read_changes_once(table, after, timing).await else {
                 break;
