Share short ticket requests out among leaders, and choose their hosts among those in reach

Found by review: the limit of short requests held for each leader, so that with four pools 40 requests were in flight at a host that takes no long ones, where the service refuses from 32; and these hosts were chosen by their names even when a leader could not reach them. The limit is divided by the number of pools, and hosts that the leader skips are left out.

--- a/crates/mangotrestle-core/src/workflow/advice_hosts.rs
+++ b/crates/mangotrestle-core/src/workflow/advice_hosts.rs
@@ -19,8 +19,11 @@
 /// Divisor of the number of hosts that gives the number of those without long requests.
 const SHORT_HOSTS_DIVISOR: usize = 4;
 /// Number of short requests of one leader that a host may handle at a time: the path to a busy host
-/// takes several times as long as the service. The service refuses those of a host where 32 wait.
+/// takes several times as long as the service.
 const SHORT_REQUESTS_PER_HOST: usize = 6;
+/// Number of short requests of all leaders for each host, of which those without long ones get up to
+/// twice as many. The service refuses requests of a host where 32 wait.
+const MAX_SHORT_REQUESTS_PER_HOST: usize = 16;
 /// Number of short requests that a host without long ones takes for each that another host takes.
 const SHORT_HOST_WEIGHT: usize = 2;
 /// Name by which all leaders choose the hosts without long requests.
@@ -49,10 +52,13 @@
     /// Returns the maximum number of requests of this size that a leader may have in flight: one at each
     /// host that takes them, and one that waits; of short ones several, unless the leader is late.
     #[must_use]
-    pub const fn max_in_flight(self, senders: Senders) -> usize {
+    pub fn max_in_flight(self, senders: Senders) -> usize {
         match self {
             Self::Short if senders.leader_is_late => senders.hosts + 1,
-            Self::Short => senders.hosts * SHORT_REQUESTS_PER_HOST,
+            Self::Short => {
+                let share = MAX_SHORT_REQUESTS_PER_HOST / senders.leaders.max(1);
+                senders.hosts * share.clamp(1, SHORT_REQUESTS_PER_HOST)
+            }
             Self::Long => senders.hosts - senders.hosts / SHORT_HOSTS_DIVISOR + 1,
         }
     }
@@ -63,6 +69,8 @@
 pub struct Senders {
     /// Number of hosts, the leader's included.
     pub hosts: usize,
+    /// Number of pools whose leaders send requests.
+    pub leaders: usize,
     /// Whether the leader's host is late with its own work, so that more requests would only take longer.
     pub leader_is_late: bool,
 }
@@ -72,7 +80,7 @@
 pub struct AdviceHost<'a> {
     /// The host.
     pub host: &'a id::EntryHostId,
-    /// Number of requests of this leader that it is handling.
+    /// Number of requests that it is handling, as far as the asking host knows.
     pub requests: usize,
 }
 
--- a/crates/mangotrestle-core/src/workflow/pool/ticket_requests.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/ticket_requests.rs
@@ -65,6 +65,7 @@
         Self {
             senders: Senders {
                 hosts,
+                leaders: 1,
                 leader_is_late: false,
             },
             ..Self::default()
@@ -91,13 +92,13 @@
     }
 
     /// Returns how many more requests of a size may be sent.
-    pub(super) const fn left(&self, size: RequestSize) -> usize {
+    pub(super) fn left(&self, size: RequestSize) -> usize {
         size.max_in_flight(self.senders)
             .saturating_sub(self.of(size).in_flight)
     }
 
     /// Whether a part of the maximum number of requests of a size is in flight.
-    const fn is_part_taken(&self, size: RequestSize, divisor: usize) -> bool {
+    fn is_part_taken(&self, size: RequestSize, divisor: usize) -> bool {
         self.of(size).in_flight >= size.max_in_flight(self.senders) / divisor
     }
 
@@ -123,7 +124,8 @@
         if *requests == 0 {
             self.of_steps.remove(step);
         }
-        self.of_mut(size).in_flight -= 1;
+        let requests = self.of_mut(size);
+        requests.in_flight = requests.in_flight.saturating_sub(1);
     }
 }
 
--- a/crates/mangotrestle-core/tests/workflow/tickets.rs
+++ b/crates/mangotrestle-core/tests/workflow/tickets.rs
@@ -100,6 +100,7 @@
 const fn senders(hosts: usize) -> Senders {
     Senders {
         hosts,
+        leaders: 1,
         leader_is_late: false,
     }
 }
--- a/crates/mangotrestle-core/tests/workflow/world.rs
+++ b/crates/mangotrestle-core/tests/workflow/world.rs
@@ -543,7 +543,8 @@
                 advice.send_other_calls(self.now);
                 self.pool.set_advice_senders(Senders {
                     hosts: advice.host_count(),
-                    leader_is_late: false,
+                    leaders: 2,
+                    leader_is_late: advice.leader_is_late,
                 });
             }
             if self.begins_round() {
--- a/crates/mangotrestle-core/tests/workflow/world/advice.rs
+++ b/crates/mangotrestle-core/tests/workflow/world/advice.rs
@@ -48,6 +48,8 @@
     pub other_calls: usize,
     /// Time that the service takes for each of them.
     pub other_call_ms: u64,
+    /// Whether the leader's host is late with its own work.
+    pub leader_is_late: bool,
 }
 
 impl AdviceService {
@@ -64,6 +66,7 @@
             allowed_per_mille: BTreeMap::new(),
             other_calls: 0,
             other_call_ms: 0,
+            leader_is_late: false,
         }
     }
 
--- a/crates/mangotrestle/src/host/cell.rs
+++ b/crates/mangotrestle/src/host/cell.rs
@@ -482,21 +482,23 @@
         let mut peers = lock(&self.peers);
         let own = &self.settings.host;
         let own_requests = Arc::strong_count(&self.advice_requests) - 1;
-        let short_hosts = advice_hosts::short_hosts(peers.keys().chain(std::iter::once(own)));
-        let usable = peers.iter().filter(|(_, peer)| now >= peer.skipped_until);
-        let hosts = usable.map(|(host, peer)| AdviceHost {
-            host,
-            requests: peer.advice_requests,
-        });
-        let own_host = AdviceHost {
-            host: own,
-            requests: own_requests,
-        };
+        let usable: Vec<AdviceHost<'_>> = peers
+            .iter()
+            .filter(|(_, peer)| now >= peer.skipped_until)
+            .map(|(host, peer)| AdviceHost {
+                host,
+                requests: peer.advice_requests,
+            })
+            .chain(std::iter::once(AdviceHost {
+                host: own,
+                requests: own_requests,
+            }))
+            .collect();
+        let short_hosts = advice_hosts::short_hosts(usable.iter().map(|usable| usable.host));
         if own_requests == 0 && (size == RequestSize::Short || !short_hosts.contains(&own)) {
             return None;
         }
-        let hosts = hosts.chain(std::iter::once(own_host));
-        let chosen = advice_hosts::choose(pool, &pools, size, &short_hosts, hosts)?;
+        let chosen = advice_hosts::choose(pool, &pools, size, &short_hosts, usable)?;
         if chosen.host == own {
             return None;
         }
--- a/crates/mangotrestle/src/host/leader/rounds.rs
+++ b/crates/mangotrestle/src/host/leader/rounds.rs
@@ -89,6 +89,7 @@
             let mut state = lock(&leader.state);
             state.set_advice_senders(Senders {
                 hosts: cell.host_count(),
+                leaders: cell.configured_pools().len(),
                 leader_is_late: repeating::is_late(&cell),
             });
             state.tick(now);
