--- a/crates/mangotrestle-core/src/workflow/advice_hosts.rs
+++ b/crates/mangotrestle-core/src/workflow/advice_hosts.rs
@@ -14,7 +14,7 @@
 use crate::membership::rendezvous;
 use crate::time::SpanMs;
 
-/// Time up to which a request counts as short: a small part of the shortest objectives.
+/// Time up to which a request counts as short: less than half of the shortest objectives, 250 ms.
 const MAX_SHORT_REQUEST: SpanMs = SpanMs(100);
 /// Divisor of the number of hosts that gives the number of those without long requests.
 const SHORT_HOSTS_DIVISOR: usize = 4;
@@ -32,7 +32,7 @@
 /// How long a ticket request occupies its host's place at the advice service.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum RequestSize {
-    /// A small part of the shortest objectives.
+    /// So short that urgent work can wait behind it.
     Short,
     /// Longer.
     Long,
@@ -95,8 +95,8 @@
     hosts
 }
 
-/// Returns the host for the next request of a pool's leader: one with the fewest requests of this
-/// leader, and for a short request before all one of the `short_hosts`. `pools` are all pools whose
+/// Returns the host for the next request of a pool's leader: one with the fewest requests, and for a
+/// short request before all one of the `short_hosts`. `pools` are all pools whose
 /// leaders send requests.
 #[must_use]
 pub fn choose<'a>(
--- a/crates/mangotrestle/src/host/leader/tests.rs
+++ b/crates/mangotrestle/src/host/leader/tests.rs
@@ -173,7 +173,7 @@
 fn worker_entry() -> WorkerEntry {
     let entry = json!({
         "service": POOL, "address": "127.0.0.1:5", "zone": "a", "version": "1", "slots": 8,
-        "state": "ready", "cold_left_ms": 0, "seq": 1, "labels": [], "clock_ms": 1, "born": 1,
+        "state": "ready", "seq": 1, "labels": [], "clock_ms": 1, "born": 1,
         "capacity": {"cpu": 4_000, "mem_mb": 8_000, "gpu": 0},
     });
     registry::decode("i-1", entry.to_string().as_bytes()).expect("an entry")
