--- a/crates/mangotrestle-core/tests/workflow/advice_hosts.rs
+++ b/crates/mangotrestle-core/tests/workflow/advice_hosts.rs
@@ -4,7 +4,7 @@
 
 use mangotrestle_core::id::EntryHostId;
 use mangotrestle_core::time::SpanMs;
-use mangotrestle_core::workflow::advice_hosts::{self, AdviceHost, RequestSize};
+use mangotrestle_core::workflow::advice_hosts::{self, AdviceHost, RequestSize, Senders};
 
 fn host(number: usize) -> EntryHostId {
     EntryHostId::new(&format!("host-{number}")).expect("a valid host name")
@@ -99,6 +99,42 @@
     assert_eq!(many[0].len(), 8);
 }
 
+#[test]
+fn every_host_gets_a_short_request_before_any_but_those_for_short_ones_gets_a_second_one() {
+    let names: Vec<EntryHostId> = (0..30).map(host).collect();
+    let short_hosts = advice_hosts::short_hosts(&names);
+
+    let requests = requests_by_host(30, RequestSize::Short, &[30 + short_hosts.len()]);
+
+    assert_eq!(requests[0].len(), 30);
+    for (host, &count) in &requests[0] {
+        let max = if short_hosts.contains(&host) { 2 } else { 1 };
+        assert!(count <= max, "{count} at {host:?}");
+    }
+}
+
+#[test]
+fn the_service_refuses_no_short_request_if_all_leaders_send_as_many_as_they_may() {
+    for (hosts, leaders) in [(8, 1), (8, 2), (8, 4), (8, 10), (147, 4), (301, 10)] {
+        let senders = Senders {
+            hosts,
+            leaders,
+            leader_is_late: false,
+        };
+        let demand = RequestSize::Short.max_in_flight(senders);
+
+        let requests = requests_by_host(hosts, RequestSize::Short, &vec![demand; leaders]);
+
+        let mut at_hosts: BTreeMap<&EntryHostId, usize> = BTreeMap::new();
+        for (host, count) in requests.iter().flatten() {
+            *at_hosts.entry(host).or_default() += count;
+        }
+        let most = at_hosts.into_values().max().unwrap_or_default();
+        // One is handled and 32 may wait.
+        assert!(most <= 33, "{most} with {leaders} leaders on {hosts} hosts");
+    }
+}
+
 #[test]
 fn a_single_host_takes_requests_of_both_sizes() {
     let sizes = [RequestSize::Short, RequestSize::Long];
