--- a/crates/mangotrestle-core/src/workflow/job.rs
+++ b/crates/mangotrestle-core/src/workflow/job.rs
@@ -6,7 +6,7 @@
 use smallvec::SmallVec;
 
 use crate::id;
-use crate::time::{SpanMs, TimeMs};
+use crate::time::TimeMs;
 
 use super::crash_evidence::CrashEvidence;
 use super::message;
@@ -15,9 +15,6 @@
 use super::spec;
 use super::tickets;
 
-/// Maximum time from a start order to its confirmation for the start to be known.
-const MAX_START_ANSWER_TIME: SpanMs = SpanMs(500);
-
 /// Identifies a step of a job.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct StepKey {
@@ -113,8 +110,6 @@
     pub confirmed_at: TimeMs,
     /// Time at which the worker confirmed that the run has started.
     pub started_at: Option<TimeMs>,
-    /// Whether the run began a short time before it was confirmed, as far as this leader knows.
-    pub is_start_known: bool,
     /// Evidence that the task crashes the workers that start it.
     pub crash_evidence: CrashEvidence,
     /// Number of start orders for this run that got no answer and may still be carried out.
@@ -133,18 +128,6 @@
     pub fn has_unanswered_start(&self) -> bool {
         self.phase == Phase::Ordered || self.unanswered > 0
     }
-
-    /// Records that the worker confirmed the run. Its start is known if the only order for it was sent a
-    /// short time ago.
-    pub fn confirm_start(&mut self, now: TimeMs) {
-        self.is_start_known = self.phase == Phase::Ordered
-            && self.unanswered == 0
-            && now.since(self.phase_since) <= MAX_START_ANSWER_TIME;
-        self.phase = Phase::Running;
-        self.phase_since = now;
-        self.confirmed_at = now;
-        self.started_at = Some(now);
-    }
 }
 
 /// A task, or all tasks of a gang: what is placed as a whole.
--- a/crates/mangotrestle-core/src/workflow/pool/orders.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/orders.rs
@@ -162,7 +162,10 @@
         }
         match answer {
             OrderAnswer::Done | OrderAnswer::Old => {
-                member.confirm_start(now);
+                member.phase = Phase::Running;
+                member.phase_since = now;
+                member.confirmed_at = now;
+                member.started_at = Some(now);
                 if is_first_start {
                     job.begun = true;
                 }
--- a/crates/mangotrestle-core/src/workflow/pool/release.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/release.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use crate::id;
-use crate::time::{SpanMs, TimeMs};
+use crate::time::TimeMs;
 
 use super::super::job::{MemberKey, Phase, StepKey, UnitKey};
 use super::super::message::{RunEnd, TaskName};
@@ -11,10 +11,6 @@
 use super::progress::scaled;
 use super::{Note, Pool};
 
-/// Maximum time for which a worker was not polled before it listed an end, for the run time to be learned:
-/// twice the usual time between polls.
-const MAX_UNWATCHED_TIME: SpanMs = SpanMs(500);
-
 impl Pool {
     /// Handles the end of a run that a worker listed, or that follows from the end of the worker's
     /// leases or incarnation.
@@ -67,8 +63,8 @@
         }
     }
 
-    /// Learns from the run time of a task that was never interrupted, if its start and its end are known
-    /// well enough. Runs away from their data are left out, and of a gang only one member counts.
+    /// Learns from the run time of a task that was never interrupted. Runs away from their data are left
+    /// out, and of a gang only one member counts.
     fn learn_time(&mut self, now: TimeMs, key: &MemberKey, worker: &id::WorkerId) {
         let (Some(job), Some(worker)) = (
             self.jobs.get(&key.unit.step.job),
@@ -83,13 +79,7 @@
         let member = &unit.members[key.member as usize];
         let uninterrupted = unit.run == 1 && member.phase == Phase::Running;
         let counts = !spec.persistent && !spec.best_effort && key.member == 0;
-        let is_time_known = member.is_start_known
-            && worker.unwatched_since(member.phase_since) <= MAX_UNWATCHED_TIME;
-        if !is_time_known
-            || !uninterrupted
-            || !counts
-            || !worker.matches(spec.affinity_rack.as_deref())
-        {
+        if !uninterrupted || !counts || !worker.matches(spec.affinity_rack.as_deref()) {
             return;
         }
         let took_ms = now.since(member.phase_since).0;
@@ -202,7 +192,6 @@
         member.phase_since = now;
         member.unanswered = 0;
         member.started_at = None;
-        member.is_start_known = false;
         member.born_ms = None;
         member.over_target_since = None;
         if unit.is_free() {
--- a/crates/mangotrestle-core/src/workflow/pool/reports.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/reports.rs
@@ -98,7 +98,6 @@
             let max_lease = self.settings.max_lease;
             let deadline = extends_lease.then(|| Self::deadline(worker, now, max_lease));
             let last_seen = worker.begin_poll(now);
-            worker.poll_wait = wait;
             self.orders.push(Order::Hold {
                 worker: id,
                 life: worker.life,
@@ -315,7 +314,10 @@
             None
         };
         if matches!(member.phase, Phase::Bound | Phase::Ordered) {
-            member.confirm_start(now);
+            member.phase = Phase::Running;
+            member.phase_since = now;
+            member.confirmed_at = now;
+            member.started_at = Some(now);
             job.begun = true;
         }
         Some(key)
--- a/crates/mangotrestle-core/src/workflow/worker.rs
+++ b/crates/mangotrestle-core/src/workflow/worker.rs
@@ -114,12 +114,6 @@
     /// Time of the answer to the last poll; unset if there was none. The answer to an order may be that
     /// of a later life.
     poll_answered_at: Option<TimeMs>,
-    /// Time for which the poll in flight may wait at the worker.
-    pub poll_wait: SpanMs,
-    /// Time of the last report.
-    reported_at: TimeMs,
-    /// Time before the last report for which ends stayed unseen, from the report before it on.
-    unwatched: (TimeMs, TimeMs),
     /// Number of the last ended run of which the worker has received the acknowledgement.
     acknowledged_end: u64,
     /// Numbers of the ended runs whose effects are not durable, oldest first, with their jobs.
@@ -192,9 +186,6 @@
             durable_end: 0,
             acknowledging_end: 0,
             poll_answered_at: None,
-            poll_wait: SpanMs(0),
-            reported_at: now,
-            unwatched: (now, now),
             acknowledged_end: 0,
             undurable_ends: VecDeque::new(),
             hold_sent_at: None,
@@ -441,21 +432,11 @@
     /// Records the answer to a poll that was sent at this time.
     pub fn record_poll_answer(&mut self, now: TimeMs, sent_at: TimeMs) {
         self.poll_answered_at = Some(now);
-        let late_by = now.since(sent_at + self.poll_wait);
-        self.unwatched = (self.reported_at, sent_at + late_by);
-        self.reported_at = now;
         if self.is_call_to_present_life(sent_at) {
             self.acknowledged_end = self.acknowledged_end.max(self.acknowledging_end);
         }
     }
 
-    /// Returns the time from a moment to the last report for which an end could stay unseen.
-    #[must_use]
-    pub fn unwatched_since(&self, moment: TimeMs) -> SpanMs {
-        let (from, to) = self.unwatched;
-        to.since(from.max(moment))
-    }
-
     /// Whether there are durable ends of which it has not received the acknowledgement.
     #[must_use]
     pub const fn has_unacknowledged_ends(&self) -> bool {
