--- a/review/standin/standin.py
+++ b/review/standin/standin.py
@@ -345,11 +345,12 @@
     and how it ends."""
 
     def __init__(self, record, store, number, service, zone, capacity, work, rack_size=4,
-                 stop_s=0.05, says_born=False):
+                 stop_s=0.05, says_born=False, kind_of=lambda _rack: "a"):
         self.record, self.store, self.service, self.zone = record, store, service, zone
         self.id = "i-%08x" % (0x7F3A0000 + number)
         self.machine = "m-%05x" % (0x0A300 + number)
-        self.labels = ["a", "r1-%d" % (number // rack_size)]
+        rack = "r1-%d" % (number // rack_size)
+        self.labels = [kind_of(rack), rack]
         self.capacity, self.work = capacity, work
         self.stop_s, self.says_born = stop_s, says_born
         self.address = None
@@ -406,6 +407,12 @@
             **{key: value for key, value in self.store.machines[self.machine].items()
                if key != "id"}, "state": "down"}
 
+    async def leave_for_good(self):
+        """Crashes; the entry is removed after three heartbeats of silence."""
+        self.crash()
+        await asyncio.sleep(4.5)
+        self.store.remove("servers", self.id)
+
     def start_again(self):
         """Starts again under its identifier, and carries out what it had left unanswered."""
         self.begin_life(0)
@@ -827,9 +834,9 @@
         self.temporary.cleanup()
 
 
-    async def unfinished_jobs(self, jobs, cpu):
-        """Checks the end of LOST, for jobs of one task that needs `cpu`, `finish_s` after the end of
-        the traffic: returns the accepted jobs that are not known or get no answer, and those that for
+    async def unfinished_jobs(self, jobs, cpu, label=None):
+        """Checks the end of LOST, for jobs that need `cpu`, on workers with the label if one is given,
+        `finish_s` after the end of the traffic: returns the accepted jobs that are not known or get no answer, and those that for
         3 s have nothing running while there is capacity for them twice over and under half of the
         service's capacity is in use."""
         accepted = [job for job in jobs if self.jobs[job]["accepted"]]
@@ -843,13 +850,17 @@
         lost = {job: f"shown as {state or 'nothing'}" for job, state in states.items()
                 if state in (None, "410")}
         open_jobs = {job for job, state in states.items() if state in ("queued", "running")}
-        total = sum(worker.capacity["cpu"] for worker in self.workers)
+        total = sum(worker.capacity["cpu"] for worker in self.workers if worker.up)
+        fitting = [worker for worker in self.workers
+                   if worker.up and (label is None or label in worker.labels)]
         until = now_ms() + 3_000
         while now_ms() < until and open_jobs:
             running = {task.split(".")[0] for worker in self.workers for task in worker.runs}
             used = sum(self.cpu_of(task) for worker in self.workers for task in worker.runs)
             open_jobs -= running
-            if used * 2 >= total or total - used < 2 * cpu:
+            free = sum(worker.capacity["cpu"] - sum(map(self.cpu_of, worker.runs))
+                       for worker in fitting)
+            if used * 2 >= total or free < 2 * cpu:
                 open_jobs = set()
             await asyncio.sleep(0.05)
         for job in open_jobs:
