--- a/review/standin/standin.py
+++ b/review/standin/standin.py
@@ -345,7 +345,8 @@
     and how it ends."""
 
     def __init__(self, record, store, number, service, zone, capacity, work, rack_size=4,
-                 stop_s=0.05, says_born=False, kind_of=lambda _rack: "a"):
+                 stop_s=0.05, says_born=False, kind_of=lambda _rack: "a",
+                 heartbeat_s=None, late_s=0.0):
         self.record, self.store, self.service, self.zone = record, store, service, zone
         self.id = "i-%08x" % (0x7F3A0000 + number)
         self.machine = "m-%05x" % (0x0A300 + number)
@@ -353,6 +354,10 @@
         self.labels = [kind_of(rack), rack]
         self.capacity, self.work = capacity, work
         self.stop_s, self.says_born = stop_s, says_born
+        # Time between heartbeats that write the clock; without, the entry stays as it is.
+        self.heartbeat_s, self.number = heartbeat_s, number
+        # Time from a new life to the orders that were left unanswered in the one before it.
+        self.late_s = late_s
         self.address = None
         # Whether an order is left unanswered, to be carried out late; and the orders left so.
         self.starts = []  # (time, task, run)
@@ -383,9 +388,18 @@
         self.server, self.address = await serve(self.handle)
         self.register()
         self.lease_watcher = asyncio.ensure_future(self.watch_lease())
+        if self.heartbeat_s:
+            self.heart = asyncio.ensure_future(self.beat())
+
+    async def beat(self):
+        await asyncio.sleep(self.number * 0.19 % self.heartbeat_s)
+        while True:
+            await asyncio.sleep(self.heartbeat_s)
+            if self.up:
+                self.seq += 1
+                self.register()
 
     def register(self):
-        # The entry changes when more than `seq` changes, so the heartbeats leave it as it is.
         self.store.write("servers", self.id, {
             "service": self.service, "address": self.address, "zone": self.zone, "version": "v1",
             "slots": 8, "state": "ready", "cold_left_ms": 0, "capacity": self.capacity,
@@ -414,10 +428,13 @@
         self.store.remove("servers", self.id)
 
     def start_again(self):
-        """Starts again under its identifier, and carries out what it had left unanswered."""
+        """Starts again under its identifier; what it had left unanswered is carried out soon after."""
         self.begin_life(0)
         self.register()
         self.record.say(f"{self.id} has started again under its identifier")
+        asyncio.get_running_loop().call_later(self.late_s, self.carry_out_late)
+
+    def carry_out_late(self):
         left, self.unanswered = self.unanswered, []
         for path, order in left:
             answer = self.carry_out(path, order)
