--- a/review/standin/standin.py
+++ b/review/standin/standin.py
@@ -582,11 +582,11 @@
     that exceeds its memory is killed, as on the platform."""
 
     RESTART_S = 0.5
+    kill_reason = None
 
     def __init__(self, record, store, folder, name, zone, zones, memory_mb=260, bounds=None):
         self.record, self.name, self.memory_mb = record, name, memory_mb
-        front, readiness, control, peer, metrics = self.ports = free_ports_for(name)
-        self.removed = False
+        front, readiness, control, peer, metrics = next_ports()
         self.front, self.readiness = f"127.0.0.1:{front}", f"127.0.0.1:{readiness}"
         settings = {
             "node": name, "role": "host", "machine_class": "front", "serves": ["front"],
@@ -646,7 +646,7 @@
             status = await self.process.wait()
             if self.stopping:
                 return
-            reason = getattr(self, "kill_reason", None) or f"status {status}"
+            reason = self.kill_reason or f"status {status}"
             self.kill_reason = None
             self.ends.append((now_ms(), reason))
             self.record.say(f"{self.name} ended: {reason}")
@@ -673,33 +673,23 @@
         if self.process and self.process.returncode is None:
             self.process.send_signal(number)
 
-    async def remove(self):
-        """Removes the machine for good: its process is killed, and nothing answers at its addresses."""
-        self.removed = True
-        await self.stop()
-        self.silent = []
-        for port in self.ports:
-            silent = socket.socket()
-            silent.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            silent.bind(("127.0.0.1", port))
-            silent.listen(64)
-            self.silent.append(silent)
-        self.record.say(f"{self.name} is removed for good")
-
     async def stop(self):
         self.stopping = True
-        if self.process and self.process.returncode is None:
-            self.process.kill()
-            await self.process.wait()
+        self.signal(signal.SIGKILL)
+        # A start again that has begun is waited for, so that its process is ended too.
+        await self.watcher
+        self.signal(signal.SIGKILL)
+        await self.process.wait()
 
 
-_PORTS = {}
+_FREE_PORTS = []
 
 
-def free_ports_for(name):
-    if not _PORTS:
-        _PORTS["free"] = iter(free_ports(80))
-    return [next(_PORTS["free"]) for _ in range(5)]
+def next_ports():
+    """Returns the ports of one more host."""
+    if not _FREE_PORTS:
+        _FREE_PORTS.extend(free_ports(60))
+    return [_FREE_PORTS.pop(0) for _ in range(5)]
 
 
 # --- A small deployment and its clients -----------------------------------------------------------
@@ -750,13 +740,6 @@
         self.hosts.append(host)
         await host.start()
 
-    async def replace_host(self, host, after_s):
-        """Removes a machine for good; a new one comes later at another address."""
-        await host.remove()
-        zone = host.name.split("-")[1]
-        loop = asyncio.get_running_loop()
-        loop.call_later(after_s, lambda: asyncio.ensure_future(self.add_host(zone)))
-
     def configure(self, version, routes):
         """Writes the operator's configuration. `routes`: prefix -> settings of the queue."""
         usual = {"host": CALLER_HOST, "kind": "unsafe", "timeout_ms": 3000, "service": self.SERVICE,
@@ -793,11 +776,8 @@
         return next(index for index, host in enumerate(self.hosts) if host is not leader)
 
     async def ask(self, method, path, body=None, timeout=3.0):
-        """One attempt of a client, at the next host in turn that the platform has in rotation."""
+        """One attempt of a client, at the next host in turn."""
         host = self.hosts[self.next_host % len(self.hosts)]
-        while host.removed:
-            self.next_host += 1
-            host = self.hosts[self.next_host % len(self.hosts)]
         self.next_host += 1
         headers = {"Host": CALLER_HOST, "Deadline-Ms": "3000"}
         status, answer = await call(host.front, method, path, body, headers, timeout)
@@ -841,7 +821,8 @@
 
     async def stop(self):
         keep = os.environ.get("KEEP_LOGS")
-        await asyncio.gather(*(host.stop() for host in self.hosts))
+        started = [host for host in self.hosts if host.process]
+        await asyncio.gather(*(host.stop() for host in started))
         if keep:
             for host in self.hosts:
                 os.makedirs(keep, exist_ok=True)
