Keep of a repeating job what runs, not how often it repeats

Each host that led the service exceeded its memory and ended, about twenty times each of two.

Cause: a leader scheduled every occurrence of a job when it learned of the job, and kept an entry for every ended one, in memory and in the job's row. What was due was begun in one round, whatever the room. Due times were sums that could overflow.

Change: the schedule holds the next occurrence of each job. Ended occurrences are ranges. No further occurrence begins while 256 units of the job wait, or while its row would exceed half of the store's limit. Due times saturate. Ends and cancels touch only the job's own entries. Rows of the earlier release are read; while a host of it is known, rows list up to 1,024 ended occurrences as it did.

--- a/crates/mangotrestle-core/src/workflow/job.rs
+++ b/crates/mangotrestle-core/src/workflow/job.rs
@@ -10,11 +10,25 @@
 
 use super::crash_evidence::CrashEvidence;
 use super::message;
+use super::range_set::RangeSet;
 use super::rank;
-use super::record;
+use super::record::{self, RowFormat};
 use super::spec;
 use super::tickets;
 
+/// Number of units of a repeating job that wait to be placed from which no further occurrence begins.
+const MAX_WAITING_UNITS: u32 = 256;
+/// Maximum number of ended occurrences that a row lists one by one.
+const MAX_LISTED_OCCURRENCES: u64 = 1_024;
+/// Bytes of an occurrence that has ended, in a row that lists them one by one.
+const LISTED_OCCURRENCE_BYTES: u64 = 20;
+/// Usual bytes of an occurrence in a row, without its units.
+const OCCURRENCE_ROW_BYTES: u64 = 24;
+/// Usual bytes of a unit in a row, without its members.
+const UNIT_ROW_BYTES: u64 = 56;
+/// Usual bytes of a member in a row: its worker and the start of the worker's life.
+const MEMBER_ROW_BYTES: u64 = 32;
+
 /// Identifies a step of a job.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct StepKey {
@@ -159,6 +173,12 @@
         self.members.iter().all(|member| member.worker.is_none())
     }
 
+    /// Whether it was never bound to a worker.
+    #[must_use]
+    pub fn is_untouched(&self) -> bool {
+        self.run == 0 && !self.done && self.is_free()
+    }
+
     /// Returns the workers of the members that are assigned and not ordered.
     pub fn unordered_workers(&self) -> impl Iterator<Item = &id::WorkerId> {
         let members = self.members.iter();
@@ -227,6 +247,13 @@
 }
 
 impl Occurrence {
+    /// Whether there is nothing to remember of it: no unit was ever bound.
+    #[must_use]
+    pub fn is_untouched(&self) -> bool {
+        let mut units = self.steps.iter().flat_map(|step| &step.units);
+        !self.done && units.all(Unit::is_untouched)
+    }
+
     /// Whether no member of any unit is assigned.
     #[must_use]
     pub fn is_free(&self) -> bool {
@@ -235,6 +262,15 @@
     }
 }
 
+/// Reason for which an occurrence that is due has not begun.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum Delay {
+    /// Units of earlier occurrences wait to be placed.
+    Placement,
+    /// The job's row has no room for one more.
+    Row,
+}
+
 /// Another pool that runs units of a job for its home.
 #[derive(Clone, Debug)]
 pub struct Delegate {
@@ -257,8 +293,16 @@
     pub id: id::JobId,
     /// Job as accepted.
     pub record: Arc<spec::JobRecord>,
-    /// Occurrences that have begun, by their number.
+    /// Occurrences that have begun and not ended, by their number.
     pub occurrences: BTreeMap<u32, Occurrence>,
+    /// Occurrences of which all tasks are done and no member is assigned any more.
+    ended_occurrences: RangeSet,
+    /// Number from which the next occurrence to begin is looked for.
+    next_occurrence: u32,
+    /// Number of units of each step that wait to be placed.
+    pub waiting_units: Vec<u32>,
+    /// Time at which it was last reported that occurrences begin late.
+    pub delay_reported_at: Option<TimeMs>,
     /// Whether a task has started.
     pub begun: bool,
     /// Whether its acceptance is durable. Before that its units may be planned, but no order is
@@ -299,8 +343,12 @@
             delegates: delegates.collect(),
             share: record.share_of(pool),
             id,
+            waiting_units: vec![0; record.steps.len()],
             record,
             occurrences: BTreeMap::new(),
+            ended_occurrences: RangeSet::default(),
+            next_occurrence: 0,
+            delay_reported_at: None,
             begun: false,
             accepted: true,
             end: None,
@@ -331,9 +379,92 @@
     /// Whether it has ended as far as this pool's own part goes, or there is none.
     #[must_use]
     pub fn is_done_here(&self) -> bool {
-        let occurrences = self.occurrences.values();
-        let done = occurrences.filter(|occurrence| occurrence.done).count();
-        self.runs_nothing_here() || done >= self.occurrence_count() as usize
+        if self.runs_nothing_here() {
+            return true;
+        }
+        let mut begun = self.occurrences.values();
+        let known = self.ended_occurrences.count() + self.occurrences.len() as u64;
+        known >= u64::from(self.occurrence_count()) && begun.all(|occurrence| occurrence.done)
+    }
+
+    /// Returns the next occurrence to begin; `None` if all have begun.
+    pub fn next_occurrence(&mut self) -> Option<u32> {
+        let count = self.occurrence_count();
+        while self.next_occurrence < count {
+            let number = self.ended_occurrences.first_missing(self.next_occurrence);
+            self.next_occurrence = number;
+            if !self.occurrences.contains_key(&number) {
+                break;
+            }
+            self.next_occurrence = number.saturating_add(1);
+        }
+        (self.next_occurrence < count).then_some(self.next_occurrence)
+    }
+
+    /// Returns the reason for which no further occurrence may begin yet, if there is one. A job has only
+    /// as many at once as its row holds, and as many units waiting as one placement pass may place.
+    #[must_use]
+    pub fn occurrence_delay(&self, max_row_bytes: usize, format: RowFormat) -> Option<Delay> {
+        if self.occurrences.is_empty() {
+            return None;
+        }
+        let initial = self.record.steps.iter().zip(&self.waiting_units);
+        let mut initial = initial.filter(|(step, _)| step.after.is_empty());
+        if initial.all(|(_, &waiting)| waiting >= MAX_WAITING_UNITS) {
+            return Some(Delay::Placement);
+        }
+        let open = self.occurrences.len() as u64 + 1;
+        let open_bytes = open.saturating_mul(self.occurrence_row_bytes());
+        let row_bytes = open_bytes.saturating_add(self.ended_row_bytes(format));
+        // The other half is for what is longer than usual, such as checkpoints and failed runs.
+        let max_row_bytes = u64::try_from(max_row_bytes).unwrap_or(u64::MAX) / 2;
+        (row_bytes > max_row_bytes).then_some(Delay::Row)
+    }
+
+    /// Returns the usual size of an occurrence of which all units are assigned, in its row.
+    fn occurrence_row_bytes(&self) -> u64 {
+        let steps = self.record.steps.iter().map(|step| {
+            let units = u64::from(step.unit_count());
+            units * (UNIT_ROW_BYTES + u64::from(step.unit_size()) * MEMBER_ROW_BYTES)
+        });
+        OCCURRENCE_ROW_BYTES + steps.sum::<u64>()
+    }
+
+    fn ended_row_bytes(&self, format: RowFormat) -> u64 {
+        let entries = if self.lists_ended(format) {
+            self.ended_occurrences.count()
+        } else {
+            self.ended_occurrences.range_count() as u64
+        };
+        entries.saturating_mul(LISTED_OCCURRENCE_BYTES)
+    }
+
+    fn lists_ended(&self, format: RowFormat) -> bool {
+        let few = self.ended_occurrences.count() <= MAX_LISTED_OCCURRENCES;
+        format == RowFormat::Listed && few
+    }
+
+    /// Begins an occurrence.
+    pub fn begin_occurrence(&mut self, number: u32) {
+        let occurrence = self.new_occurrence();
+        self.occurrences.insert(number, occurrence);
+    }
+
+    /// Whether a job that does not repeat has neither begun nor ended.
+    #[must_use]
+    pub fn is_unbegun_single_run(&self) -> bool {
+        self.record.schedule.is_none()
+            && self.occurrences.is_empty()
+            && self.ended_occurrences.is_empty()
+    }
+
+    /// Forgets the steps of an occurrence that is done and of which no member is assigned any more.
+    pub fn end_occurrence(&mut self, number: u32) {
+        let occurrence = self.occurrences.get(&number);
+        if occurrence.is_some_and(|occurrence| occurrence.done && occurrence.is_free()) {
+            self.occurrences.remove(&number);
+            self.ended_occurrences.insert(number);
+        }
     }
 
     /// Returns the total number of occurrences.
@@ -347,7 +478,7 @@
     #[must_use]
     pub fn began_at(&self, occurrence: u32) -> TimeMs {
         let began_ms = match self.record.schedule {
-            Some(schedule) => schedule.first_ms + u64::from(occurrence) * schedule.period_ms,
+            Some(schedule) => schedule.due_ms(occurrence),
             None => self.record.accepted_ms,
         };
         TimeMs(began_ms.saturating_sub(self.epoch_offset_ms))
@@ -385,12 +516,14 @@
         self.begun = row.begun;
         self.end = row.end;
         self.end_durable = row.end.is_some();
+        self.ended_occurrences.clone_from(&row.ended);
         for (&number, occurrence_row) in &row.occurrences {
-            let mut occurrence = self.new_occurrence();
-            occurrence.done = occurrence_row.done;
             if occurrence_row.done && occurrence_row.steps.is_empty() {
-                occurrence.steps.clear();
+                self.ended_occurrences.insert(number);
+                continue;
             }
+            let mut occurrence = self.new_occurrence();
+            occurrence.done = occurrence_row.done;
             for (step, units) in occurrence.steps.iter_mut().zip(&occurrence_row.steps) {
                 for (unit, row) in step.units.iter_mut().zip(units) {
                     restore_unit(unit, row);
@@ -403,23 +536,22 @@
 
     /// Returns the row to store.
     #[must_use]
-    pub fn row(&self) -> record::AssignmentRow {
-        let occurrences = self.occurrences.iter().map(|(&number, occurrence)| {
-            let steps = if occurrence.done && occurrence.is_free() {
-                &[]
-            } else {
-                occurrence.steps.as_slice()
-            };
-            let steps = steps.iter();
-            let rows = steps.map(|step| step.units.iter().map(unit_row).collect());
-            let row = record::OccurrenceRow {
-                done: occurrence.done,
-                steps: rows.collect(),
-            };
-            (number, row)
-        });
+    pub fn row(&self, format: RowFormat) -> record::AssignmentRow {
+        let begun = self.occurrences.iter();
+        let begun = begun.filter(|(_, occurrence)| !occurrence.is_untouched());
+        let mut occurrences: BTreeMap<u32, record::OccurrenceRow> = begun
+            .map(|(&number, occurrence)| (number, occurrence_row(occurrence)))
+            .collect();
+        let mut ended = RangeSet::default();
+        if self.lists_ended(format) {
+            let numbers = self.ended_occurrences.numbers();
+            occurrences.extend(numbers.map(|number| (number, ended_occurrence_row())));
+        } else {
+            ended.clone_from(&self.ended_occurrences);
+        }
         record::AssignmentRow {
-            occurrences: occurrences.collect(),
+            occurrences,
+            ended,
             begun: self.begun,
             end: self.end,
         }
@@ -581,6 +713,22 @@
     }
 }
 
+fn ended_occurrence_row() -> record::OccurrenceRow {
+    record::OccurrenceRow {
+        done: true,
+        steps: Vec::new(),
+    }
+}
+
+fn occurrence_row(occurrence: &Occurrence) -> record::OccurrenceRow {
+    let steps = occurrence.steps.iter();
+    let rows = steps.map(|step| step.units.iter().map(unit_row).collect());
+    record::OccurrenceRow {
+        done: occurrence.done,
+        steps: rows.collect(),
+    }
+}
+
 fn unit_row(unit: &Unit) -> record::UnitRow {
     // A planned member is assigned in memory only.
     let stored_worker = |member: &Member| {
--- a/crates/mangotrestle-core/src/workflow/mod.rs
+++ b/crates/mangotrestle-core/src/workflow/mod.rs
@@ -11,6 +11,7 @@
 //! - [`admission`] decides whether a job is accepted;
 //! - [`spec`] describes a job as its caller submitted it;
 //! - [`job`] is a job in the leader's memory, [`record`] holds its stored rows;
+//! - [`range_set`] holds the numbers of what has ended;
 //! - [`message`] defines orders to workers and their answers;
 //! - [`worker`] is one incarnation of a worker as the leader sees it;
 //! - [`estimate`] corrects callers' estimates by the run times observed so far;
@@ -39,6 +40,7 @@
 pub mod leadership;
 pub mod message;
 pub mod pool;
+pub mod range_set;
 pub mod rank;
 pub mod record;
 pub mod spec;
--- a/crates/mangotrestle-core/src/workflow/pool/intake.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/intake.rs
@@ -79,7 +79,7 @@
             self.release(now, &key);
         }
         self.unqueue_job(id);
-        self.scheduled.retain(|(_, other_id, _)| other_id != id);
+        self.unschedule(id);
         self.jobs.remove(id);
         self.dirty.remove(id);
         self.writing.retain(|other_id| other_id != id);
@@ -132,20 +132,8 @@
             self.jobs.insert(id, job);
             return;
         }
-        if job.record.schedule.is_none() && job.occurrences.is_empty() {
-            let occurrence = job.new_occurrence();
-            job.occurrences.insert(0, occurrence);
-        }
-        if let (Some(schedule), None) = (job.record.schedule, job.end) {
-            for occurrence_number in 0..schedule.count {
-                if !job.occurrences.contains_key(&occurrence_number) {
-                    self.scheduled.insert((
-                        job.began_at(occurrence_number),
-                        id.clone(),
-                        occurrence_number,
-                    ));
-                }
-            }
+        if job.is_unbegun_single_run() {
+            job.begin_occurrence(0);
         }
         let occurrences: Vec<u32> = job.occurrences.keys().copied().collect();
         let end = job.end;
@@ -159,6 +147,7 @@
             self.abort_partial_gangs(now, &id, occurrence_number);
             self.queue_ready_steps(now, &id, occurrence_number);
         }
+        self.schedule_next(&id);
         self.finish_if_done(now, &id);
     }
 
@@ -193,25 +182,6 @@
         }
     }
 
-    /// Begins the occurrences that are due.
-    pub(super) fn begin_due_occurrences(&mut self, now: TimeMs) {
-        while let Some((due_at, id, occurrence_number)) = self.scheduled.first().cloned() {
-            if due_at > now {
-                return;
-            }
-            self.scheduled.pop_first();
-            let Some(job) = self.jobs.get_mut(&id) else {
-                continue;
-            };
-            if job.end.is_some() {
-                continue;
-            }
-            let occurrence = job.new_occurrence();
-            job.occurrences.insert(occurrence_number, occurrence);
-            self.queue_ready_steps(now, &id, occurrence_number);
-        }
-    }
-
     /// Marks steps ready whose earlier steps are done, and queues their waiting units. A job that has
     /// ended begins no more steps.
     pub(super) fn queue_ready_steps(
@@ -255,7 +225,8 @@
                         },
                         unit,
                     };
-                    self.waiting.insert((step.rank, key));
+                    let added = self.waiting.insert((step.rank, key));
+                    job.waiting_units[index as usize] += u32::from(added);
                 }
             }
         }
@@ -290,7 +261,7 @@
             after,
         });
         self.unqueue_job(id);
-        self.scheduled.retain(|(_, other_id, _)| other_id != id);
+        self.unschedule(id);
         self.stop_assigned(now, id);
         self.mark_dirty(id);
         self.placing_due = true;
--- a/crates/mangotrestle-core/src/workflow/pool/mod.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/mod.rs
@@ -17,6 +17,7 @@
 //! - `learning` passes on what was learned from finished runs;
 //! - `lives` tells the lives of a worker apart that starts again under its identifier;
 //! - `progress` detects slow workers and moves runs away from them;
+//! - `occurrences` begins the occurrences of repeating jobs;
 //! - `release` settles ended runs and frees their resources;
 //! - `handover` hands jobs over to the other pools that run them;
 //! - `teams` keeps teams within their caps, and puts surplus work last;
@@ -34,7 +35,7 @@
 
 use super::crash_evidence::Suspicion;
 use super::estimate::Estimates;
-use super::job::{Job, Member, MemberKey, Phase, Step, StepKey, Unit, UnitKey};
+use super::job::{Delay, Job, Member, MemberKey, Phase, Step, StepKey, Unit, UnitKey};
 use super::lag::Lag;
 use super::message;
 use super::record;
@@ -47,6 +48,7 @@
 mod intake;
 mod learning;
 mod lives;
+mod occurrences;
 mod orders;
 mod placing;
 mod preempting;
@@ -95,6 +97,8 @@
     pub max_stop_time: SpanMs,
     /// Age of the platform's list of workers from which no run is started.
     pub max_list_age: SpanMs,
+    /// Maximum size of a row in the store, in bytes.
+    pub max_row_bytes: usize,
 }
 
 /// An order to a worker, or a ticket request.
@@ -308,6 +312,19 @@
         /// Number of the last ended run received from the earlier life.
         received_end: u64,
     },
+    /// Occurrences of a job that are due have not begun yet.
+    OccurrencesDelayed {
+        /// The job.
+        job: id::JobId,
+        /// The first of them.
+        occurrence: u32,
+        /// Time since it was due.
+        late: SpanMs,
+        /// Number of occurrences that have begun and not ended.
+        open: usize,
+        /// The reason.
+        delay: Delay,
+    },
     /// A job reached its final state; no more of its tasks will start.
     JobEnded {
         /// The job.
@@ -392,8 +409,10 @@
     rank_turn: Option<queueing::QueueEntry>,
     /// Waiting unit with which the turns of the next check for ticket requests begin.
     ticket_turn: Option<queueing::QueueEntry>,
-    /// Occurrences that are due later, by their due time.
-    scheduled: BTreeSet<(TimeMs, id::JobId, u32)>,
+    /// Repeating jobs of which occurrences have not begun, by the due time of the next one.
+    scheduled: BTreeSet<(TimeMs, id::JobId)>,
+    /// How rows hold ended occurrences.
+    row_format: record::RowFormat,
     /// Jobs of which other pools run units for this one, as long as their ends there are not known.
     delegating: FastSet<id::JobId>,
     /// Jobs whose stored row is out of date.
@@ -480,6 +499,7 @@
             rank_turn: None,
             ticket_turn: None,
             scheduled: BTreeSet::new(),
+            row_format: record::RowFormat::default(),
             delegating: FastSet::default(),
             dirty: FastSet::default(),
             writing: Vec::new(),
--- a/crates/mangotrestle-core/src/workflow/pool/placing.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/placing.rs
@@ -621,7 +621,7 @@
         self.placing_due = decisions.next_turn.is_some();
         self.placing_turn = decisions.next_turn;
         for (rank, key, workers) in decisions.assigned {
-            self.waiting.remove(&(rank, key.clone()));
+            self.remove_waiting(&(rank, key.clone()));
             if !rank.late {
                 self.earn_expedite_credit();
             }
--- a/crates/mangotrestle-core/src/workflow/pool/queueing.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/queueing.rs
@@ -80,20 +80,57 @@
         let Some(step) = job.step(&key.step) else {
             return;
         };
-        self.waiting.insert((step.rank, key.clone()));
+        let entry = (step.rank, key.clone());
+        self.add_waiting(entry);
         self.placing_due = true;
     }
 
+    fn add_waiting(&mut self, entry: QueueEntry) {
+        let step = entry.1.step.clone();
+        if self.waiting.insert(entry)
+            && let Some(job) = self.jobs.get_mut(&step.job)
+        {
+            job.waiting_units[step.step as usize] += 1;
+        }
+    }
+
+    pub(super) fn remove_waiting(&mut self, entry: &QueueEntry) {
+        let step = &entry.1.step;
+        if self.waiting.remove(entry)
+            && let Some(job) = self.jobs.get_mut(&step.job)
+        {
+            job.waiting_units[step.step as usize] -= 1;
+        }
+    }
+
     /// Takes a unit out of the queue.
     pub(super) fn unqueue_unit(&mut self, key: &UnitKey) {
         if let Some(step) = self.step(&key.step) {
-            self.waiting.remove(&(step.rank, key.clone()));
+            let entry = (step.rank, key.clone());
+            self.remove_waiting(&entry);
         }
     }
 
     /// Takes all units of a job out of the queue.
     pub(super) fn unqueue_job(&mut self, id: &id::JobId) {
-        self.waiting.retain(|(_, key)| key.step.job != *id);
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        for (&occurrence, state) in &job.occurrences {
+            for (step, state) in (0..).zip(&state.steps) {
+                let key = StepKey {
+                    job: id.clone(),
+                    occurrence,
+                    step,
+                };
+                let units = (0..).zip(&state.units).map(|(unit, _)| unit);
+                for unit in units.filter(|_| state.ready) {
+                    let step = key.clone();
+                    self.waiting.remove(&(state.rank, UnitKey { step, unit }));
+                }
+            }
+        }
+        job.waiting_units.fill(0);
     }
 
     /// Updates the ranks of waiting steps, expedites late ones, and makes placement due.
--- a/crates/mangotrestle-core/src/workflow/pool/release.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/release.rs
@@ -142,6 +142,9 @@
             return;
         }
         self.queue_ready_steps(now, &key.job, key.occurrence);
+        if let Some(job) = self.jobs.get_mut(&key.job) {
+            job.end_occurrence(key.occurrence);
+        }
         self.finish_if_done(now, &key.job);
     }
 
@@ -204,6 +207,9 @@
         self.mark_dirty(&key.unit.step.job);
         self.queue_unit(&key.unit);
         self.placing_due = true;
+        if let Some(job) = self.jobs.get_mut(&key.unit.step.job) {
+            job.end_occurrence(key.unit.step.occurrence);
+        }
     }
 
     /// Aborts the current run of a unit of which one member has ended or is withdrawn from its
--- a/crates/mangotrestle-core/src/workflow/pool/rows.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/rows.rs
@@ -240,7 +240,7 @@
         } else {
             commit.changes.push(RowChange::Assign {
                 job: id.clone(),
-                row: job.row(),
+                row: job.row(self.row_format),
             });
         }
     }
--- a/crates/mangotrestle-core/src/workflow/record.rs
+++ b/crates/mangotrestle-core/src/workflow/record.rs
@@ -8,6 +8,7 @@
 use crate::id;
 
 use super::crash_evidence::CrashEvidence;
+use super::range_set::RangeSet;
 
 /// State of a job as callers see it.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Serialize, Deserialize)]
@@ -37,6 +38,17 @@
     }
 }
 
+/// How a row holds the occurrences that have ended.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum RowFormat {
+    /// One by one, as long as there are few. Hosts of the earlier release read no other format: they
+    /// would run the ended occurrences again.
+    #[default]
+    Listed,
+    /// As ranges.
+    Ranges,
+}
+
 /// Stored state of a unit: a task, or all tasks of a gang.
 #[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
@@ -85,6 +97,9 @@
     /// Occurrences that have begun, by their number.
     #[serde(rename = "o")]
     pub occurrences: BTreeMap<u32, OccurrenceRow>,
+    /// Occurrences that have ended and are not among `occurrences`.
+    #[serde(rename = "d", skip_serializing_if = "RangeSet::is_empty")]
+    pub ended: RangeSet,
     /// Whether a task has started.
     #[serde(rename = "b", skip_serializing_if = "std::ops::Not::not")]
     pub begun: bool,
--- a/crates/mangotrestle-core/src/workflow/spec.rs
+++ b/crates/mangotrestle-core/src/workflow/spec.rs
@@ -107,6 +107,17 @@
     pub count: u32,
 }
 
+impl Schedule {
+    /// Returns the due time of an occurrence, in milliseconds since the Unix epoch. One beyond the
+    /// largest number is never due.
+    #[must_use]
+    pub const fn due_ms(&self, occurrence: u32) -> u64 {
+        // A cast, since conversions are not `const`.
+        let after_ms = self.period_ms.saturating_mul(occurrence as u64);
+        self.first_ms.saturating_add(after_ms)
+    }
+}
+
 /// Timing of the advice service, which decides on which workers a step may run.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct AdvicePolicy {
--- a/crates/mangotrestle-core/tests/workflow/recovery.rs
+++ b/crates/mangotrestle-core/tests/workflow/recovery.rs
@@ -310,7 +310,7 @@
         let row = AssignmentRow {
             occurrences: [(0, occurrence)].into(),
             begun: true,
-            end: None,
+            ..AssignmentRow::default()
         };
 
         world.restore(&job(1), &submitted, row);
--- a/crates/mangotrestle-core/tests/workflow/world.rs
+++ b/crates/mangotrestle-core/tests/workflow/world.rs
@@ -22,7 +22,7 @@
 use mangotrestle_core::workflow::pool::{
     Commit, Order, PollFailure, Pool, PoolSettings, RowChange,
 };
-use mangotrestle_core::workflow::record::{AssignmentRow, EndRow, JobState};
+use mangotrestle_core::workflow::record::{AssignmentRow, EndRow, JobState, RowFormat};
 use mangotrestle_core::workflow::spec::{JobRecord, QueuePolicy, StepSpec};
 
 /// Maximum lease of the workers.
@@ -42,6 +42,9 @@
 /// Time beyond the expected one after which a ticket request counts as failed.
 const TICKET_REQUEST_TIMEOUT_MS: u64 = 1_500;
 
+/// Maximum size of a row in the store.
+pub const MAX_ROW_BYTES: usize = 65_536;
+
 /// A run on a worker.
 #[derive(Clone, Debug)]
 struct Run {
@@ -183,6 +186,10 @@
     pub violations: Violations,
     /// Whether the store is available.
     pub store_up: bool,
+    /// How leaders write ended occurrences.
+    pub row_format: RowFormat,
+    /// Size of the largest row of assignments that was written.
+    pub largest_row_bytes: usize,
     random: u64,
     /// Number of starts that workers have carried out.
     pub starts: u32,
@@ -325,6 +332,7 @@
         pace_delay: SpanMs(100),
         max_stop_time: SpanMs(STOP_DURATION_MS),
         max_list_age: SpanMs(MAX_LIST_AGE_MS),
+        max_row_bytes: MAX_ROW_BYTES,
     }
 }
 
@@ -366,6 +374,8 @@
             network: Network::default(),
             violations: Violations::default(),
             store_up: true,
+            row_format: RowFormat::Ranges,
+            largest_row_bytes: 0,
             random: seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1,
             starts: 0,
             polls: 0,
@@ -521,6 +531,11 @@
         model.reachable = reachable;
     }
 
+    /// Returns the stored assignments of a job.
+    pub fn assignment_of(&self, id: &JobId) -> Option<&AssignmentRow> {
+        self.assignments.get(id)
+    }
+
     /// Stores a job with its assignments and replaces the leader, so that the new one restores them.
     pub fn restore(&mut self, id: &JobId, record: &Arc<JobRecord>, row: AssignmentRow) {
         self.inbox.insert(id.clone(), Arc::clone(record));
@@ -549,6 +564,7 @@
             }
             if self.begins_round() {
                 let began = processor_time();
+                self.pool.set_row_format(self.row_format);
                 self.pool.tick(TimeMs(self.now));
                 let took = processor_time().saturating_sub(began);
                 self.decision_time += took;
@@ -818,6 +834,8 @@
                     self.inbox.insert(job, record);
                 }
                 RowChange::Assign { job, row } => {
+                    let bytes = serde_json::to_vec(&row).map_or(usize::MAX, |row| row.len());
+                    self.largest_row_bytes = self.largest_row_bytes.max(bytes);
                     self.assignments.insert(job, row);
                 }
                 RowChange::End { job, row } => {
@@ -1277,6 +1295,7 @@
         let unit = step.and_then(|units| units.get(unit as usize));
         row.end.is_some()
             || occurrence.is_some_and(|occurrence| occurrence.done)
+            || row.ended.contains(task.occurrence)
             || unit.is_some_and(|unit| unit.done)
     })
 }
--- a/crates/mangotrestle/src/host/cell.rs
+++ b/crates/mangotrestle/src/host/cell.rs
@@ -19,6 +19,7 @@
     self, Candidate, ClaimTurn, LeadRow, LoadTiming, PoolSummary, Watch, WorkerShape,
 };
 use mangotrestle_core::workflow::message::WorkerEntry;
+use mangotrestle_core::workflow::record::RowFormat;
 use mangotrestle_peer::cell::CellClient;
 use mangotrestle_platform::budget::Budget;
 use mangotrestle_users_platform::machines::MachineClient;
@@ -55,6 +56,9 @@
 /// Time for which a peer that did not answer gets no relays, advice requests or submitted jobs.
 const PEER_BACKOFF: SpanMs = SpanMs(1_500);
 
+/// Number in the rows of hosts that read [`RowFormat::Ranges`].
+const RANGES_FORMAT: u32 = 1;
+
 /// Row of a host in the store.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(super) struct HostRow {
@@ -68,6 +72,9 @@
     /// Its processor time, in thousandths of a core; zero if unknown.
     #[serde(default)]
     pub(super) cpu_millicores: u32,
+    /// Highest format of the rows of assignments that it reads; zero in the earlier release.
+    #[serde(default)]
+    pub(super) row_format: u32,
 }
 
 /// Another host of the cell.
@@ -308,6 +315,18 @@
             zone: self.settings.zone.clone(),
             incarnation: self.incarnation,
             cpu_millicores: self.settings.cpu_millicores,
+            row_format: RANGES_FORMAT,
+        }
+    }
+
+    /// Returns the format of the rows of assignments that every host reads which may lead next.
+    pub(super) fn row_format(&self) -> RowFormat {
+        let peers = lock(&self.peers);
+        let mut rows = peers.values().map(|peer| &peer.row);
+        if rows.all(|row| row.row_format >= RANGES_FORMAT) {
+            RowFormat::Ranges
+        } else {
+            RowFormat::Listed
         }
     }
 
--- a/crates/mangotrestle/src/host/events.rs
+++ b/crates/mangotrestle/src/host/events.rs
@@ -10,6 +10,7 @@
 use mangotrestle_core::workflow::catalog::Queue;
 use mangotrestle_core::workflow::environment::HostSettings;
 use mangotrestle_core::workflow::feed_timing::FeedTiming;
+use mangotrestle_core::workflow::job::Delay;
 use mangotrestle_core::workflow::leadership::PoolSummary;
 use mangotrestle_core::workflow::pool::{BlockedStep, Note, TicketLoad, UnsettledRun};
 use mangotrestle_core::workflow::record::JobState;
@@ -313,6 +314,20 @@
                 "worker" => worker.as_str(), "end" => ?end, "phase" => ?phase,
                 "since_ms" => since.0);
         }
+        Note::OccurrencesDelayed {
+            job,
+            occurrence,
+            late,
+            open,
+            delay,
+        } => {
+            metrics::counter!("mangotrestle_occurrences_delayed_total",
+                "reason" => delay_reason(*delay))
+            .increment(1);
+            slog::info!(log, "occurrence.delayed"; "job" => job.as_str(),
+                "occurrence" => occurrence, "late_ms" => late.0, "open" => open,
+                "reason" => delay_reason(*delay), "pool" => pool, "term" => term);
+        }
         Note::JobEnded { job, state, after } => {
             slog::info!(log, "job.ended"; "job" => job.as_str(), "state" => ?state,
                 "after_ms" => after.0, "pool" => pool, "term" => term);
@@ -349,6 +364,13 @@
     }
 }
 
+const fn delay_reason(delay: Delay) -> &'static str {
+    match delay {
+        Delay::Placement => "placement",
+        Delay::Row => "row",
+    }
+}
+
 /// Logs a run that is stopped before it has ended.
 fn log_withdrawn_run(log: &slog::Logger, term: u64, note: &Note) {
     match note {
--- a/crates/mangotrestle/src/host/leader/loading.rs
+++ b/crates/mangotrestle/src/host/leader/loading.rs
@@ -107,6 +107,7 @@
         pace_delay: bounds.pace_delay,
         max_stop_time: bounds.max_stop_time,
         max_list_age: FeedTiming::workers(bounds.drain_time).max_age,
+        max_row_bytes: cell.settings.store_limits.row_bytes,
     }
 }
 
--- a/crates/mangotrestle/src/host/leader/rounds.rs
+++ b/crates/mangotrestle/src/host/leader/rounds.rs
@@ -92,6 +92,7 @@
                 leaders: cell.configured_pools().len(),
                 leader_is_late: repeating::is_late(&cell),
             });
+            state.set_row_format(cell.row_format());
             state.tick(now);
         }
         if passing_on.is_due(&cell, &leader, now) {
