Keep the row of a wide job within the store's limit

Cause: the row kept an entry for each unit that was done, and for as many assigned ones as there was room for. The store refused the row, with it the whole commit, and the commit was repeated for ever, with no line in the log above debug.

Change: units that are done are ranges, those never bound are left out. A job has only as many units assigned at once as its row holds. A row that is too large all the same is left out of its commit with the new runs of its job; ends of its runs are not acknowledged meanwhile. The rows of one commit are limited in size as well. `commit.refused`, `assignment.too_large` and their metrics name the job.

--- a/crates/mangotrestle-core/src/workflow/job.rs
+++ b/crates/mangotrestle-core/src/workflow/job.rs
@@ -18,16 +18,22 @@
 
 /// Number of units of a repeating job that wait to be placed from which no further occurrence begins.
 const MAX_WAITING_UNITS: u32 = 256;
-/// Maximum number of ended occurrences that a row lists one by one.
-const MAX_LISTED_OCCURRENCES: u64 = 1_024;
+/// Maximum number of ended occurrences and units that a row lists one by one.
+const MAX_LISTED: u64 = 1_024;
 /// Bytes of an occurrence that has ended, in a row that lists them one by one.
 const LISTED_OCCURRENCE_BYTES: u64 = 20;
 /// Usual bytes of an occurrence in a row, without its units.
 const OCCURRENCE_ROW_BYTES: u64 = 24;
-/// Usual bytes of a unit in a row, without its members.
-const UNIT_ROW_BYTES: u64 = 56;
-/// Usual bytes of a member in a row: its worker and the start of the worker's life.
-const MEMBER_ROW_BYTES: u64 = 32;
+/// Bytes of a unit in a row, without its members, its checkpoint and the runs that failed.
+const UNIT_ROW_BYTES: u64 = 32;
+/// Bytes of a member in a row without its worker: the start of the worker's life, and punctuation.
+const MEMBER_ROW_BYTES: u64 = 18;
+/// Usual bytes of a worker's identifier.
+const WORKER_BYTES: u64 = 14;
+/// Maximum bytes of the number of a run in a row.
+const RUN_BYTES: u64 = 11;
+/// Bytes of a unit that is done, in a row that lists each of them.
+const LISTED_UNIT_BYTES: u64 = 20;
 
 /// Identifies a step of a job.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -173,6 +179,26 @@
         self.members.iter().all(|member| member.worker.is_none())
     }
 
+    /// Returns its size in a row, of the right order.
+    fn row_bytes(&self, lists_done: bool) -> u64 {
+        if self.is_untouched() {
+            return 0;
+        }
+        if self.done && self.is_free() {
+            // Neighbours that are done as well share a range.
+            return u64::from(lists_done) * LISTED_UNIT_BYTES;
+        }
+        let workers = self
+            .members
+            .iter()
+            .filter_map(|member| member.worker.as_ref());
+        let workers = workers.map(|worker| MEMBER_ROW_BYTES + worker.as_str().len() as u64);
+        UNIT_ROW_BYTES
+            + self.checkpoint.len() as u64
+            + self.failed_runs.len() as u64 * RUN_BYTES
+            + workers.sum::<u64>()
+    }
+
     /// Whether it was never bound to a worker.
     #[must_use]
     pub fn is_untouched(&self) -> bool {
@@ -271,6 +297,16 @@
     Row,
 }
 
+/// Whether the row of a job is too large for the store.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RowOverflow {
+    /// Whether it was too large to be written, so that no more units are placed until it has become
+    /// smaller.
+    pub is_full: bool,
+    /// Time at which it was last reported.
+    pub reported_at: Option<TimeMs>,
+}
+
 /// Another pool that runs units of a job for its home.
 #[derive(Clone, Debug)]
 pub struct Delegate {
@@ -303,6 +339,8 @@
     pub waiting_units: Vec<u32>,
     /// Time at which it was last reported that occurrences begin late.
     pub delay_reported_at: Option<TimeMs>,
+    /// What is known of its row being too large.
+    pub row_overflow: RowOverflow,
     /// Whether a task has started.
     pub begun: bool,
     /// Whether its acceptance is durable. Before that its units may be planned, but no order is
@@ -349,6 +387,7 @@
             ended_occurrences: RangeSet::default(),
             next_occurrence: 0,
             delay_reported_at: None,
+            row_overflow: RowOverflow::default(),
             begun: false,
             accepted: true,
             end: None,
@@ -425,11 +464,34 @@
     fn occurrence_row_bytes(&self) -> u64 {
         let steps = self.record.steps.iter().map(|step| {
             let units = u64::from(step.unit_count());
-            units * (UNIT_ROW_BYTES + u64::from(step.unit_size()) * MEMBER_ROW_BYTES)
+            units * unit_bytes(step, WORKER_BYTES)
         });
         OCCURRENCE_ROW_BYTES + steps.sum::<u64>()
     }
 
+    /// Returns the size of the row, of the right order.
+    #[must_use]
+    pub fn row_bytes(&self, format: RowFormat) -> u64 {
+        let lists_done = self.lists_ended(format);
+        let units = self.units().map(|unit| unit.row_bytes(lists_done));
+        let occurrences = self.occurrences.len() as u64 * OCCURRENCE_ROW_BYTES;
+        self.ended_row_bytes(format) + occurrences + units.sum::<u64>()
+    }
+
+    /// Returns how many bytes the assignments of further units may take in the row; `None` if the row of
+    /// the job with all of its units assigned is not too large.
+    #[must_use]
+    pub fn row_room(&self, max_row_bytes: usize, format: RowFormat) -> Option<u64> {
+        let open = self.occurrences.len() as u64;
+        let all_assigned = open.saturating_mul(self.occurrence_row_bytes());
+        // The rest is for what is longer than usual, such as checkpoints and failed runs.
+        let max_row_bytes = u64::try_from(max_row_bytes).unwrap_or(u64::MAX) / 8 * 7;
+        if all_assigned + self.ended_row_bytes(format) <= max_row_bytes / 2 {
+            return None;
+        }
+        Some(max_row_bytes.saturating_sub(self.row_bytes(format)))
+    }
+
     fn ended_row_bytes(&self, format: RowFormat) -> u64 {
         let entries = if self.lists_ended(format) {
             self.ended_occurrences.count()
@@ -439,9 +501,19 @@
         entries.saturating_mul(LISTED_OCCURRENCE_BYTES)
     }
 
+    /// Whether the row lists one by one what has ended.
     fn lists_ended(&self, format: RowFormat) -> bool {
-        let few = self.ended_occurrences.count() <= MAX_LISTED_OCCURRENCES;
-        format == RowFormat::Listed && few
+        if format == RowFormat::Ranges {
+            return false;
+        }
+        let done = self.units().filter(|unit| unit.done && unit.is_free());
+        self.ended_occurrences.count() + done.count() as u64 <= MAX_LISTED
+    }
+
+    fn units(&self) -> impl Iterator<Item = &Unit> {
+        let occurrences = self.occurrences.values();
+        let steps = occurrences.flat_map(|occurrence| &occurrence.steps);
+        steps.flat_map(|step| &step.units)
     }
 
     /// Begins an occurrence.
@@ -530,6 +602,11 @@
                 }
                 step.open_units = count_open_units(&step.units);
             }
+            for (&index, row) in &occurrence_row.begun_steps {
+                if let Some(step) = occurrence.steps.get_mut(index as usize) {
+                    restore_step(step, row);
+                }
+            }
             self.occurrences.insert(number, occurrence);
         }
     }
@@ -537,13 +614,18 @@
     /// Returns the row to store.
     #[must_use]
     pub fn row(&self, format: RowFormat) -> record::AssignmentRow {
+        let format = if self.lists_ended(format) {
+            RowFormat::Listed
+        } else {
+            RowFormat::Ranges
+        };
         let begun = self.occurrences.iter();
         let begun = begun.filter(|(_, occurrence)| !occurrence.is_untouched());
         let mut occurrences: BTreeMap<u32, record::OccurrenceRow> = begun
-            .map(|(&number, occurrence)| (number, occurrence_row(occurrence)))
+            .map(|(&number, occurrence)| (number, occurrence_row(occurrence, format)))
             .collect();
         let mut ended = RangeSet::default();
-        if self.lists_ended(format) {
+        if format == RowFormat::Listed {
             let numbers = self.ended_occurrences.numbers();
             occurrences.extend(numbers.map(|number| (number, ended_occurrence_row())));
         } else {
@@ -652,12 +734,7 @@
 
     /// Returns all members.
     pub fn members(&self) -> impl Iterator<Item = &Member> {
-        let steps = self
-            .occurrences
-            .values()
-            .flat_map(|occurrence| &occurrence.steps);
-        let units = steps.flat_map(|step| &step.units);
-        units.flat_map(|unit| &unit.members)
+        self.units().flat_map(|unit| &unit.members)
     }
 
     /// Returns all members for modification.
@@ -682,6 +759,13 @@
     }
 }
 
+/// Returns the size of a unit of a step in a row, with all of its members assigned to workers whose
+/// identifiers take `worker_bytes`.
+#[must_use]
+pub fn unit_bytes(step: &spec::StepSpec, worker_bytes: u64) -> u64 {
+    UNIT_ROW_BYTES + u64::from(step.unit_size()) * (MEMBER_ROW_BYTES + worker_bytes)
+}
+
 fn new_unit(size: u32) -> Unit {
     Unit {
         members: vec![Member::default(); size as usize],
@@ -716,17 +800,55 @@
 fn ended_occurrence_row() -> record::OccurrenceRow {
     record::OccurrenceRow {
         done: true,
-        steps: Vec::new(),
+        ..record::OccurrenceRow::default()
     }
 }
 
-fn occurrence_row(occurrence: &Occurrence) -> record::OccurrenceRow {
-    let steps = occurrence.steps.iter();
-    let rows = steps.map(|step| step.units.iter().map(unit_row).collect());
-    record::OccurrenceRow {
+fn occurrence_row(occurrence: &Occurrence, format: RowFormat) -> record::OccurrenceRow {
+    let mut row = record::OccurrenceRow {
         done: occurrence.done,
-        steps: rows.collect(),
+        ..record::OccurrenceRow::default()
+    };
+    match format {
+        RowFormat::Listed => {
+            let steps = occurrence.steps.iter();
+            let rows = steps.map(|step| step.units.iter().map(unit_row).collect());
+            row.steps = rows.collect();
+        }
+        RowFormat::Ranges => {
+            let steps = (0..).zip(occurrence.steps.iter().map(step_row));
+            row.begun_steps = steps
+                .filter(|(_, step)| *step != record::StepRow::default())
+                .collect();
+        }
+    }
+    row
+}
+
+fn step_row(step: &Step) -> record::StepRow {
+    let mut row = record::StepRow::default();
+    for (index, unit) in (0..).zip(&step.units) {
+        if unit.done && unit.is_free() {
+            row.done.insert(index);
+        } else if !unit.is_untouched() {
+            row.units.insert(index, unit_row(unit));
+        }
+    }
+    row
+}
+
+fn restore_step(step: &mut Step, row: &record::StepRow) {
+    for index in row.done.numbers() {
+        if let Some(unit) = step.units.get_mut(index as usize) {
+            unit.done = true;
+        }
+    }
+    for (&index, row) in &row.units {
+        if let Some(unit) = step.units.get_mut(index as usize) {
+            restore_unit(unit, row);
+        }
     }
+    step.open_units = count_open_units(&step.units);
 }
 
 fn unit_row(unit: &Unit) -> record::UnitRow {
--- a/crates/mangotrestle-core/src/workflow/pool/mod.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/mod.rs
@@ -21,6 +21,7 @@
 //! - `release` settles ended runs and frees their resources;
 //! - `handover` hands jobs over to the other pools that run them;
 //! - `teams` keeps teams within their caps, and puts surplus work last;
+//! - `row_rooms` keeps rows within the size that the store allows;
 //! - `sharing` slows best-effort tasks that harm serving tasks;
 //! - `stalls` reports work that does not proceed although nothing it needs is missing;
 //! - `waits` estimates how long new work would wait;
@@ -57,6 +58,7 @@
 mod queueing;
 mod release;
 mod reports;
+mod row_rooms;
 mod rows;
 mod sharing;
 mod stalls;
@@ -312,6 +314,15 @@
         /// Number of the last ended run received from the earlier life.
         received_end: u64,
     },
+    /// The row of a job is larger than the store allows and was left out of a commit.
+    RowTooLarge {
+        /// The job.
+        job: id::JobId,
+        /// Size of the row.
+        bytes: usize,
+        /// Size that the store allows.
+        max_bytes: usize,
+    },
     /// Occurrences of a job that are due have not begun yet.
     OccurrencesDelayed {
         /// The job.
--- a/crates/mangotrestle-core/src/workflow/pool/occurrences.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/occurrences.rs
@@ -7,7 +7,6 @@
 use crate::id;
 use crate::time::{SpanMs, TimeMs};
 
-use super::super::record::RowFormat;
 use super::{Note, Pool};
 
 /// Minimum time between two reports that occurrences of a job begin late.
@@ -16,11 +15,6 @@
 const MIN_REPORTED_DELAY: SpanMs = SpanMs(1_000);
 
 impl Pool {
-    /// Sets how rows hold ended occurrences. Hosts that do not read ranges may lead the pool next.
-    pub const fn set_row_format(&mut self, format: RowFormat) {
-        self.row_format = format;
-    }
-
     /// Schedules the next occurrence of a job, if it has one that has not begun.
     pub(super) fn schedule_next(&mut self, id: &id::JobId) {
         let Some(job) = self.jobs.get_mut(id) else {
--- a/crates/mangotrestle-core/src/workflow/pool/placing.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/placing.rs
@@ -27,6 +27,7 @@
 use super::super::worker::Worker;
 use super::progress::scaled;
 use super::queueing::QueueEntry;
+use super::row_rooms::RowRooms;
 use super::teams::TeamRooms;
 use super::ticket_requests::request_size;
 use super::{Note, Pool};
@@ -252,7 +253,7 @@
     key: &'a UnitKey,
     pub(super) job: &'a Job,
     step: &'a Step,
-    spec: &'a StepSpec,
+    pub(super) spec: &'a StepSpec,
     pub(super) need: Resources,
     /// Zone of another task of the step, if one is assigned.
     zone: Option<&'a str>,
@@ -640,6 +641,7 @@
         // remember the last step that did not fit.
         let mut blocked_step: Option<&StepKey> = None;
         let mut team_rooms = TeamRooms::default();
+        let mut row_rooms = RowRooms::default();
         let mut last_judged: Option<(&StepKey, bool)> = None;
         let mut trial_reservations = 0;
         for (rank, key) in window.entries {
@@ -649,7 +651,7 @@
             let Some(mut request) = self.placement_request(now, key) else {
                 continue;
             };
-            if !team_rooms.admits(self, &request) {
+            if !row_rooms.admits(self, &request) || !team_rooms.admits(self, &request) {
                 continue;
             }
             if let Some((_, zone)) = pass.last_placed.filter(|(step, _)| *step == &key.step) {
@@ -680,6 +682,7 @@
             }
             if let Some(chosen) = chosen {
                 team_rooms.take(&request);
+                row_rooms.take(self, &request);
                 let workers = pass.allocate(now, &request, &chosen);
                 decisions.assigned.push((*rank, key.clone(), workers));
                 continue;
--- a/crates/mangotrestle-core/src/workflow/pool/release.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/release.rs
@@ -191,6 +191,7 @@
         let Some(worker) = member.worker.take() else {
             return;
         };
+        let was_stored = !matches!(member.phase, Phase::Planned | Phase::Writing);
         member.phase = Phase::Free;
         member.phase_since = now;
         member.unanswered = 0;
@@ -208,6 +209,7 @@
         self.queue_unit(&key.unit);
         self.placing_due = true;
         if let Some(job) = self.jobs.get_mut(&key.unit.step.job) {
+            job.row_overflow.is_full &= !was_stored;
             job.end_occurrence(key.unit.step.occurrence);
         }
     }
--- a/crates/mangotrestle-core/src/workflow/pool/rows.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/rows.rs
@@ -6,7 +6,7 @@
 use crate::time::TimeMs;
 
 use super::super::job::{Job, Member, MemberKey, Occurrence, Phase};
-use super::super::record::{AssignmentRow, EndRow};
+use super::super::record::{AssignmentRow, EndRow, RowFormat};
 use super::super::spec::JobRecord;
 use super::{EndedJob, Pool};
 
@@ -65,11 +65,23 @@
     pub changes: Vec<RowChange>,
 }
 
+impl Commit {
+    /// Returns the jobs whose assignments it writes, with their rows.
+    pub fn assignments(&self) -> impl Iterator<Item = (&id::JobId, &AssignmentRow)> {
+        self.changes.iter().filter_map(|change| match change {
+            RowChange::Assign { job, row } => Some((job, row)),
+            _ => None,
+        })
+    }
+}
+
 /// Divisor of a commit's rows that gives the part reserved for changes that nobody waits for.
 const BACKGROUND_ROWS_DIVISOR: usize = 4;
-/// Maximum number of jobs in a commit, so that it stays below the size limit of a transaction: rows
-/// of wide jobs take several kilobytes.
+/// Maximum number of jobs in a commit.
 const MAX_COMMIT_JOBS: usize = 48;
+/// Maximum size of the rows of jobs in a commit, so that it stays below the size limit of a transaction
+/// with its other rows, all of them in base64.
+const MAX_COMMIT_BYTES: u64 = 400_000;
 
 /// Reason for which a job's row is awaited, most urgent first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -134,15 +146,40 @@
     acceptance + assignment_or_end
 }
 
-/// Adds a job to a commit if its rows fit. Returns whether it was added.
-fn add_if_fits(written: &mut Vec<id::JobId>, rows: &mut usize, job: &Job, max_rows: usize) -> bool {
-    let job_rows = max_rows_of(job);
-    let fits = written.len() < MAX_COMMIT_JOBS && *rows + job_rows <= max_rows;
-    if fits {
-        *rows += job_rows;
-        written.push(job.id.clone());
+/// Returns the size of the rows of a job in a commit, of the right order.
+fn bytes_of(job: &Job, format: RowFormat) -> u64 {
+    let acceptance = if job.accepted {
+        0
+    } else {
+        job.record.stored_bytes()
+    };
+    acceptance + job.row_bytes(format)
+}
+
+/// Jobs of a commit.
+#[derive(Default)]
+struct CommitJobs {
+    jobs: Vec<id::JobId>,
+    rows: usize,
+    bytes: u64,
+}
+
+impl CommitJobs {
+    /// Adds a job if its rows fit. Returns whether it was added.
+    fn add_if_fits(&mut self, job: &Job, format: RowFormat, max_rows: usize) -> bool {
+        let rows = max_rows_of(job);
+        if self.jobs.len() >= MAX_COMMIT_JOBS || self.rows + rows > max_rows {
+            return false;
+        }
+        let bytes = bytes_of(job, format);
+        let fits = self.jobs.is_empty() || self.bytes + bytes <= MAX_COMMIT_BYTES;
+        if fits {
+            self.rows += rows;
+            self.bytes += bytes;
+            self.jobs.push(job.id.clone());
+        }
+        fits
     }
-    fits
 }
 
 impl Pool {
@@ -166,10 +203,15 @@
             self.write_job(now, id, &mut commit);
         }
         self.writing = jobs;
+        self.note_committing_ends();
+        commit
+    }
+
+    /// Notes which ends of each worker the commit in flight makes durable.
+    pub(super) fn note_committing_ends(&mut self) {
         for worker in self.workers.values_mut() {
             worker.committing_end = worker.last_end_before(|job| self.dirty.contains(job));
         }
-        commit
     }
 
     /// Returns the jobs that the next commit covers.
@@ -186,18 +228,18 @@
         } else {
             max_rows / BACKGROUND_ROWS_DIVISOR
         };
-        let mut written = Vec::new();
-        let mut rows = 0;
+        let mut written = CommitJobs::default();
+        let format = self.row_format;
         let mut deferred = Vec::new();
         for (_, job) in urgent {
-            if !add_if_fits(&mut written, &mut rows, job, max_rows - reserved_rows) {
+            if !written.add_if_fits(job, format, max_rows - reserved_rows) {
                 deferred.push(*job);
             }
         }
         for job in background.iter().map(|(_, job)| *job).chain(deferred) {
-            add_if_fits(&mut written, &mut rows, job, max_rows);
+            written.add_if_fits(job, format, max_rows);
         }
-        written
+        written.jobs
     }
 
     fn write_job(&mut self, now: TimeMs, id: &id::JobId, commit: &mut Commit) {
--- a/crates/mangotrestle-core/src/workflow/record.rs
+++ b/crates/mangotrestle-core/src/workflow/record.rs
@@ -38,11 +38,11 @@
     }
 }
 
-/// How a row holds the occurrences that have ended.
+/// How a row holds what has ended: occurrences, and units of those that have not.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum RowFormat {
-    /// One by one, as long as there are few. Hosts of the earlier release read no other format: they
-    /// would run the ended occurrences again.
+    /// One by one, occurrences as long as there are few. Hosts of the earlier release read no other
+    /// format: they would run again what has ended.
     #[default]
     Listed,
     /// As ranges.
@@ -85,9 +85,44 @@
     /// Whether all of its tasks are done; the steps are then left out.
     #[serde(rename = "d", skip_serializing_if = "std::ops::Not::not")]
     pub done: bool,
-    /// Units of each step.
+    /// Units of each step, in [`RowFormat::Listed`].
     #[serde(rename = "s", skip_serializing_if = "Vec::is_empty")]
     pub steps: Vec<Vec<UnitRow>>,
+    /// Steps of which there is something to remember, by their index, in [`RowFormat::Ranges`].
+    #[serde(rename = "c", skip_serializing_if = "BTreeMap::is_empty")]
+    pub begun_steps: BTreeMap<u32, StepRow>,
+}
+
+impl OccurrenceRow {
+    /// Returns the row of a unit, if it has one.
+    #[must_use]
+    pub fn unit(&self, step: u32, unit: u32) -> Option<&UnitRow> {
+        let listed = self.steps.get(step as usize);
+        let listed = listed.and_then(|units| units.get(unit as usize));
+        let begun = self.begun_steps.get(&step);
+        listed.or_else(|| begun?.units.get(&unit))
+    }
+
+    /// Whether a unit is done.
+    #[must_use]
+    pub fn is_done(&self, step: u32, unit: u32) -> bool {
+        let begun = self.begun_steps.get(&step);
+        self.done
+            || self.unit(step, unit).is_some_and(|unit| unit.done)
+            || begun.is_some_and(|step| step.done.contains(unit))
+    }
+}
+
+/// Stored state of a step.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct StepRow {
+    /// Units that are done and of which no member is assigned any more.
+    #[serde(rename = "d", skip_serializing_if = "RangeSet::is_empty")]
+    pub done: RangeSet,
+    /// The other units that were bound, by their index.
+    #[serde(rename = "u", skip_serializing_if = "BTreeMap::is_empty")]
+    pub units: BTreeMap<u32, UnitRow>,
 }
 
 /// Stored assignments of a job, one row per job.
--- a/crates/mangotrestle-core/src/workflow/spec.rs
+++ b/crates/mangotrestle-core/src/workflow/spec.rs
@@ -11,6 +11,12 @@
 pub const MAX_STEP_TASKS: u32 = 1_000;
 /// Maximum number of steps of one job, for the same reason.
 pub const MAX_STEPS: usize = 64;
+/// Usual bytes of a job's row without its payload and steps.
+const RECORD_BYTES: u64 = 400;
+/// Usual bytes of a step in a job's row, without texts and the steps that it waits for.
+const STEP_BYTES: u64 = 120;
+/// Bytes of an index of a step in a job's row.
+const INDEX_BYTES: u64 = 3;
 
 /// One step of a job.
 #[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
@@ -243,6 +249,18 @@
 }
 
 impl JobRecord {
+    /// Returns the size of the job's row in bytes, of the right order.
+    #[must_use]
+    pub fn stored_bytes(&self) -> u64 {
+        let steps = self.steps.iter().map(|step| {
+            let labels = [&step.constraint, &step.affinity_rack];
+            let labels = labels.into_iter().flatten().map(String::len);
+            let text = step.image.len() + labels.sum::<usize>();
+            STEP_BYTES + text as u64 + step.after.len() as u64 * INDEX_BYTES
+        });
+        RECORD_BYTES + self.payload.len() as u64 + steps.sum::<u64>()
+    }
+
     /// Returns the time from the start of each step to the end of the job, in milliseconds.
     /// `expected_ms` returns the expected run time of a step's tasks.
     #[must_use]
--- a/crates/mangotrestle-core/tests/workflow/main.rs
+++ b/crates/mangotrestle-core/tests/workflow/main.rs
@@ -22,6 +22,7 @@
 mod repeating;
 mod reservations;
 mod restarting;
+mod row_limits;
 mod shrinking;
 mod speeds;
 mod teams;
--- a/crates/mangotrestle-core/tests/workflow/restarting.rs
+++ b/crates/mangotrestle-core/tests/workflow/restarting.rs
@@ -169,8 +169,8 @@
             ..UnitRow::default()
         });
         let occurrence = OccurrenceRow {
-            done: false,
             steps: vec![units.to_vec()],
+            ..OccurrenceRow::default()
         };
         let row = AssignmentRow {
             occurrences: [(0, occurrence)].into(),
--- a/crates/mangotrestle-core/tests/workflow/world.rs
+++ b/crates/mangotrestle-core/tests/workflow/world.rs
@@ -190,6 +190,10 @@
     pub row_format: RowFormat,
     /// Size of the largest row of assignments that was written.
     pub largest_row_bytes: usize,
+    /// Size of the assignments of the largest commit.
+    pub largest_commit_bytes: usize,
+    /// Number of rows that were left out of commits since they were too large.
+    pub rows_left_out: u32,
     random: u64,
     /// Number of starts that workers have carried out.
     pub starts: u32,
@@ -247,6 +251,11 @@
     Duration::try_from(time).expect("a time since the thread began")
 }
 
+/// Returns the size of a row in the store.
+fn encoded_bytes(row: &AssignmentRow) -> usize {
+    serde_json::to_vec(row).map_or(usize::MAX, |row| row.len())
+}
+
 /// Returns a worker identifier.
 pub fn worker(name: &str) -> WorkerId {
     WorkerId::new(name).expect("a valid worker identifier")
@@ -376,6 +385,8 @@
             store_up: true,
             row_format: RowFormat::Ranges,
             largest_row_bytes: 0,
+            largest_commit_bytes: 0,
+            rows_left_out: 0,
             random: seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1,
             starts: 0,
             polls: 0,
@@ -617,7 +628,8 @@
         if self.commit_in_flight || !self.store_up || !self.pool.has_changes() {
             return;
         }
-        let commit = self.pool.take_commit(TimeMs(self.now), 88);
+        let mut commit = self.pool.take_commit(TimeMs(self.now), 88);
+        self.leave_large_rows_out(&mut commit);
         self.commit_in_flight = true;
         if self.order_before_commit {
             self.pool.committed(TimeMs(self.now));
@@ -633,6 +645,20 @@
         self.schedule(at, Event::Commit { term, commit });
     }
 
+    fn leave_large_rows_out(&mut self, commit: &mut Commit) {
+        for id in self.pool.jobs_with_large_rows(commit) {
+            let row = commit.assignments().find(|(job, _)| **job == id);
+            let bytes = row.map_or(0, |(_, row)| encoded_bytes(row));
+            if bytes > MAX_ROW_BYTES {
+                let now = TimeMs(self.now);
+                self.pool.leave_row_out(now, commit, &id, bytes);
+                self.rows_left_out += 1;
+            }
+        }
+        let bytes = commit.assignments().map(|(_, row)| encoded_bytes(row));
+        self.largest_commit_bytes = self.largest_commit_bytes.max(bytes.sum());
+    }
+
     fn send_orders(&mut self) {
         for order in self.orders_to_send() {
             let term = self.term;
@@ -834,8 +860,7 @@
                     self.inbox.insert(job, record);
                 }
                 RowChange::Assign { job, row } => {
-                    let bytes = serde_json::to_vec(&row).map_or(usize::MAX, |row| row.len());
-                    self.largest_row_bytes = self.largest_row_bytes.max(bytes);
+                    self.largest_row_bytes = self.largest_row_bytes.max(encoded_bytes(&row));
                     self.assignments.insert(job, row);
                 }
                 RowChange::End { job, row } => {
@@ -1094,8 +1119,7 @@
             };
             row.occurrences
                 .get(&task.occurrence)
-                .and_then(|occurrence| occurrence.steps.get(task.step as usize))
-                .and_then(|units| units.get(unit as usize))
+                .and_then(|occurrence| occurrence.unit(task.step, unit))
                 .is_some_and(|row| {
                     row.run >= run
                         && (row.run > run
@@ -1291,12 +1315,9 @@
     let row = assignments.get(&task.job);
     row.is_some_and(|row| {
         let occurrence = row.occurrences.get(&task.occurrence);
-        let step = occurrence.and_then(|occurrence| occurrence.steps.get(task.step as usize));
-        let unit = step.and_then(|units| units.get(unit as usize));
         row.end.is_some()
-            || occurrence.is_some_and(|occurrence| occurrence.done)
             || row.ended.contains(task.occurrence)
-            || unit.is_some_and(|unit| unit.done)
+            || occurrence.is_some_and(|occurrence| occurrence.is_done(task.step, unit))
     })
 }
 
--- a/crates/mangotrestle/src/host/events.rs
+++ b/crates/mangotrestle/src/host/events.rs
@@ -16,6 +16,8 @@
 use mangotrestle_core::workflow::record::JobState;
 use mangotrestle_core::workflow::teams::shares::Holding;
 use mangotrestle_peer::cell::Acceptance;
+use mangotrestle_users_platform::store::{RowName, Value};
+use mangotrestle_users_platform::transport::CallError;
 
 use super::load::{LoadReport, Work};
 
@@ -254,6 +256,21 @@
         "duplicates" => duplicates, "refused" => reason);
 }
 
+/// Logs a commit that the store keeps refusing, with its largest row.
+pub(super) fn commit_refused(
+    log: &slog::Logger,
+    pool: &str,
+    term: u64,
+    error: &CallError,
+    largest: Option<&(RowName, Value)>,
+) {
+    metrics::counter!("mangotrestle_commits_refused_total").increment(1);
+    let (table, key) = largest.map_or(("", ""), |(name, _)| (&name.table, &name.key));
+    let bytes = largest.map_or(0, |(_, value)| value.0.len());
+    slog::warn!(log, "commit.refused"; "pool" => pool, "term" => term, "error" => %error,
+        "largest_table" => table, "largest_key" => key, "largest_bytes" => bytes);
+}
+
 /// Logs what a pool holds of a team's cap from now on.
 pub(super) fn share_written(log: &slog::Logger, pool: &str, team: &str, holding: Option<Holding>) {
     metrics::counter!("mangotrestle_shares_written_total").increment(1);
@@ -314,19 +331,8 @@
                 "worker" => worker.as_str(), "end" => ?end, "phase" => ?phase,
                 "since_ms" => since.0);
         }
-        Note::OccurrencesDelayed {
-            job,
-            occurrence,
-            late,
-            open,
-            delay,
-        } => {
-            metrics::counter!("mangotrestle_occurrences_delayed_total",
-                "reason" => delay_reason(*delay))
-            .increment(1);
-            slog::info!(log, "occurrence.delayed"; "job" => job.as_str(),
-                "occurrence" => occurrence, "late_ms" => late.0, "open" => open,
-                "reason" => delay_reason(*delay), "pool" => pool, "term" => term);
+        Note::RowTooLarge { .. } | Note::OccurrencesDelayed { .. } => {
+            log_held_back_job(log, pool, term, note);
         }
         Note::JobEnded { job, state, after } => {
             slog::info!(log, "job.ended"; "job" => job.as_str(), "state" => ?state,
@@ -364,6 +370,36 @@
     }
 }
 
+/// Logs a job of which nothing more begins for now.
+fn log_held_back_job(log: &slog::Logger, pool: &str, term: u64, note: &Note) {
+    match note {
+        Note::RowTooLarge {
+            job,
+            bytes,
+            max_bytes,
+        } => {
+            metrics::counter!("mangotrestle_rows_too_large_total").increment(1);
+            slog::warn!(log, "assignment.too_large"; "job" => job.as_str(), "bytes" => bytes,
+                "max_bytes" => max_bytes, "pool" => pool, "term" => term);
+        }
+        Note::OccurrencesDelayed {
+            job,
+            occurrence,
+            late,
+            open,
+            delay,
+        } => {
+            metrics::counter!("mangotrestle_occurrences_delayed_total",
+                "reason" => delay_reason(*delay))
+            .increment(1);
+            slog::info!(log, "occurrence.delayed"; "job" => job.as_str(),
+                "occurrence" => occurrence, "late_ms" => late.0, "open" => open,
+                "reason" => delay_reason(*delay), "pool" => pool, "term" => term);
+        }
+        _ => {}
+    }
+}
+
 const fn delay_reason(delay: Delay) -> &'static str {
     match delay {
         Delay::Placement => "placement",
--- a/crates/mangotrestle/src/host/leader/committing.rs
+++ b/crates/mangotrestle/src/host/leader/committing.rs
@@ -7,7 +7,7 @@
 use mangotrestle_core::id;
 use mangotrestle_core::time::TimeMs;
 use mangotrestle_core::workflow::leadership::{LeadRow, PoolSummary, WorkerShape};
-use mangotrestle_core::workflow::pool::{Commit, Learned, RowChange};
+use mangotrestle_core::workflow::pool::{Commit, Learned, Pool, RowChange};
 use mangotrestle_users_platform::store::{Row, RowName, Transaction, TransactionAnswer, Value};
 use mangotrestle_users_platform::transport::CallError;
 
@@ -21,6 +21,9 @@
 /// Maximum number of changed rows in a commit, besides the rows of the leadership and the summary.
 const MAX_COMMIT_ROWS: usize = 88;
 
+/// Number of refusals of one commit after which it is reported, with its largest row.
+const REPORTED_REFUSALS: u32 = 10;
+
 /// What a commit holds besides the pool's changes.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct CommitExtras {
@@ -72,7 +75,8 @@
 ) -> impl Future<Output = CommitOutcome> + Send + use<> {
     let (commit, summary, learned) = {
         let mut state = lock(&leader.state);
-        let commit = state.take_commit(now, MAX_COMMIT_ROWS);
+        let mut commit = state.take_commit(now, MAX_COMMIT_ROWS);
+        leave_large_rows_out(cell, &mut state, now, &mut commit);
         let summary = with.summary.then(|| state.summary(now));
         if with.summary {
             events::ticket_load(&cell.log, &leader.pool, &state.ticket_load(now));
@@ -113,6 +117,22 @@
     }
 }
 
+/// Takes the rows out of a commit that are larger than the store allows: it would refuse the others too.
+fn leave_large_rows_out(cell: &Cell, state: &mut Pool, now: TimeMs, commit: &mut Commit) {
+    for id in state.jobs_with_large_rows(commit) {
+        let row = commit.assignments().find(|(job, _)| **job == id);
+        let bytes = row.map_or(0, |(_, row)| encode_row(row).len());
+        metrics::histogram!("mangotrestle_large_row_bytes").record(metrics_value(bytes));
+        if bytes > cell.settings.store_limits.row_bytes {
+            state.leave_row_out(now, commit, &id, bytes);
+        }
+    }
+}
+
+fn metrics_value(bytes: usize) -> f64 {
+    f64::from(u32::try_from(bytes).unwrap_or(u32::MAX))
+}
+
 /// Returns the leadership row of a leader's commit.
 pub(super) fn lead_row(cell: &Cell, leader: &Leader, sequence: u64, released: bool) -> LeadRow {
     LeadRow {
@@ -161,6 +181,7 @@
     let submitted: Vec<id::JobId> = submitted_jobs(commit);
     let conditions = std::mem::take(&mut transaction.expect);
     let mut uncertain = false;
+    let mut refusals = 0;
     loop {
         let expected = leader.version.load(Ordering::Relaxed);
         transaction.expect.clone_from(&conditions);
@@ -214,6 +235,14 @@
                 }
                 slog::debug!(cell.log, "commit.tried"; "pool" => &leader.pool,
                     "error" => %error);
+                refusals += u32::from(error.had_no_effect());
+                if refusals == REPORTED_REFUSALS {
+                    let largest = transaction
+                        .set
+                        .iter()
+                        .max_by_key(|(_, value)| value.0.len());
+                    events::commit_refused(&cell.log, &leader.pool, leader.term, &error, largest);
+                }
                 tokio::time::sleep(STORE_RETRY_DELAY).await;
             }
         }
@@ -251,9 +280,12 @@
 }
 
 pub(super) fn push_row<T: serde::Serialize>(transaction: &mut Transaction, name: RowName, row: &T) {
+    transaction.set.push((name, Value(encode_row(row))));
+}
+
+fn encode_row<T: serde::Serialize>(row: &T) -> Vec<u8> {
     // Encoding cannot fail for the plain structs of which this system's rows consist.
-    let value = serde_json::to_vec(row).unwrap_or_default();
-    transaction.set.push((name, Value(value)));
+    serde_json::to_vec(row).unwrap_or_default()
 }
 
 fn push_shapes(cell: &Cell, transaction: &mut Transaction, pool: &str, shapes: &[WorkerShape]) {
@@ -272,7 +304,7 @@
     name: &RowName,
     row: &T,
 ) -> bool {
-    let value = serde_json::to_vec(row).unwrap_or_default();
+    let value = encode_row(row);
     if value.len() > cell.settings.store_limits.row_bytes {
         slog::warn!(cell.log, "row.too_large"; "table" => &name.table, "pool" => &name.part,
             "key" => &name.key, "bytes" => value.len());
