Refuse a job that the store cannot hold when it is submitted

What callers would see: a job whose row exceeds the store's limit, for instance by an image name of 70,000 bytes within the allowed body, is refused by the store together with up to 29 jobs of the same batch, or with all jobs that the leader accepts in the same commit. Found by reading; no caller has been seen to send one.

Change: the size of the row is checked at the submission, and the answer is 413 as for a body that is too large. Batches of acceptances are limited in size too, so that many large jobs together stay below the size of a transaction.

Tests in `row_limits` of the host: one such job beside another, and jobs that repeat for years, without a pause or beyond all numbers, of which none ends its leader's term. They were not run on the code before.

--- a/crates/mangotrestle/src/host/acceptor.rs
+++ b/crates/mangotrestle/src/host/acceptor.rs
@@ -16,6 +16,9 @@
 
 /// Maximum number of jobs in one transaction; each takes two conditions and one row.
 const MAX_BATCH_JOBS: usize = 30;
+/// Size of the rows in one transaction from which no more are added; the store takes at most 1 MB, in
+/// base64.
+const MAX_BATCH_BYTES: usize = 400_000;
 /// Maximum number of jobs that wait for a transaction; more are refused.
 const MAX_QUEUED_JOBS: usize = 512;
 /// Interval between checks whether the store has become silent while a batch is written.
@@ -94,15 +97,16 @@
     // Jobs that earlier attempts may have accepted, and that wait for the next batch.
     let mut queued: Vec<Submission> = Vec::new();
     loop {
-        let room = MAX_BATCH_JOBS.saturating_sub(batch.len()).min(queued.len());
-        batch.extend(queued.drain(..room));
+        while has_room(&batch) && !queued.is_empty() {
+            batch.push(queued.remove(0));
+        }
         if batch.is_empty() {
             match receiver.recv().await {
                 Some(submission) => batch.push(submission),
                 None => return,
             }
         }
-        while batch.len() < MAX_BATCH_JOBS {
+        while has_room(&batch) {
             match receiver.try_recv() {
                 Ok(submission) => batch.push(submission),
                 Err(_) => break,
@@ -120,6 +124,12 @@
     }
 }
 
+/// Whether a batch may have one more job.
+fn has_room(batch: &[Submission]) -> bool {
+    let bytes: usize = batch.iter().map(|submission| submission.row.len()).sum();
+    batch.len() < MAX_BATCH_JOBS && bytes < MAX_BATCH_BYTES
+}
+
 /// Refuses the jobs that no attempt can have accepted; the others are added to `queued`.
 fn refuse_queued(receiver: &mut mpsc::Receiver<Submission>, queued: &mut Vec<Submission>) {
     while let Ok(submission) = receiver.try_recv() {
--- a/crates/mangotrestle/src/host/front.rs
+++ b/crates/mangotrestle/src/host/front.rs
@@ -7,6 +7,7 @@
 use axum::extract::{Request, State};
 use axum::response::{IntoResponse, Response};
 use axum::serve::ListenerExt;
+use displaydoc::Display;
 use http::{HeaderValue, Method, StatusCode, header};
 use mangotrestle_core::collections::FastMap;
 use mangotrestle_core::id;
@@ -229,6 +230,10 @@
     }
     record.team = target.caller.team().map(Arc::from);
     record.pools = choose_pools(cell, target, job, &record);
+    if let Err(error) = check_size(cell, &record) {
+        events::job_malformed(&cell.log, job, &error.to_string());
+        return StatusCode::PAYLOAD_TOO_LARGE.into_response();
+    }
     if let Some(refusal) = refuse_if_hopeless(cell, target, job, &record).await {
         return refusal;
     }
@@ -250,6 +255,29 @@
     }
 }
 
+/// Why a job cannot be stored.
+#[derive(Debug, Display)]
+enum SizeError {
+    /// the job takes {bytes} bytes in the store, {max_bytes} are allowed
+    TooLarge {
+        /// Size of its row.
+        bytes: usize,
+        /// Size that the store allows.
+        max_bytes: usize,
+    },
+}
+
+/// Checks that the store allows a row of a job's size, so that its caller learns of it. The store would
+/// refuse the row together with those of other jobs.
+fn check_size(cell: &Cell, record: &JobRecord) -> Result<(), SizeError> {
+    let max_bytes = cell.settings.store_limits.row_bytes;
+    let bytes = serde_json::to_vec(record).map_or(usize::MAX, |row| row.len());
+    if bytes > max_bytes {
+        return Err(SizeError::TooLarge { bytes, max_bytes });
+    }
+    Ok(())
+}
+
 /// Chooses the pools that run a job, if its home does not run it alone.
 fn choose_pools(
     cell: &Cell,
--- a/crates/mangotrestle/tests/host/main.rs
+++ b/crates/mangotrestle/tests/host/main.rs
@@ -9,6 +9,7 @@
 mod platform;
 mod proxy;
 mod restarting_workers;
+mod row_limits;
 mod silent_connections;
 mod silent_peers;
 mod soak;
--- a/crates/mangotrestle/tests/host/platform.rs
+++ b/crates/mangotrestle/tests/host/platform.rs
@@ -810,6 +810,11 @@
         self.call_path("POST", &path, &job_body()).await
     }
 
+    /// Submits a job with this body.
+    pub async fn submit_body(&self, number: u64, body: &Value) -> Answer {
+        self.call("POST", number, &body.to_string()).await
+    }
+
     /// Requests the number of pending jobs of the queue with a path prefix.
     pub async fn count(&self, path_prefix: &str) -> Answer {
         self.call_path("GET", path_prefix, "").await
