Restore a run of an occurrence that is done, from a row with ranges

A row with ranges of an occurrence that is done, of which a withdrawn run is still being stopped, was restored without that run: the next leader would take the worker's room for free. Entries of a job are also taken out of the queue for steps that are not ready.

--- a/crates/mangotrestle-core/src/workflow/job.rs
+++ b/crates/mangotrestle-core/src/workflow/job.rs
@@ -590,7 +590,7 @@
         self.end_durable = row.end.is_some();
         self.ended_occurrences.clone_from(&row.ended);
         for (&number, occurrence_row) in &row.occurrences {
-            if occurrence_row.done && occurrence_row.steps.is_empty() {
+            if occurrence_row.has_ended() {
                 self.ended_occurrences.insert(number);
                 continue;
             }
--- a/crates/mangotrestle-core/src/workflow/pool/queueing.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/queueing.rs
@@ -123,8 +123,7 @@
                     occurrence,
                     step,
                 };
-                let units = (0..).zip(&state.units).map(|(unit, _)| unit);
-                for unit in units.filter(|_| state.ready) {
+                for (unit, _) in (0..).zip(&state.units) {
                     let step = key.clone();
                     self.waiting.remove(&(state.rank, UnitKey { step, unit }));
                 }
--- a/crates/mangotrestle-core/src/workflow/record.rs
+++ b/crates/mangotrestle-core/src/workflow/record.rs
@@ -82,7 +82,7 @@
 #[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
 pub struct OccurrenceRow {
-    /// Whether all of its tasks are done; the steps are then left out.
+    /// Whether all of its tasks are done; the steps are left out once no member is assigned any more.
     #[serde(rename = "d", skip_serializing_if = "std::ops::Not::not")]
     pub done: bool,
     /// Units of each step, in [`RowFormat::Listed`].
@@ -94,6 +94,12 @@
 }
 
 impl OccurrenceRow {
+    /// Whether all of its tasks are done and no member is assigned any more.
+    #[must_use]
+    pub fn has_ended(&self) -> bool {
+        self.done && self.steps.is_empty() && self.begun_steps.is_empty()
+    }
+
     /// Returns the row of a unit, if it has one.
     #[must_use]
     pub fn unit(&self, step: u32, unit: u32) -> Option<&UnitRow> {
--- a/crates/mangotrestle-core/tests/workflow/row_limits.rs
+++ b/crates/mangotrestle-core/tests/workflow/row_limits.rs
@@ -1,9 +1,12 @@
 //! Tests of the limits of the store: no row and no commit grows beyond them, whatever a job may have.
 
 use mangotrestle_core::time::TimeMs;
-use mangotrestle_core::workflow::record::{JobState, RowFormat};
+use mangotrestle_core::workflow::job::Job;
+use mangotrestle_core::workflow::record::{
+    AssignmentRow, JobState, OccurrenceRow, RowFormat, StepRow, UnitRow,
+};
 
-use crate::world::{MAX_ROW_BYTES, Violations, World, entry, job, record, step};
+use crate::world::{MAX_ROW_BYTES, Violations, World, entry, job, record, step, worker};
 
 // Guards against a wide job whose row the store refuses, with which every commit of the service is
 // refused.
@@ -90,3 +93,36 @@
     assert_eq!(world.end_of(&job(1)), Some(JobState::Completed));
     assert_eq!(world.violations, Violations::default());
 }
+
+// Guards against a new leader that takes a worker's room for free while a withdrawn run is still there.
+#[test]
+fn a_run_that_is_being_stopped_in_an_occurrence_that_is_done_is_restored() {
+    let withdrawn = UnitRow {
+        done: true,
+        run: 2,
+        workers: vec![Some(worker("w-0"))],
+        ..UnitRow::default()
+    };
+    let step_row = StepRow {
+        done: vec![(0, 2)].into(),
+        units: [(2, withdrawn)].into(),
+    };
+    let occurrence = OccurrenceRow {
+        done: true,
+        begun_steps: [(0, step_row)].into(),
+        ..OccurrenceRow::default()
+    };
+    let row = AssignmentRow {
+        occurrences: [(0, occurrence)].into(),
+        begun: true,
+        ..AssignmentRow::default()
+    };
+    let submitted = record(0, vec![step(3, 500, 100, &[])]);
+    let mut restored = Job::new(job(1), submitted, TimeMs(1_000), 0, "pool");
+
+    restored.restore(&row);
+
+    assert_eq!(restored.assigned_members().count(), 1);
+    assert!(restored.is_done_here());
+    assert_eq!(restored.row(RowFormat::Ranges), row);
+}
