--- a/crates/mangotrestle/tests/host/platform.rs
+++ b/crates/mangotrestle/tests/host/platform.rs
@@ -598,6 +598,9 @@
     format!("{number:016x}")
 }
 
+/// Memory that a host may use.
+pub const MEMORY_MB: u64 = 260;
+
 /// A host process, killed on drop.
 pub struct Host {
     process: Child,
@@ -633,7 +636,7 @@
             "node": name, "ip": "127.0.0.1", "zone": "a",
             "listen": {"front": front.to_string(), "readiness": format!("127.0.0.1:{readiness}")},
             "internal_ports": [peers, peers],
-            "limits": {"cpu_share": 0.25, "cores": 1, "memory_mb": 260},
+            "limits": {"cpu_share": 0.25, "cores": 1, "memory_mb": MEMORY_MB},
             "platform": {"address": store.to_string(), "reads_per_s": READS_PER_S},
             "cloud": {"address": store.to_string()},
         });
@@ -691,6 +694,16 @@
             .sum()
     }
 
+    /// Returns the peak memory of the process, in MB.
+    pub fn peak_memory_mb(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.process.id());
+        let status = std::fs::read_to_string(path).expect("a running process");
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kilobytes = peak.and_then(|peak| peak.split_whitespace().next());
+        let kilobytes: u64 = kilobytes.and_then(|text| text.parse().ok()).expect("kB");
+        kilobytes / 1_024
+    }
+
     /// Sends a signal to the process.
     pub fn signal(&self, signal: Signal) {
         let process = Pid::from_child(&self.process);
--- a/crates/mangotrestle/tests/host/row_limits.rs
+++ b/crates/mangotrestle/tests/host/row_limits.rs
@@ -2,7 +2,7 @@
 
 use serde_json::json;
 
-use super::platform::{Host, Platform};
+use super::platform::{Host, MEMORY_MB, Platform};
 use super::submit_until_status;
 
 /// Occurrences of a job that repeats once a minute for ten years.
@@ -26,6 +26,27 @@
     assert!(!platform.has_job(1_000));
 }
 
+// Guards against accepted jobs that together exceed the memory of every host that leads their service.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_host_holds_a_dozen_of_the_widest_jobs_that_it_accepts() {
+    let platform = Platform::start().await;
+    let host = Host::start("front-a-1", &platform).await;
+    let caller = host.caller();
+    submit_until_status(&caller, 1, 200).await;
+    let step = json!({"count": 1_000, "cpu": 100, "mem_mb": 16, "estimate_ms": 300});
+    let widest = json!({"spec": "widest", "steps": vec![step; 64]});
+
+    let mut accepted = 0;
+    for number in 1_000..1_012 {
+        accepted += u32::from(caller.submit_body(number, &widest).await.status == 200);
+    }
+    let later = caller.submit(2_000).await;
+
+    let peak_mb = host.peak_memory_mb();
+    assert!(peak_mb < MEMORY_MB, "{peak_mb} MB with {accepted} jobs");
+    assert_eq!(later.status, 200, "{later:?}");
+}
+
 // Guards against sums of a caller's numbers that end the process or a leadership.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_job_that_repeats_for_years_or_beyond_all_numbers_leaves_its_leader_in_place() {
