--- a/crates/mangotrestle-core/src/workflow/pool/mod.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/mod.rs
@@ -36,7 +36,7 @@
 
 use super::crash_evidence::Suspicion;
 use super::estimate::Estimates;
-use super::job::{Delay, Job, Member, MemberKey, Phase, Step, StepKey, Unit, UnitKey};
+use super::job::{Job, Member, MemberKey, OccurrenceDelay, Phase, Step, StepKey, Unit, UnitKey};
 use super::lag::Lag;
 use super::message;
 use super::record;
@@ -334,7 +334,7 @@
         /// Number of occurrences that have begun and not ended.
         open: usize,
         /// The reason.
-        delay: Delay,
+        delay: OccurrenceDelay,
     },
     /// A job reached its final state; no more of its tasks will start.
     JobEnded {
--- a/crates/mangotrestle-core/src/workflow/pool/queueing.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/queueing.rs
@@ -85,6 +85,7 @@
         self.placing_due = true;
     }
 
+    /// Adds an entry to the queue, and counts it for its step.
     fn add_waiting(&mut self, entry: QueueEntry) {
         let step = entry.1.step.clone();
         if self.waiting.insert(entry)
@@ -94,6 +95,7 @@
         }
     }
 
+    /// Removes an entry from the queue, if it is there.
     pub(super) fn remove_waiting(&mut self, entry: &QueueEntry) {
         let step = &entry.1.step;
         if self.waiting.remove(entry)
--- a/crates/mangotrestle/src/host/events.rs
+++ b/crates/mangotrestle/src/host/events.rs
@@ -10,7 +10,7 @@
 use mangotrestle_core::workflow::catalog::Queue;
 use mangotrestle_core::workflow::environment::HostSettings;
 use mangotrestle_core::workflow::feed_timing::FeedTiming;
-use mangotrestle_core::workflow::job::Delay;
+use mangotrestle_core::workflow::job::OccurrenceDelay;
 use mangotrestle_core::workflow::leadership::PoolSummary;
 use mangotrestle_core::workflow::pool::{BlockedStep, Note, TicketLoad, UnsettledRun};
 use mangotrestle_core::workflow::record::JobState;
@@ -400,10 +400,10 @@
     }
 }
 
-const fn delay_reason(delay: Delay) -> &'static str {
+const fn delay_reason(delay: OccurrenceDelay) -> &'static str {
     match delay {
-        Delay::Placement => "placement",
-        Delay::Row => "row",
+        OccurrenceDelay::Placement => "placement",
+        OccurrenceDelay::Row => "row",
     }
 }
 
--- a/crates/mangotrestle/src/host/leader/committing.rs
+++ b/crates/mangotrestle/src/host/leader/committing.rs
@@ -122,14 +122,14 @@
     for id in state.jobs_with_large_rows(commit) {
         let row = commit.assignments().find(|(job, _)| **job == id);
         let bytes = row.map_or(0, |(_, row)| encode_row(row).len());
-        metrics::histogram!("mangotrestle_large_row_bytes").record(metrics_value(bytes));
+        metrics::histogram!("mangotrestle_large_row_bytes").record(bytes_for_metric(bytes));
         if bytes > cell.settings.store_limits.row_bytes {
             state.leave_row_out(now, commit, &id, bytes);
         }
     }
 }
 
-fn metrics_value(bytes: usize) -> f64 {
+fn bytes_for_metric(bytes: usize) -> f64 {
     f64::from(u32::try_from(bytes).unwrap_or(u32::MAX))
 }
 
