--- a/review/standin-2/case_ends.rs
+++ b/review/standin-2/case_ends.rs
@@ -30,6 +30,7 @@
         cpu: 64_000,
         mem_mb: 131_072,
         work: WORK,
+        lasting: None,
     });
     let workers = shapes.map(|shape| Worker::start(shape, &runs, record));
     let workers = workers.collect::<Result<Vec<Worker>, String>>()?;
--- a/review/standin-2/case_rack.rs
+++ b/review/standin-2/case_rack.rs
@@ -26,6 +26,7 @@
         cpu: if number < RACK { 32_000 } else { 64_000 },
         mem_mb: if number < RACK { 65_536 } else { 131_072 },
         work: WORK,
+        lasting: None,
     });
     let workers = shapes.map(|shape| Worker::start(shape, &runs, record));
     let workers = workers.collect::<Result<Vec<Worker>, String>>()?;
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -8,6 +8,8 @@
 //! could not run.
 
 mod case_ends;
+mod case_lasting;
+mod case_memory;
 mod case_rack;
 mod json;
 mod net;
@@ -38,6 +40,8 @@
     });
     let result = match scenario.as_str() {
         "ends" => case_ends::run(&record, with_trouble),
+        "lasting" => case_lasting::run(&record, with_trouble),
+        "memory" => case_memory::run(&record, with_trouble),
         "rack" => case_rack::run(&record, with_trouble),
         _ => Err(format!("no scenario {scenario}")),
     };
--- a/review/standin-2/platform.rs
+++ b/review/standin-2/platform.rs
@@ -51,8 +51,26 @@
     pub name: String,
     pub front: SocketAddr,
     readiness: SocketAddr,
-    #[allow(dead_code)]
     pub child: usize,
+    folder: PathBuf,
+    place: (u8, IpAddr, u16),
+    addresses: (SocketAddr, SocketAddr),
+}
+
+impl Host {
+    /// Starts the host again, with its name and addresses, after its process has ended.
+    pub fn restart(&mut self, record: &Record) -> Result<(), String> {
+        let (store, cloud) = self.addresses;
+        *self = start_host(record, &self.folder, self.place, store, cloud)?;
+        Ok(())
+    }
+
+    /// Whether it answers that it is ready.
+    pub fn is_ready(&self) -> bool {
+        let timeout = Duration::from_secs(1);
+        let answer = net::call(self.readiness, "GET", "/readiness", "", "", timeout);
+        answer.is_some_and(|(status, _)| status == 200)
+    }
 }
 
 fn key_of(row: &Value) -> Key {
@@ -407,12 +425,7 @@
     }
     let began = Instant::now();
     for host in &hosts {
-        let is_ready = || {
-            let timeout = Duration::from_secs(1);
-            let answer = net::call(host.readiness, "GET", "/readiness", "", "", timeout);
-            answer.is_some_and(|(status, _)| status == 200)
-        };
-        while !is_ready() {
+        while !host.is_ready() {
             if began.elapsed() > START_TIMEOUT {
                 return Err(format!("{} is not ready", host.name));
             }
@@ -488,24 +501,38 @@
         front: at(0),
         readiness: at(1),
         child: record.add_child(child),
+        folder: folder.clone(),
+        place: (index, ip, base),
+        addresses: (store, cloud),
     })
 }
 
 /// Submits a job, again with the same identifier until it is answered with success. Returns whether it
 /// was.
 pub fn submit(record: &Record, hosts: &[Host], job: &str, body: &Value) -> bool {
+    let fronts: Vec<_> = hosts
+        .iter()
+        .map(|host| (host.name.clone(), host.front))
+        .collect();
+    submit_to(record, &fronts, job, body)
+}
+
+/// Submits a job to hosts of these names and addresses.
+pub fn submit_to(
+    record: &Record,
+    fronts: &[(String, SocketAddr)],
+    job: &str,
+    body: &Value,
+) -> bool {
     let body = body.encode();
     let headers = format!("host: {HOST}\r\ndeadline-ms: 3000\r\n");
     for attempt in 0..5 {
-        let host = &hosts[attempt % hosts.len()];
+        let (name, front) = &fronts[attempt % fronts.len()];
         let target = format!("{PREFIX}{job}");
         let timeout = Duration::from_secs(3);
-        let answer = net::call(host.front, "POST", &target, &headers, &body, timeout);
+        let answer = net::call(*front, "POST", &target, &headers, &body, timeout);
         let status = answer.map(|(status, _)| status);
-        record.line(
-            "client",
-            &format!("POST {job} at {}: {status:?}", host.name),
-        );
+        record.line("client", &format!("POST {job} at {name}: {status:?}"));
         if status.is_some_and(|status| (200..300).contains(&status)) {
             return true;
         }
--- a/review/standin-2/record.rs
+++ b/review/standin-2/record.rs
@@ -60,8 +60,20 @@
         children.len() - 1
     }
 
+    /// Returns the identifier of a process that the script started.
+    pub fn process(&self, index: usize) -> u32 {
+        self.inner.children.lock().unwrap()[index].id()
+    }
+
+    /// Whether a process that the script started has ended.
+    pub fn has_ended(&self, index: usize) -> bool {
+        let mut children = self.inner.children.lock().unwrap();
+        children[index]
+            .try_wait()
+            .is_ok_and(|status| status.is_some())
+    }
+
     /// Kills one process that the script started.
-    #[allow(dead_code)]
     pub fn kill_child(&self, index: usize) {
         let mut children = self.inner.children.lock().unwrap();
         if let Some(child) = children.get_mut(index) {
--- a/review/standin-2/worker.rs
+++ b/review/standin-2/worker.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -16,6 +16,11 @@
 const STOP_MS: u64 = 50;
 /// Time for which a call to a worker that has crashed stays open.
 const SILENCE: Duration = Duration::from_secs(20);
+/// Time after which a task that lasts fails, and for which one runs that does not.
+const FAILS_AFTER: Duration = Duration::from_millis(50);
+const LASTS: Duration = Duration::from_secs(3_600);
+/// Maximum number of lines in the record of a worker with tasks that last.
+const MAX_LINES: u64 = 1_000;
 /// Maximum number of ends in one answer.
 const MAX_LISTED_ENDS: usize = 500;
 
@@ -38,6 +43,8 @@
 
 struct Active {
     ends_at: Instant,
+    /// How it ends then.
+    how: &'static str,
     /// When a stop takes effect.
     stops_at: Option<Instant>,
     index: usize,
@@ -73,6 +80,8 @@
     pub mem_mb: u64,
     /// Time that each task takes.
     pub work: Duration,
+    /// Beginning of the names of tasks that last.
+    pub lasting: Option<&'static str>,
 }
 
 struct Shared {
@@ -80,6 +89,10 @@
     id: String,
     /// Whether it has crashed and is silent.
     is_dark: AtomicBool,
+    /// Whether tasks that last fail soon after their start.
+    fails: AtomicBool,
+    /// Number of its lines in the record.
+    lines: AtomicU64,
     began: Instant,
     state: Mutex<State>,
     changed: Condvar,
@@ -104,6 +117,8 @@
             work: shape.work,
             shape,
             is_dark: AtomicBool::new(false),
+            fails: AtomicBool::new(false),
+            lines: AtomicU64::new(0),
             began: Instant::now(),
             state: Mutex::default(),
             changed: Condvar::new(),
@@ -147,6 +162,11 @@
         );
     }
 
+    /// Sets whether tasks that last fail soon after their start.
+    pub fn set_failing(&self, fails: bool) {
+        self.shared.fails.store(fails, Ordering::Relaxed);
+    }
+
     pub fn has_crashed(&self) -> bool {
         self.shared.is_dark.load(Ordering::Relaxed)
     }
@@ -164,16 +184,24 @@
 }
 
 impl Shared {
+    /// Adds a line to the record; of a worker with tasks that last and fail, only the first ones.
+    fn log(&self, what: &str) {
+        let lines = self.lines.fetch_add(1, Ordering::Relaxed);
+        if self.shape.lasting.is_none() || lines < MAX_LINES {
+            self.record.line(&self.id, what);
+        } else if lines == MAX_LINES {
+            self.record
+                .line(&self.id, "goes on like this; the rest is left out");
+        }
+    }
+
     fn clock_ms(&self) -> u64 {
         self.began.elapsed().as_millis() as u64 + 1_000
     }
 
     fn answer(&self, request: &Request) -> Answer {
         if self.is_dark.load(Ordering::Relaxed) {
-            self.record.line(
-                &self.id,
-                &format!("is silent to {} {}", request.path, request.body),
-            );
+            self.log(&format!("is silent to {} {}", request.path, request.body));
             std::thread::sleep(SILENCE);
             return Answer::Close;
         }
@@ -241,8 +269,7 @@
             return self.refuse("old");
         }
         let began_ms = self.record.now_ms();
-        self.record
-            .line(&self.id, &format!("starts {task} run {run}"));
+        self.log(&format!("starts {task} run {run}"));
         let mut runs = self.runs.lock().unwrap();
         runs.push(Run {
             task: task.clone(),
@@ -252,8 +279,19 @@
             end: None,
             noted_ms: None,
         });
+        let lasts = self
+            .shape
+            .lasting
+            .is_some_and(|name| task.starts_with(name));
+        let fails = self.fails.load(Ordering::Relaxed);
+        let (work, how) = match (lasts, fails) {
+            (false, _) => (self.work, "done"),
+            (true, true) => (FAILS_AFTER, "failed"),
+            (true, false) => (LASTS, "done"),
+        };
         let active = Active {
-            ends_at: Instant::now() + self.work,
+            ends_at: Instant::now() + work,
+            how,
             stops_at: None,
             index: runs.len() - 1,
         };
@@ -264,8 +302,7 @@
     fn stop_run(&self, state: &mut State, order: &Value) -> Answer {
         let task = order.get("task").text().to_owned();
         let run = order.get("run").number();
-        self.record
-            .line(&self.id, &format!("is told to stop {task} run {run}"));
+        self.log(&format!("is told to stop {task} run {run}"));
         if let Some(active) = state.active.get_mut(&(task.clone(), run)) {
             active.stops_at = Some(Instant::now() + Duration::from_millis(STOP_MS));
         }
@@ -283,7 +320,7 @@
             .active
             .iter()
             .filter_map(|(key, active)| match () {
-                () if active.ends_at <= now => Some((key.clone(), "done")),
+                () if active.ends_at <= now => Some((key.clone(), active.how)),
                 () if active.stops_at.is_some_and(|at| at <= now) => Some((key.clone(), "stopped")),
                 () if lapsed => Some((key.clone(), "lapsed")),
                 () => None,
@@ -299,10 +336,7 @@
             state.last_number += 1;
             let number = state.last_number;
             let (task, run) = key;
-            self.record.line(
-                &self.id,
-                &format!("{task} run {run} ends {how}, number {number}"),
-            );
+            self.log(&format!("{task} run {run} ends {how}, number {number}"));
             self.runs.lock().unwrap()[active.index].end = Some((self.record.now_ms(), how));
             let settled = state.settled.entry(task.clone()).or_default();
             *settled = (*settled).max(run);
@@ -336,7 +370,12 @@
         let running = state.active.iter().map(|((task, run), active)| {
             let left = active.ends_at.saturating_duration_since(now).as_millis() as u64;
             let work = self.work.as_millis() as u64;
-            let percent = Value::from(100 - (100 * left / work).min(100));
+            let done = 100 - (100 * left / work).min(100);
+            let lasts = self
+                .shape
+                .lasting
+                .is_some_and(|name| task.starts_with(name));
+            let percent = Value::from(if lasts { 100 } else { done });
             let usage = Value::from(100_u64);
             vec![
                 task.as_str().into(),
@@ -365,13 +404,10 @@
         }
         let (listed, left) = (state.ended.len().min(MAX_LISTED_ENDS), state.ended.len());
         if left > 0 {
-            self.record.line(
-                &self.id,
-                &format!(
-                    "is asked (last_seen {last_seen}), lists {listed} of {left} ends, {} run",
-                    state.active.len()
-                ),
-            );
+            self.log(&format!(
+                "is asked (last_seen {last_seen}), lists {listed} of {left} ends, {} run",
+                state.active.len()
+            ));
         }
         let body = table([
             ("clock_ms", self.clock_ms().into()),
