--- a/review/standin-2/net.rs
+++ b/review/standin-2/net.rs
@@ -31,7 +31,6 @@
     /// It answers with a status and a JSON body.
     Send(u16, String),
     /// It closes the connection without an answer.
-    #[allow(dead_code)]
     Close,
 }
 
