Log what became of both calls of a repeated start

No line said so, nor which of the two calls an answer was of, nor what became of the other, so that a second run of a task after a repeated start looked like a worker that lies. `run.start_repeated` names the outcomes of both calls, and counters for repeated starts by outcome, stray runs and missing runs are added. Decisions are unchanged.

--- a/crates/mangotrestle/src/host/events.rs
+++ b/crates/mangotrestle/src/host/events.rs
@@ -18,8 +18,10 @@
 use mangotrestle_peer::cell::Acceptance;
 use mangotrestle_users_platform::store::{RowName, Value};
 use mangotrestle_users_platform::transport::CallError;
+use mangotrestle_users_platform::worker::{OrderResult, StartOrder};
 
 use super::load::{LoadReport, Work};
+use super::repeating::{Call, OtherCall, Outcomes};
 
 /// Lag from which a leader logs it, and a host that leads no pool logs its load.
 const MIN_LOGGED_LAG: Duration = Duration::from_millis(100);
@@ -280,6 +282,30 @@
     }
 }
 
+/// Logs what became of both calls of a start order that was sent twice.
+pub(super) fn start_repeated(
+    log: &slog::Logger,
+    start: &StartOrder<'_>,
+    worker: &id::WorkerId,
+    outcomes: &Outcomes<OrderResult>,
+) {
+    let other = match &outcomes.other {
+        OtherCall::NotMade => return,
+        OtherCall::Open => "open".to_owned(),
+        OtherCall::Ended((answer, _)) => format!("{answer:?}"),
+    };
+    let (answer, _) = &outcomes.deciding;
+    let (first, repeated) = match outcomes.call {
+        Call::First => (format!("{answer:?}"), other),
+        Call::Repeated => (other, format!("{answer:?}")),
+    };
+    metrics::counter!("mangotrestle_starts_repeated_total",
+        "first" => first.clone(), "repeated" => repeated.clone())
+    .increment(1);
+    slog::info!(log, "run.start_repeated"; "task" => %start.task, "run" => start.run,
+        "worker" => worker.as_str(), "first" => first, "repeated" => repeated);
+}
+
 /// Logs a decision or observation of a pool.
 pub(super) fn log_note(log: &slog::Logger, pool: &str, term: u64, note: &Note) {
     match note {
@@ -432,6 +458,7 @@
                 "worker" => worker.as_str(), "wanted_by" => %wanted_by);
         }
         Note::UnexpectedRun { task, run, worker } => {
+            metrics::counter!("mangotrestle_stray_runs_total").increment(1);
             slog::warn!(log, "run.stray"; "task" => %task, "run" => run,
                 "worker" => worker.as_str(), "term" => term);
         }
@@ -441,6 +468,7 @@
             worker,
             received_end,
         } => {
+            metrics::counter!("mangotrestle_runs_missing_total").increment(1);
             slog::warn!(log, "run.missing"; "task" => %task, "run" => run,
                 "worker" => worker.as_str(), "received_end" => received_end, "term" => term);
         }
--- a/crates/mangotrestle/src/host/orders.rs
+++ b/crates/mangotrestle/src/host/orders.rs
@@ -22,7 +22,7 @@
 use super::leader::Leader;
 use super::load::Work;
 use super::peers;
-use super::repeating::{self, REPEAT_DELAY};
+use super::repeating::{self, Call, REPEAT_DELAY};
 
 /// Timeout for an order; answers come within milliseconds, from slow machines later.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(500);
@@ -295,11 +295,12 @@
         }
     };
     let is_answer = |(answer, _): &(OrderAnswer, Option<WorkerTimeMs>)| answer.is_of_worker();
-    let answered = repeating::call(cell, send(), REPEAT_DELAY, may_repeat, is_answer).await;
-    if answered.first_is_open {
+    let outcomes = repeating::call(cell, send(), REPEAT_DELAY, may_repeat, is_answer).await;
+    events::start_repeated(&cell.log, start, worker, &outcomes);
+    if outcomes.call == Call::Repeated {
         lock(&leader.state).start_left_unanswered(member, run);
     }
-    answered.answer
+    outcomes.deciding
 }
 
 /// Carries out an order to the leader of another pool.
@@ -366,8 +367,8 @@
             cell.workers.hold(worker, address, request, ORDER_TIMEOUT)
         };
         let delay = wait.as_duration() + REPEAT_DELAY;
-        let answered = repeating::call(cell, poll, delay, repeated, Result::is_ok).await;
-        answered.answer
+        let outcomes = repeating::call(cell, poll, delay, repeated, Result::is_ok).await;
+        outcomes.deciding
     } else {
         Err(PollFailure::NoAnswer)
     };
--- a/crates/mangotrestle/src/host/repeating.rs
+++ b/crates/mangotrestle/src/host/repeating.rs
@@ -19,12 +19,35 @@
     cell.load.lag_ms() >= MAX_LAG_MS
 }
 
-/// Answer to a call that may have been repeated.
-pub(super) struct Answered<T> {
-    /// The answer.
-    pub(super) answer: T,
-    /// Whether it is the answer to the repeated call, and there is none to the first.
-    pub(super) first_is_open: bool,
+/// One of the two calls.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Call {
+    /// The first one.
+    First,
+    /// The repeated one.
+    Repeated,
+}
+
+/// What became of the call whose outcome does not count.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum OtherCall<T> {
+    /// It was not made.
+    NotMade,
+    /// It was dropped without an outcome, and may still be carried out.
+    Open,
+    /// It ended.
+    Ended(T),
+}
+
+/// Outcomes of a call that may have been repeated.
+#[derive(Debug)]
+pub(super) struct Outcomes<T> {
+    /// The outcome that counts.
+    pub(super) deciding: T,
+    /// The call that it is of.
+    pub(super) call: Call,
+    /// The other call.
+    pub(super) other: OtherCall<T>,
 }
 
 /// Makes a call, and `repeated` beside it if there is no answer after `delay`. Returns the first answer
@@ -35,27 +58,28 @@
     delay: Duration,
     repeated: impl FnOnce() -> F,
     is_answer: impl Fn(&T) -> bool,
-) -> Answered<T> {
+) -> Outcomes<T> {
     let mut first = std::pin::pin!(first);
-    let answered = |answer| Answered {
-        answer,
-        first_is_open: false,
+    let outcomes = |call, deciding, other| Outcomes {
+        deciding,
+        call,
+        other,
     };
-    if let Ok(answer) = tokio::time::timeout(delay, &mut first).await {
-        return answered(answer);
+    if let Ok(outcome) = tokio::time::timeout(delay, &mut first).await {
+        return outcomes(Call::First, outcome, OtherCall::NotMade);
     }
     if is_late(cell) {
-        return answered(first.await);
+        return outcomes(Call::First, first.await, OtherCall::NotMade);
     }
     metrics::counter!("mangotrestle_calls_repeated_total").increment(1);
     let repeated = std::pin::pin!(repeated());
     tokio::select! {
-        answer = &mut first => answered(answer),
-        answer = repeated => {
-            if is_answer(&answer) {
-                return Answered { answer, first_is_open: true };
+        outcome = &mut first => outcomes(Call::First, outcome, OtherCall::Open),
+        outcome = repeated => {
+            if is_answer(&outcome) {
+                return outcomes(Call::Repeated, outcome, OtherCall::Open);
             }
-            answered(first.await)
+            outcomes(Call::First, first.await, OtherCall::Ended(outcome))
         }
     }
 }
