Place a run elsewhere only once no call of its start is open

Cause: a start that is not answered in 150 ms is sent in a second call, and the outcome of one call was taken for the outcome of both. If the first call was refused, or its connection could not be opened, while the second was out, the second was dropped and the pool was told that nothing was unanswered. It released the run at once, without a stop, and bound the next one in the same millisecond; the worker carried out the second call. The same happened if the second call had ended without an answer before the first was refused. What was open was one bit that each branch had to raise.

Change: `start_calls` counts each call of a start as open from before it is sent, and only its own outcome closes it; a call that is dropped, or of which nothing is reported, stays open. All places that ask whether a run can still begin read this count. The sender waits for the second call where the first did not show that the run is there, within the timeout of the first; only `Done` and `Old` settle both calls. A poll whose first call got no answer takes that of the second as well. A start is not repeated if its run is not wanted any more.

--- a/crates/mangotrestle-core/src/workflow/job.rs
+++ b/crates/mangotrestle-core/src/workflow/job.rs
@@ -14,6 +14,7 @@
 use super::rank;
 use super::record::{self, RowFormat};
 use super::spec;
+use super::start_calls::StartCalls;
 use super::tickets;
 
 mod row;
@@ -119,8 +120,8 @@
     pub started_at: Option<TimeMs>,
     /// Evidence that the task crashes the workers that start it.
     pub crash_evidence: CrashEvidence,
-    /// Number of start orders for this run that got no answer and may still be carried out.
-    pub unanswered: u32,
+    /// The calls of the start orders for this run.
+    pub start_calls: StartCalls,
     /// Last confirmed share of full speed, in percent.
     pub pace_percent: u32,
     /// Time and percentage from which the run's progress is measured.
@@ -129,14 +130,6 @@
     pub over_target_since: Option<TimeMs>,
 }
 
-impl Member {
-    /// Whether a start order was sent that has no answer, so that it may still be carried out.
-    #[must_use]
-    pub fn has_unanswered_start(&self) -> bool {
-        self.phase == Phase::Ordered || self.unanswered > 0
-    }
-}
-
 /// A task, or all tasks of a gang: what is placed as a whole.
 #[derive(Clone, Debug, Default)]
 pub struct Unit {
@@ -191,7 +184,8 @@
     pub fn is_unordered(&self) -> bool {
         let mut assigned = self.members.iter().filter(|member| member.worker.is_some());
         !self.is_free()
-            && assigned.all(|member| member.phase.is_before_order() && member.unanswered == 0)
+            && assigned
+                .all(|member| member.phase.is_before_order() && !member.start_calls.is_open())
     }
 
     /// Whether it may start on trial only, since one of its tasks is suspected to crash workers.
--- a/crates/mangotrestle-core/src/workflow/job/row.rs
+++ b/crates/mangotrestle-core/src/workflow/job/row.rs
@@ -7,6 +7,7 @@
 use super::super::range_set::RangeSet;
 use super::super::record::{self, RowFormat};
 use super::super::spec;
+use super::super::start_calls::StartCalls;
 use super::{Job, Member, Occurrence, Phase, Step, Unit, count_open_units};
 
 /// Maximum number of ended occurrences and units that a row lists one by one.
@@ -191,7 +192,7 @@
         if worker.is_some() {
             member.phase = Phase::Bound;
             // An earlier leader may have sent the order, and it may still arrive.
-            member.unanswered = 1;
+            member.start_calls = StartCalls::of_earlier_leader();
         }
     }
 }
--- a/crates/mangotrestle-core/src/workflow/message.rs
+++ b/crates/mangotrestle-core/src/workflow/message.rs
@@ -190,6 +190,13 @@
 }
 
 impl OrderAnswer {
+    /// Whether the answer to a start shows that the run has begun on the worker, or cannot begin there
+    /// any more.
+    #[must_use]
+    pub const fn shows_run(&self) -> bool {
+        matches!(self, Self::Done | Self::Old)
+    }
+
     /// Whether a worker gave the answer.
     #[must_use]
     pub const fn is_of_worker(&self) -> bool {
--- a/crates/mangotrestle-core/src/workflow/mod.rs
+++ b/crates/mangotrestle-core/src/workflow/mod.rs
@@ -12,6 +12,7 @@
 //! - [`spec`] describes a job as its caller submitted it;
 //! - [`job`] is a job in the leader's memory, [`record`] holds its stored rows;
 //! - [`range_set`] holds the numbers of what has ended;
+//! - [`start_calls`] counts the calls of a start order that may still be carried out;
 //! - [`message`] defines orders to workers and their answers;
 //! - [`worker`] is one incarnation of a worker as the leader sees it;
 //! - [`estimate`] corrects callers' estimates by the run times observed so far;
@@ -44,6 +45,7 @@
 pub mod rank;
 pub mod record;
 pub mod spec;
+pub mod start_calls;
 pub mod teams;
 pub mod tickets;
 pub mod worker;
--- a/crates/mangotrestle-core/src/workflow/pool/crashes.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/crashes.rs
@@ -12,11 +12,7 @@
 
 /// Returns what is known of a run on a worker whose last answer arrived at `answered_at`.
 fn exposure(member: &Member, answered_at: TimeMs) -> Exposure {
-    Exposure::new(
-        member.has_unanswered_start(),
-        member.started_at,
-        answered_at,
-    )
+    Exposure::new(member.start_calls.is_open(), member.started_at, answered_at)
 }
 
 impl Pool {
--- a/crates/mangotrestle-core/src/workflow/pool/lives.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/lives.rs
@@ -111,7 +111,7 @@
         };
         let run = unit.run;
         let member = &mut unit.members[key.member as usize];
-        if member.has_unanswered_start() {
+        if member.start_calls.is_open() {
             member.born_ms = born_ms;
             if member.phase == Phase::Stopped {
                 // An earlier life confirmed the stop; the present one may still start the run.
@@ -136,6 +136,6 @@
         let worker = worker.filter(|worker| worker.is_life_younger_than(now, LATE_START_SPAN));
         let keys = worker.into_iter().flat_map(|worker| worker.tasks.keys());
         let mut members = keys.filter_map(|key| self.member(key));
-        members.any(|member| member.has_unanswered_start() && self.is_of_earlier_life(member))
+        members.any(|member| member.start_calls.is_open() && self.is_of_earlier_life(member))
     }
 }
--- a/crates/mangotrestle-core/src/workflow/pool/mod.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/mod.rs
@@ -243,6 +243,8 @@
         worker: id::WorkerId,
         /// The answer.
         answer: message::OrderAnswer,
+        /// Number of calls that may still be carried out.
+        open_calls: u32,
     },
     /// A run ended.
     RunEnded {
--- a/crates/mangotrestle-core/src/workflow/pool/orders.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/orders.rs
@@ -9,6 +9,7 @@
 
 use super::super::job::{MemberKey, Phase, Unit};
 use super::super::message::{OrderAnswer, TaskName};
+use super::super::start_calls::StartOutcome;
 use super::super::worker::Worker;
 use super::{Note, Order, Pool, lives};
 
@@ -73,14 +74,14 @@
             self.withdraw(now, key);
             return;
         }
-        if !is_within_team_limit && member.unanswered == 0 {
+        if !is_within_team_limit && !member.start_calls.is_open() {
             // The cap has shrunk since the run was assigned.
             self.withdraw(now, key);
             return;
         }
         if worker.is_unresponsive() {
             // An order would extend the lease, and only its expiry lets the run start elsewhere.
-            if member.unanswered == 0 {
+            if !member.start_calls.is_open() {
                 self.withdraw(now, key);
             }
             return;
@@ -95,6 +96,7 @@
         let member = &mut unit.members[key.member as usize];
         member.phase = Phase::Ordered;
         member.phase_since = now;
+        member.start_calls.add_call();
         let deadline = Self::deadline(worker, now, self.settings.max_lease);
         self.orders.push(Order::Start {
             worker: id,
@@ -109,25 +111,28 @@
         });
     }
 
-    /// Records that the answer to come is that of a repeated start, and that the first one has none and
-    /// may still be carried out.
-    pub fn start_left_unanswered(&mut self, key: &MemberKey, run: u32) {
-        let unit = self.unit_mut(&key.unit).filter(|unit| unit.run == run);
-        if let Some(unit) = unit {
-            unit.members[key.member as usize].unanswered += 1;
-        }
+    /// Records that the start in flight is about to be sent in a second call. Returns whether it still
+    /// should be; the outcome of the call is reported in either case.
+    pub fn start_repeated(&mut self, key: &MemberKey, run: u32) -> bool {
+        let Some(unit) = self.unit_mut(&key.unit).filter(|unit| unit.run == run) else {
+            return false;
+        };
+        let member = &mut unit.members[key.member as usize];
+        member.start_calls.add_call();
+        member.phase == Phase::Ordered
     }
 
-    /// Handles the answer to a start.
+    /// Handles the outcome of a start order.
     pub fn start_answered(
         &mut self,
         now: TimeMs,
         worker: &id::WorkerId,
         key: &MemberKey,
         run: u32,
-        answer: &OrderAnswer,
+        outcome: &StartOutcome,
         clock: Option<WorkerTimeMs>,
     ) {
+        let answer = outcome.answer();
         let sent_at = self.ordered_at(key, run, Phase::Ordered);
         if let Some(sent_at) = sent_at.filter(|_| answer.is_of_worker()) {
             self.order_lag.record(now, now.since(sent_at));
@@ -145,16 +150,15 @@
         if unit.run != run || member.worker.as_ref() != Some(worker) {
             return;
         }
-        if *answer == OrderAnswer::Unknown {
-            member.unanswered += 1;
-        }
-        let unanswered = member.unanswered;
+        member.start_calls.record_outcome(outcome);
+        let unanswered_orders = member.start_calls.unanswered_orders();
         if *answer != OrderAnswer::Done {
             self.notes.push(Note::OrderFailed {
                 task: key.task_name(),
                 run,
                 worker: worker.clone(),
                 answer: answer.clone(),
+                open_calls: member.start_calls.open(),
             });
         }
         if member.phase != Phase::Ordered {
@@ -182,7 +186,9 @@
                 self.send_start(now, key);
             }
             OrderAnswer::Fenced => member.phase = Phase::Bound,
-            OrderAnswer::NotSent | OrderAnswer::Unknown if unanswered < MAX_UNANSWERED_STARTS => {
+            OrderAnswer::NotSent | OrderAnswer::Unknown
+                if unanswered_orders < MAX_UNANSWERED_STARTS =>
+            {
                 member.phase = Phase::Bound;
                 self.retries.insert((now + RETRY_DELAY, key.clone()));
                 self.withdraw_if_unresponsive(now, worker, key);
@@ -208,8 +214,8 @@
             .get(worker)
             .is_some_and(Worker::is_unresponsive);
         let cannot_start = self
-            .unit(&key.unit)
-            .is_some_and(|unit| unit.members[key.member as usize].unanswered == 0);
+            .member(key)
+            .is_some_and(|member| !member.start_calls.is_open());
         if unresponsive && cannot_start {
             self.withdraw(now, key);
         }
@@ -232,7 +238,7 @@
             Phase::Free | Phase::Stopping | Phase::Stopped => {}
             // The row in the commit in flight may become durable, but no order was sent for it.
             Phase::Planned | Phase::Writing => self.release(now, key),
-            Phase::Bound if member.unanswered == 0 => self.release(now, key),
+            Phase::Bound if !member.start_calls.is_open() => self.release(now, key),
             Phase::Bound | Phase::Ordered | Phase::Running => {
                 member.phase = Phase::Stopping;
                 member.phase_since = now;
--- a/crates/mangotrestle-core/src/workflow/pool/placing.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/placing.rs
@@ -24,6 +24,7 @@
 use super::super::job::{Job, MemberKey, Phase, Step, StepKey, Unit, UnitKey};
 use super::super::rank::Rank;
 use super::super::spec::StepSpec;
+use super::super::start_calls::StartCalls;
 use super::super::worker::Worker;
 use super::progress::scaled;
 use super::queueing::QueueEntry;
@@ -837,7 +838,7 @@
             member.born_ms = state.and_then(|worker| worker.entry.born_ms);
             member.phase = Phase::Planned;
             member.phase_since = now;
-            member.unanswered = 0;
+            member.start_calls = StartCalls::default();
             member.pace_percent = 100;
             member.over_target_since = None;
         }
--- a/crates/mangotrestle-core/src/workflow/pool/release.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/release.rs
@@ -8,6 +8,7 @@
 use super::super::job::{MemberKey, Phase, StepKey, UnitKey};
 use super::super::message::{RunEnd, TaskName};
 use super::super::record::JobState;
+use super::super::start_calls::StartCalls;
 use super::progress::scaled;
 use super::{Note, Pool};
 
@@ -194,7 +195,7 @@
         let was_stored = !matches!(member.phase, Phase::Planned | Phase::Writing);
         member.phase = Phase::Free;
         member.phase_since = now;
-        member.unanswered = 0;
+        member.start_calls = StartCalls::default();
         member.started_at = None;
         member.born_ms = None;
         member.over_target_since = None;
--- a/crates/mangotrestle-core/tests/workflow/main.rs
+++ b/crates/mangotrestle-core/tests/workflow/main.rs
@@ -25,6 +25,7 @@
 mod row_limits;
 mod shrinking;
 mod speeds;
+mod start_calls;
 mod teams;
 mod ticket_lines;
 mod tickets;
--- a/crates/mangotrestle-core/tests/workflow/world.rs
+++ b/crates/mangotrestle-core/tests/workflow/world.rs
@@ -5,8 +5,9 @@
 pub mod divided;
 mod faults;
 pub mod processor;
+pub mod start_script;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -24,6 +25,8 @@
 };
 use mangotrestle_core::workflow::record::{AssignmentRow, EndRow, JobState, RowFormat};
 use mangotrestle_core::workflow::spec::{JobRecord, QueuePolicy, StepSpec};
+use mangotrestle_core::workflow::start_calls::StartOutcome;
+use start_script::StartScript;
 
 /// Maximum lease of the workers.
 pub const MAX_LEASE: SpanMs = SpanMs(10_000);
@@ -107,6 +110,12 @@
     },
     /// An answer arrives at the leader of a term.
     Answer { term: u64, answer: Answer },
+    /// The leader of a term repeats a start.
+    StartRepeated {
+        term: u64,
+        member: MemberKey,
+        run: u32,
+    },
     /// The commit of a term is carried out.
     Commit { term: u64, commit: Commit },
     /// A worker crashes under a task.
@@ -121,7 +130,7 @@
 
 #[derive(Debug)]
 enum Answer {
-    Start(WorkerId, MemberKey, u32, OrderAnswer, Option<WorkerTimeMs>),
+    Start(WorkerId, MemberKey, u32, StartOutcome, Option<WorkerTimeMs>),
     Stop(WorkerId, TaskName, u32, OrderAnswer, Option<WorkerTimeMs>),
     Hold(WorkerId, Result<WorkerReport, PollFailure>),
     Advice(StepKey, Vec<WorkerId>, Option<Vec<(WorkerId, String)>>),
@@ -182,6 +191,8 @@
     cancelled_at: BTreeMap<JobId, u64>,
     /// Faults of the network.
     pub network: Network,
+    /// What becomes of the next start orders; later ones are carried out and answered.
+    pub start_script: VecDeque<StartScript>,
     /// Violations so far.
     pub violations: Violations,
     /// Whether the store is available.
@@ -381,6 +392,7 @@
             failures: BTreeMap::new(),
             cancelled_at: BTreeMap::new(),
             network: Network::default(),
+            start_script: VecDeque::new(),
             violations: Violations::default(),
             store_up: true,
             row_format: RowFormat::Ranges,
@@ -676,6 +688,12 @@
                 }
                 _ => {}
             }
+            if matches!(order, Order::Start { .. })
+                && let Some(script) = self.start_script.pop_front()
+            {
+                self.send_scripted_start(&order, &script);
+                continue;
+            }
             let chance = self.random_below(1_000);
             let late = matches!(order, Order::Start { .. } | Order::Stop { .. })
                 && chance < self.network.late_orders_per_mille;
@@ -766,6 +784,9 @@
                     Some(processor) => processor.push_answer(term, answer),
                     None => self.take_answer(answer),
                 },
+                Event::StartRepeated { term, member, run } if term == self.term => {
+                    self.pool.start_repeated(&member, run);
+                }
                 Event::Commit { term, commit }
                     if term == self.term && self.drop_duplicates(&commit) =>
                 {
@@ -785,7 +806,7 @@
                 Event::Return(name) => self.add_worker(&name),
                 Event::Listed(id) => self.set_listed(&id, !self.unlisted.contains(&id)),
                 // The leader of an earlier term is gone, and the leadership row has changed.
-                Event::Answer { .. } | Event::Commit { .. } => {}
+                Event::Answer { .. } | Event::Commit { .. } | Event::StartRepeated { .. } => {}
             }
         }
     }
@@ -1025,7 +1046,7 @@
                 worker.clone(),
                 member.clone(),
                 run,
-                answer,
+                StartOutcome::of_call(answer),
                 clock,
             ))
         };
@@ -1355,7 +1376,7 @@
             worker.clone(),
             member.clone(),
             *run,
-            OrderAnswer::Unknown,
+            StartOutcome::of_call(OrderAnswer::Unknown),
             None,
         )),
         Order::Stop {
--- a/crates/mangotrestle/src/host/events.rs
+++ b/crates/mangotrestle/src/host/events.rs
@@ -339,10 +339,12 @@
             run,
             worker,
             answer,
+            open_calls,
         } => {
             metrics::counter!("mangotrestle_orders_failed_total").increment(1);
             slog::info!(log, "order.failed"; "task" => %task, "run" => run,
-                "worker" => worker.as_str(), "answer" => ?answer, "term" => term);
+                "worker" => worker.as_str(), "answer" => ?answer, "open_calls" => open_calls,
+                "term" => term);
         }
         Note::RunEnded {
             task,
--- a/crates/mangotrestle/src/host/orders.rs
+++ b/crates/mangotrestle/src/host/orders.rs
@@ -11,10 +11,11 @@
 use mangotrestle_core::workflow::feed_timing::FeedTiming;
 use mangotrestle_core::workflow::job::{MemberKey, StepKey};
 use mangotrestle_core::workflow::leadership;
-use mangotrestle_core::workflow::message::OrderAnswer;
+use mangotrestle_core::workflow::message::{OrderAnswer, WorkerReport};
 use mangotrestle_core::workflow::pool::{Order, PollFailure};
+use mangotrestle_core::workflow::start_calls::StartOutcome;
 use mangotrestle_peer::cell::{Acceptance, AdviceRequest};
-use mangotrestle_users_platform::worker::{HoldRequest, StartOrder};
+use mangotrestle_users_platform::worker::{HoldRequest, OrderResult, StartOrder};
 
 use super::cell::{Cell, lock};
 use super::events;
@@ -22,7 +23,7 @@
 use super::leader::Leader;
 use super::load::Work;
 use super::peers;
-use super::repeating::{self, Call, REPEAT_DELAY};
+use super::repeating::{self, OtherCall, REPEAT_DELAY};
 
 /// Timeout for an order; answers come within milliseconds, from slow machines later.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(500);
@@ -34,6 +35,9 @@
 /// request's timeout; added once more if a peer sends the request.
 const ADVICE_TIMEOUT_MARGIN: Duration = Duration::from_millis(1_500);
 
+/// Result of a poll of a worker.
+type PollResult = Result<WorkerReport, PollFailure>;
+
 /// Sends the orders that are due, each in its own task, and logs the pool's notes.
 pub(super) fn execute_orders(cell: &Arc<Cell>, leader: &Arc<Leader>) {
     let (orders, notes) = {
@@ -93,6 +97,7 @@
 fn answer_with_nothing(cell: &Cell, leader: &Leader, order: &Order) {
     let now = cell.clock.now();
     let unknown = OrderAnswer::Unknown;
+    let no_outcome = StartOutcome::of_call(OrderAnswer::Unknown);
     let mut state = lock(&leader.state);
     match order {
         Order::Start {
@@ -100,7 +105,7 @@
             member,
             run,
             ..
-        } => state.start_answered(now, worker, member, *run, &unknown, None),
+        } => state.start_answered(now, worker, member, *run, &no_outcome, None),
         Order::Stop {
             worker, task, run, ..
         } => state.stop_answered(now, worker, task, *run, &unknown, None),
@@ -212,17 +217,17 @@
                 checkpoint,
                 ticket: ticket.as_deref(),
             };
-            let (answer, clock) = if may_send_orders(leader) {
-                send_start(cell, leader, worker, address, &start, (member, run)).await
+            let (outcome, clock) = if may_send_orders(leader) {
+                send_start(cell, leader, worker, address, &start, member).await
             } else {
-                (OrderAnswer::NotSent, None)
+                (StartOutcome::of_call(OrderAnswer::NotSent), None)
             };
-            if answer == OrderAnswer::Fenced {
+            if *outcome.answer() == OrderAnswer::Fenced {
                 record_fenced(cell, leader, worker, life);
             }
             metrics::counter!("mangotrestle_starts_total").increment(1);
             let now = cell.clock.now();
-            lock(&leader.state).start_answered(now, worker, member, run, &answer, clock);
+            lock(&leader.state).start_answered(now, worker, member, run, &outcome, clock);
         }
         Order::Stop {
             worker,
@@ -276,31 +281,38 @@
 }
 
 /// Sends a start, and once more if there is no answer in the usual time: a worker carries out a run
-/// once.
+/// once. A refusal in one call doesn't decide, since the worker may carry out the other.
 async fn send_start(
     cell: &Arc<Cell>,
     leader: &Leader,
     worker: &id::WorkerId,
     address: &str,
     start: &StartOrder<'_>,
-    (member, run): (&MemberKey, u32),
-) -> (OrderAnswer, Option<WorkerTimeMs>) {
+    member: &MemberKey,
+) -> (StartOutcome, Option<WorkerTimeMs>) {
     let timeout = start_timeout(cell);
-    let send = || cell.workers.start(worker, address, start, timeout);
-    let may_repeat = || async {
-        if may_send_orders(leader) {
-            send().await
+    let send = |timeout| cell.workers.start(worker, address, start, timeout);
+    let repeat = || async {
+        let is_wanted = lock(&leader.state).start_repeated(member, start.run);
+        if is_wanted && may_send_orders(leader) {
+            send(timeout.saturating_sub(REPEAT_DELAY)).await
         } else {
             (OrderAnswer::NotSent, None)
         }
     };
-    let is_answer = |(answer, _): &(OrderAnswer, Option<WorkerTimeMs>)| answer.is_of_worker();
-    let outcomes = repeating::call(cell, send(), REPEAT_DELAY, may_repeat, is_answer).await;
+    let decides = |(answer, _): &OrderResult| answer.shows_run();
+    let first = send(timeout);
+    let may_repeat = || !repeating::is_late(cell);
+    let outcomes = repeating::call(first, REPEAT_DELAY, may_repeat, repeat, decides).await;
     events::start_repeated(&cell.log, start, worker, &outcomes);
-    if outcomes.call == Call::Repeated {
-        lock(&leader.state).start_left_unanswered(member, run);
+    let (answer, clock) = outcomes.deciding;
+    match outcomes.other {
+        OtherCall::NotMade | OtherCall::Open => (StartOutcome::of_call(answer), clock),
+        OtherCall::Ended((other, other_clock)) => {
+            let outcome = StartOutcome::of_calls([answer, other]);
+            (outcome, clock.or(other_clock))
+        }
     }
-    outcomes.deciding
 }
 
 /// Carries out an order to the leader of another pool.
@@ -367,7 +379,10 @@
             cell.workers.hold(worker, address, request, ORDER_TIMEOUT)
         };
         let delay = wait.as_duration() + REPEAT_DELAY;
-        let outcomes = repeating::call(cell, poll, delay, repeated, Result::is_ok).await;
+        // Any answer shows the worker's state; without one, the other call may still get it.
+        let decides = |result: &PollResult| !matches!(result, Err(PollFailure::NoAnswer));
+        let may_repeat = || !repeating::is_late(cell);
+        let outcomes = repeating::call(poll, delay, may_repeat, repeated, decides).await;
         outcomes.deciding
     } else {
         Err(PollFailure::NoAnswer)
--- a/crates/mangotrestle/src/host/repeating.rs
+++ b/crates/mangotrestle/src/host/repeating.rs
@@ -9,6 +9,9 @@
 
 use super::cell::Cell;
 
+#[cfg(test)]
+mod tests;
+
 /// Time beyond a call's usual duration after which it is sent again.
 pub(super) const REPEAT_DELAY: Duration = Duration::from_millis(150);
 /// Lag of a host from which it is late, and repeats no calls.
@@ -50,14 +53,15 @@
     pub(super) other: OtherCall<T>,
 }
 
-/// Makes a call, and `repeated` beside it if there is no answer after `delay`. Returns the first answer
-/// that is one by `is_answer`, otherwise the first call's outcome.
+/// Makes a call, and `repeated` beside it if there is no answer after `delay` and it may be repeated. Returns the first outcome
+/// for which `decides` holds, and drops the other call. If neither decides, the first call's outcome
+/// counts and both calls have ended.
 pub(super) async fn call<T, F: Future<Output = T>>(
-    cell: &Cell,
     first: impl Future<Output = T>,
     delay: Duration,
+    may_repeat: impl FnOnce() -> bool,
     repeated: impl FnOnce() -> F,
-    is_answer: impl Fn(&T) -> bool,
+    decides: impl Fn(&T) -> bool,
 ) -> Outcomes<T> {
     let mut first = std::pin::pin!(first);
     let outcomes = |call, deciding, other| Outcomes {
@@ -68,15 +72,24 @@
     if let Ok(outcome) = tokio::time::timeout(delay, &mut first).await {
         return outcomes(Call::First, outcome, OtherCall::NotMade);
     }
-    if is_late(cell) {
+    if !may_repeat() {
         return outcomes(Call::First, first.await, OtherCall::NotMade);
     }
     metrics::counter!("mangotrestle_calls_repeated_total").increment(1);
-    let repeated = std::pin::pin!(repeated());
+    let mut repeated = std::pin::pin!(repeated());
     tokio::select! {
-        outcome = &mut first => outcomes(Call::First, outcome, OtherCall::Open),
-        outcome = repeated => {
-            if is_answer(&outcome) {
+        outcome = &mut first => {
+            if decides(&outcome) {
+                return outcomes(Call::First, outcome, OtherCall::Open);
+            }
+            let second = repeated.await;
+            if decides(&second) {
+                return outcomes(Call::Repeated, second, OtherCall::Ended(outcome));
+            }
+            outcomes(Call::First, outcome, OtherCall::Ended(second))
+        }
+        outcome = &mut repeated => {
+            if decides(&outcome) {
                 return outcomes(Call::Repeated, outcome, OtherCall::Open);
             }
             outcomes(Call::First, first.await, OtherCall::Ended(outcome))
--- a/crates/mangotrestle/tests/host/main.rs
+++ b/crates/mangotrestle/tests/host/main.rs
@@ -8,6 +8,7 @@
 mod overload;
 mod platform;
 mod proxy;
+mod repeated_starts;
 mod restarting_workers;
 mod row_limits;
 mod silent_connections;
--- a/crates/mangotrestle/tests/host/worker.rs
+++ b/crates/mangotrestle/tests/host/worker.rs
@@ -1,6 +1,8 @@
-//! A stand-in for a worker: it carries out every start at once, and its task ends at once. It can crash
-//! and start again under its identifier: it then knows nothing of before, and its numbers start anew.
+//! A stand-in for a worker: it carries out every start at once, and its task ends at once. A start that
+//! is not higher than a run that was stopped or has ended there is rejected. It can crash and start again
+//! under its identifier: it then knows nothing of before, and its numbers start anew.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -26,6 +28,15 @@
     pub task: String,
 }
 
+/// What becomes of the two calls of a start that is sent twice.
+#[derive(Clone, Copy, Debug)]
+pub struct SplitStart {
+    /// Time after which the first call is refused; nothing is done.
+    pub refused_after: Duration,
+    /// Time after which the second call is carried out, even if its caller has gone.
+    pub carried_out_after: Duration,
+}
+
 #[derive(Default)]
 struct Runs {
     /// Start of its present life in milliseconds since the Unix epoch.
@@ -40,6 +51,14 @@
     finished: Vec<(u64, Value)>,
     last_end: u64,
     starts: Vec<Start>,
+    /// Highest run of each task that was stopped or has ended in this life.
+    over: BTreeMap<String, u64>,
+    /// What becomes of the calls of the next start.
+    next_split: Option<SplitStart>,
+    /// Name of the task whose start was refused, and after what time its second call is carried out.
+    split: Option<(String, Duration)>,
+    /// Number of second calls that have arrived.
+    split_starts: u32,
     /// Tasks whose end was acknowledged, and when.
     acknowledged: Vec<(String, Instant)>,
     /// Number of starts to come that get no answer and are not carried out.
@@ -85,6 +104,7 @@
             runs.down = true;
             runs.token = 0;
             runs.last_end = 0;
+            runs.over.clear();
             let unlisted = std::mem::take(&mut runs.finished);
             let tasks = unlisted.iter().map(|(_, end)| task_name(&end[1]));
             runs.crashed_tasks.extend(tasks);
@@ -131,6 +151,16 @@
         self.shared.runs.lock().expect("the runs").lost_start_at
     }
 
+    /// Refuses the first call of the next start, and carries out the second one.
+    pub fn split_next_start(&self, split: SplitStart) {
+        self.shared.runs.lock().expect("the runs").next_split = Some(split);
+    }
+
+    /// Whether a start was refused in its first call and sent in a second one.
+    pub fn has_split_start(&self) -> bool {
+        self.shared.runs.lock().expect("the runs").split_starts > 0
+    }
+
     /// Leaves the next poll unanswered.
     pub fn lose_next_poll(&self) {
         self.shared.runs.lock().expect("the runs").polls_to_lose = 1;
@@ -192,7 +222,18 @@
 async fn stop_run(State(worker): State<Arc<Shared>>, Json(order): Json<Value>) -> Response {
     hang_if_crashed(&worker, None).await;
     let mut runs = worker.runs.lock().expect("the runs");
-    fence(&mut runs, &order).unwrap_or_else(|| clock().into_response())
+    if let Some(refusal) = fence(&mut runs, &order) {
+        return refusal;
+    }
+    end_run(&mut runs, &order);
+    clock().into_response()
+}
+
+/// Records that a run was stopped or has ended.
+fn end_run(runs: &mut Runs, order: &Value) {
+    let run = order["run"].as_u64().unwrap_or_default();
+    let over = runs.over.entry(task_name(&order["task"])).or_default();
+    *over = run.max(*over);
 }
 
 async fn start_run(State(worker): State<Arc<Shared>>, Json(order): Json<Value>) -> Response {
@@ -207,11 +248,45 @@
     if is_lost {
         std::future::pending::<()>().await;
     }
+    let (refused_after, carried_out_after) = split_calls(&worker, &task_name(&order["task"]));
+    if let Some(delay) = refused_after {
+        tokio::time::sleep(delay).await;
+        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    }
+    let carried_out = async move {
+        tokio::time::sleep(carried_out_after).await;
+        carry_out_start(&worker, &order)
+    };
+    // Goes on if the caller closes the connection.
+    let carried_out = tokio::spawn(carried_out).await;
+    carried_out.expect("the answer to the start")
+}
+
+/// Returns after what time a call of a task's start is refused, or after what time it is carried out.
+fn split_calls(worker: &Shared, task: &str) -> (Option<Duration>, Duration) {
+    let mut runs = worker.runs.lock().expect("the runs");
+    if let Some(split) = runs.next_split.take() {
+        runs.split = Some((task.to_owned(), split.carried_out_after));
+        return (Some(split.refused_after), Duration::ZERO);
+    }
+    let second = runs.split.take_if(|(name, _)| name == task);
+    runs.split_starts += u32::from(second.is_some());
+    (None, second.map_or(Duration::ZERO, |(_, delay)| delay))
+}
+
+fn carry_out_start(worker: &Shared, order: &Value) -> Response {
     {
         let mut runs = worker.runs.lock().expect("the runs");
-        if let Some(refusal) = fence(&mut runs, &order) {
+        if let Some(refusal) = fence(&mut runs, order) {
             return refusal;
         }
+        let run = order["run"].as_u64().unwrap_or_default();
+        let over = runs.over.get(&task_name(&order["task"]));
+        if over.is_some_and(|&over| run <= over) {
+            let body = json!({"clock_ms": 1_000, "reason": "old"});
+            return (StatusCode::CONFLICT, Json(body)).into_response();
+        }
+        end_run(&mut runs, order);
         runs.starts.push(Start {
             at: Instant::now(),
             task: task_name(&order["task"]),
