Conclude nothing from a list of ends that may be cut

Cause: a worker lists 500 ends at a time, and the others only once the first ones are acknowledged. The pool took a run that was neither running nor among the listed ends for missing: it stopped it, and released it after the next such list. While the commit with the first ends is in doubt nothing can be acknowledged, so the same 500 come again. A leader that has just loaded its runs got there on the same way: its repeated start is answered `old`, and the run is then missing.

Change: a report with as many ends as it can hold says so, unreadable rows counted. From such a report nothing is concluded about a run that it does not list, neither of the present life nor of an earlier one. The worker is polled again without a wait as soon as the listed ends are durable, which brings the rest; an acknowledgement still needs a poll that was answered a short time before, so that a later life forgets nothing. `worker.ends_cut` and `mangotrestle_cut_reports_total` show such reports.

Tests: the simulated worker, and the one that real hosts are tested with, listed all ends at once; they now list 500 as the users' page says. The simulation now also counts an end as done that is acknowledged after a later run has started.

--- a/crates/mangotrestle-core/src/workflow/message.rs
+++ b/crates/mangotrestle-core/src/workflow/message.rs
@@ -160,6 +160,9 @@
     pub finished: Vec<FinishedTask>,
     /// Highest number in the list of ended runs, malformed rows included.
     pub highest_number: u64,
+    /// Whether the list holds as many ended runs as one report can, so that there may be more. Of a run
+    /// that such a report does not list, it says nothing.
+    pub ends_may_be_cut: bool,
 }
 
 /// Answer to an order.
--- a/crates/mangotrestle-core/src/workflow/pool/mod.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/mod.rs
@@ -305,6 +305,17 @@
         /// Number of the last ended run received from the worker.
         received_end: u64,
     },
+    /// A worker listed as many ended runs as one report holds, so there may be more.
+    EndsCut {
+        /// The worker.
+        worker: id::WorkerId,
+        /// Number of ended runs in the report.
+        listed: usize,
+        /// Number of the last ended run received from the worker.
+        received_end: u64,
+        /// Number of the last ended run whose effects are durable.
+        durable_end: u64,
+    },
     /// A worker has started again under its identifier.
     WorkerRestarted {
         /// The worker.
--- a/crates/mangotrestle-core/src/workflow/pool/reports.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/reports.rs
@@ -53,7 +53,7 @@
 fn hold_wait(settings: &PoolSettings, worker: &Worker, until_end: SpanMs) -> SpanMs {
     let is_shared = worker.serving_tasks > 0 && worker.best_effort_tasks > 0;
     match () {
-        () if worker.tasks.is_empty() || !worker.answered => SpanMs(0),
+        () if worker.tasks.is_empty() || !worker.answered || worker.ends_may_be_cut => SpanMs(0),
         () if worker.trial.is_some() => STARTUP_SPAN,
         () if is_shared && worker.over_target => OVERRUN_HOLD_WAIT,
         () if is_shared => SpanMs(settings.max_target_overrun.0 / SHARED_HOLD_WAIT_DIVISOR),
@@ -193,7 +193,13 @@
         }
         let previous_end = worker.received_end;
         worker.received_end = worker.received_end.max(report.highest_number);
-        worker.next_hold_at = now + poll_interval;
+        worker.ends_may_be_cut = report.ends_may_be_cut;
+        // The next poll brings the other ends if it acknowledges these.
+        worker.next_hold_at = if report.ends_may_be_cut {
+            now
+        } else {
+            now + poll_interval
+        };
         let mut present = FastSet::default();
         let mut unexpected_runs = 0;
         for running in &report.running {
@@ -222,6 +228,9 @@
                 );
             }
         }
+        if report.ends_may_be_cut {
+            self.note_cut_report(id, report.finished.len());
+        }
         self.settle_missing_runs(now, id, sent_at, &present);
         self.end_survived_trial(id);
         let over_target = present.iter().any(|key| {
@@ -359,7 +368,20 @@
         });
     }
 
-    /// Handles members that should be on a worker and are not in its report.
+    /// Notes a report that may lack ended runs.
+    fn note_cut_report(&mut self, id: &id::WorkerId, listed: usize) {
+        if let Some(worker) = self.workers.get(id) {
+            self.notes.push(Note::EndsCut {
+                worker: id.clone(),
+                listed,
+                received_end: worker.received_end,
+                durable_end: worker.durable_end,
+            });
+        }
+    }
+
+    /// Handles members that should be on a worker and are not in its report. A report that may lack ended
+    /// runs says nothing of them: they may be among those.
     fn settle_missing_runs(
         &mut self,
         now: TimeMs,
@@ -375,7 +397,13 @@
             .filter(|key| !present.contains(*key))
             .cloned()
             .collect();
-        self.settle_earlier_lives(now, id, sent_at, &missing);
+        let is_complete = self
+            .workers
+            .get(id)
+            .is_some_and(|worker| !worker.ends_may_be_cut);
+        if is_complete {
+            self.settle_earlier_lives(now, id, sent_at, &missing);
+        }
         for key in missing {
             let Some(unit) = self.unit(&key.unit) else {
                 continue;
@@ -384,7 +412,7 @@
             let polled_after_confirmation = sent_at > member.confirmed_at;
             match member.phase {
                 Phase::Bound => self.send_start(now, &key),
-                Phase::Running if polled_after_confirmation => {
+                Phase::Running if is_complete && polled_after_confirmation => {
                     self.notes.push(Note::RunMissing {
                         task: key.task_name(),
                         run: unit.run,
@@ -393,7 +421,7 @@
                     });
                     self.stop_member(now, &key);
                 }
-                Phase::Stopped if polled_after_confirmation => {
+                Phase::Stopped if is_complete && polled_after_confirmation => {
                     self.release(now, &key);
                     self.abort_run(now, &key.unit);
                 }
--- a/crates/mangotrestle-core/src/workflow/worker.rs
+++ b/crates/mangotrestle-core/src/workflow/worker.rs
@@ -160,6 +160,8 @@
     pub over_target: bool,
     /// Number of unexpected runs in its last report.
     pub unexpected_runs: u32,
+    /// Whether its last report may lack ended runs. It lists the others once these are acknowledged.
+    pub ends_may_be_cut: bool,
 }
 
 impl Worker {
@@ -212,6 +214,7 @@
             paced: false,
             over_target: false,
             unexpected_runs: 0,
+            ends_may_be_cut: false,
         }
     }
 
--- a/crates/mangotrestle-core/tests/workflow/main.rs
+++ b/crates/mangotrestle-core/tests/workflow/main.rs
@@ -4,6 +4,7 @@
 mod advice_hosts;
 mod crash_evidence;
 mod crashing_tasks;
+mod cut_reports;
 mod division;
 mod draining;
 mod estimates;
--- a/crates/mangotrestle-core/tests/workflow/world.rs
+++ b/crates/mangotrestle-core/tests/workflow/world.rs
@@ -45,6 +45,9 @@
 /// Time beyond the expected one after which a ticket request counts as failed.
 const TICKET_REQUEST_TIMEOUT_MS: u64 = 1_500;
 
+/// Maximum number of ended runs in a worker's report.
+const MAX_LISTED_ENDS: usize = 500;
+
 /// Maximum size of a row in the store.
 pub const MAX_ROW_BYTES: usize = 65_536;
 
@@ -72,6 +75,8 @@
     next_number: u64,
     highest_ended: BTreeMap<String, u32>,
     lease_until: u64,
+    /// Number of the last run that had ended when the lease last expired.
+    lapsed_end: u64,
     fence: u64,
     /// Whether messages reach it.
     pub reachable: bool,
@@ -157,6 +162,9 @@
     pub acknowledged_too_early: u32,
     /// Starts of a task beyond the second after it had crashed three workers.
     pub started_after_crashes: u32,
+    /// Ends as done that were acknowledged to the worker after a later run of the task had been started,
+    /// although the worker's lease had not expired since.
+    pub restarted_after_done: u32,
 }
 
 /// The simulation.
@@ -246,6 +254,8 @@
     pub orders_to_pools: Vec<Order>,
     /// Names of all tasks that workers have started.
     pub started_tasks: BTreeSet<String>,
+    /// Highest run of each task that a worker has started.
+    latest_runs: BTreeMap<String, u32>,
     name: String,
     /// Submissions of the commit that was undone which had been accepted earlier.
     duplicates: Vec<JobId>,
@@ -376,6 +386,7 @@
             duplicates: Vec::new(),
             orders_to_pools: Vec::new(),
             started_tasks: BTreeSet::new(),
+            latest_runs: BTreeMap::new(),
             term: TERM_STEP,
             commit_in_flight: false,
             pending_events: BTreeMap::new(),
@@ -445,6 +456,7 @@
             next_number: 1,
             highest_ended: BTreeMap::new(),
             lease_until: 0,
+            lapsed_end: 0,
             fence: 0,
             reachable: true,
             alive: true,
@@ -995,6 +1007,11 @@
         }
         for end in model.finished.iter().filter(|end| end.number <= last_seen) {
             if end.end == RunEnd::Done {
+                let latest = self.latest_runs.get(&end.task.to_string());
+                let has_lapsed = end.number <= model.lapsed_end;
+                if !has_lapsed && latest.is_some_and(|&latest| latest > end.run) {
+                    self.violations.restarted_after_done += 1;
+                }
                 self.done_tasks.insert(end.task.to_string());
                 if !is_durably_done(&self.inbox, &self.assignments, &self.ended, &end.task) {
                     self.violations.acknowledged_too_early += 1;
@@ -1014,12 +1031,15 @@
                 .min(100),
             measurement: None,
         });
+        let finished = model.finished.iter().take(MAX_LISTED_ENDS);
+        let finished: Vec<FinishedTask> = finished.cloned().collect();
         let report = WorkerReport {
             clock: Some(model.clock(now)),
             born_ms: model.entry.born_ms,
             running: running.collect(),
-            finished: model.finished.clone(),
-            highest_number: model.finished.last().map_or(0, |end| end.number),
+            highest_number: finished.last().map_or(0, |end| end.number),
+            ends_may_be_cut: finished.len() == MAX_LISTED_ENDS,
+            finished,
         };
         Answer::Hold(worker, Ok(report))
     }
@@ -1096,6 +1116,8 @@
         let name = task.to_string();
         self.starts += 1;
         self.started_tasks.insert(name.clone());
+        let latest = self.latest_runs.entry(name.clone()).or_default();
+        *latest = run.max(*latest);
         let record = self.inbox.get(&task.job).cloned();
         let Some(record) = record else {
             // Its rows are removed, so the job has ended; starting it is a second run.
@@ -1254,6 +1276,9 @@
             for (name, end) in ends {
                 model.end(&name, end);
             }
+            if now >= model.lease_until {
+                model.lapsed_end = model.next_number - 1;
+            }
         }
         // If one member of a gang ends as done, all members do.
         for model in self.workers.values_mut().filter(|model| model.alive) {
--- a/crates/mangotrestle-core/tests/workflow/world/faults.rs
+++ b/crates/mangotrestle-core/tests/workflow/world/faults.rs
@@ -67,6 +67,7 @@
         model.highest_ended.clear();
         model.next_number = 1;
         model.lease_until = 0;
+        model.lapsed_end = 0;
         model.fence = 0;
         model.clock_zero = self.now;
         model.entry.born_ms = Some(self.now);
--- a/crates/mangotrestle/src/host/events.rs
+++ b/crates/mangotrestle/src/host/events.rs
@@ -390,6 +390,7 @@
         | Note::UnexpectedRun { .. }
         | Note::RunMissing { .. } => log_withdrawn_run(log, term, note),
         Note::WorkerUnresponsive { .. }
+        | Note::EndsCut { .. }
         | Note::WorkerRestarted { .. }
         | Note::WorkerLapsed { .. }
         | Note::WorkerQuarantined { .. }
@@ -490,6 +491,16 @@
             slog::warn!(log, "worker.restarted"; "worker" => worker.as_str(),
                 "born_ms" => born_ms, "runs" => runs, "received_end" => received_end);
         }
+        Note::EndsCut {
+            worker,
+            listed,
+            received_end,
+            durable_end,
+        } => {
+            metrics::counter!("mangotrestle_cut_reports_total").increment(1);
+            slog::info!(log, "worker.ends_cut"; "worker" => worker.as_str(), "listed" => listed,
+                "received_end" => received_end, "durable_end" => durable_end);
+        }
         Note::WorkerUnresponsive { worker, runs } => {
             slog::warn!(log, "worker.silent"; "worker" => worker.as_str(), "runs" => runs);
         }
--- a/crates/mangotrestle/tests/host/worker.rs
+++ b/crates/mangotrestle/tests/host/worker.rs
@@ -16,6 +16,8 @@
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
 
+/// Maximum number of ended runs in a report.
+const MAX_LISTED_ENDS: usize = 500;
 /// Time from a crash until the worker has started again.
 pub const RESTART_TIME: Duration = Duration::from_millis(600);
 
@@ -333,7 +335,8 @@
     }
     hang_if_crashed(&worker, Some(born_ms)).await;
     let runs = worker.runs.lock().expect("the runs");
-    let finished: Vec<&Value> = runs.finished.iter().map(|(_, end)| end).collect();
+    let listed = runs.finished.iter().take(MAX_LISTED_ENDS);
+    let finished: Vec<&Value> = listed.map(|(_, end)| end).collect();
     let report = json!({"clock_ms": 1_000, "born": runs.born_ms, "running": [],
         "finished": finished});
     Json(report).into_response()
