Select the outcome of a repeated call in one place

The two branches of the sender repeated the choice between both outcomes. `settles_run` says what it is about: the answer to one call that makes the other one harmless. Behaviour is unchanged; the tests of repeating calls, start calls and repeated starts pass.

--- a/crates/mangotrestle-core/src/workflow/message.rs
+++ b/crates/mangotrestle-core/src/workflow/message.rs
@@ -193,10 +193,10 @@
 }
 
 impl OrderAnswer {
-    /// Whether the answer to a start shows that the run has begun on the worker, or cannot begin there
-    /// any more.
+    /// Whether the answer to one call of a start settles what the others do: the run has begun on the
+    /// worker, or cannot begin there any more.
     #[must_use]
-    pub const fn shows_run(&self) -> bool {
+    pub const fn settles_run(&self) -> bool {
         matches!(self, Self::Done | Self::Old)
     }
 
--- a/crates/mangotrestle-core/src/workflow/start_calls.rs
+++ b/crates/mangotrestle-core/src/workflow/start_calls.rs
@@ -31,8 +31,8 @@
     /// Returns the outcome of an order that was sent in two calls which have both ended.
     #[must_use]
     pub fn of_calls(answers: [OrderAnswer; 2]) -> Self {
-        let closed = answers.iter().filter(|answer| answer.closes_call());
-        let closed_calls = closed.fold(0, |calls, _| calls + 1);
+        let closed = answers.iter().map(|answer| u32::from(answer.closes_call()));
+        let closed_calls = closed.sum();
         let [first, second] = answers;
         let answer = if second.precedence() > first.precedence() {
             second
@@ -61,7 +61,7 @@
     /// Returns how much the answer to one of two calls says about the run, compared with the other.
     const fn precedence(&self) -> u8 {
         match self {
-            _ if self.shows_run() => 3,
+            _ if self.settles_run() => 3,
             // That nothing was sent in one call must not hide that the other has no answer.
             Self::NotSent => 0,
             Self::Unknown => 1,
--- a/crates/mangotrestle/src/host/orders.rs
+++ b/crates/mangotrestle/src/host/orders.rs
@@ -300,7 +300,7 @@
             (OrderAnswer::NotSent, None)
         }
     };
-    let decides = |(answer, _): &OrderResult| answer.shows_run();
+    let decides = |(answer, _): &OrderResult| answer.settles_run();
     let first = send(timeout);
     let may_repeat = || !repeating::is_late(cell);
     let outcomes = repeating::call(first, REPEAT_DELAY, may_repeat, repeat, decides).await;
--- a/crates/mangotrestle/src/host/repeating.rs
+++ b/crates/mangotrestle/src/host/repeating.rs
@@ -53,9 +53,9 @@
     pub(super) other: OtherCall<T>,
 }
 
-/// Makes a call, and `repeated` beside it if there is no answer after `delay` and it may be repeated. Returns the first outcome
-/// for which `decides` holds, and drops the other call. If neither decides, the first call's outcome
-/// counts and both calls have ended.
+/// Makes a call, and `repeated` beside it if there is no answer after `delay` and it may be repeated.
+/// Returns the first outcome for which `decides` holds, and drops the other call. If neither decides, the
+/// first call's outcome counts and both calls have ended.
 pub(super) async fn call<T, F: Future<Output = T>>(
     first: impl Future<Output = T>,
     delay: Duration,
@@ -77,22 +77,20 @@
     }
     metrics::counter!("mangotrestle_calls_repeated_total").increment(1);
     let mut repeated = std::pin::pin!(repeated());
-    tokio::select! {
-        outcome = &mut first => {
-            if decides(&outcome) {
-                return outcomes(Call::First, outcome, OtherCall::Open);
-            }
-            let second = repeated.await;
-            if decides(&second) {
-                return outcomes(Call::Repeated, second, OtherCall::Ended(outcome));
-            }
-            outcomes(Call::First, outcome, OtherCall::Ended(second))
-        }
-        outcome = &mut repeated => {
-            if decides(&outcome) {
-                return outcomes(Call::Repeated, outcome, OtherCall::Open);
-            }
-            outcomes(Call::First, first.await, OtherCall::Ended(outcome))
-        }
+    let (ended, outcome) = tokio::select! {
+        outcome = &mut first => (Call::First, outcome),
+        outcome = &mut repeated => (Call::Repeated, outcome),
+    };
+    if decides(&outcome) {
+        return outcomes(ended, outcome, OtherCall::Open);
+    }
+    let (first, second) = match ended {
+        Call::First => (outcome, repeated.await),
+        Call::Repeated => (first.await, outcome),
+    };
+    if decides(&second) {
+        outcomes(Call::Repeated, second, OtherCall::Ended(first))
+    } else {
+        outcomes(Call::First, first, OtherCall::Ended(second))
     }
 }
