--- a/crates/mangotrestle/tests/host/platform.rs
+++ b/crates/mangotrestle/tests/host/platform.rs
@@ -1,5 +1,6 @@
 //! A stand-in for the store of the users' platform, kept in memory, and helpers that start hosts and
 //! call them.
+#![allow(dead_code, reason = "each test target uses only a part of this module")]
 
 use std::collections::BTreeSet;
 use std::collections::btree_map::{BTreeMap, Entry};
@@ -404,6 +405,12 @@
     }
 
     fn write_configuration(&self, version: u64, path_prefixes: &[&str]) {
+        let limits = json!({"max_header_bytes": 16_384, "max_body_bytes": 262_144,
+            "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000});
+        self.write_configuration_with(version, path_prefixes, &limits);
+    }
+
+    fn write_configuration_with(&self, version: u64, path_prefixes: &[&str], limits: &Value) {
         let route = |path_prefix: &&str| {
             json!({"name": format!("r{path_prefix}"), "host": CALLER_HOST,
                 "path_prefix": path_prefix, "service": "pool", "priority": 0,
@@ -413,11 +420,16 @@
             "version": version,
             "routes": path_prefixes.iter().map(route).collect::<Vec<Value>>(),
             "services": [{"name": "pool", "rejects_overload": false}],
-            "limits": {"max_body_bytes": 262_144},
+            "limits": limits,
         });
         self.write_row("op", "config", &configuration);
     }
 
+    /// Puts a configuration with the usual queue and these limits of requests into force.
+    pub fn set_request_limits(&self, version: u64, limits: &Value) {
+        self.write_configuration_with(version, &[QUEUE_PATH], limits);
+    }
+
     /// Puts a configuration into force whose queue needs a key of one of these teams.
     pub fn set_teams(&self, version: u64, teams: &[(&str, &[&str])]) {
         let team = |(name, keys): &(&str, &[&str])| {
@@ -601,6 +613,21 @@
 /// Memory that a host may use.
 pub const MEMORY_MB: u64 = 260;
 
+/// What a host may use of its machine.
+#[derive(Clone, Copy)]
+pub struct MachineLimits {
+    /// Memory, in MB.
+    pub memory_mb: u64,
+    /// Open descriptors.
+    pub max_fds: u64,
+}
+
+/// The limits of a machine of the smaller deployments.
+const MACHINE_LIMITS: MachineLimits = MachineLimits {
+    memory_mb: MEMORY_MB,
+    max_fds: 4_100,
+};
+
 /// A host process, killed on drop.
 pub struct Host {
     process: Child,
@@ -617,18 +644,23 @@
     /// Starts a host that reaches the store at an address. A process of another test may take one of
     /// its ports first; it is then started with others.
     pub async fn start_with_store(name: &str, store: SocketAddr) -> Self {
+        Self::start_on_machine(name, store, MACHINE_LIMITS).await
+    }
+
+    /// Like [`Host::start_with_store`], on a machine with these limits.
+    pub async fn start_on_machine(name: &str, store: SocketAddr, limits: MachineLimits) -> Self {
         for _ in 1..MAX_START_ATTEMPTS {
-            let mut host = Self::spawn(name, store).await;
+            let mut host = Self::spawn(name, store, limits).await;
             if host.listens(name).await {
                 return host;
             }
         }
-        let mut host = Self::spawn(name, store).await;
+        let mut host = Self::spawn(name, store, limits).await;
         assert!(host.listens(name).await, "{name} at {} ended", host.front);
         host
     }
 
-    async fn spawn(name: &str, store: SocketAddr) -> Self {
+    async fn spawn(name: &str, store: SocketAddr, limits: MachineLimits) -> Self {
         let port = free_ports().await;
         let (readiness, peers) = (port + 1, port + 2);
         let front = SocketAddr::from(([127, 0, 0, 1], port));
@@ -636,7 +668,8 @@
             "node": name, "ip": "127.0.0.1", "zone": "a",
             "listen": {"front": front.to_string(), "readiness": format!("127.0.0.1:{readiness}")},
             "internal_ports": [peers, peers],
-            "limits": {"cpu_share": 0.25, "cores": 1, "memory_mb": MEMORY_MB},
+            "limits": {"cpu_share": 0.25, "cores": 1, "memory_mb": limits.memory_mb,
+                "max_fds": limits.max_fds},
             "platform": {"address": store.to_string(), "reads_per_s": READS_PER_S},
             "cloud": {"address": store.to_string()},
         });
@@ -678,6 +711,26 @@
         Caller::new(self.front)
     }
 
+    /// Returns the address for the load balancer's readiness checks.
+    pub const fn readiness_address(&self) -> SocketAddr {
+        SocketAddr::new(self.front.ip(), self.front.port() + 1)
+    }
+
+    /// Returns the address for other hosts.
+    pub const fn peer_address(&self) -> SocketAddr {
+        SocketAddr::new(self.front.ip(), self.front.port() + 2)
+    }
+
+    /// Returns the address for metrics.
+    pub const fn metrics_address(&self) -> SocketAddr {
+        SocketAddr::new(self.front.ip(), self.front.port() + PORTS_PER_HOST - 1)
+    }
+
+    /// Returns the identifier of the process.
+    pub fn process_id(&self) -> u32 {
+        self.process.id()
+    }
+
     /// Returns the address for callers.
     pub const fn address(&self) -> SocketAddr {
         self.front
@@ -685,8 +738,9 @@
 
     /// Returns the sum of the host's metrics with a name; zero if there is none.
     pub async fn metric(&self, name: &str) -> f64 {
-        let metrics = SocketAddr::new(self.front.ip(), self.front.port() + PORTS_PER_HOST - 1);
-        let answer = Caller::new(metrics).call_path("GET", "/metrics", "").await;
+        let answer = Caller::new(self.metrics_address())
+            .call_path("GET", "/metrics", "")
+            .await;
         assert_eq!(answer.status, 200, "{answer:?}");
         let lines = answer.body.lines().filter(|line| line.starts_with(name));
         lines
@@ -825,7 +879,12 @@
 
     /// Submits a job with this body.
     pub async fn submit_body(&self, number: u64, body: &Value) -> Answer {
-        self.call("POST", number, &body.to_string()).await
+        self.submit_text(number, &body.to_string()).await
+    }
+
+    /// Submits a job with the text of its body.
+    pub async fn submit_text(&self, number: u64, body: &str) -> Answer {
+        self.call("POST", number, body).await
     }
 
     /// Requests the number of pending jobs of the queue with a path prefix.
