--- a/crates/mangotrestle-core/src/lib.rs
+++ b/crates/mangotrestle-core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod collections;
 pub mod configuration;
 pub mod id;
+pub mod intake;
 pub mod job;
 pub mod journal;
 pub mod lease;
