Limit the heads, connections and waits of a host's callers

Callers saw a host end while clients sent heads without end, or empty lines without end before a request.

Cause: callers were served by `axum::serve` as it comes: its buffer for a head grows to 400 KB for each connection, a head and a silent connection may last for ever, and nothing bounds the number of connections. `max_header_bytes` and `header_timeout_ms` of the configuration were not decoded, and `idle_timeout_ms` was decoded and read by nothing.

Change: callers are served by `mangotrestle-http` with shares of the host's memory and descriptors, and with the limits of the configuration, which hold for open connections when a version changes them. Receive buffers are limited, since bytes that are not read yet count as well. The connection that has waited longest gives way, so that the crowd does not keep ordinary callers out; futures that are needed only after a request is complete are allocated then.

--- a/crates/mangotrestle-core/src/workflow/catalog.rs
+++ b/crates/mangotrestle-core/src/workflow/catalog.rs
@@ -44,8 +44,15 @@
     pub pools: Vec<PoolEntry>,
     /// The teams; unset if the deployment has none, and calls need no key.
     pub teams: Option<TeamDirectory>,
+    /// Maximum size of a request's head, in bytes; zero means the host's default.
+    #[serde(default)]
+    pub max_head_bytes: usize,
     /// Maximum size of a request body, in bytes; zero means the host's default.
     pub max_body_bytes: usize,
+    /// Maximum time that a caller takes to send a request's head, in milliseconds; zero means the
+    /// host's default.
+    #[serde(default)]
+    pub head_timeout_ms: u64,
     /// Time after which an idle connection is closed, in milliseconds; zero means the host's
     /// default.
     pub idle_timeout_ms: u64,
--- a/crates/mangotrestle-core/src/workflow/environment.rs
+++ b/crates/mangotrestle-core/src/workflow/environment.rs
@@ -70,8 +70,10 @@
     pub machines: Option<SocketAddr>,
     /// Time bounds.
     pub bounds: Bounds,
-    /// Memory limit of the process, in mebibytes.
+    /// Memory limit of the process, in mebibytes; zero if unknown.
     pub memory_mib: u64,
+    /// Limit of the process on open descriptors; zero if unknown.
+    pub max_descriptors: u64,
     /// Processor time limit of the process, in thousandths of a core; zero if unknown.
     pub cpu_millicores: u32,
 }
--- a/crates/mangotrestle-core/src/workflow/mod.rs
+++ b/crates/mangotrestle-core/src/workflow/mod.rs
@@ -36,6 +36,7 @@
 pub mod environment;
 pub mod estimate;
 pub mod feed_timing;
+pub mod intake_shares;
 pub mod job;
 pub mod lag;
 pub mod leadership;
--- a/crates/mangotrestle/src/host/front.rs
+++ b/crates/mangotrestle/src/host/front.rs
@@ -4,20 +4,22 @@
 use std::time::{Duration, Instant};
 
 use axum::body::Body;
-use axum::extract::{Request, State};
 use axum::response::{IntoResponse, Response};
 use axum::serve::ListenerExt;
 use displaydoc::Display;
-use http::{HeaderValue, Method, StatusCode, header};
+use http::{HeaderValue, Method, Request, StatusCode, header};
 use mangotrestle_core::collections::FastMap;
 use mangotrestle_core::id;
 use mangotrestle_core::time::SpanMs;
 use mangotrestle_core::workflow::admission::{self, Admission, ExpectedTime};
 use mangotrestle_core::workflow::catalog::{Catalog, Queue};
 use mangotrestle_core::workflow::division::Division;
+use mangotrestle_core::workflow::intake_shares::{self, IntakeShares};
 use mangotrestle_core::workflow::leadership::PoolSummary;
 use mangotrestle_core::workflow::spec::{JobPools, JobRecord};
 use mangotrestle_core::workflow::teams::identity::Caller;
+use mangotrestle_http::body::RequestBody;
+use mangotrestle_http::{RequestLimits, Server};
 use mangotrestle_peer::cell::Acceptance;
 use mangotrestle_users_platform::ingress;
 use rand::RngExt;
@@ -29,6 +31,12 @@
 use super::jobs;
 use super::load::Work;
 
+/// Maximum size of a request's head if the configuration sets none, in bytes.
+const DEFAULT_MAX_HEAD_BYTES: usize = 65_536;
+/// Maximum time for a request's head if the configuration sets none.
+const DEFAULT_HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// Maximum time that a connection waits for a request if the configuration sets none.
+const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(75);
 /// Maximum size of a request's body if the configuration sets none, in bytes.
 const DEFAULT_MAX_BODY_BYTES: usize = 262_144;
 /// Time for which a caller is assumed to wait if its request does not say.
@@ -44,7 +52,7 @@
 
 /// Answers the load balancer's readiness checks.
 pub(super) async fn serve_readiness(cell: Arc<Cell>, listener: TcpListener) {
-    let routes = axum::Router::new().fallback(move |request: Request| {
+    let routes = axum::Router::new().fallback(move |request: axum::extract::Request| {
         let cell = Arc::clone(&cell);
         async move {
             let is_readiness_path = request.uri().path() == ingress::READINESS_PATH;
@@ -60,30 +68,55 @@
 }
 
 /// Serves callers until `stop` becomes true, then finishes the requests in flight.
-pub(super) async fn serve(cell: Arc<Cell>, listener: TcpListener, mut stop: watch::Receiver<bool>) {
-    let log = cell.log.clone();
-    let routes = axum::Router::new()
-        .fallback(handle_request)
-        .with_state(cell);
+pub(super) async fn serve(cell: Arc<Cell>, listener: TcpListener, stop: watch::Receiver<bool>) {
+    let limited = mangotrestle_http::limit_receive_buffers(
+        &listener,
+        intake_shares::CALLER_RECEIVE_BUFFER_BYTES,
+    );
+    if let Err(error) = limited {
+        slog::warn!(cell.log, "front.receive_buffers_kept"; "error" => %error);
+    }
     let listener = listener.tap_io(|stream| {
         // A failure only makes answers a little slower.
         let _ = stream.set_nodelay(true);
     });
-    let server = axum::serve(listener, routes).with_graceful_shutdown(async move {
-        // A dropped sender also means stop.
-        let _ = stop.wait_for(|stop| *stop).await;
-    });
-    if let Err(error) = server.await {
-        slog::error!(log, "front.failed"; "error" => %error);
+    let limits_cell = Arc::clone(&cell);
+    let server = Server::builder("callers", IntakeShares::of(&cell.settings).callers)
+        .request_limits(move || request_limits(limits_cell.catalog.load().as_deref()))
+        .log(cell.log.clone())
+        .build();
+    let handler = move |request| {
+        let cell = Arc::clone(&cell);
+        async move { handle_request(&cell, request).await }
+    };
+    server.serve(listener, handler, stop).await;
+}
+
+/// Returns the limits of requests that the configuration sets; each that it does not set has a default.
+fn request_limits(catalog: Option<&Catalog>) -> RequestLimits {
+    let or_default = |time_ms: u64, default| match time_ms {
+        0 => default,
+        time_ms => Duration::from_millis(time_ms),
+    };
+    let max_head_bytes = catalog.map_or(0, |catalog| catalog.max_head_bytes);
+    let head_timeout_ms = catalog.map_or(0, |catalog| catalog.head_timeout_ms);
+    let idle_timeout_ms = catalog.map_or(0, |catalog| catalog.idle_timeout_ms);
+    RequestLimits {
+        max_head_bytes: match max_head_bytes {
+            0 => DEFAULT_MAX_HEAD_BYTES,
+            configured => configured,
+        },
+        head_timeout: or_default(head_timeout_ms, DEFAULT_HEAD_TIMEOUT),
+        idle_timeout: or_default(idle_timeout_ms, DEFAULT_IDLE_TIMEOUT),
     }
 }
 
-async fn handle_request(State(cell): State<Arc<Cell>>, request: Request) -> Response {
-    let answer = answer_request(&cell, request);
+async fn handle_request(cell: &Arc<Cell>, request: Request<RequestBody>) -> Response {
+    let answer = answer_request(cell, request);
     cell.load.measure(Work::Caller, answer).await
 }
 
-async fn answer_request(cell: &Arc<Cell>, request: Request) -> Response {
+async fn answer_request(cell: &Arc<Cell>, request: Request<RequestBody>) -> Response {
     cell.count_suspension();
     let is_current = cell.configuration_is_current()
         || (!cell.store_is_silent()
@@ -102,6 +135,10 @@
     let path = request.uri().path().to_owned();
     let queue = catalog.route(&host, &path);
     let method = request.method().clone();
+    if method != Method::POST {
+        // Only a submission has a body that matters.
+        request.body().pass_on();
+    }
     let is_count = |queue: &Queue| method == Method::GET && path.len() == queue.path_prefix.len();
     // A newer configuration may have added or removed the route. While the store answers nothing,
     // states of jobs are still shown as their leader knows them.
@@ -142,14 +179,20 @@
                 division: &division,
                 home: &home,
             };
-            submit(cell, &target, &job, request).await
+            Box::pin(submit(cell, &target, &job, request)).await
         }
-        Method::POST if jobs::is_known_to_leader(cell, &home, &job, viewer).await => {
+        Method::POST if Box::pin(jobs::is_known_to_leader(cell, &home, &job, viewer)).await => {
             StatusCode::OK.into_response()
         }
         Method::POST => refuse_as_outdated(cell, &catalog, &path),
-        Method::GET => answer_within(timeout, state(cell, queue, &home, &job, viewer)).await,
-        Method::DELETE => answer_within(timeout, cancel(cell, queue, &home, &job, viewer)).await,
+        Method::GET => {
+            let answer = state(cell, queue, &home, &job, viewer);
+            Box::pin(answer_within(timeout, answer)).await
+        }
+        Method::DELETE => {
+            let answer = cancel(cell, queue, &home, &job, viewer);
+            Box::pin(answer_within(timeout, answer)).await
+        }
         _ => StatusCode::METHOD_NOT_ALLOWED.into_response(),
     }
 }
@@ -178,7 +221,7 @@
 }
 
 /// Returns the time for which the caller waits for an answer.
-fn caller_timeout(request: &Request) -> Duration {
+fn caller_timeout(request: &Request<RequestBody>) -> Duration {
     request
         .headers()
         .get(ingress::DEADLINE_HEADER)
@@ -201,7 +244,7 @@
     cell: &Arc<Cell>,
     target: &Target<'_>,
     job: &id::JobId,
-    request: Request,
+    request: Request<RequestBody>,
 ) -> Response {
     let began = Instant::now();
     let timeout = caller_timeout(&request).mul_f64(ANSWER_TIME_SHARE);
@@ -209,7 +252,8 @@
         0 => DEFAULT_MAX_BODY_BYTES,
         configured => configured,
     };
-    let body = match axum::body::to_bytes(request.into_body(), max_bytes).await {
+    let body = Body::new(request.into_body());
+    let body = match axum::body::to_bytes(body, max_bytes).await {
         Ok(body) => body,
         Err(error) => {
             events::job_malformed(&cell.log, job, &error.to_string());
@@ -234,10 +278,13 @@
         events::job_malformed(&cell.log, job, &error.to_string());
         return StatusCode::PAYLOAD_TOO_LARGE.into_response();
     }
-    if let Some(refusal) = refuse_if_hopeless(cell, target, job, &record).await {
+    let refusing = refuse_if_hopeless(cell, target, job, &record);
+    if let Some(refusal) = Box::pin(refusing).await {
         return refusal;
     }
-    let acceptance = jobs::accept(cell, target.home, job, &Arc::new(record), timeout).await;
+    let record = Arc::new(record);
+    let accepting = jobs::accept(cell, target.home, job, &record, timeout);
+    let acceptance = Box::pin(accepting).await;
     events::job_answered(
         &cell.log,
         job,
--- a/crates/mangotrestle/tests/crowds/single_requests.rs
+++ b/crates/mangotrestle/tests/crowds/single_requests.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use serde_json::json;
+
 use super::crowd::{chunk, exchange, submission_head};
 use super::machine::Scene;
 use super::platform::job_body;
@@ -10,6 +12,8 @@
 const MAX_HEADER_BYTES: usize = 16_384;
 const MAX_BODY_BYTES: usize = 262_144;
 
+/// Time within which a configuration must be in force; the default of the settings.
+const CONFIGURATION_APPLY_TIME: Duration = Duration::from_secs(2);
 /// Duration of a slow request, less than its caller's timeout.
 const SLOW_REQUEST_TIME: Duration = Duration::from_secs(2);
 /// Duration of a pause between requests, less than the idle timeout.
@@ -41,6 +45,26 @@
     assert_eq!(status, 200);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_head_over_the_limit_of_a_new_configuration_is_refused() {
+    let scene = Scene::start().await;
+    let limits = json!({"max_header_bytes": 9_000, "max_body_bytes": MAX_BODY_BYTES});
+    scene.platform.set_request_limits(2, &limits);
+    tokio::time::sleep(CONFIGURATION_APPLY_TIME).await;
+    let head = |bytes| format!("GET / HTTP/1.1\r\nX-Filler: {}\r\n\r\n", "x".repeat(bytes));
+
+    let address = scene.host.address();
+    let below = exchange(address, &[head(8_500).as_bytes()], Duration::ZERO).await;
+    let above = exchange(
+        address,
+        &[head(MAX_HEADER_BYTES).as_bytes()],
+        Duration::ZERO,
+    )
+    .await;
+
+    assert_eq!((below, above), (404, 431));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn the_largest_body_is_served() {
     let scene = Scene::start().await;
