Count the bodies that a host holds for its callers

Callers saw a host end while many clients sent bodies of legal size, whole, piece by piece or in chunks, and stopped short of their end.

Cause: a body was collected frame by frame. Each frame keeps the buffer that it was read into, so that a chunk of one byte can hold some hundred, and nothing bounds what all bodies take together or how long an incomplete one is kept.

Change: a body is copied into one buffer whose growth counts toward the host's share for bodies. An incomplete body gives way to a later one, and is refused once its caller no longer waits, at the latest after 30 s. Both are refused with 503 and Retry-After before anything of the job was done.

--- a/crates/mangotrestle/src/host/events.rs
+++ b/crates/mangotrestle/src/host/events.rs
@@ -15,6 +15,7 @@
 use mangotrestle_core::workflow::pool::{BlockedStep, Note, TicketLoad, UnsettledRun};
 use mangotrestle_core::workflow::record::JobState;
 use mangotrestle_core::workflow::teams::shares::Holding;
+use mangotrestle_http::body::BodyError;
 use mangotrestle_peer::cell::Acceptance;
 use mangotrestle_users_platform::store::{RowName, Value};
 use mangotrestle_users_platform::transport::CallError;
@@ -100,6 +101,18 @@
     slog::info!(log, "job.malformed"; "job" => job.as_str(), "error" => error);
 }
 
+/// Logs a submitted job whose body was too large, late or cut off, or for which there was no room.
+pub(super) fn body_missing(log: &slog::Logger, job: &id::JobId, error: BodyError) {
+    let reason = match error {
+        BodyError::TooLarge { .. } => "too-large",
+        BodyError::Timeout => "timeout",
+        BodyError::NoRoom => "no-room",
+        BodyError::CutOff => "cut-off",
+    };
+    metrics::counter!("mangotrestle_bodies_missing_total", "reason" => reason).increment(1);
+    slog::info!(log, "job.body_missing"; "job" => job.as_str(), "reason" => reason);
+}
+
 /// Records what a host did since the last report, and logs it if the host leads pools or is late.
 pub(super) fn host_load(log: &slog::Logger, pools_led: usize, report: &LoadReport) {
     metrics::histogram!("mangotrestle_host_lag_seconds").record(report.max_lag.as_secs_f64());
--- a/crates/mangotrestle/src/host/front.rs
+++ b/crates/mangotrestle/src/host/front.rs
@@ -18,7 +18,7 @@
 use mangotrestle_core::workflow::leadership::PoolSummary;
 use mangotrestle_core::workflow::spec::{JobPools, JobRecord};
 use mangotrestle_core::workflow::teams::identity::Caller;
-use mangotrestle_http::body::RequestBody;
+use mangotrestle_http::body::{self, BodyError, RequestBody};
 use mangotrestle_http::{RequestLimits, Server};
 use mangotrestle_peer::cell::Acceptance;
 use mangotrestle_users_platform::ingress;
@@ -39,6 +39,8 @@
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(75);
 /// Maximum size of a request's body if the configuration sets none, in bytes.
 const DEFAULT_MAX_BODY_BYTES: usize = 262_144;
+/// Maximum time for a request's body, however long its caller waits.
+const MAX_BODY_TIME: Duration = Duration::from_secs(30);
 /// Time for which a caller is assumed to wait if its request does not say.
 const DEFAULT_CALLER_TIMEOUT: Duration = Duration::from_secs(3);
 /// Share of the caller's time that may be spent on a request; the rest is for the answer.
@@ -252,13 +254,11 @@
         0 => DEFAULT_MAX_BODY_BYTES,
         configured => configured,
     };
-    let body = Body::new(request.into_body());
-    let body = match axum::body::to_bytes(body, max_bytes).await {
+    let wait = caller_timeout(&request).min(MAX_BODY_TIME);
+    let deadline = tokio::time::Instant::now() + wait;
+    let body = match body::collect(request.into_body(), max_bytes, deadline).await {
         Ok(body) => body,
-        Err(error) => {
-            events::job_malformed(&cell.log, job, &error.to_string());
-            return StatusCode::PAYLOAD_TOO_LARGE.into_response();
-        }
+        Err(error) => return refuse_body(cell, job, error),
     };
     let policy = &target.queue.policy;
     let mut record = match ingress::decode_job(&body, policy, cell.clock.epoch_ms()) {
@@ -302,6 +302,20 @@
     }
 }
 
+/// Refuses a job whose body is not there. It has not been accepted, so it can be submitted again.
+fn refuse_body(cell: &Cell, job: &id::JobId, error: BodyError) -> Response {
+    events::body_missing(&cell.log, job, error);
+    match error {
+        BodyError::TooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE.into_response(),
+        BodyError::CutOff => StatusCode::BAD_REQUEST.into_response(),
+        BodyError::NoRoom | BodyError::Timeout => {
+            let spread_ms = rand::rng().random_range(0..MIN_RETRY_AFTER.0);
+            let retry_after = SpanMs(MIN_RETRY_AFTER.0 + spread_ms);
+            refuse(StatusCode::SERVICE_UNAVAILABLE, retry_after)
+        }
+    }
+}
+
 /// Why a job cannot be stored.
 #[derive(Debug, Display)]
 enum SizeError {
