Limit the connections for readiness checks and metrics

Callers lost a host, or got no answer of it, while clients that reach its other ports sent heads without end, opened connections, or asked for the metrics and did not read the answers.

Cause: both listeners were served by `axum::serve` as it comes, without a limit of heads, of connections or of their receive buffers.

--- a/crates/mangotrestle-core/src/workflow/intake_shares.rs
+++ b/crates/mangotrestle-core/src/workflow/intake_shares.rs
@@ -18,9 +18,9 @@
 /// Descriptors that the platform reserves for files.
 const FILE_DESCRIPTORS: u64 = 200;
 
-/// Size of the receive buffer of a caller's connection, in bytes. The system doubles it for its own
-/// bookkeeping.
-pub const CALLER_RECEIVE_BUFFER_BYTES: usize = 16 * 1024;
+/// Size of the receive buffer of a connection that is not a peer's, in bytes. The system doubles it for its
+/// own bookkeeping.
+pub const RECEIVE_BUFFER_BYTES: usize = 16 * 1024;
 /// Memory that a caller's connection takes, in bytes.
 const CALLER_CONNECTION_BYTES: u64 = 40 * KIB;
 /// Memory that a peer's connection takes, in bytes.
--- a/crates/mangotrestle/src/host/front.rs
+++ b/crates/mangotrestle/src/host/front.rs
@@ -14,7 +14,7 @@
 use mangotrestle_core::workflow::admission::{self, Admission, ExpectedTime};
 use mangotrestle_core::workflow::catalog::{Catalog, Queue};
 use mangotrestle_core::workflow::division::Division;
-use mangotrestle_core::workflow::intake_shares::{self, IntakeShares};
+use mangotrestle_core::workflow::intake_shares::IntakeShares;
 use mangotrestle_core::workflow::leadership::PoolSummary;
 use mangotrestle_core::workflow::spec::{JobPools, JobRecord};
 use mangotrestle_core::workflow::teams::identity::Caller;
@@ -54,30 +54,25 @@
 
 /// Answers the load balancer's readiness checks.
 pub(super) async fn serve_readiness(cell: Arc<Cell>, listener: TcpListener) {
-    let routes = axum::Router::new().fallback(move |request: axum::extract::Request| {
-        let cell = Arc::clone(&cell);
-        async move {
-            let is_readiness_path = request.uri().path() == ingress::READINESS_PATH;
-            match (is_readiness_path, cell.is_ready()) {
-                (true, true) => StatusCode::OK,
-                (true, false) => StatusCode::SERVICE_UNAVAILABLE,
-                (false, _) => StatusCode::NOT_FOUND,
-            }
-        }
-    });
+    let server = Server::builder("readiness", IntakeShares::of(&cell.settings).observers)
+        .log(cell.log.clone())
+        .build();
+    let handler = move |request: Request<RequestBody>| {
+        let is_readiness_path = request.uri().path() == ingress::READINESS_PATH;
+        let status = match (is_readiness_path, cell.is_ready()) {
+            (true, true) => StatusCode::OK,
+            (true, false) => StatusCode::SERVICE_UNAVAILABLE,
+            (false, _) => StatusCode::NOT_FOUND,
+        };
+        std::future::ready(status.into_response())
+    };
     // The server runs until the process ends.
-    let _ = axum::serve(listener, routes).await;
+    let (_stop, stopping) = watch::channel(false);
+    server.serve(listener, handler, stopping).await;
 }
 
 /// Serves callers until `stop` becomes true, then finishes the requests in flight.
 pub(super) async fn serve(cell: Arc<Cell>, listener: TcpListener, stop: watch::Receiver<bool>) {
-    let limited = mangotrestle_http::limit_receive_buffers(
-        &listener,
-        intake_shares::CALLER_RECEIVE_BUFFER_BYTES,
-    );
-    if let Err(error) = limited {
-        slog::warn!(cell.log, "front.receive_buffers_kept"; "error" => %error);
-    }
     let listener = listener.tap_io(|stream| {
         // A failure only makes answers a little slower.
         let _ = stream.set_nodelay(true);
--- a/crates/mangotrestle/src/host/mod.rs
+++ b/crates/mangotrestle/src/host/mod.rs
@@ -27,8 +27,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use axum::response::IntoResponse;
 use displaydoc::Display;
+use http::{Request, StatusCode};
 use mangotrestle_core::workflow::environment::HostSettings;
+use mangotrestle_core::workflow::intake_shares::{self, IntakeShares};
+use mangotrestle_http::Server;
+use mangotrestle_http::body::RequestBody;
 use mangotrestle_users_platform::settings;
 use tokio::signal::unix;
 
@@ -62,6 +67,9 @@
 /// readiness checks, one second apart, and a margin.
 const BALANCER_DRAIN_TIME: Duration = Duration::from_millis(2_300);
 
+/// Path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+
 /// Why a host cannot run.
 #[derive(Debug, Display)]
 pub enum HostError {
@@ -101,8 +109,8 @@
             address: settings.peer,
             error,
         })?;
-    let readiness_listener = listen("readiness", settings.readiness).await?;
-    let caller_listener = listen("callers", settings.front).await?;
+    let readiness_listener = listen("readiness", settings.readiness, &log).await?;
+    let caller_listener = listen("callers", settings.front, &log).await?;
     serve_metrics(&settings, &log).await;
     let (stop_sender, stop_receiver) = tokio::sync::watch::channel(false);
     tokio::spawn(front::serve_readiness(
@@ -145,14 +153,21 @@
 async fn listen(
     what: &'static str,
     address: std::net::SocketAddr,
+    log: &slog::Logger,
 ) -> Result<tokio::net::TcpListener, HostError> {
-    tokio::net::TcpListener::bind(address)
+    let listener = tokio::net::TcpListener::bind(address)
         .await
         .map_err(|error| HostError::Listen {
             what,
             address,
             error,
-        })
+        })?;
+    let limited =
+        mangotrestle_http::limit_receive_buffers(&listener, intake_shares::RECEIVE_BUFFER_BYTES);
+    if let Err(error) = limited {
+        slog::warn!(log, "listener.receive_buffers_kept"; "listener" => what, "error" => %error);
+    }
+    Ok(listener)
 }
 
 /// Serves metrics. A failure is only logged: a host without metrics still serves its callers.
@@ -167,18 +182,28 @@
             return;
         }
     };
-    match tokio::net::TcpListener::bind(address).await {
-        Ok(listener) => {
-            tokio::spawn(async move {
-                let routes = axum::Router::new().route(
-                    "/metrics",
-                    axum::routing::get(move || async move { recorder.render() }),
-                );
-                axum::serve(listener, routes).await
-            });
+    let listener = match listen("metrics", address, log).await {
+        Ok(listener) => listener,
+        Err(error) => {
+            slog::warn!(log, "metrics.unavailable"; "error" => %error);
+            return;
         }
-        Err(error) => slog::warn!(log, "metrics.unavailable"; "error" => %error),
-    }
+    };
+    let server = Server::builder("metrics", IntakeShares::of(settings).observers)
+        .log(log.clone())
+        .build();
+    let handler = move |request: Request<RequestBody>| {
+        let response = match request.uri().path() {
+            METRICS_PATH => recorder.render().into_response(),
+            _ => StatusCode::NOT_FOUND.into_response(),
+        };
+        std::future::ready(response)
+    };
+    tokio::spawn(async move {
+        // The server runs until the process ends.
+        let (_stop, stopping) = tokio::sync::watch::channel(false);
+        server.serve(listener, handler, stopping).await;
+    });
 }
 
 /// Reads the settings again and logs whether they changed. Changes take effect at the next start of
