Limit what peers make a host hold

Callers lost a host while clients that reach its port for peers opened connections, sent heads without end, or calls of half a megabyte that stopped just short of their end.

Cause: the JSON-RPC server allowed 1,024 connections (512 in `serve`) of calls of 2 MiB, read an incomplete call for ever, and allowed batches of any number of calls; its limit of connections came after their buffers.

--- a/crates/mangotrestle-core/src/workflow/intake_shares.rs
+++ b/crates/mangotrestle-core/src/workflow/intake_shares.rs
@@ -21,6 +21,9 @@
 /// Size of the receive buffer of a connection that is not a peer's, in bytes. The system doubles it for its
 /// own bookkeeping.
 pub const RECEIVE_BUFFER_BYTES: usize = 16 * 1024;
+/// Size of the receive buffer of a peer's connection, in bytes. Peers are few, send large messages, and are
+/// read at once.
+pub const PEER_RECEIVE_BUFFER_BYTES: usize = 64 * 1024;
 /// Memory that a caller's connection takes, in bytes.
 const CALLER_CONNECTION_BYTES: u64 = 40 * KIB;
 /// Memory that a peer's connection takes, in bytes.
--- a/crates/mangotrestle-peer/src/cell.rs
+++ b/crates/mangotrestle-peer/src/cell.rs
@@ -10,17 +10,18 @@
 
 use jsonrpsee::core::{ClientError, RpcResult, async_trait};
 use jsonrpsee::http_client::{HttpClient, HttpClientBuilder};
-use jsonrpsee::server::{Server, ServerConfig, ServerHandle};
 use mangotrestle_core::id;
+use mangotrestle_core::intake::Limits;
 use mangotrestle_core::workflow::record::JobState;
 use mangotrestle_core::workflow::spec::JobRecord;
 use serde::{Deserialize, Serialize};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
 
 use crate::PeerError;
 use crate::cell_rpc::{CellRpcClient, CellRpcServer};
+use crate::rpc_server::{MessageLimits, Serving};
 
-/// Maximum number of open connections of a server: a few for each of several hundred hosts.
-const MAX_CONNECTIONS: u32 = 1_024;
 /// Maximum length of a message, in bytes: a relayed transaction of the store's maximum size,
 /// encoded.
 const MAX_MESSAGE_BYTES: u32 = 2 * 1024 * 1024;
@@ -209,23 +210,26 @@
     }
 }
 
-/// Serves a backend to the hosts of the cell until the handle is stopped.
-///
-/// # Errors
-///
-/// If the server cannot listen on the address.
+/// Serves a backend to the hosts of the cell until `stopping` turns true, within the limits of what peers
+/// may make the process hold.
 pub async fn serve<B: CellBackend>(
-    address: SocketAddr,
+    listener: TcpListener,
     backend: Arc<B>,
-) -> std::io::Result<ServerHandle> {
-    let config = ServerConfig::builder()
-        .max_connections(MAX_CONNECTIONS)
-        .max_request_body_size(MAX_MESSAGE_BYTES)
-        .max_response_body_size(MAX_MESSAGE_BYTES)
-        .http_only()
-        .build();
-    let server = Server::builder().set_config(config).build(address).await?;
-    Ok(server.start(Adapter { backend }.into_rpc()))
+    limits: Limits,
+    log: slog::Logger,
+    stopping: watch::Receiver<bool>,
+) {
+    let serving = Serving {
+        listener,
+        limits,
+        messages: MessageLimits {
+            max_request_bytes: MAX_MESSAGE_BYTES,
+            max_answer_bytes: MAX_MESSAGE_BYTES,
+        },
+        log,
+        stopping,
+    };
+    serving.serve(Adapter { backend }.into_rpc()).await;
 }
 
 /// Client of one host of the cell; connections are persistent and shared by clones.
--- a/crates/mangotrestle-peer/src/lib.rs
+++ b/crates/mangotrestle-peer/src/lib.rs
@@ -16,6 +16,7 @@
 mod cell_rpc;
 mod client;
 pub mod message;
+mod rpc_server;
 mod server;
 
 pub use client::{PeerClient, PeerError};
--- a/crates/mangotrestle-peer/src/server.rs
+++ b/crates/mangotrestle-peer/src/server.rs
@@ -5,14 +5,25 @@
 
 use jsonrpsee::core::{RpcResult, async_trait};
 use jsonrpsee::proc_macros::rpc;
-use jsonrpsee::server::{BatchRequestConfig, Server, ServerConfig};
 use jsonrpsee::types::ErrorObjectOwned;
+use mangotrestle_core::intake::Limits;
 use mangotrestle_core::result_code;
+use tokio::sync::watch;
 
 use crate::message;
-
-/// Maximum number of open connections of a server.
-const MAX_CONNECTIONS: u32 = 512;
+use crate::rpc_server::{MessageLimits, Serving};
+
+/// Limits of a server: a few connections for each of several hundred hosts, and room for 64 of the largest
+/// calls.
+const LIMITS: Limits = Limits {
+    max_connections: 512,
+    max_body_bytes: 64 * message::MAX_REQUEST_BYTES as u64,
+};
+/// Maximum sizes of messages.
+const MESSAGE_LIMITS: MessageLimits = MessageLimits {
+    max_request_bytes: message::MAX_REQUEST_BYTES,
+    max_answer_bytes: message::MAX_ANSWER_BYTES,
+};
 
 /// Handlers of the calls that a daemon receives from its peers. Every call may be repeated.
 ///
@@ -118,25 +129,20 @@
         shutdown: impl Future<Output = ()> + Send,
     ) -> std::io::Result<()> {
         listener.set_nonblocking(true)?;
-        let server = Server::builder()
-            .set_config(config())
-            .build_from_tcp(listener)?;
-        let handle = server.start(Adapter { backend }.into_rpc());
-        shutdown.await;
-        // An error means that the server has already stopped.
-        let _ = handle.stop();
-        handle.stopped().await;
+        let (stop, stopping) = watch::channel(false);
+        let serving = Serving {
+            listener: tokio::net::TcpListener::from_std(listener)?,
+            limits: LIMITS,
+            messages: MESSAGE_LIMITS,
+            log: slog::Logger::root(slog::Discard, slog::o!()),
+            stopping,
+        };
+        let request_stop = async {
+            shutdown.await;
+            // Fails only if the server has already stopped.
+            let _ = stop.send(true);
+        };
+        tokio::join!(serving.serve(Adapter { backend }.into_rpc()), request_stop);
         Ok(())
     }
 }
-
-fn config() -> ServerConfig {
-    ServerConfig::builder()
-        .http_only()
-        .max_connections(MAX_CONNECTIONS)
-        .max_request_body_size(message::MAX_REQUEST_BYTES)
-        .max_response_body_size(message::MAX_ANSWER_BYTES)
-        .set_batch_request_config(BatchRequestConfig::Disabled)
-        .set_tcp_no_delay(true)
-        .build()
-}
--- a/crates/mangotrestle/src/host/mod.rs
+++ b/crates/mangotrestle/src/host/mod.rs
@@ -31,7 +31,9 @@
 use displaydoc::Display;
 use http::{Request, StatusCode};
 use mangotrestle_core::workflow::environment::HostSettings;
-use mangotrestle_core::workflow::intake_shares::{self, IntakeShares};
+use mangotrestle_core::workflow::intake_shares::{
+    IntakeShares, PEER_RECEIVE_BUFFER_BYTES, RECEIVE_BUFFER_BYTES,
+};
 use mangotrestle_http::Server;
 use mangotrestle_http::body::RequestBody;
 use mangotrestle_users_platform::settings;
@@ -102,15 +104,16 @@
     let mut hangup = unix::signal(unix::SignalKind::hangup()).map_err(HostError::Signals)?;
     events::started(&log, &settings);
     let cell = Arc::new(Cell::new(settings.clone(), log.clone()));
-    let peer_server = peers::serve(&cell)
-        .await
-        .map_err(|error| HostError::Listen {
-            what: "peers",
-            address: settings.peer,
-            error,
-        })?;
-    let readiness_listener = listen("readiness", settings.readiness, &log).await?;
-    let caller_listener = listen("callers", settings.front, &log).await?;
+    let peer_listener = listen("peers", settings.peer, PEER_RECEIVE_BUFFER_BYTES, &log).await?;
+    let (stop_peers, peers_stopping) = tokio::sync::watch::channel(false);
+    tokio::spawn(peers::serve(
+        Arc::clone(&cell),
+        peer_listener,
+        peers_stopping,
+    ));
+    let readiness_listener =
+        listen("readiness", settings.readiness, RECEIVE_BUFFER_BYTES, &log).await?;
+    let caller_listener = listen("callers", settings.front, RECEIVE_BUFFER_BYTES, &log).await?;
     serve_metrics(&settings, &log).await;
     let (stop_sender, stop_receiver) = tokio::sync::watch::channel(false);
     tokio::spawn(front::serve_readiness(
@@ -145,7 +148,7 @@
     let remaining = stop_timeout.saturating_sub(BALANCER_DRAIN_TIME);
     let all_answered = tokio::time::timeout(remaining, caller_server).await.is_ok();
     // Fails only if the server has already stopped.
-    let _ = peer_server.stop();
+    let _ = stop_peers.send(true);
     events::stopped(&log, all_answered);
     Ok(())
 }
@@ -153,6 +156,7 @@
 async fn listen(
     what: &'static str,
     address: std::net::SocketAddr,
+    receive_buffer_bytes: usize,
     log: &slog::Logger,
 ) -> Result<tokio::net::TcpListener, HostError> {
     let listener = tokio::net::TcpListener::bind(address)
@@ -162,8 +166,7 @@
             address,
             error,
         })?;
-    let limited =
-        mangotrestle_http::limit_receive_buffers(&listener, intake_shares::RECEIVE_BUFFER_BYTES);
+    let limited = mangotrestle_http::limit_receive_buffers(&listener, receive_buffer_bytes);
     if let Err(error) = limited {
         slog::warn!(log, "listener.receive_buffers_kept"; "listener" => what, "error" => %error);
     }
@@ -182,7 +185,7 @@
             return;
         }
     };
-    let listener = match listen("metrics", address, log).await {
+    let listener = match listen("metrics", address, RECEIVE_BUFFER_BYTES, log).await {
         Ok(listener) => listener,
         Err(error) => {
             slog::warn!(log, "metrics.unavailable"; "error" => %error);
--- a/crates/mangotrestle/src/host/peers.rs
+++ b/crates/mangotrestle/src/host/peers.rs
@@ -3,25 +3,27 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use jsonrpsee::server::ServerHandle;
+use mangotrestle_core::workflow::intake_shares::IntakeShares;
 use mangotrestle_core::workflow::record::JobState;
 use mangotrestle_peer::cell::{
     self, Acceptance, Advice, AdviceRequest, CellBackend, JobName, JobNames, JobStateAnswer,
     Submission, Submitted,
 };
 use mangotrestle_users_platform::advice;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
 
 use super::access::{RelayedAnswer, RelayedCall};
 use super::cell::Cell;
 use super::leader;
 use super::load::Work;
 
-/// Starts the server for calls of other hosts.
-pub(super) async fn serve(cell: &Arc<Cell>) -> std::io::Result<ServerHandle> {
-    let backend = Arc::new(Backend {
-        cell: Arc::clone(cell),
-    });
-    cell::serve(cell.settings.peer, backend).await
+/// Serves calls of other hosts until `stopping` turns true.
+pub(super) async fn serve(cell: Arc<Cell>, listener: TcpListener, stopping: watch::Receiver<bool>) {
+    let limits = IntakeShares::of(&cell.settings).peers;
+    let log = cell.log.clone();
+    let backend = Arc::new(Backend { cell });
+    cell::serve(listener, backend, limits, log, stopping).await;
 }
 
 struct Backend {
