Refuse submitted jobs with texts beyond the limits

Callers saw the leader of a service end while lasting jobs with a `spec`, an image or a label of 48,000 bytes were submitted, and then the next host that loaded the same jobs.

Change: a job whose `spec` has more than 4,000 bytes, or with an image or label of more than 1,024, is refused with 400 when it is submitted. Jobs that were accepted earlier are loaded as before, so that none is lost.

Many steps with texts of legal size still add up.

--- a/crates/mangotrestle-core/src/workflow/spec.rs
+++ b/crates/mangotrestle-core/src/workflow/spec.rs
@@ -11,6 +11,10 @@
 pub const MAX_STEP_TASKS: u32 = 1_000;
 /// Maximum number of steps of one job, for the same reason.
 pub const MAX_STEPS: usize = 64;
+/// Maximum size of a job's payload, in bytes.
+pub const MAX_PAYLOAD_BYTES: usize = 4_000;
+/// Maximum size of an image's name or of a label, in bytes.
+pub const MAX_LABEL_BYTES: usize = 1_024;
 /// Usual bytes of a job's row without its payload and steps.
 const RECORD_BYTES: u64 = 400;
 /// Usual bytes of a step in a job's row, without texts and the steps that it waits for.
@@ -378,6 +382,49 @@
     }
 }
 
+impl JobRecord {
+    /// Checks the sizes of a submitted job's texts. Jobs that were accepted with larger ones stay valid.
+    ///
+    /// # Errors
+    ///
+    /// [`TextTooLarge`] with the first text that is too large.
+    pub fn check_texts(&self) -> Result<(), TextTooLarge> {
+        let bytes = self.payload.len();
+        if bytes > MAX_PAYLOAD_BYTES {
+            return Err(TextTooLarge::Payload { bytes });
+        }
+        for (step, spec) in self.steps.iter().enumerate() {
+            let labels = [&spec.constraint, &spec.affinity_rack];
+            let labels = labels.into_iter().flatten();
+            let largest = labels.chain([&spec.image]).map(String::len).max();
+            let bytes = largest.unwrap_or_default();
+            if bytes > MAX_LABEL_BYTES {
+                return Err(TextTooLarge::Label { step, bytes });
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Text of a submitted job that is too large.
+#[derive(Clone, Copy, Debug, displaydoc::Display, Eq, PartialEq)]
+pub enum TextTooLarge {
+    /// the payload has {bytes} bytes, at most 4000 are allowed
+    Payload {
+        /// Its size.
+        bytes: usize,
+    },
+    /// an image or label of step {step} has {bytes} bytes, at most 1024 are allowed
+    Label {
+        /// Index of the step.
+        step: usize,
+        /// Its size.
+        bytes: usize,
+    },
+}
+
+impl std::error::Error for TextTooLarge {}
+
 /// Reason for which a submitted job is permanently refused.
 #[derive(Clone, Copy, Debug, displaydoc::Display, Eq, PartialEq)]
 pub enum InvalidJob {
--- a/crates/mangotrestle/src/host/front.rs
+++ b/crates/mangotrestle/src/host/front.rs
@@ -267,6 +267,10 @@
         events::job_malformed(&cell.log, job, &error.to_string());
         return StatusCode::BAD_REQUEST.into_response();
     }
+    if let Err(error) = record.check_texts() {
+        events::job_malformed(&cell.log, job, &error.to_string());
+        return StatusCode::BAD_REQUEST.into_response();
+    }
     record.team = target.caller.team().map(Arc::from);
     record.pools = choose_pools(cell, target, job, &record);
     if let Err(error) = check_size(cell, &record) {
