Refuse jobs for which their leader has no memory

Callers saw the leader of a service end while jobs of legal size were submitted that stay, such as lasting jobs of 64 steps that fit no worker; then the next host, which loads the same jobs.

Cause: a leader keeps all jobs of its pool in memory, and accepts lasting jobs however many there are. No limit of a single job bounds what they take together.

Change: a leader refuses a new job with 503 while its process uses most of the memory that the settings give it, and large jobs before ordinary ones, which hardly take any. It reads its memory when jobs come, and counts what it admits between two readings.

Not covered: a job that a host stores itself while no leader answers, and a pool that passes to a host with less memory.

--- a/crates/mangotrestle-core/src/workflow/mod.rs
+++ b/crates/mangotrestle-core/src/workflow/mod.rs
@@ -10,6 +10,8 @@
 //! - [`division`] divides a large service into pools, and chooses the pools that run a job;
 //! - [`admission`] decides whether a job is accepted;
 //! - [`spec`] describes a job as its caller submitted it;
+//! - [`intake_shares`] are the parts of a host's memory that its clients may take, [`job_memory`] admits
+//!   jobs by it;
 //! - [`job`] is a job in the leader's memory, [`record`] holds its stored rows;
 //! - [`range_set`] holds the numbers of what has ended;
 //! - [`start_calls`] counts the calls of a start order that may still be carried out;
@@ -38,6 +40,7 @@
 pub mod feed_timing;
 pub mod intake_shares;
 pub mod job;
+pub mod job_memory;
 pub mod lag;
 pub mod leadership;
 pub mod message;
--- a/crates/mangotrestle-core/tests/workflow/main.rs
+++ b/crates/mangotrestle-core/tests/workflow/main.rs
@@ -10,6 +10,7 @@
 mod estimates;
 mod feed_timing;
 mod handover;
+mod job_memory;
 mod large_service;
 mod leadership;
 mod learned_times;
--- a/crates/mangotrestle/src/host/cell.rs
+++ b/crates/mangotrestle/src/host/cell.rs
@@ -35,6 +35,7 @@
 use super::events;
 use super::leader::Leader;
 use super::load::Load;
+use super::memory::Memory;
 use super::store_connections::StoreConnections;
 
 /// Lag of a leader up to which it answers calls in time.
@@ -149,6 +150,8 @@
     pub(super) machines: Option<MachineClient>,
     /// Client for other calls, such as those to the advice service.
     pub(super) transport: Transport,
+    /// Memory of the process.
+    pub(super) memory: Memory,
     /// State of the direct path to the store.
     pub(super) direct: DirectPath,
     /// When the store last answered, directly or through a peer.
@@ -191,6 +194,7 @@
                 .machines
                 .map(|address| MachineClient::new(transport.clone(), address)),
             transport,
+            memory: Memory::new(settings.memory_mib),
             settings,
             log,
             clock: Clock::start(),
--- a/crates/mangotrestle/src/host/events.rs
+++ b/crates/mangotrestle/src/host/events.rs
@@ -22,6 +22,7 @@
 use mangotrestle_users_platform::worker::{OrderResult, StartOrder};
 
 use super::load::{LoadReport, Work};
+use super::memory::Memory;
 use super::repeating::{Call, OtherCall, Outcomes};
 
 /// Lag from which a leader logs it, and a host that leads no pool logs its load.
@@ -113,6 +114,13 @@
     slog::info!(log, "job.body_missing"; "job" => job.as_str(), "reason" => reason);
 }
 
+/// Logs a job that its leader refuses since it has no memory for it.
+pub(super) fn job_without_memory(log: &slog::Logger, pool: &str, job: &id::JobId, memory: &Memory) {
+    metrics::counter!("mangotrestle_jobs_without_memory_total").increment(1);
+    slog::info!(log, "job.without_memory"; "pool" => pool, "job" => job.as_str(),
+        "used_bytes" => memory.last_used_bytes());
+}
+
 /// Records what a host did since the last report, and logs it if the host leads pools or is late.
 pub(super) fn host_load(log: &slog::Logger, pools_led: usize, report: &LoadReport) {
     metrics::histogram!("mangotrestle_host_lag_seconds").record(report.max_lag.as_secs_f64());
--- a/crates/mangotrestle/src/host/leader/mod.rs
+++ b/crates/mangotrestle/src/host/leader/mod.rs
@@ -26,6 +26,7 @@
 use tokio::sync::{Notify, oneshot};
 
 use super::cell::{Cell, lock};
+use super::events;
 
 mod claiming;
 mod committing;
@@ -46,6 +47,8 @@
 /// Timeout for each page when a whole part is read.
 const PART_READ_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Reason for which a job is not accepted while the leader has little memory left.
+const NO_MEMORY: &str = "the leader has no memory for the job";
 /// Reason for which a job is not accepted whose identifier another team's job has.
 pub(super) const IDENTIFIER_TAKEN: &str = "the identifier is taken";
 
@@ -103,6 +106,11 @@
             if !identity::may_see(record.team.as_deref(), lock(&self.state).team_of(job)) {
                 return Acceptance::NotAccepted(IDENTIFIER_TAKEN.to_owned());
             }
+            let is_new = !lock(&self.state).knows(job);
+            if is_new && !cell.memory.admits(&record) {
+                events::job_without_memory(&cell.log, &self.pool, job, &cell.memory);
+                return Acceptance::NotAccepted(NO_MEMORY.to_owned());
+            }
             if lock(&self.state).submit(cell.clock.now(), job, record) {
                 return Acceptance::Known;
             }
--- a/crates/mangotrestle/src/host/mod.rs
+++ b/crates/mangotrestle/src/host/mod.rs
@@ -21,6 +21,7 @@
 //! - `repeating` sends a call to a worker again that is not answered in the usual time;
 //! - `liveness`: finds out whether a worker that does not answer has ended;
 //! - `peers`: the server for the other hosts;
+//! - `memory`: the memory of the process, by which a leader admits jobs;
 //! - `load`: measures what the process spends its time on, and how late it is;
 //! - `events`: log events and metrics.
 
@@ -51,6 +52,7 @@
 mod leader;
 mod liveness;
 mod load;
+mod memory;
 mod names;
 mod orders;
 mod pacing;
--- a/crates/mangotrestle/tests/crowds/jobs.rs
+++ b/crates/mangotrestle/tests/crowds/jobs.rs
@@ -11,6 +11,10 @@
 const JOBS: u64 = 70;
 /// Size of a job's largest text.
 const TEXT_BYTES: usize = 48_000;
+/// Size of a text that each step may have.
+const LEGAL_TEXT_BYTES: usize = 900;
+/// Number of steps that a job may have.
+const LEGAL_STEPS: usize = 64;
 /// Number of steps in a body of the maximum size.
 const EMPTY_STEPS: usize = 87_000;
 /// A machine on which a host has little memory beside what it needs at rest.
@@ -65,6 +69,14 @@
     assert_withstands(&job).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn lasting_jobs_of_legal_size() {
+    let step = json!({"count": 1, "cpu": 60_000, "mem_mb": 16, "estimate_ms": 100,
+        "persistent": true, "image": "i".repeat(LEGAL_TEXT_BYTES)});
+    let job = json!({"spec": "spec", "steps": vec![step; LEGAL_STEPS]});
+    assert_withstands(&job).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_body_of_legal_size_full_of_empty_steps() {
     let mut scene = Scene::start_on(TIGHT_MACHINE).await;
