Limit the connections of the entry host's health checks

Callers of `mangotrestle serve` lost an entry host while clients that reach its port for health checks and metrics sent heads without end.

Cause: the port was served by `axum::serve` as it comes, whose buffer for a head grows to 400 KB for each connection.

Change: it is served by `mangotrestle-http` with 64 connections at most.

--- a/crates/mangotrestle/src/telemetry/mod.rs
+++ b/crates/mangotrestle/src/telemetry/mod.rs
@@ -9,13 +9,24 @@
 use std::sync::OnceLock;
 use std::time::Duration;
 
+use axum::body::Body;
 use axum::extract;
 use axum::http;
 use axum::routing;
 use displaydoc::Display;
+use mangotrestle_core::intake::Limits;
+use mangotrestle_http::Server;
+use mangotrestle_http::body::RequestBody;
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use tokio::net;
 use tokio::sync::watch;
+use tower::ServiceExt;
+
+/// Limits of the connections of load balancers and of observers.
+const CONNECTION_LIMITS: Limits = Limits {
+    max_connections: 64,
+    max_body_bytes: 0,
+};
 
 /// Interval at which the recorder moves its samples into histograms.
 const UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
@@ -90,12 +101,17 @@
         .route("/healthz", routing::get(|| async { "ok\n" }))
         .route("/readyz", routing::get(readiness_page))
         .with_state(state);
-    let mut stop = shutdown.clone();
-    let server = axum::serve(listener, routes).with_graceful_shutdown(async move {
-        let _ = stop.wait_for(|stop| *stop).await;
-    });
+    let server = Server::builder("health", CONNECTION_LIMITS).build();
+    let handler = move |request: http::Request<RequestBody>| {
+        let routes = routes.clone();
+        async move {
+            let answered = routes.oneshot(request.map(Body::new)).await;
+            answered.unwrap_or_else(|error| match error {})
+        }
+    };
+    let server = server.serve(listener, handler, shutdown.clone());
     tokio::select! {
-        result = server => result,
+        () = server => Ok(()),
         () = run_upkeep(&recorder) => Ok(()),
         () = shutdown_grace_elapsed(&mut shutdown) => Ok(()),
     }
