Limit the memory of callers' connections to an entry host

Callers of `mangotrestle serve` lost an entry host while many clients sent heads of legal size and stopped short of their last line.

Cause: the front allowed 10,000 connections with heads of 64 KiB and buffered bodies of 64 KiB each, which no machine was asked for, and refused what came last rather than what had kept it waiting.

Change: the front is served by `mangotrestle-http`, with as many connections as the new setting `client_memory_mib` allows for at their largest; the default allows the 10,000 of before. The connection that has waited longest gives way, unless its request was already passed on.

Buffered bodies were not shown to exceed the memory, for want of a test with a service that is known.

--- a/crates/mangotrestle-caller/src/front.rs
+++ b/crates/mangotrestle-caller/src/front.rs
@@ -11,27 +11,46 @@
 use std::time::Duration;
 
 use axum::Router;
+use axum::body::Body;
 use axum::extract::{Request, State};
 use axum::response::Response;
 use http::StatusCode;
 use mangotrestle_core::id;
+use mangotrestle_core::intake::Limits;
 use mangotrestle_core::result_code::ResultCode;
 use mangotrestle_core::routing::router;
 use mangotrestle_core::time;
+use mangotrestle_http::body::RequestBody;
+use mangotrestle_http::{RequestLimits, Server};
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
+use tower::ServiceExt;
 
 use crate::connection;
 use crate::dispatcher::Dispatcher;
 use crate::exchange::Clients;
 use crate::forward::Forward;
+use crate::payload;
 use crate::refusal::Refusal;
 use crate::request_head::{self, RequestHead};
 use crate::snapshot_cell::SnapshotCell;
 use crate::started::StartedRecords;
 use crate::traffic;
 
+/// Maximum size of a request's head, in bytes.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Memory that a connection takes, in bytes: the largest head, the largest body that is buffered, and the
+/// buffers and state of the connection.
+const CONNECTION_BYTES: u64 = MAX_HEAD_BYTES as u64 + payload::MAX_BUFFERED_BYTES + 16 * 1024;
+
+/// Returns the number of connections that take so much memory, in mebibytes.
+#[must_use]
+pub fn connections_for_memory(memory_mib: u64) -> usize {
+    let connections = memory_mib.saturating_mul(1024 * 1024) / CONNECTION_BYTES;
+    usize::try_from(connections).unwrap_or(usize::MAX)
+}
+
 /// Sets up a [`Front`].
 pub struct Builder {
     pub(crate) entry_host: id::EntryHostId,
@@ -111,7 +130,8 @@
         self
     }
 
-    /// Sets the maximum number of concurrent connections; further ones are closed. Default: 10,000.
+    /// Sets the maximum number of concurrent connections. If there are more, the one that has kept the front
+    /// waiting longest for a request is closed. Default: 10,000.
     #[must_use]
     pub const fn max_connections(mut self, connections: usize) -> Self {
         self.max_connections = connections;
@@ -301,13 +321,24 @@
         let settings = &self.shared.settings;
         let (stop, stopping) = watch::channel(false);
         let (connection_guard, mut all_closed) = mpsc::channel::<()>(1);
-        let accepting = tokio::spawn(connection::accept(
-            listener,
-            self.app(),
-            settings.max_connections,
-            stopping,
-            connection_guard,
-        ));
+        let limits = Limits {
+            max_connections: settings.max_connections,
+            max_body_bytes: 0,
+        };
+        let server = Server::builder("callers", limits)
+            .request_limits(|| RequestLimits {
+                max_head_bytes: MAX_HEAD_BYTES,
+                ..RequestLimits::default()
+            })
+            .log(settings.log.clone())
+            .build();
+        let app = self.app();
+        let handler = move |request| answer(app.clone(), request);
+        let accepting = tokio::spawn(async move {
+            server
+                .accept(listener, handler, stopping, connection_guard)
+                .await;
+        });
         shutdown.await;
         self.shared.stopping.store(true, Ordering::Relaxed);
         slog::info!(settings.log, "callers.stopping";
@@ -343,6 +374,17 @@
     }
 }
 
+/// Answers a request of a caller. A request whose body is streamed may run before it is complete, so its
+/// connection must not give way to others.
+async fn answer(app: Router, request: http::Request<RequestBody>) -> Response {
+    let length = http_body::Body::size_hint(request.body()).exact();
+    if length.is_none_or(|length| length > payload::MAX_BUFFERED_BYTES) {
+        request.body().pass_on();
+    }
+    let answered = app.oneshot(request.map(Body::new)).await;
+    answered.unwrap_or_else(|error| match error {})
+}
+
 async fn readiness(State(shared): State<Arc<Shared>>) -> StatusCode {
     if shared.is_ready() && !shared.stopping.load(Ordering::Relaxed) {
         StatusCode::OK
--- a/crates/mangotrestle/src/daemon/mod.rs
+++ b/crates/mangotrestle/src/daemon/mod.rs
@@ -52,6 +52,9 @@
 /// Maximum number of traffic reports that are queued for the control thread.
 const MAX_QUEUED_TRAFFIC_REPORTS: usize = 4;
 
+/// Maximum number of connections of callers, however much memory they may take.
+const MAX_CALLER_CONNECTIONS: usize = 10_000;
+
 /// Time for which callers are still served after a planned stop began, so that the load balancer
 /// can notice that this host is not ready.
 const UNREADY_SERVING_TIME: Duration = Duration::from_secs(1);
@@ -362,6 +365,9 @@
         .default_request_time(settings.default_deadline_ms)
         .max_request_time(control::SHARE_TIMES.max_request_time)
         .max_body_bytes(settings.max_request_body_bytes)
+        .max_connections(
+            front::connections_for_memory(settings.client_memory_mib).min(MAX_CALLER_CONNECTIONS),
+        )
         .unready_period(UNREADY_SERVING_TIME)
         .stop_timeout(settings.shutdown_bound_ms.as_duration())
         .seed(seed)
--- a/crates/mangotrestle/src/settings/mod.rs
+++ b/crates/mangotrestle/src/settings/mod.rs
@@ -97,6 +97,8 @@
     table_reads_per_s: u32, "1/s", Some(1..=100_000), Some("200");
     /// maximum size of the body of a caller's request
     max_request_body_bytes: u64, "bytes", Some(0..=64 * MIB), Some("1048576");
+    /// memory that the connections of callers may take
+    client_memory_mib: u64, "MiB", Some(4..=1024 * 1024), Some("1536");
     /// maximum time that a request waits for a target
     max_queue_time_ms: time::SpanMs, "ms", Some(0..=10 * MINUTE_MS), Some("2000");
     /// deadline of a request that sets none
--- a/crates/mangotrestle/tests/crowds/machine.rs
+++ b/crates/mangotrestle/tests/crowds/machine.rs
@@ -21,6 +21,11 @@
 /// Held by the one test that runs.
 static ONE_AT_A_TIME: Mutex<()> = Mutex::const_new(());
 
+/// Waits for the other tests, and keeps them from running.
+pub async fn take_turn() -> MutexGuard<'static, ()> {
+    ONE_AT_A_TIME.lock().await
+}
+
 /// A host that serves, and the platform that it runs on.
 pub struct Scene {
     pub host: Host,
@@ -38,7 +43,7 @@
 
     /// Like [`Scene::start`], on another machine.
     pub async fn start_on(machine: MachineLimits) -> Self {
-        let turn = ONE_AT_A_TIME.lock().await;
+        let turn = take_turn().await;
         let platform = Platform::start().await;
         let host = Host::start_on_machine("front-a-1", platform.store_address(), machine).await;
         let ports = [
--- a/crates/mangotrestle/tests/crowds/main.rs
+++ b/crates/mangotrestle/tests/crowds/main.rs
@@ -12,6 +12,7 @@
 mod proxy;
 
 mod crowd;
+mod entry_hosts;
 mod footprint;
 mod jobs;
 mod listeners;
