Close unused connections at a stop; name the state of a connection

A connection on which nothing was ever received kept a planned stop waiting until its timeout: hyper closes an idle connection gracefully only after its first request. A timeout too large to be added to a time means none. `Watch` and its module, whose name clashed with tokio's channel, are `ConnectionState` in `state`, and the stream is `LimitedStream`.

--- a/crates/mangotrestle-http/src/body.rs
+++ b/crates/mangotrestle-http/src/body.rs
@@ -11,7 +11,7 @@
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
-use crate::watch::Watch;
+use crate::state::ConnectionState;
 
 /// Size up to which a body takes no room of the server's bodies: about that of an ordinary request.
 const FREE_BYTES: usize = 8 * 1024;
@@ -19,18 +19,18 @@
 /// A request's body.
 pub struct RequestBody {
     incoming: Incoming,
-    watch: Arc<Watch>,
+    state: Arc<ConnectionState>,
 }
 
 impl RequestBody {
-    pub(crate) const fn new(incoming: Incoming, watch: Arc<Watch>) -> Self {
-        Self { incoming, watch }
+    pub(crate) const fn new(incoming: Incoming, state: Arc<ConnectionState>) -> Self {
+        Self { incoming, state }
     }
 
     /// Notes that the request is passed on before it is complete: its connection no longer gives way to
     /// others.
     pub fn pass_on(&self) {
-        self.watch.request_complete();
+        self.state.request_complete();
     }
 }
 
@@ -44,7 +44,7 @@
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
         let polled = Pin::new(&mut self.incoming).poll_frame(context);
         if matches!(polled, Poll::Ready(None)) || self.incoming.is_end_stream() {
-            self.watch.request_complete();
+            self.state.request_complete();
         }
         polled
     }
@@ -117,7 +117,7 @@
         if length > max_bytes {
             return Err(BodyError::TooLarge { max_bytes });
         }
-        buffer.reserve(length, &body.watch)?;
+        buffer.reserve(length, &body.state)?;
         // The data is copied, since its frame may keep the whole read buffer of the connection.
         while data.has_remaining() {
             let chunk = data.chunk();
@@ -137,7 +137,7 @@
 
 impl Buffer {
     /// Makes room for a length. The capacity doubles, so that the cost of copying stays proportional.
-    fn reserve(&mut self, length: usize, watch: &Watch) -> Result<(), BodyError> {
+    fn reserve(&mut self, length: usize, state: &ConnectionState) -> Result<(), BodyError> {
         let capacity = self.bytes.capacity();
         if length <= capacity {
             return Ok(());
@@ -145,7 +145,7 @@
         let new_capacity = length.max(capacity * 2).min(self.max_bytes.max(length));
         let counted = |capacity: usize| capacity.saturating_sub(FREE_BYTES) as u64;
         let growth = counted(new_capacity) - counted(capacity);
-        if growth > 0 && !watch.grow(growth) {
+        if growth > 0 && !state.grow(growth) {
             return Err(BodyError::NoRoom);
         }
         self.bytes.reserve_exact(new_capacity - self.bytes.len());
@@ -156,7 +156,7 @@
 /// Body of an answer, which notes the end of the answer.
 pub(crate) struct AnswerBody {
     pub(crate) inner: Body,
-    pub(crate) watch: Arc<Watch>,
+    pub(crate) state: Arc<ConnectionState>,
 }
 
 impl http_body::Body for AnswerBody {
@@ -181,6 +181,6 @@
 
 impl Drop for AnswerBody {
     fn drop(&mut self) {
-        self.watch.answered();
+        self.state.answered();
     }
 }
--- a/crates/mangotrestle-http/src/connection.rs
+++ b/crates/mangotrestle-http/src/connection.rs
@@ -21,11 +21,11 @@
 use crate::body::{AnswerBody, RequestBody};
 use crate::refusal;
 use crate::server::Handler;
-use crate::stream::WatchedStream;
-use crate::watch::Watch;
+use crate::state::ConnectionState;
+use crate::stream::LimitedStream;
 
 /// Size of the largest head that HTTP's read buffer has room for, in bytes, unless a larger one is allowed
-/// when the connection is accepted. [`WatchedStream`] enforces the limit that is in force.
+/// when the connection is accepted. [`LimitedStream`] enforces the limit that is in force.
 const MIN_HEAD_BUFFER_BYTES: usize = 64 * 1024;
 
 type AnswerFuture = Pin<Box<dyn Future<Output = Result<Response<AnswerBody>, Infallible>> + Send>>;
@@ -43,28 +43,28 @@
 /// Serves a connection. When `stopping` turns true, the request in flight is completed first.
 pub(crate) async fn serve<S, H>(
     stream: S,
-    watch: Arc<Watch>,
+    state: Arc<ConnectionState>,
     handler: Arc<H>,
     mut stopping: watch::Receiver<bool>,
 ) where
     S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
     H: Handler,
 {
-    let service_watch = Arc::clone(&watch);
+    let service_state = Arc::clone(&state);
     let service = hyper::service::service_fn(move |request: Request<Incoming>| -> AnswerFuture {
         // The body may be read before the answer is polled.
-        service_watch.head_complete(!request.body().is_end_stream());
-        let (handler, watch) = (Arc::clone(&handler), Arc::clone(&service_watch));
-        Box::pin(answer(handler, request, watch))
+        service_state.head_complete(!request.body().is_end_stream());
+        let (handler, state) = (Arc::clone(&handler), Arc::clone(&service_state));
+        Box::pin(answer(handler, request, state))
     });
-    let head_buffer_bytes = watch.request_limits().max_head_bytes;
+    let head_buffer_bytes = state.request_limits().max_head_bytes;
     let mut builder = http1::Builder::new();
     builder
         .header_read_timeout(None)
         .max_buf_size(head_buffer_bytes.max(MIN_HEAD_BUFFER_BYTES));
-    let stream = TokioIo::new(WatchedStream {
+    let stream = TokioIo::new(LimitedStream {
         inner: stream,
-        watch: Arc::clone(&watch),
+        state: Arc::clone(&state),
     });
     let mut connection = builder.serve_connection(stream, service);
     let serving = std::future::poll_fn(|context| connection.poll_without_shutdown(context));
@@ -72,25 +72,25 @@
         let mut serving = pin!(serving);
         tokio::select! {
             biased;
-            result = serving.as_mut() => Some(end_of(&result, &watch)),
-            reason = wait_until_overdue(&watch) => Some(End::Closed(reason)),
-            () = watch.evicted() => Some(End::Closed(Closing::Evicted)),
+            result = serving.as_mut() => Some(end_of(&result, &state)),
+            reason = wait_until_overdue(&state) => Some(End::Closed(reason)),
+            () = state.evicted() => Some(End::Closed(Closing::Evicted)),
             () = wait_for_stop(&mut stopping) => None,
         }
     };
     let end = match end {
         Some(end) => end,
-        None => finish(&mut connection, &watch).await,
+        None => finish(&mut connection, &state).await,
     };
     if let End::Closed(reason) = end
         && reason != Closing::Evicted
     {
         // Evictions are reported when they are decided.
-        watch.report(reason);
+        state.report(reason);
     }
-    let is_incomplete = matches!(watch.wait(), Wait::Head | Wait::Body);
+    let is_incomplete = matches!(state.wait(), Wait::Head | Wait::Body);
     let mut stream = connection.into_parts().io.into_inner().inner;
-    watch.set_wait(Wait::Close);
+    state.set_wait(Wait::Close);
     let closing = async {
         match end {
             End::Closed(reason) if is_incomplete => refusal::refuse(stream, reason).await,
@@ -104,52 +104,55 @@
     };
     tokio::select! {
         biased;
-        () = watch.closing_evicted() => {}
+        () = state.closing_evicted() => {}
         () = closing => {}
     }
 }
 
 /// Completes the request in flight.
-async fn finish<S, V>(connection: &mut http1::Connection<S, V>, watch: &Watch) -> End
+async fn finish<S, V>(connection: &mut http1::Connection<S, V>, state: &ConnectionState) -> End
 where
     S: hyper::rt::Read + hyper::rt::Write + Unpin,
     V: hyper::service::HttpService<Incoming, ResBody = AnswerBody> + Unpin,
     V::Future: Unpin,
     V::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
+    if state.is_unused() {
+        return End::Finished;
+    }
     Pin::new(&mut *connection).graceful_shutdown();
     let serving = std::future::poll_fn(|context| connection.poll_without_shutdown(context));
     let mut serving = pin!(serving);
     tokio::select! {
         biased;
-        result = serving.as_mut() => end_of(&result, watch),
-        reason = wait_until_overdue(watch) => End::Closed(reason),
-        () = watch.evicted() => End::Closed(Closing::Evicted),
+        result = serving.as_mut() => end_of(&result, state),
+        reason = wait_until_overdue(state) => End::Closed(reason),
+        () = state.evicted() => End::Closed(Closing::Evicted),
     }
 }
 
-fn end_of(result: &hyper::Result<()>, watch: &Watch) -> End {
+fn end_of(result: &hyper::Result<()>, state: &ConnectionState) -> End {
     let is_too_large = result.is_err()
-        && matches!(watch.wait(), Wait::Request | Wait::Head)
-        && watch.remaining_head_bytes() == 0;
+        && matches!(state.wait(), Wait::Request | Wait::Head)
+        && state.remaining_head_bytes() == 0;
     if is_too_large {
         return End::Closed(Closing::HeadTooLarge);
     }
-    if result.is_err() || watch.was_answered_early() {
+    if result.is_err() || state.was_answered_early() {
         return End::Answered;
     }
     End::Finished
 }
 
 /// Returns when a client has taken too long for a request.
-async fn wait_until_overdue(watch: &Watch) -> Closing {
-    let mut timer = pin!(DeadlineTimer { watch, sleep: None });
+async fn wait_until_overdue(state: &ConnectionState) -> Closing {
+    let mut timer = pin!(DeadlineTimer { state, sleep: None });
     timer.as_mut().await
 }
 
 /// Timer whose deadline may change whenever its task is polled.
 struct DeadlineTimer<'a> {
-    watch: &'a Watch,
+    state: &'a ConnectionState,
     sleep: Option<Pin<Box<Sleep>>>,
 }
 
@@ -157,10 +160,10 @@
     type Output = Closing;
 
     fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Closing> {
-        let Some(deadline) = self.watch.deadline() else {
+        let Some(deadline) = self.state.deadline() else {
             return Poll::Pending;
         };
-        if let Some(reason) = self.watch.overdue(Instant::now()) {
+        if let Some(reason) = self.state.overdue(Instant::now()) {
             return Poll::Ready(reason);
         }
         let sleep = self
@@ -184,16 +187,16 @@
 async fn answer<H: Handler>(
     handler: Arc<H>,
     request: Request<Incoming>,
-    watch: Arc<Watch>,
+    state: Arc<ConnectionState>,
 ) -> Result<Response<AnswerBody>, Infallible> {
-    let request = request.map(|incoming| RequestBody::new(incoming, Arc::clone(&watch)));
+    let request = request.map(|incoming| RequestBody::new(incoming, Arc::clone(&state)));
     let mut response: Response<Body> = handler.handle(request).await;
-    if watch.wait() == Wait::Body {
+    if state.wait() == Wait::Body {
         // The rest of the body is not read.
-        watch.answer_early();
+        state.answer_early();
         let close = header::HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
-    watch.request_complete();
-    Ok(response.map(|inner| AnswerBody { inner, watch }))
+    state.request_complete();
+    Ok(response.map(|inner| AnswerBody { inner, state }))
 }
--- a/crates/mangotrestle-http/src/lib.rs
+++ b/crates/mangotrestle-http/src/lib.rs
@@ -15,8 +15,8 @@
 mod connection;
 mod refusal;
 mod server;
+mod state;
 mod stream;
-mod watch;
 
 pub use server::{Builder, Handler, Server, limit_receive_buffers};
 
@@ -92,7 +92,7 @@
 /// What all connections of a server share.
 pub(crate) struct Shared {
     pub(crate) intake: Mutex<intake::Intake>,
-    pub(crate) watches: Mutex<watch::Watches>,
+    pub(crate) states: Mutex<state::ConnectionStates>,
     pub(crate) reports: Reports,
     pub(crate) request_limits: Box<dyn Fn() -> RequestLimits + Send + Sync>,
     pub(crate) epoch: Instant,
--- a/crates/mangotrestle-http/src/server.rs
+++ b/crates/mangotrestle-http/src/server.rs
@@ -12,7 +12,7 @@
 use tokio::sync::{Notify, mpsc, watch};
 
 use crate::body::RequestBody;
-use crate::watch::{Watch, Watches};
+use crate::state::{ConnectionState, ConnectionStates};
 use crate::{Reports, RequestLimits, Shared, connection};
 
 /// Answers requests.
@@ -64,7 +64,7 @@
         Server {
             shared: Arc::new(Shared {
                 intake: Mutex::new(Intake::new(self.limits)),
-                watches: Mutex::new(Watches::default()),
+                states: Mutex::new(ConnectionStates::default()),
                 reports: Reports::new(self.listener, self.log),
                 request_limits: self.request_limits,
                 epoch: Instant::now(),
@@ -118,11 +118,11 @@
                 _ = stopping.wait_for(|stopping| *stopping) => return,
                 accepted = listener.accept() => accepted,
             };
-            let Some(watch) = Watch::open(&self.shared) else {
+            let Some(state) = ConnectionState::open(&self.shared) else {
                 self.shared.reports.closing(Closing::Full);
                 continue;
             };
-            let serving = connection::serve(stream, watch, Arc::clone(&handler), stop);
+            let serving = connection::serve(stream, state, Arc::clone(&handler), stop);
             let connection_guard = connection_guard.clone();
             tokio::spawn(async move {
                 serving.await;
--- a/crates/mangotrestle-http/src/watch.rs
+++ b/crates/mangotrestle-http/src/state.rs
@@ -15,15 +15,17 @@
 use crate::{RequestLimits, Shared};
 
 /// The open connections of a server.
-pub(crate) type Watches = FastMap<ConnectionId, Weak<Watch>>;
+pub(crate) type ConnectionStates = FastMap<ConnectionId, Weak<ConnectionState>>;
 
 /// See the [module's documentation](self).
-pub(crate) struct Watch {
+pub(crate) struct ConnectionState {
     id: ConnectionId,
     shared: Arc<Shared>,
     wait: Mutex<(Wait, Instant)>,
     /// Number of bytes received of the head that the connection waits for.
     head_bytes: AtomicUsize,
+    /// Whether the head of a request was received.
+    has_request: AtomicBool,
     /// Whether a request was answered before all of it was read.
     answered_early: AtomicBool,
     is_evicted: AtomicBool,
@@ -34,7 +36,7 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-impl Watch {
+impl ConnectionState {
     /// Admits a connection, for which another one may be closed. Returns `None` if there is no room.
     pub(crate) fn open(shared: &Arc<Shared>) -> Option<Arc<Self>> {
         let now = Instant::now();
@@ -42,17 +44,18 @@
         if let Some(evicted) = opened.evicted {
             shared.evict(&[evicted]);
         }
-        let watch = Arc::new(Self {
+        let state = Arc::new(Self {
             id: opened.id,
             shared: Arc::clone(shared),
             wait: Mutex::new((Wait::Request, now)),
             head_bytes: AtomicUsize::new(0),
+            has_request: AtomicBool::new(false),
             answered_early: AtomicBool::new(false),
             is_evicted: AtomicBool::new(false),
             evicted: Notify::new(),
         });
-        lock(&shared.watches).insert(opened.id, Arc::downgrade(&watch));
-        Some(watch)
+        lock(&shared.states).insert(opened.id, Arc::downgrade(&state));
+        Some(state)
     }
 
     /// Returns what the connection waits for.
@@ -96,9 +99,15 @@
     /// Notes that a request's head is complete.
     pub(crate) fn head_complete(&self, has_body: bool) {
         self.head_bytes.store(0, Ordering::Relaxed);
+        self.has_request.store(true, Ordering::Relaxed);
         self.set_wait(if has_body { Wait::Body } else { Wait::Nothing });
     }
 
+    /// Whether nothing was ever received on the connection.
+    pub(crate) fn is_unused(&self) -> bool {
+        !self.has_request.load(Ordering::Relaxed) && self.wait() == Wait::Request
+    }
+
     /// Notes that a request is complete, or that it is passed on before it is.
     pub(crate) fn request_complete(&self) {
         if self.wait() == Wait::Body {
@@ -145,16 +154,15 @@
     /// Returns the reason for which the connection is overdue now, if it is.
     pub(crate) fn overdue(&self, now: Instant) -> Option<Closing> {
         let (wait, since) = *lock(&self.wait);
-        let limits = self.request_limits();
-        let (reason, timeout) = timeout_of(wait, &limits)?;
-        (now >= since + timeout).then_some(reason)
+        let (reason, timeout) = timeout_of(wait, &self.request_limits())?;
+        (now.saturating_duration_since(since) >= timeout).then_some(reason)
     }
 
     /// Returns the time until which the connection waits, if there is one.
     pub(crate) fn deadline(&self) -> Option<Instant> {
         let (wait, since) = *lock(&self.wait);
         let (_, timeout) = timeout_of(wait, &self.request_limits())?;
-        Some(since + timeout)
+        since.checked_add(timeout)
     }
 
     /// Waits until the connection has to be closed without another word, if it gives way to another one
@@ -200,10 +208,10 @@
     }
 }
 
-impl Drop for Watch {
+impl Drop for ConnectionState {
     fn drop(&mut self) {
         lock(&self.shared.intake).close(self.id);
-        lock(&self.shared.watches).remove(&self.id);
+        lock(&self.shared.states).remove(&self.id);
         self.shared.closed.notify_one();
     }
 }
@@ -217,10 +225,10 @@
     /// Tells connections to close.
     fn evict(&self, connections: &[ConnectionId]) {
         for connection in connections {
-            let watch = lock(&self.watches).get(connection).and_then(Weak::upgrade);
-            if let Some(watch) = watch {
-                watch.is_evicted.store(true, Ordering::Release);
-                watch.evicted.notify_one();
+            let state = lock(&self.states).get(connection).and_then(Weak::upgrade);
+            if let Some(state) = state {
+                state.is_evicted.store(true, Ordering::Release);
+                state.evicted.notify_one();
             }
             self.reports.closing(Closing::Evicted);
         }
--- a/crates/mangotrestle-http/src/stream.rs
+++ b/crates/mangotrestle-http/src/stream.rs
@@ -8,27 +8,27 @@
 use mangotrestle_core::intake::Wait;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
-use crate::watch::Watch;
+use crate::state::ConnectionState;
 
 /// Maximum number of bytes of one read. HTTP's read buffer grows when a read fills it; it has 8 KiB at
 /// first and keeps that size as long as reads are smaller.
 const MAX_READ_BYTES: usize = 8 * 1024 - 1;
 
 /// See the [module's documentation](self).
-pub(crate) struct WatchedStream<S> {
+pub(crate) struct LimitedStream<S> {
     pub(crate) inner: S,
-    pub(crate) watch: Arc<Watch>,
+    pub(crate) state: Arc<ConnectionState>,
 }
 
-impl<S: AsyncRead + Unpin> AsyncRead for WatchedStream<S> {
+impl<S: AsyncRead + Unpin> AsyncRead for LimitedStream<S> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let waits_for_head = matches!(self.watch.wait(), Wait::Request | Wait::Head);
+        let waits_for_head = matches!(self.state.wait(), Wait::Request | Wait::Head);
         let max_bytes = if waits_for_head {
-            MAX_READ_BYTES.min(self.watch.remaining_head_bytes())
+            MAX_READ_BYTES.min(self.state.remaining_head_bytes())
         } else {
             MAX_READ_BYTES
         };
@@ -41,7 +41,7 @@
         let read = limited.filled().len();
         if read > 0 {
             buffer.advance(read);
-            self.watch.received(read);
+            self.state.received(read);
         }
         polled
     }
@@ -52,7 +52,7 @@
     io::Error::new(io::ErrorKind::FileTooLarge, "the head is too large")
 }
 
-impl<S: AsyncWrite + Unpin> AsyncWrite for WatchedStream<S> {
+impl<S: AsyncWrite + Unpin> AsyncWrite for LimitedStream<S> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
--- a/crates/mangotrestle-http/tests/server.rs
+++ b/crates/mangotrestle-http/tests/server.rs
@@ -211,14 +211,17 @@
 }
 
 #[tokio::test]
-async fn a_stop_closes_idle_connections() {
+async fn a_stop_closes_idle_and_unused_connections() {
     let fixture = start(limits(4, 0)).await;
     let mut stream = connect(&fixture, post("abc").as_bytes()).await;
     read_answer(&mut stream).await;
+    let unused = connect(&fixture, b"").await;
+    wait_for_connections(&fixture, 2).await;
 
     fixture.stop.send(true).expect("a server");
     let rest = read_all(stream).await;
+    let nothing = read_all(unused).await;
 
-    assert_eq!(rest, "");
+    assert_eq!((rest.as_str(), nothing.as_str()), ("", ""));
     wait_for_connections(&fixture, 0).await;
 }
