--- a/crates/mangotrestle-http/src/connection.rs
+++ b/crates/mangotrestle-http/src/connection.rs
@@ -146,8 +146,7 @@
 
 /// Returns when a client has taken too long for a request.
 async fn wait_until_overdue(state: &ConnectionState) -> Closing {
-    let mut timer = pin!(DeadlineTimer { state, sleep: None });
-    timer.as_mut().await
+    DeadlineTimer { state, sleep: None }.await
 }
 
 /// Timer whose deadline may change whenever its task is polled.
--- a/crates/mangotrestle/src/host/front.rs
+++ b/crates/mangotrestle/src/host/front.rs
@@ -31,12 +31,6 @@
 use super::jobs;
 use super::load::Work;
 
-/// Maximum size of a request's head if the configuration sets none, in bytes.
-const DEFAULT_MAX_HEAD_BYTES: usize = 65_536;
-/// Maximum time for a request's head if the configuration sets none.
-const DEFAULT_HEAD_TIMEOUT: Duration = Duration::from_secs(10);
-/// Maximum time that a connection waits for a request if the configuration sets none.
-const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(75);
 /// Maximum size of a request's body if the configuration sets none, in bytes.
 const DEFAULT_MAX_BODY_BYTES: usize = 262_144;
 /// Maximum time for a request's body, however long its caller waits.
@@ -91,21 +85,20 @@
 
 /// Returns the limits of requests that the configuration sets; each that it does not set has a default.
 fn request_limits(catalog: Option<&Catalog>) -> RequestLimits {
-    let or_default = |time_ms: u64, default| match time_ms {
-        0 => default,
-        time_ms => Duration::from_millis(time_ms),
+    let mut limits = RequestLimits::default();
+    let Some(catalog) = catalog else {
+        return limits;
     };
-    let max_head_bytes = catalog.map_or(0, |catalog| catalog.max_head_bytes);
-    let head_timeout_ms = catalog.map_or(0, |catalog| catalog.head_timeout_ms);
-    let idle_timeout_ms = catalog.map_or(0, |catalog| catalog.idle_timeout_ms);
-    RequestLimits {
-        max_head_bytes: match max_head_bytes {
-            0 => DEFAULT_MAX_HEAD_BYTES,
-            configured => configured,
-        },
-        head_timeout: or_default(head_timeout_ms, DEFAULT_HEAD_TIMEOUT),
-        idle_timeout: or_default(idle_timeout_ms, DEFAULT_IDLE_TIMEOUT),
+    if catalog.max_head_bytes > 0 {
+        limits.max_head_bytes = catalog.max_head_bytes;
     }
+    if catalog.head_timeout_ms > 0 {
+        limits.head_timeout = Duration::from_millis(catalog.head_timeout_ms);
+    }
+    if catalog.idle_timeout_ms > 0 {
+        limits.idle_timeout = Duration::from_millis(catalog.idle_timeout_ms);
+    }
+    limits
 }
 
 async fn handle_request(cell: &Arc<Cell>, request: Request<RequestBody>) -> Response {
