--- a/crates/mangotrestle-core/src/workflow/job_memory.rs
+++ b/crates/mangotrestle-core/src/workflow/job_memory.rs
@@ -14,7 +14,7 @@
 /// Memory that a leader needs for a step of a job beside its texts, in bytes.
 const STEP_BYTES: u64 = 512;
 /// Memory up to which a job is an ordinary one, in bytes.
-const ORDINARY_BYTES: u64 = 16 * 1024;
+const ORDINARY_BYTES: u64 = 64 * 1024;
 /// Part of the memory that ordinary jobs may fill, in percent.
 const ORDINARY_PERCENT: u64 = 85;
 /// Part of the memory that other jobs may fill, in percent.
