--- a/crates/mangotrestle/src/host/front.rs
+++ b/crates/mangotrestle/src/host/front.rs
@@ -262,7 +262,7 @@
     }
     if let Err(error) = record.check_texts() {
         events::job_malformed(&cell.log, job, &error.to_string());
-        return StatusCode::BAD_REQUEST.into_response();
+        return StatusCode::PAYLOAD_TOO_LARGE.into_response();
     }
     record.team = target.caller.team().map(Arc::from);
     record.pools = choose_pools(cell, target, job, &record);
