--- a/review/standin-3/standin.py
+++ b/review/standin-3/standin.py
@@ -278,6 +278,7 @@
         self.barred = {}
         self.seq = 0
         self.state = "ready"
+        self.is_dark = False
         self.ended = asyncio.Condition()
         self.server = Server(self.handle)
 
@@ -325,6 +326,12 @@
             self.lease = max(self.lease, min(deadline, self.clock() + BOUNDS["hold_max_ms"]))
 
     async def handle(self, method, path, query, headers, body):
+        if self.is_dark:
+            if path == "/run-start":
+                order = json.loads(body)
+                self.world.record(f"worker {self.id} has no power and doesn't answer the start of {order['task']} "
+                                  f"run {order['run']}")
+            return None
         if path == "/health":
             return 200, None
         if headers.get("expect-instance", self.id) != self.id:
@@ -378,15 +385,23 @@
                    for task, (run, began, seconds, _) in self.running.items()]
         return 200, {"clock_ms": self.clock(), "running": running, "finished": self.finished[:500]}
 
-    async def crash(self):
-        """Ends this life: nothing runs any more, and nothing answers."""
+    async def lose_power(self):
+        """Ends this life: nothing runs any more, and nobody answers. Its machine is down, and its entry in the
+        store goes after three heartbeats."""
         for task in self.tasks:
             task.cancel()
         for task, (run, _, _, timer) in list(self.running.items()):
             timer.cancel()
-            self.world.ended(self, task, run, "crashed")
+            self.world.ended(self, task, run, "lost with its worker")
         self.running = {}
-        self.server.stop()
+        self.is_dark = True
+        self.world.record(f"worker {self.id} ({self.service}, {self.labels[-1]}) loses power")
+
+        async def lapse():
+            await asyncio.sleep(3 * HEARTBEAT_S)
+            await self.world.store.put("servers", self.id, None)
+            self.world.record(f"the store drops the entry of worker {self.id}")
+        self.tasks = [asyncio.create_task(lapse())]
 
 
 class Host:
@@ -483,9 +498,12 @@
         await self.cloud.start()
 
     async def machines(self, method, path, query, headers, body):
-        machines = [{"machine": worker.name, "pool": worker.service, "state": "up", "zone": worker.zone,
-                     "labels": worker.labels, "capacity": worker.capacity, "id": worker.id}
-                    for worker in self.workers]
+        machines = []
+        for worker in self.workers:
+            machine = {"machine": worker.name, "pool": worker.service, "zone": worker.zone,
+                       "labels": worker.labels, "capacity": worker.capacity}
+            up = {"state": "down"} if worker.is_dark else {"state": "up", "id": worker.id}
+            machines.append({**machine, **up})
         return 200, {"machines": machines, "next_token": None}
 
     async def add_worker(self, service, zone="z1", **more):
