--- a/review/11/case.py
+++ b/review/11/case.py
@@ -20,7 +20,7 @@
     other = standin.route("other", "/other/", "beta")
     await world.configure(1, [standin.route("first", "/queue/", "alpha"), other], ["alpha", "beta"])
     for zone in ("z1", "z2", "z3"):
-        world.add_host(zone)
+        await world.add_host(zone)
     await world.wait_ready()
     await asyncio.sleep(6)
 
--- a/review/13/case.py
+++ b/review/12/case.py
@@ -19,7 +19,7 @@
             await world.add_worker("alpha", labels=["a", f"r1-{rack}"])
     await world.configure(1, [standin.route("first", "/queue/", "alpha")], ["alpha"])
     for zone in ("z1", "z2", "z3"):
-        world.add_host(zone)
+        await world.add_host(zone)
     await world.wait_ready()
     await asyncio.sleep(8)
 
--- a/review/standin-3/standin.py
+++ b/review/standin-3/standin.py
@@ -151,10 +151,16 @@
         self.changes = []
         self.changed = asyncio.Condition()
         self.parts = {}
-        self.server = Server(self.handle)
+        self.last_writer = None
 
-    async def start(self):
-        return await self.server.start()
+    async def listen(self, name):
+        """Opens a listener for one machine of the system, so that it is known who calls."""
+        async def handle(method, path, query, headers, body):
+            if path == "/rows-tx" and json.loads(body).get("expect_rev"):
+                self.last_writer = name
+            return await self.handle(method, path, query, headers, body)
+        server = Server(handle)
+        return await server.start()
 
     def now_ms(self):
         return int(time.monotonic() * 1000)
@@ -261,8 +267,26 @@
         return {"rows": rows, "ver": through, "now_ms": self.now_ms()}
 
 
+class Run:
+    """A run on a worker. It works at its pace, in percent."""
+
+    def __init__(self, number, seconds, how):
+        self.number, self.seconds, self.how = number, seconds, how
+        self.worked, self.pace, self.updated = 0.0, 100, time.monotonic()
+
+    def work(self):
+        """Adds the work since the last call; returns whether all is done. One without a time lasts."""
+        now = time.monotonic()
+        self.worked += (now - self.updated) * self.pace / 100
+        self.updated = now
+        return self.seconds is not None and self.worked >= self.seconds
+
+    def percent(self):
+        return 100 if self.seconds is None else min(99, int(100 * self.worked / self.seconds))
+
+
 class Worker:
-    """One life of a worker. `spec` of a job is JSON: {"ms": run time of its tasks}."""
+    """One life of a worker. `spec` of a job is JSON: {"ms": run time of its tasks}; without it they last."""
 
     def __init__(self, world, service, name, zone, labels=None, capacity=None):
         self.world, self.service, self.name, self.zone = world, service, name, zone
@@ -287,7 +311,7 @@
 
     async def start(self):
         self.address = await self.server.start()
-        self.tasks = [asyncio.create_task(self.beat()), asyncio.create_task(self.watch_lease())]
+        self.tasks = [asyncio.create_task(self.beat()), asyncio.create_task(self.work())]
 
     async def beat(self):
         while True:
@@ -298,17 +322,17 @@
                 "labels": self.labels, "clock_ms": self.clock(), "seq": self.seq})
             await asyncio.sleep(HEARTBEAT_S)
 
-    async def watch_lease(self):
+    async def work(self):
         while True:
-            await asyncio.sleep(0.02)
-            if self.running and self.clock() > self.lease:
-                for task in list(self.running):
+            await asyncio.sleep(0.01)
+            for task, run in list(self.running.items()):
+                if self.clock() > self.lease:
                     await self.end(task, "lapsed")
+                elif run.work():
+                    await self.end(task, run.how)
 
     async def end(self, task, how):
-        run, _, _, timer = self.running.pop(task)
-        if timer is not asyncio.current_task():
-            timer.cancel()
+        run = self.running.pop(task).number
         self.number += 1
         self.barred[task] = max(self.barred.get(task, 0), run)
         self.finished.append([self.number, task, run, how, ""])
@@ -316,11 +340,6 @@
         async with self.ended:
             self.ended.notify_all()
 
-    async def run(self, task, run, seconds):
-        await asyncio.sleep(seconds)
-        if task in self.running and self.running[task][0] == run:
-            await self.end(task, "done")
-
     def extend(self, deadline):
         if deadline:
             self.lease = max(self.lease, min(deadline, self.clock() + BOUNDS["hold_max_ms"]))
@@ -348,11 +367,17 @@
         if path == "/run-stop":
             task, run = order["task"], order["run"]
             self.barred[task] = max(self.barred.get(task, 0), run)
-            if task in self.running and self.running[task][0] == run:
+            if task in self.running and self.running[task].number == run:
                 await self.end(task, "stopped")
-            return 200, {"clock_ms": self.clock()}
-        if path == "/hold":
+        elif path == "/hold":
             return await self.on_hold(order)
+        elif path == "/pace":
+            run = self.running.get(order["task"])
+            if run is not None and run.number == order["run"]:
+                run.work()
+                run.pace = order["percent"]
+                self.world.record(f"worker {self.id} ({self.service}) lets {order['task']} run {order['run']} work "
+                                  f"at {order['percent']} percent")
         return 200, {"clock_ms": self.clock()}
 
     def on_start(self, order):
@@ -360,13 +385,11 @@
         if order["deadline_ms"] <= self.clock():
             return 409, {"clock_ms": self.clock(), "reason": "late"}
         self.extend(order["deadline_ms"])
-        if task in self.running and self.running[task][0] == run:
+        if task in self.running and self.running[task].number == run:
             return 200, {"clock_ms": self.clock()}
         if run <= self.barred.get(task, 0) or task in self.running:
             return 409, {"clock_ms": self.clock(), "reason": "old"}
-        seconds = json.loads(order["spec"])["ms"] / 1000
-        timer = asyncio.create_task(self.run(task, run, seconds))
-        self.running[task] = (run, time.monotonic(), seconds, timer)
+        self.running[task] = Run(run, *self.world.fate(self, order))
         self.world.started(self, task, run, order)
         return 200, {"clock_ms": self.clock()}
 
@@ -380,9 +403,8 @@
                     await asyncio.wait_for(self.ended.wait(), wait)
             except asyncio.TimeoutError:
                 pass
-        now = time.monotonic()
-        running = [[task, run, "", min(99, int(100 * (now - began) / seconds)), 1000]
-                   for task, (run, began, seconds, _) in self.running.items()]
+        running = [[task, run.number, "", run.percent(), self.world.measure(self, task)]
+                   for task, run in self.running.items()]
         return 200, {"clock_ms": self.clock(), "running": running, "finished": self.finished[:500]}
 
     async def lose_power(self):
@@ -390,9 +412,8 @@
         store goes after three heartbeats."""
         for task in self.tasks:
             task.cancel()
-        for task, (run, _, _, timer) in list(self.running.items()):
-            timer.cancel()
-            self.world.ended(self, task, run, "lost with its worker")
+        for task, run in self.running.items():
+            self.world.ended(self, task, run.number, "lost with its worker")
         self.running = {}
         self.is_dark = True
         self.world.record(f"worker {self.id} ({self.service}, {self.labels[-1]}) loses power")
@@ -407,7 +428,7 @@
 class Host:
     """A process of the system, started as the deploy file says."""
 
-    def __init__(self, world, name, zone):
+    def __init__(self, world, name, zone, store_address):
         self.world, self.name, self.zone = world, name, zone
         self.process = None
         self.front, self.readiness, self.control = (free_port() for _ in range(3))
@@ -425,7 +446,7 @@
             "contracts": ["base", "drain", "config", "cost", "recover", "sched", "platform"],
             "fault_tolerance": {"machines": 1, "zones": 1, "regions": 0},
             "bounds": BOUNDS, "commands": "rpc",
-            "platform": {"address": world.store.server.address, "form": "table", "writes_per_s": 800,
+            "platform": {"address": store_address, "form": "table", "writes_per_s": 800,
                          "reads_per_s": 2000, "tx_ms": 6.0, "partition_writes_s": 200,
                          "row_bytes": 65536, "across": False, "history_s": 20, "blob_bytes": 8388608,
                          "blob_ms": 25.0, "blob_mb_s": 80.0},
@@ -489,11 +510,16 @@
         self.store, self.workers, self.hosts = None, [], []
         self.cloud, self.advice = None, None
         self.starts, self.ends = [], []
+        # Whether starts and ends of runs are left out of the record.
+        self.is_brief = False
         self.on_order = lambda worker, path, order: None
+        # After how many seconds of work a run ends, and how.
+        self.fate = usual_fate
+        # The rough figure of a run: the tail of a task that serves, in ms, or the `cpu` in use.
+        self.measure = lambda worker, task: 1000
 
     async def open(self):
         self.store = Store()
-        await self.store.start()
         self.cloud = Server(self.machines)
         await self.cloud.start()
 
@@ -522,12 +548,17 @@
                                               "limits": limits})
         self.record(f"configuration {version} acknowledged: {shown}")
 
-    def add_host(self, zone="z1"):
-        host = Host(self, f"front-{zone}-{len(self.hosts) + 1}", zone)
+    async def add_host(self, zone="z1"):
+        name = f"front-{zone}-{len(self.hosts) + 1}"
+        host = Host(self, name, zone, await self.store.listen(name))
         self.hosts.append(host)
         host.start()
         return host
 
+    def last_writer(self):
+        """The machine that last wrote to the store under a condition."""
+        return next(host for host in self.hosts if host.name == self.store.last_writer)
+
     async def wait_ready(self, seconds=30):
         until = time.monotonic() + seconds
         for host in self.hosts:
@@ -540,11 +571,15 @@
 
     def started(self, worker, task, run, order):
         self.starts.append((time.monotonic(), worker, task, run))
+        if self.is_brief:
+            return
         self.record(f"worker {worker.id} ({worker.service}) starts {task} run {run}, "
                     f"fencing token {order.get('fencing_token')}")
 
     def ended(self, worker, task, run, how):
         self.ends.append((time.monotonic(), worker, task, run, how))
+        if self.is_brief:
+            return
         self.record(f"worker {worker.id} ({worker.service}) ends {task} run {run}: {how}")
 
     async def client(self, host, method, path, body=None, timeout=3.0):
@@ -563,6 +598,11 @@
         self.temporary.cleanup()
 
 
+def usual_fate(worker, order):
+    ms = json.loads(order["spec"]).get("ms")
+    return (None if ms is None else ms / 1000), "done"
+
+
 class CannotRun(Exception):
     """The case could not be set up."""
 
@@ -574,9 +614,9 @@
 
 
 def job(ms, steps=None, **more):
-    """Returns the body of a job; each task works for `ms`."""
+    """Returns the body of a job; each task works for `ms`, or lasts if that is None."""
     steps = steps or [{"count": 1, "cpu": 1000, "mem_mb": 256, "estimate_ms": ms}]
-    return {"spec": json.dumps({"ms": ms}), "steps": steps, **more}
+    return {"spec": json.dumps({} if ms is None else {"ms": ms}), "steps": steps, **more}
 
 
 def job_id():
