--- a/review/standin-3/standin.py
+++ b/review/standin-3/standin.py
@@ -508,6 +508,7 @@
         self.folder = os.environ.get("KEEP_LOGS") or self.temporary.name
         os.makedirs(self.folder, exist_ok=True)
         self.store, self.workers, self.hosts = None, [], []
+        self.host_count = 0
         self.cloud, self.advice = None, None
         self.starts, self.ends = [], []
         # Whether starts and ends of runs are left out of the record.
@@ -549,7 +550,8 @@
         self.record(f"configuration {version} acknowledged: {shown}")
 
     async def add_host(self, zone="z1"):
-        name = f"front-{zone}-{len(self.hosts) + 1}"
+        self.host_count += 1
+        name = f"front-{zone}-{self.host_count}"
         host = Host(self, name, zone, await self.store.listen(name))
         self.hosts.append(host)
         host.start()
