--- a/review/11/case.py
+++ b/review/11/case.py
@@ -11,6 +11,7 @@
 
 VISIBLE_S = standin.BOUNDS["visible_ms"] / 1000
 APPLY_S = standin.BOUNDS["config_apply_ms"] / 1000
+CANCEL_S = (standin.BOUNDS["cancel_ms"] + standin.BOUNDS["stop_ms"]) / 1000
 SERVICES = ["alpha", "beta"]
 # One queue keeps its route, which names another service. The route of the other queue is removed, and one with
 # another name is added for the same requests.
@@ -38,8 +39,10 @@
         if status != 200:
             raise standin.CannotRun
         jobs[name] = (prefix + name, world.record.now())
+    cancelled = standin.job_id()
+    await world.client(world.hosts[0], "POST", f"/moved/{cancelled}", body)
     await asyncio.sleep(2)
-    if len(world.starts) != len(jobs):
+    if len(world.starts) != len(jobs) + 1:
         raise standin.CannotRun
 
     if standin.TROUBLE:
@@ -47,6 +50,9 @@
     await asyncio.sleep(max(APPLY_S, VISIBLE_S) + 2)
 
     broken = []
+    status, _ = await world.client(world.hosts[0], "DELETE", f"/moved/{cancelled}")
+    cancelled_at = world.record.now()
+    is_acknowledged = 200 <= status < 300 or status == 410
     for name, (path, acknowledged_at) in jobs.items():
         for host in world.hosts:
             status, _ = await world.client(host, "GET", path)
@@ -56,7 +62,12 @@
                               "acknowledgement; nobody has cancelled it")
         # "Occasionally, such a request also arrives seconds after the 2xx response for that ID. It remains one job."
         await world.client(world.hosts[1], "POST", path, body)
-    await asyncio.sleep(4)
+    await asyncio.sleep(CANCEL_S + 2)
+    for worker in world.workers:
+        if is_acknowledged and f"{cancelled}.0.0.0" in worker.running:
+            after = world.record.now() - cancelled_at
+            broken.append(f"UNASKED: task {cancelled}.0.0.0 runs on, {after:.1f} s after the cancelling of its job was "
+                          f"answered with {status}")
     for name, (path, _) in jobs.items():
         task = f"{name}.0.0.0"
         running = [worker for worker in world.workers if task in worker.running]
@@ -67,4 +78,4 @@
     return broken
 
 
-sys.exit(standin.main(FOLDER, case))
+standin.main(FOLDER, case)
--- a/review/standin-3/standin.py
+++ b/review/standin-3/standin.py
@@ -15,7 +15,9 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
+import traceback
 import urllib.parse
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
@@ -33,6 +35,8 @@
 TX_S = 0.006
 READ_S = 0.004
 HEARTBEAT_S = 1.5
+# A case ends within 120 s.
+MAX_CASE_S = 115
 
 
 class Record:
@@ -539,14 +543,14 @@
         await worker.start()
         return worker
 
-    async def configure(self, version, routes, services):
+    async def configure(self, version, routes, services, **more):
         limits = {"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000,
                   "idle_timeout_ms": 15000}
         listed = [{"name": name, "health_path": "/health", "max_conns": 64, "protocol": "h1", "tls": False,
                    "rejects_overload": False, "standby": False} for name in services]
         shown = ", ".join(f"{route['path_prefix']} -> {route['service']}" for route in routes)
         await self.store.put("op", "config", {"version": version, "routes": routes, "services": listed,
-                                              "limits": limits})
+                                              "limits": limits, **more})
         self.record(f"configuration {version} acknowledged: {shown}")
 
     async def add_host(self, zone="z1"):
@@ -584,8 +588,10 @@
             return
         self.record(f"worker {worker.id} ({worker.service}) ends {task} run {run}: {how}")
 
-    async def client(self, host, method, path, body=None, timeout=3.0):
+    async def client(self, host, method, path, body=None, timeout=3.0, key=None):
         headers = {"Host": "users.example", "Deadline-Ms": int(timeout * 1000)}
+        if key is not None:
+            headers["Key"] = key
         status, answer = await call(host.address, method, path, headers, body, timeout)
         shown = "no answer" if status == 0 else f"{status} {json.dumps(answer) if answer else ''}"
         self.record(f"client {method} {path} at {host.name}: {shown}")
@@ -626,13 +632,23 @@
 
 
 def main(folder, case):
-    """Plays a case: exit status 1 if a rule was broken, 0 if it held, 2 if the case could not run."""
+    """Plays a case and ends the process with its exit status: 1 if a rule was broken, 0 if it held, 2 if the case could
+    not run."""
     if not os.path.exists(PROGRAM[0]):
         print("the program is not built", file=sys.stderr)
-        return 2
+        sys.exit(2)
 
     async def play():
         world = World(folder)
+
+        def give_up():
+            world.record("the case took too long")
+            world.close()
+            os._exit(2)
+        watchdog = threading.Timer(MAX_CASE_S, give_up)
+        watchdog.daemon = True
+        watchdog.start()
+        status = 2
         try:
             await world.open()
             broken = await case(world)
@@ -642,9 +658,13 @@
             if not broken:
                 world.record("the rule held")
                 print("the rule held")
-            return 1 if broken else 0
+            status = 1 if broken else 0
         except CannotRun:
-            return 2
-        finally:
-            world.close()
-    return asyncio.run(asyncio.wait_for(play(), 115))
+            world.record("the case could not run")
+        except Exception:
+            traceback.print_exc()
+        world.close()
+        sys.stdout.flush()
+        # The tasks of the stand-ins need no orderly end, and may take long for one.
+        os._exit(status)
+    asyncio.run(play())
