Keep a job's identity where it was accepted when its queue moves to another service

Callers saw: once a version of the configuration sent a queue to another service, GET for its accepted jobs was answered 410, a resent request ran its task a second time beside the first, and DELETE was answered 410 while the task ran on.

Cause: the pool that holds a job's rows was looked up through the service that the path's route names now. Two hosts with different configurations also accepted one identifier in two pools, and nobody led the pools of a service that had left the configuration.

Change: the home service of a path prefix is a stored row. It is written under a condition before the first job is accepted under that prefix, and its services never change, so every host finds the same home whichever configuration it has. A queue that has left its home hands new jobs over to its present service. Pools of all services that were ever divided are led. The lines job.answered, job.cancelled and job.shown name the home. A queue that never moves has one row, and nothing else is read, written or called.

--- a/crates/mangotrestle-core/src/workflow/catalog.rs
+++ b/crates/mangotrestle-core/src/workflow/catalog.rs
@@ -63,7 +63,7 @@
     /// request's host.
     #[must_use]
     pub fn route(&self, host: &str, path: &str) -> Option<&Queue> {
-        let host = host.split(':').next().unwrap_or_default();
+        let host = host_name(host);
         self.queues
             .iter()
             .filter(|queue| queue.host.is_empty() || queue.host.eq_ignore_ascii_case(host))
@@ -71,3 +71,9 @@
             .max_by_key(|queue| queue.path_prefix.len())
     }
 }
+
+/// Returns the host name in a `Host` header, which may have a port.
+#[must_use]
+pub fn host_name(host: &str) -> &str {
+    host.split(':').next().unwrap_or_default()
+}
--- a/crates/mangotrestle-core/src/workflow/division.rs
+++ b/crates/mangotrestle-core/src/workflow/division.rs
@@ -5,8 +5,9 @@
 //! the loss of a zone takes the same part of every pool. Each pool has its own leader, part of the
 //! store, queue and feeds.
 //!
-//! The identity of a job is in its *home* pool, which follows from its identifier alone, so that a
-//! resent job is found again wherever it runs. Usually the home pool runs the job, too. Otherwise
+//! The identity of a job is in its *home* pool, which follows from its identifier and the
+//! [home service](super::queue_home) of its queue, so that a resent job is found again wherever it runs.
+//! Usually the home pool runs the job, too. Otherwise
 //! its record names the pools that do, and the home pool's leader hands it over to them: to one pool
 //! that has its data, the workers that it needs, or less waiting work; or, for the tasks of a service,
 //! to all pools, each of which runs a part of them.
@@ -185,21 +186,23 @@
         u32::try_from(rendezvous::hash(text) % pools).unwrap_or_default()
     }
 
-    /// Chooses the pools that run a job, from the summaries that their leaders published; `None` if
-    /// its home does. `random` is a random number for each job.
+    /// Chooses the pools of the service that run a job, from the summaries that their leaders published;
+    /// `None` if its `home` does, which may be a pool of another service. `random` is a random number for
+    /// each job.
     #[must_use]
     pub fn choose<'a>(
         &self,
         service: &str,
+        home: &str,
         job: &id::JobId,
         record: &JobRecord,
         summary_of: impl Fn(&str) -> Option<&'a PoolSummary>,
         random: u64,
     ) -> Option<JobPools> {
-        if self.is_whole() {
+        if self.is_whole() && home == service {
             return None;
         }
-        let home = self.home_of(service, job);
+        let usual = self.home_of(service, job);
         let fits = |pool: &String| {
             let summary = summary_of(pool);
             summary.is_none_or(|summary| {
@@ -216,19 +219,20 @@
                 let summary = summary_of(pool);
                 summary.map_or(0, |summary| admission::wait_ms(record, summary))
             };
-            vec![self.choose_one(service, record, &home, &fitting, wait_ms, random)]
+            vec![self.choose_one(service, record, &usual, &fitting, wait_ms, random)]
         };
+        let home = home.to_owned();
         (pools != [home.as_str()]).then_some(JobPools { home, pools })
     }
 
-    /// Chooses the pool that runs a whole job: the one that has its data, its home, or another one
+    /// Chooses the pool that runs a whole job: the one that has its data, the usual one, or another one
     /// chosen at random if the wait there is much shorter. A choice of two at random, in place of the
     /// shortest of all, does not send every job to one pool while the summaries are old.
     fn choose_one(
         &self,
         service: &str,
         record: &JobRecord,
-        home: &str,
+        usual: &str,
         fitting: &[String],
         wait_ms: impl Fn(&str) -> u64,
         random: u64,
@@ -243,17 +247,17 @@
         if let Some(pool) = data_pool.filter(|pool| fitting.contains(pool)) {
             return pool;
         }
-        let others: Vec<&String> = fitting.iter().filter(|pool| *pool != home).collect();
+        let others: Vec<&String> = fitting.iter().filter(|pool| *pool != usual).collect();
         let Some(count) = u64::try_from(others.len()).ok().filter(|&count| count > 0) else {
-            return home.to_owned();
+            return usual.to_owned();
         };
         let other = others[usize::try_from(random % count).unwrap_or_default()];
-        let home_fits = fitting.iter().any(|pool| pool == home);
+        let usual_fits = fitting.iter().any(|pool| pool == usual);
         let wait_there_ms = wait_ms(other).saturating_add(MIN_WAIT_DIFFERENCE_MS);
-        if !home_fits || wait_there_ms <= wait_ms(home) {
+        if !usual_fits || wait_there_ms <= wait_ms(usual) {
             other.clone()
         } else {
-            home.to_owned()
+            usual.to_owned()
         }
     }
 }
--- a/crates/mangotrestle-core/src/workflow/mod.rs
+++ b/crates/mangotrestle-core/src/workflow/mod.rs
@@ -8,6 +8,7 @@
 //!
 //! - [`environment`] and [`catalog`] hold a host's settings and the operator's configuration;
 //! - [`division`] divides a large service into pools, and chooses the pools that run a job;
+//! - [`queue_home`] names the service whose pools hold the identities of a queue's jobs;
 //! - [`admission`] decides whether a job is accepted;
 //! - [`spec`] describes a job as its caller submitted it;
 //! - [`intake_shares`] are the parts of a host's memory that its clients may take, [`job_memory`] admits
@@ -45,6 +46,7 @@
 pub mod leadership;
 pub mod message;
 pub mod pool;
+pub mod queue_home;
 pub mod range_set;
 pub mod rank;
 pub mod record;
--- a/crates/mangotrestle-core/tests/workflow/division.rs
+++ b/crates/mangotrestle-core/tests/workflow/division.rs
@@ -124,7 +124,14 @@
     let (absurd, idle) = (waiting(u64::MAX), waiting(0));
     let summary_of = |pool: &str| Some(if pool == home { &idle } else { &absurd });
 
-    let chosen = division.choose(SERVICE, &job(1), &one_step(), summary_of, 0);
+    let chosen = division.choose(
+        SERVICE,
+        &division.home_of(SERVICE, &job(1)),
+        &job(1),
+        &one_step(),
+        summary_of,
+        0,
+    );
 
     assert_eq!(chosen, None);
 }
@@ -135,7 +142,14 @@
     let summary = waiting(100);
 
     for random in 0..8 {
-        let pools = division.choose(SERVICE, &job(1), &one_step(), |_| Some(&summary), random);
+        let pools = division.choose(
+            SERVICE,
+            &division.home_of(SERVICE, &job(1)),
+            &job(1),
+            &one_step(),
+            |_| Some(&summary),
+            random,
+        );
 
         assert_eq!(pools, None);
     }
@@ -149,7 +163,14 @@
     let summary_of = |pool: &str| Some(if pool == home { &busy } else { &idle });
 
     let chosen = [0, 1].map(|random| {
-        let chosen = division.choose(SERVICE, &job(1), &one_step(), summary_of, random);
+        let chosen = division.choose(
+            SERVICE,
+            &division.home_of(SERVICE, &job(1)),
+            &job(1),
+            &one_step(),
+            summary_of,
+            random,
+        );
         chosen.expect("another pool")
     });
 
@@ -167,7 +188,14 @@
 
     for number in 0..20 {
         let home = division.home_of(SERVICE, &job(number));
-        let chosen = division.choose(SERVICE, &job(number), &near, |_| None, 0);
+        let chosen = division.choose(
+            SERVICE,
+            &division.home_of(SERVICE, &job(number)),
+            &job(number),
+            &near,
+            |_| None,
+            0,
+        );
 
         let pool = chosen.map_or(home, |chosen| chosen.pools[0].clone());
         assert_eq!(pool, data_pool);
@@ -193,7 +221,14 @@
     let (small, large) = (shape(500), shape(8_000));
     let summary_of = |pool: &str| Some(if pool == home { &small } else { &large });
 
-    let chosen = division.choose(SERVICE, &job(1), &one_step(), summary_of, 0);
+    let chosen = division.choose(
+        SERVICE,
+        &division.home_of(SERVICE, &job(1)),
+        &job(1),
+        &one_step(),
+        summary_of,
+        0,
+    );
 
     assert!(chosen.is_some_and(|chosen| chosen.pools != [home]));
 }
@@ -209,9 +244,30 @@
     let (none, some) = (with_workers(0), with_workers(5));
     let summary_of = |pool: &str| Some(if pool == home { &none } else { &some });
 
-    let chosen = division.choose(SERVICE, &job(1), &one_step(), summary_of, 0);
-    let shared = division.choose(SERVICE, &job(1), &lasting(30), summary_of, 0);
-    let nowhere = division.choose(SERVICE, &job(1), &one_step(), |_| Some(&none), 0);
+    let chosen = division.choose(
+        SERVICE,
+        &division.home_of(SERVICE, &job(1)),
+        &job(1),
+        &one_step(),
+        summary_of,
+        0,
+    );
+    let shared = division.choose(
+        SERVICE,
+        &division.home_of(SERVICE, &job(1)),
+        &job(1),
+        &lasting(30),
+        summary_of,
+        0,
+    );
+    let nowhere = division.choose(
+        SERVICE,
+        &division.home_of(SERVICE, &job(1)),
+        &job(1),
+        &one_step(),
+        |_| Some(&none),
+        0,
+    );
 
     assert!(chosen.is_some_and(|chosen| chosen.pools != [home.as_str()]));
     let shared = shared.expect("other pools").pools;
@@ -223,8 +279,22 @@
 fn the_tasks_of_a_service_are_shared_by_all_pools_unless_there_are_too_few() {
     let division = plan(792);
 
-    let many = division.choose(SERVICE, &job(1), &lasting(30), |_| None, 0);
-    let few = division.choose(SERVICE, &job(1), &lasting(2), |_| None, 0);
+    let many = division.choose(
+        SERVICE,
+        &division.home_of(SERVICE, &job(1)),
+        &job(1),
+        &lasting(30),
+        |_| None,
+        0,
+    );
+    let few = division.choose(
+        SERVICE,
+        &division.home_of(SERVICE, &job(1)),
+        &job(1),
+        &lasting(2),
+        |_| None,
+        0,
+    );
 
     assert_eq!(many.expect("all pools").pools, pools(&division));
     assert_eq!(few, None);
@@ -249,3 +319,20 @@
             && workers.iter().all(|worker| names.contains(&division.pool_of(SERVICE, worker)))
     }
 }
+
+#[test]
+fn a_job_whose_home_is_in_another_service_is_handed_over_to_the_pools_of_its_own() {
+    let (whole, divided) = (Division::whole(), plan(792));
+
+    let in_whole = whole.choose(SERVICE, "former/1", &job(1), &one_step(), |_| None, 0);
+    let in_divided = divided.choose(SERVICE, "former", &job(1), &one_step(), |_| None, 0);
+    let shared = divided.choose(SERVICE, "former", &job(1), &lasting(30), |_| None, 0);
+
+    let in_whole = in_whole.expect("a hand-over");
+    assert_eq!(in_whole.home, "former/1");
+    assert_eq!(in_whole.pools, [SERVICE]);
+    let in_divided = in_divided.expect("a hand-over");
+    assert_eq!(in_divided.home, "former");
+    assert_eq!(in_divided.pools, [divided.home_of(SERVICE, &job(1))]);
+    assert_eq!(shared.expect("a hand-over").pools, pools(&divided));
+}
--- a/crates/mangotrestle-core/tests/workflow/large_service.rs
+++ b/crates/mangotrestle-core/tests/workflow/large_service.rs
@@ -73,7 +73,7 @@
         let summary_of = |pool: &str| self.divided.summary(pool);
         let pools = self
             .division
-            .choose(SERVICE, &id, &record, summary_of, random);
+            .choose(SERVICE, &home, &id, &record, summary_of, random);
         let pool = pools.as_ref().map_or(&home, |pools| &pools.pools[0]);
         let admission = admission::decide(&record, None, self.divided.summary(pool), 0);
         if admission != Admission::Accept {
--- a/crates/mangotrestle-core/tests/workflow/main.rs
+++ b/crates/mangotrestle-core/tests/workflow/main.rs
@@ -18,6 +18,7 @@
 mod placing;
 mod polling;
 mod preempting;
+mod queue_home;
 mod random_faults;
 mod range_set;
 mod recovery;
--- a/crates/mangotrestle/src/host/cell.rs
+++ b/crates/mangotrestle/src/host/cell.rs
@@ -19,6 +19,7 @@
     self, Candidate, ClaimTurn, LeadRow, LoadTiming, PoolSummary, Watch, WorkerShape,
 };
 use mangotrestle_core::workflow::message::WorkerEntry;
+use mangotrestle_core::workflow::queue_home::HomeRow;
 use mangotrestle_core::workflow::record::RowFormat;
 use mangotrestle_peer::cell::CellClient;
 use mangotrestle_platform::budget::Budget;
@@ -167,6 +168,10 @@
     pub(super) newer_configuration: Notify,
     /// Divisions of the services into pools, as far as they are known.
     divisions: ArcSwap<FastMap<String, Arc<Division>>>,
+    /// Home services of queues with the version of each row, by [`HomeRow::key`].
+    homes: ArcSwap<FastMap<String, (Arc<HomeRow>, u64)>>,
+    /// Held while the home of a request's queue is written.
+    pub(super) home_writing: tokio::sync::Mutex<()>,
     pools: Mutex<FastMap<String, PoolView>>,
     peers: Mutex<BTreeMap<id::EntryHostId, Peer>>,
     leaders: Mutex<FastMap<String, Arc<Leader>>>,
@@ -208,6 +213,8 @@
             configuration_confirmed: Notify::new(),
             newer_configuration: Notify::new(),
             divisions: ArcSwap::default(),
+            homes: ArcSwap::default(),
+            home_writing: tokio::sync::Mutex::default(),
             pools: Mutex::default(),
             peers: Mutex::default(),
             leaders: Mutex::default(),
@@ -501,7 +508,7 @@
         size: RequestSize,
     ) -> Option<(id::EntryHostId, CellClient)> {
         let now = self.clock.now();
-        let pools = self.configured_pools();
+        let pools = self.pools();
         let mut peers = lock(&self.peers);
         let own = &self.settings.host;
         let own_requests = Arc::strong_count(&self.advice_requests) - 1;
@@ -633,14 +640,38 @@
         });
     }
 
+    /// Returns the home services of the queues with a path prefix, and the version of their row; `None`
+    /// until it is known.
+    pub(super) fn home_row(&self, path_prefix: &str) -> Option<(Arc<HomeRow>, u64)> {
+        self.homes.load().get(&HomeRow::key(path_prefix)).cloned()
+    }
+
+    /// Records home services as read or written; an older row than is known is ignored.
+    pub(super) fn observe_home(&self, key: &str, row: HomeRow, version: u64) {
+        let is_known = |(_, known): &(Arc<HomeRow>, u64)| *known >= version;
+        if self.homes.load().get(key).is_some_and(is_known) {
+            return;
+        }
+        let row = Arc::new(row);
+        self.homes.rcu(|homes| {
+            let mut homes = FastMap::clone(homes);
+            let known = homes.entry(key.to_owned()).or_default();
+            if known.1 < version {
+                *known = (Arc::clone(&row), version);
+            }
+            homes
+        });
+    }
+
     /// Returns the pool of a worker; `None` until the division of its service is known.
     pub(super) fn pool_of(&self, entry: &WorkerEntry) -> Option<String> {
         let division = self.division(&entry.pool)?;
         Some(division.pool_of(&entry.pool, entry))
     }
 
-    /// Returns the names of the pools of all services whose division is known.
-    pub(super) fn configured_pools(&self) -> Vec<String> {
+    /// Returns the names of the pools of all services whose division is known: those that the
+    /// configuration has, then those that it no longer has, which keep the jobs that they accepted.
+    pub(super) fn pools(&self) -> Vec<String> {
         let Some(catalog) = self.catalog.load_full() else {
             return Vec::new();
         };
@@ -650,6 +681,13 @@
                 pools.extend(division.pool_names(&service.name));
             }
         }
+        let divisions = self.divisions.load();
+        let is_former =
+            |service: &&String| !catalog.pools.iter().any(|pool| pool.name == **service);
+        let former: BTreeSet<&String> = divisions.keys().filter(is_former).collect();
+        for service in former {
+            pools.extend(divisions[service].pool_names(service));
+        }
         pools
     }
 
@@ -663,10 +701,10 @@
         apply(view)
     }
 
-    /// Returns the names of all pools that this host has seen or that the configuration has, each once.
-    pub(super) fn known_or_configured_pools(&self) -> BTreeSet<String> {
+    /// Returns the names of all pools that this host has seen or that there are, each once.
+    pub(super) fn known_pools(&self) -> BTreeSet<String> {
         let mut pools: BTreeSet<String> = lock(&self.pools).keys().cloned().collect();
-        pools.extend(self.configured_pools());
+        pools.extend(self.pools());
         pools
     }
 
--- a/crates/mangotrestle/src/host/events.rs
+++ b/crates/mangotrestle/src/host/events.rs
@@ -13,6 +13,7 @@
 use mangotrestle_core::workflow::job::OccurrenceDelay;
 use mangotrestle_core::workflow::leadership::PoolSummary;
 use mangotrestle_core::workflow::pool::{BlockedStep, Note, TicketLoad, UnsettledRun};
+use mangotrestle_core::workflow::queue_home::HomeRow;
 use mangotrestle_core::workflow::record::JobState;
 use mangotrestle_core::workflow::teams::shares::Holding;
 use mangotrestle_http::body::BodyError;
@@ -224,7 +225,7 @@
 pub(super) fn job_answered(
     log: &slog::Logger,
     job: &id::JobId,
-    queue: &Queue,
+    (queue, home): (&Queue, &str),
     acceptance: &Acceptance,
     configuration_version: u64,
     took: Duration,
@@ -238,10 +239,21 @@
     metrics::histogram!("mangotrestle_acceptance_seconds", "outcome" => outcome)
         .record(took.as_secs_f64());
     slog::info!(log, "job.answered"; "job" => job.as_str(), "queue" => &queue.policy.queue,
-        "outcome" => ?acceptance, "configuration" => configuration_version,
+        "home" => home, "outcome" => ?acceptance, "configuration" => configuration_version,
         "took_ms" => millis(took));
 }
 
+/// Logs where the jobs of a queue have their identities from now on, as this host has written it.
+pub(super) fn home_known(log: &slog::Logger, row: &HomeRow, version: u64) {
+    slog::info!(log, "queue.home"; "row" => ?row, "row_version" => version);
+}
+
+/// Logs that the home services of queues could not be written. Jobs are not accepted for them meanwhile.
+pub(super) fn homes_not_written(log: &slog::Logger, queues: usize, reason: &str) {
+    metrics::counter!("mangotrestle_homes_not_written_total").increment(1);
+    slog::warn!(log, "queue.home_not_written"; "queues" => queues, "why" => reason);
+}
+
 /// Logs a request about a job that could not be answered.
 pub(super) fn job_unknown(log: &slog::Logger, job: &id::JobId, queue: &Queue, reason: &str) {
     metrics::counter!("mangotrestle_jobs_unknown_total").increment(1);
@@ -250,19 +262,19 @@
 }
 
 /// Logs the answer to a request for a job's state.
-pub(super) fn job_shown(log: &slog::Logger, job: &id::JobId, state: Option<JobState>) {
-    slog::debug!(log, "job.shown"; "job" => job.as_str(), "state" => ?state);
+pub(super) fn job_shown(log: &slog::Logger, job: &id::JobId, home: &str, state: Option<JobState>) {
+    slog::debug!(log, "job.shown"; "job" => job.as_str(), "home" => home, "state" => ?state);
 }
 
 /// Logs the answer to a cancel request.
 pub(super) fn job_cancelled(
     log: &slog::Logger,
     job: &id::JobId,
-    queue: &Queue,
+    (queue, home): (&Queue, &str),
     state: Option<JobState>,
 ) {
     slog::info!(log, "job.cancelled"; "job" => job.as_str(), "queue" => &queue.policy.queue,
-        "state" => ?state);
+        "home" => home, "state" => ?state);
 }
 
 /// Logs a commit that had no effect: the store refused it for the given reason, or jobs that it
--- a/crates/mangotrestle/src/host/feeds.rs
+++ b/crates/mangotrestle/src/host/feeds.rs
@@ -12,6 +12,7 @@
 
 use super::cell::{Cell, HostRow};
 use super::dividing::Dividing;
+use super::homes::{self, HomeKeeper};
 use super::leader;
 use super::load::Work;
 use super::names;
@@ -148,6 +149,7 @@
     let mut answered_at = Instant::now();
     let mut registered = false;
     let mut dividing = Dividing::default();
+    let mut home_keeper = HomeKeeper::default();
     loop {
         let began = Instant::now();
         if !registered {
@@ -169,6 +171,7 @@
                 version = Some(rows.version.max(version.unwrap_or_default()));
                 apply_cell_rows(&cell, &rows, after_gap);
                 dividing.divide_if_due(&cell);
+                home_keeper.write_if_due(&cell);
                 claim_due_pools(&cell);
             }
             Err(FeedError::HistoryLost) => version = None,
@@ -211,7 +214,7 @@
     for row in &all.rows {
         apply_division_row(cell, row);
     }
-    for pool in cell.known_or_configured_pools() {
+    for pool in cell.known_pools() {
         let rows = cell
             .read_part(names::CELL_TABLE, &pool, ROW_CALL_TIMEOUT)
             .await?;
@@ -226,6 +229,7 @@
         if row.name.part.is_empty() {
             apply_host_row(cell, row);
             apply_division_row(cell, row);
+            homes::apply_row(cell, row);
         } else if row.name.key == names::LEAD_KEY {
             apply_lead_row(cell, row);
         } else if row.name.key == names::SUMMARY_KEY {
@@ -238,7 +242,7 @@
         // A commit may be among the changes that are not read yet.
         return;
     }
-    for pool in cell.known_or_configured_pools() {
+    for pool in cell.known_pools() {
         cell.with_pool(&pool, |view| {
             if after_gap {
                 view.watch.restart_timeout(now);
@@ -363,7 +367,7 @@
     if !cell.store_is_silent() || cell.is_stopping() {
         return;
     }
-    for pool in cell.configured_pools() {
+    for pool in cell.pools() {
         if cell.rank(&pool, None) < MAX_PROBING_RANK {
             probe_leader(cell, &pool);
         }
@@ -417,7 +421,7 @@
     if cell.is_stopping() {
         return;
     }
-    for pool in cell.configured_pools() {
+    for pool in cell.pools() {
         probe_leader_if_needed(cell, &pool);
         let (claim_stagger, slow) = (cell.claim_stagger(), cell.store_is_slow());
         let ended = cell.leader_has_ended(&pool);
--- a/crates/mangotrestle/src/host/front.rs
+++ b/crates/mangotrestle/src/host/front.rs
@@ -1,5 +1,6 @@
 //! Server for callers, who submit and cancel jobs and ask for their states and the number pending.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -28,6 +29,7 @@
 
 use super::cell::Cell;
 use super::events;
+use super::homes;
 use super::jobs;
 use super::load::Work;
 
@@ -147,21 +149,23 @@
         events::key_unknown(&cell.log, queue, catalog.version, key.is_some());
         return StatusCode::UNAUTHORIZED.into_response();
     }
-    let Some(division) = cell.division(&queue.pool) else {
-        return refuse(StatusCode::SERVICE_UNAVAILABLE, MIN_RETRY_AFTER);
-    };
     if is_count(queue) {
-        return pending(cell, queue, &division);
+        return pending(cell, queue);
     }
     let rest = &path[queue.path_prefix.len()..];
     let Some(job) = ingress::job_id(rest) else {
         return StatusCode::NOT_FOUND.into_response();
     };
-    let home = division.home_of(&queue.pool, &job);
+    let Some(home) = Box::pin(home_pool(cell, queue, &host, &job)).await else {
+        return refuse(StatusCode::SERVICE_UNAVAILABLE, MIN_RETRY_AFTER);
+    };
     let viewer = caller.viewer(queue);
     let timeout = caller_timeout(&request).mul_f64(ANSWER_TIME_SHARE);
     match method {
         Method::POST if is_current => {
+            let Some(division) = cell.division(&queue.pool) else {
+                return refuse(StatusCode::SERVICE_UNAVAILABLE, MIN_RETRY_AFTER);
+            };
             let target = Target {
                 catalog: &catalog,
                 queue,
@@ -187,6 +191,14 @@
     }
 }
 
+/// Returns the pool that holds a job's identity, wherever its queue is sent now; `None` if it cannot be
+/// found out.
+async fn home_pool(cell: &Arc<Cell>, queue: &Queue, host: &str, job: &id::JobId) -> Option<String> {
+    let service = homes::home_service(cell, queue, host).await?;
+    let division = cell.division(&service)?;
+    Some(division.home_of(&service, job))
+}
+
 /// Whether keys count no more, since a newer configuration may have taken them away and the deployment
 /// prefers to refuse then.
 fn keys_have_expired(cell: &Cell, catalog: &Catalog) -> bool {
@@ -280,7 +292,7 @@
     events::job_answered(
         &cell.log,
         job,
-        target.queue,
+        (target.queue, target.home),
         &acceptance,
         target.catalog.version,
         began.elapsed(),
@@ -349,7 +361,7 @@
     let summary_of = |pool: &str| summaries.get(pool).map(AsRef::as_ref);
     let random = rand::rng().random();
     let division = target.division;
-    division.choose(service, job, record, summary_of, random)
+    division.choose(service, target.home, job, record, summary_of, random)
 }
 
 /// Refuses a job that admission does not accept, unless it was accepted earlier: then it stays
@@ -407,11 +419,11 @@
 ) -> Response {
     match jobs::find_state(cell, home, job, viewer).await {
         Ok(Some(state)) => {
-            events::job_shown(&cell.log, job, Some(state));
+            events::job_shown(&cell.log, job, home, Some(state));
             json_response(ingress::encode_state(state))
         }
         Ok(None) => {
-            events::job_shown(&cell.log, job, None);
+            events::job_shown(&cell.log, job, home, None);
             StatusCode::GONE.into_response()
         }
         Err(reason) => {
@@ -430,7 +442,7 @@
 ) -> Response {
     match jobs::cancel(cell, home, job, viewer).await {
         Ok(state) => {
-            events::job_cancelled(&cell.log, job, queue, state);
+            events::job_cancelled(&cell.log, job, (queue, home), state);
             match state {
                 Some(_) => StatusCode::OK.into_response(),
                 None => StatusCode::GONE.into_response(),
@@ -443,11 +455,19 @@
     }
 }
 
-fn pending(cell: &Arc<Cell>, queue: &Queue, division: &Division) -> Response {
-    let pools = division.pool_names(&queue.pool);
-    let counts = pools.filter_map(|pool| {
-        let summary = cell.summary(&pool)?;
-        summary.pending.get(&queue.policy.queue).copied()
+/// Answers with the number of a queue's jobs that have not begun, in all pools and under all names that
+/// the queue has had: it may have been sent to other services.
+fn pending(cell: &Arc<Cell>, queue: &Queue) -> Response {
+    let row = cell.home_row(&queue.path_prefix);
+    let stored = row.iter().flat_map(|(row, _)| row.queue_names());
+    let names: BTreeSet<&str> = stored
+        .chain(std::iter::once(queue.policy.queue.as_str()))
+        .collect();
+    let pools = cell.pools().into_iter();
+    let summaries = pools.filter_map(|pool| cell.summary(&pool));
+    let counts = summaries.map(|summary| {
+        let counts = names.iter().filter_map(|name| summary.pending.get(*name));
+        counts.sum::<u32>()
     });
     json_response(ingress::encode_pending(counts.sum()))
 }
--- a/crates/mangotrestle/src/host/leader/rounds.rs
+++ b/crates/mangotrestle/src/host/leader/rounds.rs
@@ -89,7 +89,7 @@
             let mut state = lock(&leader.state);
             state.set_advice_senders(Senders {
                 hosts: cell.host_count(),
-                leaders: cell.configured_pools().len(),
+                leaders: cell.pools().len(),
                 leader_is_late: repeating::is_late(&cell),
             });
             state.set_row_format(cell.row_format());
--- a/crates/mangotrestle/src/host/leader/shares.rs
+++ b/crates/mangotrestle/src/host/leader/shares.rs
@@ -56,7 +56,7 @@
         if is_writing || cell.store_is_silent() {
             return;
         }
-        let pools = u32::try_from(cell.configured_pools().len()).unwrap_or(u32::MAX);
+        let pools = u32::try_from(cell.pools().len()).unwrap_or(u32::MAX);
         let writes = lock(&leader.state).take_share_writes(now, pools, MAX_ROWS);
         if !writes.is_empty() {
             let write = write_shares(Arc::clone(cell), Arc::clone(leader), writes);
--- a/crates/mangotrestle/src/host/mod.rs
+++ b/crates/mangotrestle/src/host/mod.rs
@@ -48,6 +48,7 @@
 mod events;
 mod feeds;
 mod front;
+mod homes;
 mod jobs;
 mod leader;
 mod liveness;
--- a/crates/mangotrestle/src/host/names.rs
+++ b/crates/mangotrestle/src/host/names.rs
@@ -4,6 +4,7 @@
 //! |---|---|---|---|
 //! | `cell` | empty | `host/NAME` | a host, with the address for its peers |
 //! | `cell` | empty | `division/SERVICE` | the division of a service into pools |
+//! | `cell` | empty | `home/HASH` | the home services of the queues with one path prefix |
 //! | `cell` | pool | `lead` | the pool's leadership |
 //! | `cell` | pool | `view` | the summary that the leader publishes to all hosts |
 //! | `cell` | pool | `shapes` | the capacities and labels of its workers, as part of the summary |
@@ -15,6 +16,7 @@
 //! | `ended` | pool | job | the state in which it ended |
 
 use mangotrestle_core::id;
+use mangotrestle_core::workflow::queue_home::HomeRow;
 use mangotrestle_users_platform::store::RowName;
 
 /// Table of hosts, leaderships and published summaries.
@@ -39,6 +41,8 @@
 pub(super) const HOST_PREFIX: &str = "host/";
 /// Prefix of the keys of divisions of services.
 pub(super) const DIVISION_PREFIX: &str = "division/";
+/// Prefix of the keys of queues' home services.
+pub(super) const HOME_PREFIX: &str = "home/";
 /// Suffix of the key of a cancel request.
 const CANCEL_SUFFIX: char = '!';
 
@@ -67,6 +71,12 @@
     RowName::new(CELL_TABLE, "", &format!("{DIVISION_PREFIX}{service}"))
 }
 
+/// Name of the row with the home services of the queues with a path prefix.
+pub(super) fn home_row(path_prefix: &str) -> RowName {
+    let key = HomeRow::key(path_prefix);
+    RowName::new(CELL_TABLE, "", &format!("{HOME_PREFIX}{key}"))
+}
+
 /// Name of the row with the parts of a team's cap that pools hold.
 pub(super) fn share_row(team: &str) -> RowName {
     RowName::new(SHARES_TABLE, "", team)
--- a/crates/mangotrestle/tests/host/main.rs
+++ b/crates/mangotrestle/tests/host/main.rs
@@ -4,6 +4,7 @@
 mod feed_pages;
 mod keys;
 mod lost_answers;
+mod moved_queues;
 mod odd_entries;
 mod overload;
 mod platform;
--- a/crates/mangotrestle/tests/host/platform.rs
+++ b/crates/mangotrestle/tests/host/platform.rs
@@ -425,6 +425,24 @@
         self.write_row("op", "config", &configuration);
     }
 
+    /// Puts a configuration with these queues into force, each with its name, path prefix and service, and
+    /// with these services.
+    pub fn set_services(&self, version: u64, queues: &[(&str, &str, &str)], services: &[&str]) {
+        let route = |(name, path_prefix, service): &(&str, &str, &str)| {
+            json!({"name": name, "host": CALLER_HOST, "path_prefix": path_prefix,
+                "service": service, "priority": 0, "target_latency_ms": 250, "max_attempts": 3,
+                "stretch": 1.5})
+        };
+        let service = |name: &&str| json!({"name": name, "rejects_overload": false});
+        let configuration = json!({
+            "version": version,
+            "routes": queues.iter().map(route).collect::<Vec<Value>>(),
+            "services": services.iter().map(service).collect::<Vec<Value>>(),
+            "limits": {"max_body_bytes": 262_144},
+        });
+        self.write_row("op", "config", &configuration);
+    }
+
     /// Puts a configuration with the usual queue and these limits of requests into force.
     pub fn set_request_limits(&self, version: u64, limits: &Value) {
         self.write_configuration_with(version, &[QUEUE_PATH], limits);
@@ -551,6 +569,21 @@
         self.cell_row("view").map_or(0, |(version, _)| version)
     }
 
+    /// Returns the pools whose inbox ever had a job.
+    pub fn pools_that_accepted(&self, number: u64) -> Vec<String> {
+        let rows = self.store.rows.lock().expect("the rows");
+        let is_row = |(table, _, key): &&RowKey| table == "inbox" && *key == job_id(number);
+        let keys = rows.rows.keys().filter(is_row);
+        keys.map(|(_, part, _)| part.clone()).collect()
+    }
+
+    /// Returns the number of rows with the home services of queues.
+    pub fn home_rows(&self) -> usize {
+        let rows = self.store.rows.lock().expect("the rows");
+        let is_home = |(table, _, key): &&RowKey| table == "cell" && key.starts_with("home/");
+        rows.rows.keys().filter(is_home).count()
+    }
+
     /// Returns the names of the pools that a host has led.
     pub fn led_pools(&self) -> Vec<String> {
         let rows = self.store.rows.lock().expect("the rows");
@@ -892,6 +925,18 @@
         self.call_path("GET", path_prefix, "").await
     }
 
+    /// Requests the state of a job in the queue with a path prefix.
+    pub async fn state_in(&self, path_prefix: &str, number: u64) -> Answer {
+        let path = format!("{path_prefix}{}", job_id(number));
+        self.call_path("GET", &path, "").await
+    }
+
+    /// Cancels a job in the queue with a path prefix.
+    pub async fn cancel_in(&self, path_prefix: &str, number: u64) -> Answer {
+        let path = format!("{path_prefix}{}", job_id(number));
+        self.call_path("DELETE", &path, "").await
+    }
+
     /// Requests a job's state.
     pub async fn state(&self, number: u64) -> Answer {
         self.call("GET", number, "").await
