Let pools take turns where fair parts of a team's cap start nothing

Callers saw: two large jobs of one team, one in each of two services, stayed queued for good with nothing of the team running.

Cause: a pool's entry said how much it needs in all, not what its next unit takes, and max-min fairness gave each pool a part with which it started nothing. A pool also kept its half of a cap for a stream of small units while a large unit of another pool waited for good.

Change: a pool whose next unit does not fit its fair part takes a turn, which stands in the team's row. Turns are granted in their order, as far as they fit beside the runs that last; the others keep out of the granted parts, and a pool whose turn is not granted holds no more than it uses. The next turn of a pool comes after all others. A pool that gets its part and finds no worker gives the turn up after a second, for two. No row is different where each unit fits its pool's fair part. team.share names the turn and the pool that is next.

--- a/crates/mangotrestle-core/src/workflow/pool/placing.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/placing.rs
@@ -25,6 +25,7 @@
 use super::super::rank::Rank;
 use super::super::spec::StepSpec;
 use super::super::start_calls::StartCalls;
+use super::super::teams::account::BlockedWork;
 use super::super::worker::Worker;
 use super::progress::scaled;
 use super::queueing::QueueEntry;
@@ -110,7 +111,7 @@
     assigned: Vec<(Rank, UnitKey, Vec<id::WorkerId>)>,
     reservations: Vec<Reservation>,
     /// Need of each team's units for which its share has no room.
-    teams_blocked: FastMap<Arc<str>, Resources>,
+    teams_blocked: FastMap<Arc<str>, BlockedWork>,
 }
 
 /// A worker that accepts work, as seen by a placement pass.
@@ -627,6 +628,7 @@
             if !rank.late {
                 self.earn_expedite_credit();
             }
+            self.count_unit(&key);
             self.assign(now, &key, &workers);
         }
     }
--- a/crates/mangotrestle-core/src/workflow/pool/teams.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/teams.rs
@@ -13,6 +13,7 @@
 use super::super::job::{Job, MemberKey, StepKey, UnitKey};
 use super::super::spec::JobRecord;
 use super::super::teams::TeamEntry;
+use super::super::teams::account::{BlockedWork, TeamRun};
 use super::super::teams::shares::{ShareRow, ShareWrite};
 use super::placing::PlacementRequest;
 use super::{Note, Pool};
@@ -22,8 +23,8 @@
 pub(super) struct TeamRooms<'a> {
     /// What each team may still start; `None` if there is no limit.
     left: FastMap<&'a Arc<str>, Option<Resources>>,
-    /// Need of each team's units for which there was no room.
-    blocked: FastMap<Arc<str>, Resources>,
+    /// Each team's units for which there was no room.
+    blocked: FastMap<Arc<str>, BlockedWork>,
 }
 
 impl<'a> TeamRooms<'a> {
@@ -40,7 +41,8 @@
         let fits = need.fits_in(left);
         if !fits {
             *left -= need;
-            *self.blocked.entry(Arc::clone(team)).or_default() += need;
+            let blocked = self.blocked.entry(Arc::clone(team)).or_default();
+            blocked.add(need);
         }
         fits
     }
@@ -53,8 +55,8 @@
         }
     }
 
-    /// Returns the need of each team's units for which there was no room.
-    pub(super) fn into_blocked(self) -> FastMap<Arc<str>, Resources> {
+    /// Returns each team's units for which there was no room.
+    pub(super) fn into_blocked(self) -> FastMap<Arc<str>, BlockedWork> {
         self.blocked
     }
 }
@@ -96,16 +98,26 @@
     /// Counts a member that is assigned to a worker from now on.
     pub(super) fn count_assigned(&mut self, now: TimeMs, record: &JobRecord, key: &MemberKey) {
         if let Some(team) = &record.team {
-            let need = record.steps[key.unit.step.step as usize].need;
-            self.teams.add_run(now, team, need);
+            self.teams.add_run(now, team, team_run(record, key));
+        }
+    }
+
+    /// Counts a unit that is assigned to workers as a whole.
+    pub(super) fn count_unit(&mut self, key: &UnitKey) {
+        let Some(job) = self.jobs.get(&key.step.job) else {
+            return;
+        };
+        let spec = job.record.steps.get(key.step.step as usize);
+        if let (Some(team), Some(spec)) = (&job.record.team, spec) {
+            let unit = spec.need.times(spec.unit_size());
+            self.teams.unit_started(team, &unit);
         }
     }
 
     /// Counts a member that is assigned no more.
     pub(super) fn count_released(&mut self, record: &JobRecord, key: &MemberKey) {
         if let Some(team) = &record.team {
-            let need = record.steps[key.unit.step.step as usize].need;
-            self.teams.remove_run(team, need);
+            self.teams.remove_run(team, team_run(record, key));
         }
     }
 
@@ -137,7 +149,7 @@
 
     /// Records the need for which teams have no room, and notes the teams for which that begins or
     /// ends.
-    pub(super) fn set_teams_blocked(&mut self, blocked: &FastMap<Arc<str>, Resources>) {
+    pub(super) fn set_teams_blocked(&mut self, blocked: &FastMap<Arc<str>, BlockedWork>) {
         for team in self.teams.set_blocked(blocked) {
             if let Some(usage) = self.teams.usage(&team) {
                 self.notes.push(Note::TeamAtLimit { team, usage });
@@ -145,3 +157,12 @@
         }
     }
 }
+
+/// Returns a member's run as it counts against its team's cap.
+fn team_run(record: &JobRecord, key: &MemberKey) -> TeamRun {
+    let spec = &record.steps[key.unit.step.step as usize];
+    TeamRun {
+        need: spec.need,
+        is_lasting: spec.persistent,
+    }
+}
--- a/crates/mangotrestle-core/src/workflow/teams/account.rs
+++ b/crates/mangotrestle-core/src/workflow/teams/account.rs
@@ -15,6 +15,11 @@
 
 /// Minimum time between two writes of one team's row by one pool.
 const MIN_WRITE_INTERVAL: SpanMs = SpanMs(100);
+/// Time for which a pool keeps its turn after it has got room for the unit, until a worker has room too.
+const TURN_HOLD_TIME: SpanMs = SpanMs(1_000);
+/// Time for which a pool claims nothing for a unit after it has given its turn up, so that others can use
+/// the cap.
+const TURN_PAUSE: SpanMs = SpanMs(2_000);
 
 /// A team's account in one pool.
 #[derive(Clone, Debug)]
@@ -25,8 +30,16 @@
     listed: bool,
     /// Total need of the runs that may be on workers.
     used: Resources,
-    /// Total need of the waiting work for which the share has no room.
-    blocked: Resources,
+    /// Total need of the runs that last until their job is cancelled.
+    lasting: Resources,
+    /// The waiting work for which the share has no room.
+    blocked: BlockedWork,
+    /// Need of the unit for which the pool has its turn or wants one; zero if it wants none.
+    turn_unit: Resources,
+    /// When the pool gives its turn up, since no worker has room for the unit; unset while the share has
+    /// none.
+    turn_held_until: Option<TimeMs>,
+    pause: TurnPause,
     shares: ShareHolder,
     written_at: Option<TimeMs>,
     rate: PromisedRate,
@@ -38,7 +51,11 @@
             cap: Resources::ZERO,
             listed: false,
             used: Resources::ZERO,
-            blocked: Resources::ZERO,
+            lasting: Resources::ZERO,
+            blocked: BlockedWork::default(),
+            turn_unit: Resources::ZERO,
+            turn_held_until: None,
+            pause: TurnPause::default(),
             shares: ShareHolder::default(),
             written_at: None,
             rate: PromisedRate::new(now, 0.0),
@@ -50,13 +67,99 @@
     }
 
     fn demand(&self) -> Demand {
+        // Nothing is claimed for units behind one that has to pause, since they do not pass it.
+        let waiting = if self.blocked.is_none() || self.turn_unit == Resources::ZERO {
+            self.turn_unit
+        } else {
+            self.blocked.total
+        };
         Demand {
             used: Parts::taken_by(&self.used, &self.cap),
-            needed: Parts::taken_by(&(self.used + self.blocked), &self.cap),
+            needed: Parts::taken_by(&(self.used + waiting), &self.cap),
+            lasting: Parts::taken_by(&self.lasting, &self.cap),
+            unit: Parts::taken_by(&self.turn_unit, &self.cap),
+        }
+    }
+
+    /// Finds out for which unit the pool should have a turn. While the share has room for the unit and no
+    /// worker has, the turn is kept for a while, then left to others.
+    fn update_turn(&mut self, now: TimeMs, pool: &str) {
+        let has_turn = self.shares.open_turn(pool).is_some();
+        if !self.blocked.is_none() {
+            self.turn_held_until = None;
+            let pauses = !has_turn && self.pause.applies_to(now, &self.blocked.first);
+            self.turn_unit = if pauses {
+                Resources::ZERO
+            } else {
+                self.blocked.first
+            };
+        } else if !has_turn {
+            self.turn_held_until = None;
+            self.turn_unit = Resources::ZERO;
+        } else if now >= *self.turn_held_until.get_or_insert(now + TURN_HOLD_TIME) {
+            self.pause = TurnPause {
+                unit: self.turn_unit,
+                until: now + TURN_PAUSE,
+            };
+            self.turn_unit = Resources::ZERO;
+        }
+    }
+
+    /// Whether a unit that is started is the one for which the pool has its turn.
+    fn ends_turn(&self, pool: &str, unit: &Resources) -> bool {
+        self.turn_unit != Resources::ZERO
+            && self.shares.open_turn(pool).is_some()
+            && Parts::taken_by(unit, &self.cap)
+                .contain(&Parts::taken_by(&self.turn_unit, &self.cap))
+    }
+}
+
+/// Time in which a pool claims nothing for units like the one for which it gave its turn up.
+#[derive(Clone, Copy, Debug, Default)]
+struct TurnPause {
+    /// Need of that unit.
+    unit: Resources,
+    until: TimeMs,
+}
+
+impl TurnPause {
+    fn applies_to(&self, now: TimeMs, unit: &Resources) -> bool {
+        now < self.until && self.unit.fits_in(unit)
+    }
+}
+
+/// A team's waiting work for which a pool's share of the cap has no room.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct BlockedWork {
+    /// Total need.
+    pub total: Resources,
+    /// Need of the unit that comes first.
+    pub first: Resources,
+}
+
+impl BlockedWork {
+    /// Adds a unit that comes after those before.
+    pub fn add(&mut self, need: Resources) {
+        if self.is_none() {
+            self.first = need;
         }
+        self.total += need;
+    }
+
+    fn is_none(&self) -> bool {
+        self.total == Resources::ZERO
     }
 }
 
+/// A run as it counts against its team's cap.
+#[derive(Clone, Copy, Debug)]
+pub struct TeamRun {
+    /// What it takes.
+    pub need: Resources,
+    /// Whether it lasts until its job is cancelled.
+    pub is_lasting: bool,
+}
+
 /// Room of a team for more runs, as an operator sees it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct TeamUsage {
@@ -64,8 +167,8 @@
     pub used: Resources,
     /// What the pool's share of the cap allows.
     pub limit: Resources,
-    /// Total need of the waiting work for which the share has no room.
-    pub blocked: Resources,
+    /// The waiting work for which the share has no room.
+    pub blocked: BlockedWork,
 }
 
 /// The accounts of all teams in one pool.
@@ -107,14 +210,31 @@
     }
 
     /// Counts a run of a team that may be on a worker from now on.
-    pub fn add_run(&mut self, now: TimeMs, team: &Arc<str>, need: Resources) {
-        self.account_mut(now, team).used += need;
+    pub fn add_run(&mut self, now: TimeMs, team: &Arc<str>, run: TeamRun) {
+        let account = self.account_mut(now, team);
+        account.used += run.need;
+        if run.is_lasting {
+            account.lasting += run.need;
+        }
     }
 
     /// Counts a run of a team that has certainly ended.
-    pub fn remove_run(&mut self, team: &str, need: Resources) {
+    pub fn remove_run(&mut self, team: &str, run: TeamRun) {
         if let Some(account) = self.teams.get_mut(team) {
-            account.used -= need;
+            account.used -= run.need;
+            if run.is_lasting {
+                account.lasting -= run.need;
+            }
+        }
+    }
+
+    /// Records that a unit of a team was started.
+    pub fn unit_started(&mut self, team: &str, unit: &Resources) {
+        let pool = &self.pool;
+        if let Some(account) = self.teams.get_mut(team)
+            && account.ends_turn(pool, unit)
+        {
+            account.shares.end_turn(pool);
         }
     }
 
@@ -154,12 +274,12 @@
 
     /// Records the waiting work for which the teams' shares have no room; that of other teams has
     /// room. Returns the teams for which this begins or ends.
-    pub fn set_blocked(&mut self, blocked: &FastMap<Arc<str>, Resources>) -> Vec<Arc<str>> {
+    pub fn set_blocked(&mut self, blocked: &FastMap<Arc<str>, BlockedWork>) -> Vec<Arc<str>> {
         let mut changed = Vec::new();
         for (team, account) in &mut self.teams {
             let before = account.blocked;
             account.blocked = blocked.get(team).copied().unwrap_or_default();
-            if (before == Resources::ZERO) != (account.blocked == Resources::ZERO) {
+            if before.is_none() != account.blocked.is_none() {
                 changed.push(Arc::clone(team));
             }
         }
@@ -170,7 +290,7 @@
     pub fn blocked_teams(&self) -> impl Iterator<Item = &Arc<str>> {
         let teams = self.teams.iter();
         teams
-            .filter(|(_, account)| account.blocked != Resources::ZERO)
+            .filter(|(_, account)| !account.blocked.is_none())
             .map(|(team, _)| team)
     }
 
@@ -213,7 +333,7 @@
         let accounts = self.teams.iter_mut();
         let mut accounts: Vec<_> = accounts.filter(|(_, account)| due(account)).collect();
         accounts.sort_by_key(|(team, account)| {
-            let is_idle = account.used == Resources::ZERO && account.blocked == Resources::ZERO;
+            let is_idle = account.used == Resources::ZERO && account.blocked.is_none();
             (is_idle, Arc::clone(team))
         });
         let mut writes = Vec::new();
@@ -221,6 +341,7 @@
             if writes.len() >= max {
                 break;
             }
+            account.update_turn(now, &self.pool);
             let demand = account.demand();
             if let Some(write) = account
                 .shares
--- a/crates/mangotrestle-core/src/workflow/teams/shares.rs
+++ b/crates/mangotrestle-core/src/workflow/teams/shares.rs
@@ -16,6 +16,15 @@
 //!
 //! What a pool gives up follows max-min fairness over the pools' needs, so a pool with a small need
 //! gets all of it and large needs share what is left.
+//!
+//! A fair part may be too small for the next unit of work, such as a gang, so that several pools hold
+//! parts with which none of them starts anything. A pool whose next unit does not fit its fair part
+//! therefore takes a [`Turn`]. Turns are granted in their order, as far as they fit the cap together
+//! with the runs that last: the others leave the granted parts free and share the rest, and a pool
+//! whose turn is not granted yet holds no more than it uses. A turn ends with the start that it is for,
+//! and the pool's next one comes after all others, so each of them is granted in the end. The order is
+//! part of the row, so it is the same for all leaders. Where each pool's units fit its fair part, no
+//! pool has a turn.
 
 use std::collections::BTreeMap;
 
@@ -74,6 +83,25 @@
         }
     }
 
+    /// Whether the parts are at least others, of each resource.
+    #[must_use]
+    pub fn contain(&self, others: &Self) -> bool {
+        self.0
+            .iter()
+            .zip(others.0)
+            .all(|(own, other)| *own >= other)
+    }
+
+    /// Returns the parts and others together.
+    #[must_use]
+    pub fn plus(&self, others: &Self) -> Self {
+        let mut sums = self.0;
+        for (sum, other) in sums.iter_mut().zip(others.0) {
+            *sum = sum.saturating_add(other);
+        }
+        Self(sums)
+    }
+
     fn min(&self, other: &Self) -> Self {
         let mut least = self.0;
         for (part, other) in least.iter_mut().zip(other.0) {
@@ -91,6 +119,17 @@
     ]
 }
 
+/// The turn of a pool whose next unit does not fit its fair part.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, PartialEq, Serialize, Deserialize)]
+pub struct Turn {
+    /// Its position: lower ones come first.
+    #[serde(rename = "o")]
+    pub order: u64,
+    /// The parts with which the unit can start once the pool's runs that end have ended.
+    #[serde(rename = "s")]
+    pub start: Parts,
+}
+
 /// What one pool holds of a team's cap.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, PartialEq, Serialize, Deserialize)]
 pub struct Holding {
@@ -103,6 +142,13 @@
     /// The parts that it needs, of each resource of which it holds too little; zero of the others.
     #[serde(default, rename = "n", skip_serializing_if = "is_none")]
     pub need: Parts,
+    /// The parts that its runs take which last until their job is cancelled; zero while no pool has a
+    /// turn.
+    #[serde(default, rename = "l", skip_serializing_if = "is_none")]
+    pub lasting: Parts,
+    /// Its turn, if it has one.
+    #[serde(default, rename = "w", skip_serializing_if = "Option::is_none")]
+    pub turn: Option<Turn>,
 }
 
 fn is_none(parts: &Parts) -> bool {
@@ -117,6 +163,16 @@
     pub pools: BTreeMap<String, Holding>,
 }
 
+impl ShareRow {
+    /// Returns the pool whose turn is first; `None` if no pool has one.
+    #[must_use]
+    pub fn next_in_turn(&self) -> Option<&str> {
+        let turns = self.pools.iter();
+        let turns = turns.filter_map(|(pool, holding)| Some((holding.turn?.order, pool)));
+        turns.min().map(|(_, pool)| pool.as_str())
+    }
+}
+
 /// What a pool uses and needs of a team's cap.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, PartialEq)]
 pub struct Demand {
@@ -124,6 +180,10 @@
     pub used: Parts,
     /// Parts that these runs and the waiting work together need.
     pub needed: Parts,
+    /// Parts that runs take which last until their job is cancelled.
+    pub lasting: Parts,
+    /// Parts that the next unit takes for which there is no room; none if there is no such unit.
+    pub unit: Parts,
 }
 
 /// A conditional write of a team's row.
@@ -145,6 +205,8 @@
     /// The parts to which the pool goes down by starting nothing, since others lack room; unset if it
     /// need not.
     aim: Option<Parts>,
+    /// Position of the last turn whose unit was started.
+    served: u64,
 }
 
 impl ShareHolder {
@@ -156,6 +218,7 @@
                 version,
                 pending: None,
                 aim: self.aim,
+                served: self.served,
             };
         }
     }
@@ -191,8 +254,10 @@
         if own.is_some_and(|own| own.term > term) {
             return None;
         }
-        let wanted = self.wanted(pool, term, demand, pools);
-        let aim = own.map(|own| self.aim(pool, &own, demand));
+        let turn = self.next_turn(pool, demand);
+        let outlook = self.outlook(pool, turn, demand);
+        let wanted = self.wanted(pool, term, demand, pools, &outlook);
+        let aim = own.map(|own| own.held.min(&outlook.keepable));
         self.aim = aim.filter(|aim| aim.min(&wanted.held) != wanted.held);
         let is_settled = self.pending.is_none();
         if is_settled && own.is_some_and(|own| !is_worth_a_write(&own, &wanted)) {
@@ -208,47 +273,155 @@
         })
     }
 
-    /// Returns what others hold of a resource, and need.
-    fn claims_of_others(&self, pool: &str, resource: usize) -> Vec<Claim> {
+    /// Returns the turn that the pool has and whose unit has not been started.
+    #[must_use]
+    pub fn open_turn(&self, pool: &str) -> Option<Turn> {
+        let own = self.row.pools.get(pool)?;
+        own.turn.filter(|turn| turn.order != self.served)
+    }
+
+    /// Records that the unit of the pool's turn was started.
+    pub fn end_turn(&mut self, pool: &str) {
+        if let Some(turn) = self.open_turn(pool) {
+            self.served = turn.order;
+        }
+    }
+
+    /// Returns the turn that the pool should have.
+    fn next_turn(&self, pool: &str, demand: &Demand) -> Option<Turn> {
+        let start = demand.lasting.plus(&demand.unit);
+        if demand.unit == Parts::NONE || !Parts([WHOLE; RESOURCES]).contain(&start) {
+            return None;
+        }
+        if let Some(turn) = self.open_turn(pool) {
+            return Some(Turn {
+                start: settled_start(&turn.start, start),
+                ..turn
+            });
+        }
+        let is_squeezed_by_turns = self.others_have_turns(pool)
+            && !self.outlook(pool, None, demand).keepable.contain(&start);
+        if !is_squeezed_by_turns && self.fair_part_allows(pool, demand, &start) {
+            return None;
+        }
+        let turns = self.row.pools.values().filter_map(|holding| holding.turn);
+        let last = turns.map(|turn| turn.order).max();
+        Some(Turn {
+            order: last.unwrap_or_default().max(self.served) + 1,
+            start,
+        })
+    }
+
+    fn others_have_turns(&self, pool: &str) -> bool {
+        let mut others = self.row.pools.iter().filter(|(name, _)| *name != pool);
+        others.any(|(_, other)| other.turn.is_some())
+    }
+
+    /// Whether the pool's fair part allows a start, whatever the other pools that hold something need
+    /// in the end.
+    fn fair_part_allows(&self, pool: &str, demand: &Demand, start: &Parts) -> bool {
+        (0..RESOURCES).all(|resource| {
+            let others = self.row.pools.iter().filter(|(name, _)| *name != pool);
+            let others =
+                others.map(|(_, other)| other.held.0[resource].max(other.need.0[resource]));
+            let others: Vec<u32> = others.filter(|need| *need > 0).collect();
+            let needed = demand.needed.0[resource].min(WHOLE);
+            max_min_part(needed, &others, WHOLE) >= start.0[resource]
+        })
+    }
+
+    /// Returns the parts that turns are granted, by pool.
+    fn grants<'a>(&'a self, pool: &'a str, turn: Option<Turn>, demand: &Demand) -> Grants<'a> {
+        let mut left = [WHOLE; RESOURCES];
+        let mut turns: Vec<(u64, &str, Parts, Parts)> = Vec::new();
         let others = self.row.pools.iter().filter(|(name, _)| *name != pool);
-        let claims = others.map(|(_, other)| Claim {
-            held: other.held.0[resource],
-            need: other.need.0[resource],
-        });
-        claims.collect()
+        let others = others.map(|(name, other)| (other.turn, name.as_str(), other.lasting));
+        for (turn, name, lasting) in others.chain([(turn, pool, demand.lasting)]) {
+            for (left, lasting) in left.iter_mut().zip(lasting.0) {
+                *left = left.saturating_sub(lasting);
+            }
+            turns.extend(turn.map(|turn| (turn.order, name, turn.start, lasting)));
+        }
+        turns.sort_unstable_by_key(|(order, name, ..)| (*order, *name));
+        let mut grants = Grants::default();
+        for (_, name, start, lasting) in turns {
+            let room = Parts(left).plus(&lasting);
+            if room.contain(&start) {
+                for (resource, left) in left.iter_mut().enumerate() {
+                    *left = room.0[resource] - start.0[resource].max(lasting.0[resource]);
+                }
+                grants.insert(name, start);
+            }
+        }
+        grants
     }
 
-    /// Returns the parts to which the pool should go down from what it holds.
-    fn aim(&self, pool: &str, own: &Holding, demand: &Demand) -> Parts {
-        let mut aim = own.held.0;
-        for (resource, part) in aim.iter_mut().enumerate() {
+    /// Returns what the others claim, and what the pool may keep beside them.
+    fn outlook(&self, pool: &str, turn: Option<Turn>, demand: &Demand) -> Outlook {
+        let grants = self.grants(pool, turn, demand);
+        let standing = match (turn, grants.get(pool)) {
+            (None, _) => Standing::NoTurn,
+            (Some(_), Some(start)) => Standing::Granted(*start),
+            (Some(_), None) => Standing::Waiting,
+        };
+        let others = self.row.pools.iter().filter(|(name, _)| *name != pool);
+        let claims = std::array::from_fn(|resource| {
+            let claim = |(name, other): (&String, &Holding)| {
+                let granted = grants.get(name.as_str());
+                let granted = granted.map_or(0, |start| start.0[resource]);
+                let need = match other.turn {
+                    Some(_) => 0,
+                    None => other.need.0[resource],
+                };
+                Claim {
+                    held: other.held.0[resource].max(granted),
+                    need,
+                    is_granted: granted > 0,
+                }
+            };
+            others.clone().map(claim).collect()
+        });
+        let mut outlook = Outlook {
+            turn,
+            claims,
+            standing,
+            keepable: Parts([u32::MAX; RESOURCES]),
+        };
+        for resource in 0..RESOURCES {
             let needed = demand.needed.0[resource].min(WHOLE);
-            let others = self.claims_of_others(pool, resource);
-            if let Some(fair) = fair_part(needed, &others) {
-                *part = (*part).min(fair);
+            if let Some(part) = outlook.keepable_part(resource, needed) {
+                outlook.keepable.0[resource] = part;
             }
         }
-        Parts(aim)
+        outlook
     }
 
     /// Returns the entry that the pool should have.
-    fn wanted(&self, pool: &str, term: u64, demand: &Demand, pools: u32) -> Holding {
+    fn wanted(
+        &self,
+        pool: &str,
+        term: u64,
+        demand: &Demand,
+        pools: u32,
+        outlook: &Outlook,
+    ) -> Holding {
         let own = self.row.pools.get(pool);
         let mut wanted = Holding {
             term,
+            turn: outlook.turn,
             ..Holding::default()
         };
+        if outlook.turn.is_some() || self.others_have_turns(pool) {
+            wanted.lasting = demand.lasting;
+        }
         for resource in 0..RESOURCES {
-            let others = self.claims_of_others(pool, resource);
             let needed = demand.needed.0[resource].min(WHOLE);
-            let held = match own {
-                Some(own) => changed_part(
-                    own.held.0[resource],
-                    demand.used.0[resource],
-                    needed,
-                    &others,
-                ),
-                None => free_part(0, &others).min(needed.max(WHOLE / pools.max(1))),
+            let used = demand.used.0[resource];
+            let held = if let Some(own) = own {
+                outlook.changed_part(resource, own.held.0[resource], used, needed)
+            } else {
+                let free = free_part(0, &outlook.claims[resource]);
+                free.min(needed.max(WHOLE / pools.max(1)))
             };
             wanted.held.0[resource] = held;
             if needed > held {
@@ -259,10 +432,23 @@
     }
 }
 
-/// What another pool holds of one resource, and needs if that is too little.
+/// Parts that turns are granted, by pool.
+type Grants<'a> = BTreeMap<&'a str, Parts>;
+
+/// Returns the start of a turn that is kept. A start that needs a little less than before is not worth a
+/// write; one that needs more is, since it would never have room.
+fn settled_start(stored: &Parts, start: Parts) -> Parts {
+    let is_close = |(stored, start): (&u32, u32)| *stored - start < MIN_NEED_CHANGE;
+    let is_settled = stored.contain(&start) && stored.0.iter().zip(start.0).all(is_close);
+    if is_settled { *stored } else { start }
+}
+
+/// What another pool holds of one resource or is granted, and needs if that is too little.
 struct Claim {
     held: u32,
     need: u32,
+    /// Whether the pool has a turn that is granted.
+    is_granted: bool,
 }
 
 impl Claim {
@@ -271,7 +457,51 @@
     }
 }
 
-/// Returns the part that no pool holds.
+/// How a pool stands to the turns.
+enum Standing {
+    /// It needs no turn.
+    NoTurn,
+    /// Its turn is granted these parts.
+    Granted(Parts),
+    /// It has a turn that is not granted.
+    Waiting,
+}
+
+/// The claims of other pools on a cap, and how a pool stands to them.
+struct Outlook {
+    /// The pool's turn, if it has one.
+    turn: Option<Turn>,
+    /// Claims on each resource.
+    claims: [Vec<Claim>; RESOURCES],
+    standing: Standing,
+    /// Parts that the pool may keep if it starts nothing beyond them.
+    keepable: Parts,
+}
+
+impl Outlook {
+    /// Returns the part of a resource that the pool may keep beside others that lack room or have a turn;
+    /// `None` if none does.
+    fn keepable_part(&self, resource: usize, needed: u32) -> Option<u32> {
+        let fair = fair_part(needed, &self.claims[resource]);
+        match &self.standing {
+            Standing::NoTurn => fair,
+            Standing::Granted(start) => fair.map(|fair| fair.max(start.0[resource])),
+            Standing::Waiting => Some(0),
+        }
+    }
+
+    /// Returns the part of a resource that the pool should hold after `held`.
+    fn changed_part(&self, resource: usize, held: u32, used: u32, needed: u32) -> u32 {
+        let free = free_part(held, &self.claims[resource]);
+        if needed > held && free > 0 && !matches!(self.standing, Standing::Waiting) {
+            // Half of what is free is taken ahead of the need, so that not each start takes a write.
+            return held + free.min((needed - held).max(free / 2));
+        }
+        held.min(self.keepable.0[resource].max(used))
+    }
+}
+
+/// Returns the part that no pool holds or is granted.
 fn free_part(held: u32, others: &[Claim]) -> u32 {
     let taken = others
         .iter()
@@ -279,27 +509,21 @@
     WHOLE.saturating_sub(taken)
 }
 
-/// Returns the part of one resource that a pool should hold after `held`.
-fn changed_part(held: u32, used: u32, needed: u32, others: &[Claim]) -> u32 {
-    let free = free_part(held, others);
-    if needed > held && free > 0 {
-        // Half of what is free is taken ahead of the need, so that not each start takes a write.
-        return held + free.min((needed - held).max(free / 2));
-    }
-    fair_part(needed, others).map_or(held, |fair| held.min(fair.max(used)))
-}
-
-/// Returns the part of one resource that a pool may keep beside others that lack room; `None` if none
-/// does.
+/// Returns the part of one resource that a pool may keep beside others that lack room or have a turn;
+/// `None` if none does.
 fn fair_part(needed: u32, others: &[Claim]) -> Option<u32> {
     let lacking = others.iter().filter(|other| other.lacks());
     let needs: Vec<u32> = lacking.map(|other| other.need).collect();
-    if needs.is_empty() {
+    let others_have_turns = others.iter().any(|other| other.is_granted);
+    if needs.is_empty() && !others_have_turns {
         return None;
     }
     let content = others.iter().filter(|other| !other.lacks());
     let kept_by_content = content.fold(0_u32, |sum, other| sum.saturating_add(other.held));
     let total = WHOLE.saturating_sub(kept_by_content);
+    if needs.is_empty() {
+        return Some(total);
+    }
     Some(max_min_part(needed, &needs, total))
 }
 
@@ -333,5 +557,7 @@
     };
     own.term != wanted.term
         || own.held != wanted.held
+        || own.turn != wanted.turn
+        || own.lasting != wanted.lasting
         || own.need.0.into_iter().zip(wanted.need.0).any(need_changed)
 }
--- a/crates/mangotrestle-core/tests/workflow/teams/exploration.rs
+++ b/crates/mangotrestle-core/tests/workflow/teams/exploration.rs
@@ -12,9 +12,24 @@
 const MAX_STEPS: u32 = 8;
 /// Maximum number of writes of one leader that are on their way.
 const MAX_WRITES: usize = 2;
+/// Part of a unit that does not fit beside one of the other pool.
+const LARGE_UNIT: u32 = 6_000;
+/// Maximum number of writes of each leader until a unit starts, once writes are answered.
+const MAX_WRITES_TO_START: u32 = 4;
 /// The leaders: pool and term. The second takes over from the first.
 const LEADERS: [(&str, u64); 3] = [("a", 1), ("a", 2), ("b", 1)];
 
+/// Returns the demand of a pool whose next unit takes this part; zero if nothing waits.
+fn demand(used: u32, unit: u32) -> Demand {
+    let needed = if unit == 0 { used } else { WHOLE };
+    Demand {
+        used: Parts([used, 0, 0]),
+        needed: Parts([needed, 0, 0]),
+        lasting: Parts::NONE,
+        unit: Parts([unit, 0, 0]),
+    }
+}
+
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 struct State {
     row: ShareRow,
@@ -47,6 +62,7 @@
             term: 1,
             held: Parts([held, 0, 0]),
             need: Parts([need, 0, 0]),
+            ..Holding::default()
         };
         let mut state = Self::initial();
         state.version = 1;
@@ -97,11 +113,8 @@
         let own_writes = self.writes.iter().filter(|(from, _)| *from == leader);
         let is_active = leader != 1 || self.taken_over;
         if is_active && own_writes.count() < MAX_WRITES {
-            for needed in [self.used[pool_index], WHOLE] {
-                let demand = Demand {
-                    used: Parts([self.used[pool_index], 0, 0]),
-                    needed: Parts([needed, 0, 0]),
-                };
+            for unit in [0, LARGE_UNIT] {
+                let demand = demand(self.used[pool_index], unit);
                 let mut state = self.clone();
                 if let Some(write) = state.holders[leader].propose(pool, term, &demand, 2) {
                     state.writes.push((leader, write));
@@ -137,6 +150,32 @@
         next.push(lost);
     }
 
+    /// Whether each pool starts a unit that takes this part within a few writes, once these are answered
+    /// and what runs has ended.
+    fn lets_both_start(&self, units: [u32; 2]) -> bool {
+        let mut state = self.clone();
+        state.writes.clear();
+        state.used = [0, 0];
+        let leaders = [usize::from(state.taken_over), 2];
+        let mut started = [false, false];
+        for _ in 0..2 * MAX_WRITES_TO_START {
+            for (index, leader) in leaders.into_iter().enumerate() {
+                let (pool, term) = LEADERS[leader];
+                let unit = if started[index] { 0 } else { units[index] };
+                let holder = &mut state.holders[leader];
+                holder.observe(state.row.clone(), state.version);
+                if let Some(write) = holder.propose(pool, term, &demand(0, unit), 2) {
+                    state.row = write.row;
+                    state.version += 1;
+                    holder.observe(state.row.clone(), state.version);
+                }
+                // The unit ends at once.
+                started[index] |= holder.startable(pool, term).0[0] >= unit;
+            }
+        }
+        started == [true, true]
+    }
+
     /// Whether the pools together keep within the cap.
     fn is_within_cap(&self) -> bool {
         self.used.iter().sum::<u32>() <= WHOLE
@@ -146,9 +185,25 @@
 /// Explores all runs from a state, and returns the number of states.
 fn explore(initial: &State) -> usize {
     let mut seen = HashSet::from([initial.clone()]);
+    let mut checked = HashSet::new();
     let mut open = VecDeque::from([(initial.clone(), 0)]);
     while let Some((state, steps)) = open.pop_front() {
         assert!(state.is_within_cap(), "after {steps} steps: {state:?}");
+        // What is on its way or runs makes no difference to what follows once it has ended.
+        let view = (
+            state.row.clone(),
+            state.version,
+            state.holders.clone(),
+            state.taken_over,
+        );
+        if checked.insert(view) {
+            for units in [[LARGE_UNIT; 2], [WHOLE, WHOLE], [WHOLE, 500]] {
+                assert!(
+                    state.lets_both_start(units),
+                    "after {steps} steps, {units:?}: {state:?}"
+                );
+            }
+        }
         if steps == MAX_STEPS {
             continue;
         }
@@ -161,8 +216,9 @@
     seen.len()
 }
 
+/// Guards against runs beyond the cap, and against parts of it with which neither pool starts anything.
 #[test]
-fn no_order_of_reads_writes_and_lost_answers_exceeds_the_cap() {
+fn no_order_of_reads_writes_and_lost_answers_exceeds_the_cap_or_leaves_it_unused() {
     let initial_states = [State::initial(), State::with_lacking_pool()];
 
     let explored = initial_states.map(|initial| explore(&initial));
--- a/crates/mangotrestle-core/tests/workflow/teams/mod.rs
+++ b/crates/mangotrestle-core/tests/workflow/teams/mod.rs
@@ -5,3 +5,4 @@
 mod flood;
 mod identity;
 mod store;
+mod turns;
--- a/crates/mangotrestle/src/host/events.rs
+++ b/crates/mangotrestle/src/host/events.rs
@@ -15,7 +15,7 @@
 use mangotrestle_core::workflow::pool::{BlockedStep, Note, TicketLoad, UnsettledRun};
 use mangotrestle_core::workflow::queue_home::HomeRow;
 use mangotrestle_core::workflow::record::JobState;
-use mangotrestle_core::workflow::teams::shares::Holding;
+use mangotrestle_core::workflow::teams::shares::{Parts, ShareRow};
 use mangotrestle_http::body::BodyError;
 use mangotrestle_peer::cell::Acceptance;
 use mangotrestle_users_platform::store::{RowName, Value};
@@ -307,11 +307,15 @@
 }
 
 /// Logs what a pool holds of a team's cap from now on.
-pub(super) fn share_written(log: &slog::Logger, pool: &str, team: &str, holding: Option<Holding>) {
+pub(super) fn share_written(log: &slog::Logger, pool: &str, team: &str, row: &ShareRow) {
     metrics::counter!("mangotrestle_shares_written_total").increment(1);
-    if let Some(holding) = holding {
+    if let Some(holding) = row.pools.get(pool) {
+        let (turn, start) = holding
+            .turn
+            .map_or((0, Parts::NONE), |turn| (turn.order, turn.start));
         slog::info!(log, "team.share"; "team" => team, "pool" => pool,
-            "held" => ?holding.held.0, "need" => ?holding.need.0, "term" => holding.term);
+            "held" => ?holding.held.0, "need" => ?holding.need.0, "turn" => turn,
+            "start" => ?start.0, "next" => row.next_in_turn(), "term" => holding.term);
     }
 }
 
@@ -400,11 +404,12 @@
                 "after_ms" => after.0, "pool" => pool, "term" => term);
         }
         Note::TeamAtLimit { team, usage } => {
-            let at_limit = usage.blocked != Resources::ZERO;
+            let at_limit = usage.blocked.total != Resources::ZERO;
             metrics::counter!("mangotrestle_teams_at_limit_total").increment(u64::from(at_limit));
             slog::info!(log, "team.at_limit"; "team" => team.as_ref(), "pool" => pool,
                 "at_limit" => at_limit, "used" => ?usage.used, "limit" => ?usage.limit,
-                "blocked" => ?usage.blocked, "term" => term);
+                "blocked" => ?usage.blocked.total,
+                "next_unit" => ?usage.blocked.first, "term" => term);
         }
         Note::TaskSuspected {
             task,
--- a/crates/mangotrestle/src/host/leader/shares.rs
+++ b/crates/mangotrestle/src/host/leader/shares.rs
@@ -80,8 +80,7 @@
         Ok(TransactionAnswer::Done { version }) => {
             let mut state = lock(&leader.state);
             for (team, write) in writes {
-                let holding = write.row.pools.get(&leader.pool).copied();
-                events::share_written(&cell.log, &leader.pool, &team, holding);
+                events::share_written(&cell.log, &leader.pool, &team, &write.row);
                 state.share_observed(now, &team, write.row, version);
             }
         }
