Claim nothing of a team's cap for a pool in which nothing waits

Callers saw: after a job was cancelled that was the last to wait in its pool, the team's other jobs ran with a part of its cap only.

Cause: a placement pass ended early where nothing waits, and kept the need of the pass before, for which the pool went on to claim its part.

Change: such a pass clears the need. turns::a_job_that_was_cancelled_... failed before, with 4 of 8 tasks at once.

--- a/crates/mangotrestle-core/src/workflow/pool/placing.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/placing.rs
@@ -615,6 +615,7 @@
         }
         self.placing_due = false;
         if self.waiting.is_empty() {
+            self.set_teams_blocked(&FastMap::default());
             return;
         }
         let decisions = self.decide(now);
--- a/crates/mangotrestle-core/tests/workflow/teams/turns.rs
+++ b/crates/mangotrestle-core/tests/workflow/teams/turns.rs
@@ -349,3 +349,27 @@
     let completed = completed.count();
     assert!(completed >= 90, "{completed} are completed");
 }
+
+/// Guards against a part of a cap that is claimed for a job that was cancelled, since nothing waits in its
+/// pool any more.
+#[test]
+fn a_job_that_was_cancelled_while_it_waited_claims_no_part_of_the_cap() {
+    let (mut pools, mut store) = simulated_pools(&["first", "second"], 8);
+    for number in 100..400 {
+        let record = job_of(&pools[1], "red", 1, vec![step(1, 1_000, 400, &[])]);
+        pools[1].submit(&job(number), &record);
+    }
+    store.run_for(&mut pools, 1_000, |_| {});
+    let record = job_of(&pools[0], "red", 1, vec![step(1, 8_000, 400, &[])]);
+    pools[0].submit(&job(1), &record);
+    store.run_for(&mut pools, 200, |_| {});
+
+    pools[0].cancel(&job(1));
+    store.run_for(&mut pools, 3_000, |_| {});
+    let mut most = 0;
+    store.run_for(&mut pools, 2_000, |pools| {
+        most = most.max(running(&pools[1..]));
+    });
+
+    assert_eq!(most, 8);
+}
