Set nothing aside for a unit that takes more than its team's cap

Callers saw: once a cap had shrunk below what a waiting unit takes, the team's less urgent jobs in that pool did not start although they fitted.

Cause: the need of each unit without room is set aside, also that of a unit for which there can be no room.

Change: such a unit waits without a claim. turns::a_unit_that_takes_more_than_... failed before: the job behind the unit had not started after 8 s.

--- a/crates/mangotrestle-core/src/workflow/pool/teams.rs
+++ b/crates/mangotrestle-core/src/workflow/pool/teams.rs
@@ -28,7 +28,8 @@
 }
 
 impl<'a> TeamRooms<'a> {
-    /// Whether a unit's team has room for it; if not, the need is set aside.
+    /// Whether a unit's team has room for it; if not, the need is set aside, unless the unit could not run
+    /// within the team's cap at all.
     pub(super) fn admits(&mut self, pool: &Pool, request: &PlacementRequest<'a>) -> bool {
         let Some(team) = &request.job.record.team else {
             return true;
@@ -39,7 +40,7 @@
         };
         let need = request.total_need();
         let fits = need.fits_in(left);
-        if !fits {
+        if !fits && pool.teams.is_within_cap(team, &need) {
             *left -= need;
             let blocked = self.blocked.entry(Arc::clone(team)).or_default();
             blocked.add(need);
--- a/crates/mangotrestle-core/src/workflow/teams/account.rs
+++ b/crates/mangotrestle-core/src/workflow/teams/account.rs
@@ -11,7 +11,7 @@
 
 use super::TeamEntry;
 use super::rate::PromisedRate;
-use super::shares::{Demand, Parts, ShareHolder, ShareRow, ShareWrite};
+use super::shares::{Demand, Parts, ShareHolder, ShareRow, ShareWrite, WHOLE};
 
 /// Minimum time between two writes of one team's row by one pool.
 const MIN_WRITE_INTERVAL: SpanMs = SpanMs(100);
@@ -238,6 +238,16 @@
         }
     }
 
+    /// Whether a unit could run within its team's cap if nothing else of the team did.
+    #[must_use]
+    pub fn is_within_cap(&self, team: &str, unit: &Resources) -> bool {
+        let capped = self.teams.get(team).filter(|account| account.is_capped());
+        capped.is_none_or(|account| {
+            let whole = Parts([WHOLE; 3]);
+            whole.contain(&Parts::taken_by(unit, &account.cap))
+        })
+    }
+
     /// Counts a new job of a team. Returns whether the team is promised that it is run.
     pub fn take_promise(&mut self, now: TimeMs, team: &str) -> bool {
         let account = self.teams.get_mut(team);
--- a/crates/mangotrestle-core/tests/workflow/teams/turns.rs
+++ b/crates/mangotrestle-core/tests/workflow/teams/turns.rs
@@ -373,3 +373,22 @@
 
     assert_eq!(most, 8);
 }
+
+/// Guards against jobs that wait behind a unit that takes more than a cap that has shrunk.
+#[test]
+fn a_unit_that_takes_more_than_a_shrunk_cap_holds_up_no_other_work_of_its_team() {
+    let (mut pools, mut store) = simulated_pools(&["first", "second"], 8);
+    let record = job_of(&pools[1], "red", 1, vec![step(1, 8_000, 3_000, &[])]);
+    pools[1].submit(&job(1), &record);
+    store.run_for(&mut pools, 500, |_| {});
+    let record = job_of(&pools[0], "red", 1, vec![step(1, 6_000, 400, &[])]);
+    pools[0].submit(&job(2), &record);
+    let record = job_of(&pools[0], "red", 2, vec![step(1, 1_000, 400, &[])]);
+    pools[0].submit(&job(3), &record);
+
+    configure(&mut pools, &[team("red", 100.0, 4)]);
+    store.run_for(&mut pools, 8_000, |_| {});
+
+    let ends = [2, 3].map(|number| pools[0].end_of(&job(number)));
+    assert_eq!(ends, [None, Some(JobState::Completed)]);
+}
