Show and cancel jobs of a queue whose new name is not stored yet

Callers would have seen: 503 for GET and DELETE of accepted jobs once a configuration gave their queue another name and the store was away before the row had that name.

A home service that is known never changes, whatever a row lacks, so it is enough to show and cancel jobs; only a submission waits for the name. A test of all rows of three queues shows that a known home stays.

--- a/crates/mangotrestle-core/tests/workflow/queue_home.rs
+++ b/crates/mangotrestle-core/tests/workflow/queue_home.rs
@@ -62,6 +62,33 @@
     assert_eq!(both.service_of("other.example"), Some("beta"));
 }
 
+/// Guards against jobs that are looked for elsewhere once another queue with their path is added.
+#[test]
+fn a_home_that_is_known_stays_whichever_queues_are_added() {
+    let hosts = ["", HOST, "other.example"];
+    let services = ["alpha", "beta"];
+    let queues: Vec<Queue> = hosts
+        .iter()
+        .flat_map(|host| services.map(|service| queue(service, host, service)))
+        .collect();
+    let mut rows = vec![HomeRow::default()];
+
+    for _ in 0..3 {
+        let added = rows.iter().flat_map(|row| {
+            let pairs = queues.iter().map(|queue| (row.clone(), row.with(queue)));
+            pairs.collect::<Vec<_>>()
+        });
+        let added: Vec<(HomeRow, HomeRow)> = added.collect();
+        for (before, after) in &added {
+            for host in [HOST, "other.example", "third.example"] {
+                let known = before.service_of(host);
+                assert!(known.is_none() || known == after.service_of(host), "{host}");
+            }
+        }
+        rows = added.into_iter().map(|(_, after)| after).collect();
+    }
+}
+
 #[test]
 fn a_row_is_read_again_as_it_was_written() {
     let row = HomeRow::default().with(&queue("a", HOST, "alpha"));
--- a/crates/mangotrestle/src/host/front.rs
+++ b/crates/mangotrestle/src/host/front.rs
@@ -156,7 +156,8 @@
     let Some(job) = ingress::job_id(rest) else {
         return StatusCode::NOT_FOUND.into_response();
     };
-    let Some(home) = Box::pin(home_pool(cell, queue, &host, &job)).await else {
+    let home = home_pool(cell, queue, &host, &job, &method);
+    let Some(home) = Box::pin(home).await else {
         return refuse(StatusCode::SERVICE_UNAVAILABLE, MIN_RETRY_AFTER);
     };
     let viewer = caller.viewer(queue);
@@ -193,8 +194,19 @@
 
 /// Returns the pool that holds a job's identity, wherever its queue is sent now; `None` if it cannot be
 /// found out.
-async fn home_pool(cell: &Arc<Cell>, queue: &Queue, host: &str, job: &id::JobId) -> Option<String> {
-    let service = homes::home_service(cell, queue, host).await?;
+async fn home_pool(
+    cell: &Arc<Cell>,
+    queue: &Queue,
+    host: &str,
+    job: &id::JobId,
+    method: &Method,
+) -> Option<String> {
+    // A submission waits until the row has the queue's name, by which its jobs are counted.
+    let known = homes::known_home_service(cell, queue, host).filter(|_| method != Method::POST);
+    let service = match known {
+        Some(service) => service,
+        None => homes::home_service(cell, queue, host).await?,
+    };
     let division = cell.division(&service)?;
     Some(division.home_of(&service, job))
 }
--- a/crates/mangotrestle/src/host/homes.rs
+++ b/crates/mangotrestle/src/host/homes.rs
@@ -79,8 +79,15 @@
     }
 }
 
-/// Returns the home service of a request's queue. A row that the queue lacks is written first; `None` if
-/// that fails.
+/// Returns the home service of the jobs that a request may name, as far as it is known here. It never
+/// changes, whether or not the row has the present name of the queue.
+pub(super) fn known_home_service(cell: &Cell, queue: &Queue, host: &str) -> Option<String> {
+    let (row, _) = cell.home_row(&queue.path_prefix)?;
+    row.service_of(host).map(str::to_owned)
+}
+
+/// Returns the home service for a job that a request submits. A row that the queue lacks is written
+/// first; `None` if that fails.
 pub(super) async fn home_service(cell: &Arc<Cell>, queue: &Queue, host: &str) -> Option<String> {
     if let Some(service) = stored_home_service(cell, queue, host) {
         return Some(service);
@@ -97,7 +104,7 @@
 async fn store_home_service(cell: &Arc<Cell>, queue: &Queue, host: &str) -> Option<String> {
     for _ in 0..MAX_REQUEST_WRITES {
         // One request of this host writes, the others wait for its row.
-        let _turn = cell.home_writing.lock().await;
+        let _guard = cell.home_writing.lock().await;
         if let Some(service) = stored_home_service(cell, queue, host) {
             return Some(service);
         }
