Search the shares' protocol with small units as well

The search with progress, added with the turns, let the next unit of each pool take 6,000 parts only, so that pools no longer took parts without turns there as they did before. It now explores both, with the same bounds.

--- a/crates/mangotrestle-core/tests/workflow/teams/exploration.rs
+++ b/crates/mangotrestle-core/tests/workflow/teams/exploration.rs
@@ -14,6 +14,8 @@
 const MAX_WRITES: usize = 2;
 /// Part of a unit that does not fit beside one of the other pool.
 const LARGE_UNIT: u32 = 6_000;
+/// Part of a unit that fits the fair part of each pool.
+const SMALL_UNIT: u32 = 500;
 /// Maximum number of writes of each leader until a unit starts, once writes are answered.
 const MAX_WRITES_TO_START: u32 = 4;
 /// The leaders: pool and term. The second takes over from the first.
@@ -88,10 +90,11 @@
         }
     }
 
-    fn successors(&self) -> Vec<Self> {
+    /// Returns the states after one more step, in which a pool's next unit takes this part, if one waits.
+    fn successors(&self, unit: u32) -> Vec<Self> {
         let mut next = Vec::new();
         for leader in 0..LEADERS.len() {
-            self.push_leader_steps(leader, &mut next);
+            self.push_leader_steps(leader, unit, &mut next);
         }
         for index in 0..self.writes.len() {
             self.push_write_steps(index, &mut next);
@@ -104,7 +107,7 @@
         next
     }
 
-    fn push_leader_steps(&self, leader: usize, next: &mut Vec<Self>) {
+    fn push_leader_steps(&self, leader: usize, unit: u32, next: &mut Vec<Self>) {
         let (pool, term) = LEADERS[leader];
         let pool_index = Self::pool_of(leader);
         let mut read = self.clone();
@@ -113,7 +116,7 @@
         let own_writes = self.writes.iter().filter(|(from, _)| *from == leader);
         let is_active = leader != 1 || self.taken_over;
         if is_active && own_writes.count() < MAX_WRITES {
-            for unit in [0, LARGE_UNIT] {
+            for unit in [0, unit] {
                 let demand = demand(self.used[pool_index], unit);
                 let mut state = self.clone();
                 if let Some(write) = state.holders[leader].propose(pool, term, &demand, 2) {
@@ -182,8 +185,8 @@
     }
 }
 
-/// Explores all runs from a state, and returns the number of states.
-fn explore(initial: &State) -> usize {
+/// Explores all runs from a state with units of this part, and returns the number of states.
+fn explore(initial: &State, unit: u32) -> usize {
     let mut seen = HashSet::from([initial.clone()]);
     let mut checked = HashSet::new();
     let mut open = VecDeque::from([(initial.clone(), 0)]);
@@ -197,7 +200,7 @@
             state.taken_over,
         );
         if checked.insert(view) {
-            for units in [[LARGE_UNIT; 2], [WHOLE, WHOLE], [WHOLE, 500]] {
+            for units in [[LARGE_UNIT; 2], [WHOLE, WHOLE], [WHOLE, SMALL_UNIT]] {
                 assert!(
                     state.lets_both_start(units),
                     "after {steps} steps, {units:?}: {state:?}"
@@ -207,7 +210,7 @@
         if steps == MAX_STEPS {
             continue;
         }
-        for next in state.successors() {
+        for next in state.successors(unit) {
             if seen.insert(next.clone()) {
                 open.push_back((next, steps + 1));
             }
@@ -221,10 +224,11 @@
 fn no_order_of_reads_writes_and_lost_answers_exceeds_the_cap_or_leaves_it_unused() {
     let initial_states = [State::initial(), State::with_lacking_pool()];
 
-    let explored = initial_states.map(|initial| explore(&initial));
+    let explored =
+        initial_states.map(|initial| [SMALL_UNIT, LARGE_UNIT].map(|unit| explore(&initial, unit)));
 
     assert!(
-        explored.iter().all(|states| *states > 10_000),
+        explored.iter().flatten().all(|states| *states > 10_000),
         "{explored:?} states"
     );
 }
