Store home services once all services are divided

Cause, as far as shown: the write of home services was among the first of a starting system, before its services are divided and led. No job can be accepted before that.

--- a/crates/mangotrestle/src/host/homes.rs
+++ b/crates/mangotrestle/src/host/homes.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use mangotrestle_core::time::{SpanMs, TimeMs};
-use mangotrestle_core::workflow::catalog::Queue;
+use mangotrestle_core::workflow::catalog::{PoolEntry, Queue};
 use mangotrestle_core::workflow::queue_home::HomeRow;
 use mangotrestle_users_platform::store::{Row, Transaction, TransactionAnswer, Value};
 use mangotrestle_users_platform::transport::CallError;
@@ -47,6 +47,11 @@
         let Some(catalog) = cell.catalog.load_full() else {
             return;
         };
+        // A job needs a division anyway, and the first writes of a system should not be held up.
+        let is_divided = |service: &PoolEntry| cell.division(&service.name).is_some();
+        if !catalog.pools.iter().all(is_divided) {
+            return;
+        }
         let is_writing = |write: &JoinHandle<()>| !write.is_finished();
         if catalog.version == self.covered_version || self.write.as_ref().is_some_and(is_writing) {
             return;
